--- /dev/null
+++ b/internal/bench/reporter/reporter.go
@@ -0,0 +1,40 @@
+// Package reporter holds the results of experiments and writes them as text or JSON.
+package reporter
+
+// Figure is one measured value. Target is the bound stated by the project's aims, or nil if there is none.
+type Figure struct {
+	Value  float64  `json:"value"`
+	Unit   string   `json:"unit"`
+	Target *float64 `json:"target,omitempty"`
+}
+
+// Result is the outcome of one experiment: figures by name.
+type Result struct {
+	Name    string            `json:"name"`
+	Seed    uint64            `json:"seed"`
+	Figures map[string]Figure `json:"figures"`
+}
+
+// Experiment is one entry of the table of experiments.
+type Experiment struct {
+	Name string
+	// Help says in one line what is measured.
+	Help string
+	// Run measures. The same seed gives the same decisions.
+	Run func(seed uint64) (Result, error)
+}
+
+// NewResult returns a result without figures.
+func NewResult(name string, seed uint64) Result {
+	return Result{Name: name, Seed: seed, Figures: map[string]Figure{}}
+}
+
+// Set records a figure that has no target.
+func (r Result) Set(name string, value float64, unit string) {
+	r.Figures[name] = Figure{Value: value, Unit: unit}
+}
+
+// SetTarget records a figure and its target.
+func (r Result) SetTarget(name string, value float64, unit string, target float64) {
+	r.Figures[name] = Figure{Value: value, Unit: unit, Target: &target}
+}
--- /dev/null
+++ b/internal/dispatch/classifier/classifier.go
@@ -0,0 +1,78 @@
+// Package classifier states what is known of a dispatch: whether the work ran, did not run, or may have run.
+package classifier
+
+// Outcome is what is known of one attempt to send work to an endpoint or to the platform. The zero value is
+// Unknown, so an outcome that was never set is never reported as not run.
+type Outcome int
+
+// The outcomes of an attempt.
+const (
+	// Unknown means that the work may have run.
+	Unknown Outcome = iota
+	// NotSent means that no byte of the work left this process.
+	NotSent
+	// Refused means that the receiver said, before running it, that it does not run the work.
+	Refused
+	// Completed means that the receiver ran the work and its result is known.
+	Completed
+)
+
+// String returns the outcome's name in headers and logs.
+func (o Outcome) String() string {
+	switch o {
+	case NotSent:
+		return "not-sent"
+	case Refused:
+		return "refused"
+	case Completed:
+		return "completed"
+	default:
+		return "unknown"
+	}
+}
+
+// NotRun reports whether the outcome proves that the work did not run.
+func (o Outcome) NotRun() bool {
+	return o == NotSent || o == Refused
+}
+
+// Verdict is what a caller is told of a call, from the outcomes of all its attempts. The zero value is
+// VerdictUnknown.
+type Verdict int
+
+// The verdicts of a call.
+const (
+	// VerdictUnknown means that the call may have run.
+	VerdictUnknown Verdict = iota
+	// VerdictNotRun means that no attempt of the call ran.
+	VerdictNotRun
+	// VerdictCompleted means that the call ran and its result is known.
+	VerdictCompleted
+)
+
+// String returns the verdict as sent to callers in the Heatherrock-Outcome header.
+func (v Verdict) String() string {
+	switch v {
+	case VerdictNotRun:
+		return "not-run"
+	case VerdictCompleted:
+		return "completed"
+	default:
+		return "unknown"
+	}
+}
+
+// Combine returns the verdict of a call from the outcomes of its attempts. A call without attempts did not run.
+// One completed attempt completes the call. The call is not run only if no attempt can have run.
+func Combine(outcomes ...Outcome) Verdict {
+	verdict := VerdictNotRun
+	for _, o := range outcomes {
+		if o == Completed {
+			return VerdictCompleted
+		}
+		if !o.NotRun() {
+			verdict = VerdictUnknown
+		}
+	}
+	return verdict
+}
--- /dev/null
+++ b/internal/routing/planner/planner.go
@@ -0,0 +1,50 @@
+// Package planner finds ways through a model's layers over the endpoints that hold them.
+package planner
+
+// Endpoint is one model-serving server as the planner sees it.
+type Endpoint struct {
+	ID         string
+	Address    string
+	Kind       string
+	DataCentre string
+	Region     string
+	Held       []Held
+	Adapters   []string
+	// Rate is the capacity in layer steps a second: one layer run for one token is one step.
+	Rate float64
+}
+
+// Held is a range of layers of a model's version, from From up to, not including, To.
+type Held struct {
+	Model   string
+	Version string
+	From    int
+	To      int
+}
+
+// Stage is one part of a plan.
+type Stage struct {
+	Endpoint string
+	Address  string
+	From     int
+	To       int
+}
+
+// Plan is an ordered list of stages that covers every layer of a model's version once.
+type Plan struct {
+	Model   string
+	Version string
+	Stages  []Stage
+}
+
+// Covers reports whether the stages run each of the layers from 0 up to, not including, layers once and in order.
+func Covers(stages []Stage, layers int) bool {
+	next := 0
+	for _, s := range stages {
+		if s.From != next || s.To <= s.From {
+			return false
+		}
+		next = s.To
+	}
+	return next == layers && layers > 0
+}
--- /dev/null
+++ b/internal/serving/configurer/settings.go
@@ -0,0 +1,72 @@
+// Package configurer reads and checks the settings of a process.
+package configurer
+
+import "time"
+
+// Settings are the settings of one instance.
+type Settings struct {
+	// ID names the instance.
+	ID         string
+	DataCentre string
+	Region     string
+	Callers    Listener
+	Operators  Listener
+	// Peers is the listener for the other instances, over net/rpc.
+	Peers Listener
+	// Tables, Objects, Instances and Weights are the base URLs of the platform's services.
+	Tables    string
+	Objects   string
+	Instances string
+	Weights   string
+	Log       Log
+	Limits    Limits
+	Times     Times
+	// Credential is the SHA-256 of the operators' bearer token, in hexadecimal. Empty means that none is asked for.
+	Credential string
+}
+
+// Listener is an address to listen on, and its TLS files. TLS is off if Cert is empty.
+type Listener struct {
+	Address string
+	Cert    string
+	Key     string
+	// CA is the file of the authorities that the other end's certificate must come from. Empty means that none is
+	// asked for.
+	CA string
+}
+
+// Log is the format (text or json) and the lowest level (debug, info, warn or error) of the log.
+type Log struct {
+	Format string
+	Level  string
+}
+
+// Limits bounds what callers may ask of the process. Body and Header are in bytes.
+type Limits struct {
+	Body    int64
+	Header  int
+	Streams int
+	Queue   int
+}
+
+// Times are the process's intervals and timeouts.
+type Times struct {
+	// Poll is the time between reads of the configuration's head.
+	Poll time.Duration
+	// Gossip is the time between exchanges with peers.
+	Gossip time.Duration
+	// List is the time between reads of the platform's instance list.
+	List time.Duration
+	// Report is the time between reads of an endpoint's load.
+	Report time.Duration
+	// Progress is the longest wait for a step of an answer.
+	Progress time.Duration
+	// Request bounds a request from its arrival to its end.
+	Request time.Duration
+	// Notice is how long a leaving instance serves after it fails readiness, for the balancer to see it.
+	Notice time.Duration
+	// Drain bounds the wait for requests in flight on shutdown.
+	Drain time.Duration
+	// Stale is how long an instance admits requests while neither the store nor a peer can be reached.
+	Stale time.Duration
+}
