--- /dev/null
+++ b/internal/routing/picker/graph.go
@@ -0,0 +1,92 @@
+package picker
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/heatherrock/heatherrock/internal/routing/planner"
+)
+
+// graphKey names a layer graph.
+type graphKey struct {
+	model   string
+	version string
+	layers  int
+}
+
+// graph is the layer graph of one version of a model with the weights of its arcs.
+type graph struct {
+	*planner.Graph
+	spread planner.Spread
+	// starts holds the arcs by the boundary at which they start.
+	starts  [][]planner.Arc
+	members [][]*load
+	centres map[string]int
+	rate    float64
+	built   time.Time
+	// membership is the picker's count of changes of membership at the build.
+	membership int
+}
+
+// graph returns the layer graph for a query. It is built anew when endpoints come or go, and when it is old, since
+// rates and health change.
+func (p *Picker) graph(now time.Time, q Query) *graph {
+	key := graphKey{q.Model, q.Version, q.Layers}
+	g := p.graphs[key]
+	if g != nil && g.membership == p.membership && now.Sub(g.built) < p.refresh {
+		return g
+	}
+	g = p.build(now, key)
+	p.graphs[key] = g
+	return g
+}
+
+// build builds a layer graph from the endpoints that are not leaving, at the rates believed.
+func (p *Picker) build(now time.Time, key graphKey) *graph {
+	var endpoints []planner.Endpoint
+	for _, id := range slices.Sorted(maps.Keys(p.loads)) {
+		l := p.loads[id]
+		if l.leaving {
+			continue
+		}
+		e := l.endpoint
+		e.Rate = max(p.weight(now, l), e.Rate*minWeight)
+		endpoints = append(endpoints, e)
+	}
+	g := &graph{
+		Graph: planner.NewGraph(key.model, key.version, key.layers, endpoints, p.believed(now)),
+		built: now, membership: p.membership, centres: map[string]int{},
+	}
+	for i, c := range g.Centres {
+		g.centres[c] = i
+	}
+	g.starts = make([][]planner.Arc, len(g.Boundaries))
+	g.members = make([][]*load, len(g.Classes))
+	for i, c := range g.Classes {
+		for _, id := range c.Endpoints {
+			g.members[i] = append(g.members[i], p.loads[id])
+		}
+		for _, a := range g.Arcs(i) {
+			g.starts[a.From] = append(g.starts[a.From], a)
+		}
+	}
+	g.rate = g.Rate()
+	g.spread = g.Spread(g.rate)
+	return g
+}
+
+// minWeight is the share of its rate with which an ejected endpoint stays in the graph, so that a range which only
+// it holds stays covered.
+const minWeight = 1e-3
+
+// believed returns the links with the capacity that they are believed to give.
+func (p *Picker) believed(now time.Time) []planner.Link {
+	var links []planner.Link
+	for w, l := range p.links {
+		link := l.link
+		link.Rate *= p.health.Share(now, linkName(w.from, w.to))
+		links = append(links, link)
+	}
+	return links
+}
--- /dev/null
+++ b/internal/routing/planner/bound.go
@@ -0,0 +1,212 @@
+package planner
+
+import (
+	"fmt"
+	"math"
+
+	"gonum.org/v1/gonum/graph/network"
+	"gonum.org/v1/gonum/graph/simple"
+)
+
+const (
+	// flowTolerance is the relative error of the rates of flows.
+	flowTolerance = 1e-9
+	// placeRounds bounds the bisection of a placement's rate.
+	placeRounds = 32
+	// cutProbe is the share of its rate by which a part is slowed to see whether it limits.
+	cutProbe = 0.01
+	// rateGrain is the grain to which a bound is rounded, in tokens a second.
+	rateGrain = 1e-6
+)
+
+// Bound is the throughput that the endpoints and links allow, and what limits it.
+type Bound struct {
+	// Rate is the bound in tokens a second.
+	Rate float64
+	// Limits lists what lies in a minimum cut: the bound falls if one of these slows down.
+	Limits []Limit
+	// Lacking lists the ranges of layers that no endpoint holds. Rate is zero unless it is empty.
+	Lacking []Held
+}
+
+// Limit is a class of endpoints or a link that limits the throughput.
+type Limit struct {
+	Name string
+	// Rate is its capacity: layer steps a second of a class, tokens a second of a link.
+	Rate float64
+	// Loss is the fall of the bound, in tokens a second, for each percent by which it slows down.
+	Loss float64
+}
+
+// Bound computes the bound and its minimum cut, by slowing down each class and link in turn.
+func (g *Graph) Bound() Bound {
+	b := Bound{Lacking: g.Lacking()}
+	if len(b.Lacking) > 0 {
+		return b
+	}
+	b.Rate = g.Rate()
+	for i := range g.Classes {
+		c := &g.Classes[i]
+		rate := c.Rate
+		c.Rate *= 1 - cutProbe
+		loss := b.Rate - g.Rate()
+		c.Rate = rate
+		b.Limits = appendLimit(b.Limits, c.Name(), rate, loss)
+	}
+	for ends, l := range g.sortedLinks() {
+		if l.Rate <= 0 {
+			continue
+		}
+		slow := l
+		slow.Rate *= 1 - cutProbe
+		g.links[ends] = slow
+		loss := b.Rate - g.Rate()
+		g.links[ends] = l
+		b.Limits = appendLimit(b.Limits, "link "+l.From+" to "+l.To, l.Rate, loss)
+	}
+	return b
+}
+
+// appendLimit adds a limit unless its loss is none.
+func appendLimit(limits []Limit, name string, rate, loss float64) []Limit {
+	if loss < 2*rateGrain {
+		return limits
+	}
+	return append(limits, Limit{Name: name, Rate: rate, Loss: loss})
+}
+
+// Rate returns the bound in tokens a second, zero if a layer is not held. It is the lower of two upper bounds. One is
+// the maximum flow of the layer graph, where an endpoint's capacity counts anew for each part of its range between
+// boundaries; it is exact where no range has a boundary inside it. The other is the rate at which the layer steps of
+// all parts can be placed on the endpoints that hold them; it is exact where no link limits.
+func (g *Graph) Rate() float64 {
+	if !g.Covered() {
+		return 0
+	}
+	rate := g.flow()
+	if g.divided() {
+		rate = g.place(rate)
+	}
+	return math.Round(rate/rateGrain) * rateGrain
+}
+
+// divided reports whether a range has a boundary inside it.
+func (g *Graph) divided() bool {
+	for i := range g.Classes {
+		if len(g.Arcs(i)) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// source and sink are the ends of the flow networks; other nodes have identifiers from firstNode.
+const (
+	source    = 0
+	sink      = 1
+	firstNode = 2
+)
+
+// flow returns the maximum flow over classes and links, in tokens a second.
+func (g *Graph) flow() float64 {
+	net := flowNetwork{}
+	node := func(boundary, centre int) int64 { return int64(firstNode + boundary*len(g.Centres) + centre) }
+	for centre := range g.Centres {
+		net.add(source, node(0, centre), math.Inf(1))
+		net.add(node(len(g.Boundaries)-1, centre), sink, math.Inf(1))
+	}
+	for i, c := range g.Classes {
+		centre := g.centre(c.DataCentre)
+		for _, a := range g.Arcs(i) {
+			if a.To == a.From+1 {
+				net.add(node(a.From, centre), node(a.To, centre), c.Rate/float64(g.Width(a)))
+			}
+		}
+	}
+	for boundary := 1; boundary < len(g.Boundaries)-1; boundary++ {
+		for from := range g.Centres {
+			for to := range g.Centres {
+				if from != to {
+					net.add(node(boundary, from), node(boundary, to), g.linkRate(from, to))
+				}
+			}
+		}
+	}
+	return net.max()
+}
+
+// linkRate returns the capacity of a link in tokens a second.
+func (g *Graph) linkRate(from, to int) float64 {
+	l, ok := g.links[[2]int{from, to}]
+	if !ok || l.Rate <= 0 {
+		return math.Inf(1)
+	}
+	return l.Rate
+}
+
+// place returns the highest rate, up to a limit, at which the layer steps of each part of the model between two
+// boundaries can be shared out to the classes that hold it.
+func (g *Graph) place(limit float64) float64 {
+	if g.placed(limit) {
+		return limit
+	}
+	low, high := 0.0, limit
+	for range placeRounds {
+		middle := (low + high) / 2
+		if g.placed(middle) {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
+
+// placed reports whether the classes can run the layer steps of every part at a rate in tokens a second.
+func (g *Graph) placed(rate float64) bool {
+	net := flowNetwork{}
+	parts := len(g.Boundaries) - 1
+	for part := range parts {
+		width := float64(g.Boundaries[part+1] - g.Boundaries[part])
+		net.add(source, int64(firstNode+part), rate*width)
+	}
+	for i, c := range g.Classes {
+		node := int64(firstNode + parts + i)
+		net.add(node, sink, c.Rate)
+		for part := range parts {
+			if c.From <= g.Boundaries[part] && g.Boundaries[part+1] <= c.To {
+				net.add(int64(firstNode+part), node, math.Inf(1))
+			}
+		}
+	}
+	return net.max() >= rate*float64(g.Layers)*(1-flowTolerance)
+}
+
+// flowNetwork holds the capacities of a flow network by the two ends of an arc.
+type flowNetwork map[[2]int64]float64
+
+// add adds an arc, or raises the capacity of the one between the same ends.
+func (f flowNetwork) add(from, to int64, rate float64) {
+	f[[2]int64{from, to}] += rate
+}
+
+// max returns the maximum flow from source to sink.
+func (f flowNetwork) max() float64 {
+	finite := 1.0
+	for _, rate := range f {
+		if !math.IsInf(rate, 1) {
+			finite += rate
+		}
+	}
+	net := simple.NewWeightedDirectedGraph(0, 0)
+	for ends, rate := range f {
+		edge := simple.WeightedEdge{F: simple.Node(ends[0]), T: simple.Node(ends[1]), W: min(rate, finite)}
+		net.SetWeightedEdge(edge)
+	}
+	return network.MaxFlowDinic(net, simple.Node(source), simple.Node(sink), finite*flowTolerance/firstNode)
+}
+
+// Name returns the name of a class in the bound's limits.
+func (c Class) Name() string {
+	return fmt.Sprintf("layers %d-%d in %s", c.From, c.To, c.DataCentre)
+}
--- /dev/null
+++ b/internal/routing/planner/graph.go
@@ -0,0 +1,157 @@
+package planner
+
+import (
+	"cmp"
+	"iter"
+	"slices"
+)
+
+// Class is a set of endpoints of one data centre that hold the same range of layers.
+type Class struct {
+	DataCentre string
+	From       int
+	To         int
+	// Rate is the sum of the endpoints' rates, in layer steps a second.
+	Rate float64
+	// Endpoints holds the identifiers, in order.
+	Endpoints []string
+}
+
+// Graph is the layer graph of one version of a model. Its nodes are the layer boundaries in each data centre, its
+// arcs are the classes, each over its own range or a part of it that ends at boundaries, and the links.
+type Graph struct {
+	Layers int
+	// Boundaries holds the layers at which ranges begin or end, in order, with 0 and Layers.
+	Boundaries []int
+	// Centres holds the data centres, in order.
+	Centres []string
+	Classes []Class
+	links   map[[2]int]Link
+}
+
+// Arc is a part of a class's range between two boundaries, by their index.
+type Arc struct {
+	Class int
+	From  int
+	To    int
+}
+
+// NewGraph builds the layer graph of a model's version from the endpoints that hold a part of it. Data centres
+// without a link in links are joined without limit or delay.
+func NewGraph(model, version string, layers int, endpoints []Endpoint, links []Link) *Graph {
+	g := &Graph{Layers: layers, links: map[[2]int]Link{}}
+	g.classify(model, version, endpoints)
+	g.Boundaries = append(g.Boundaries, 0, layers)
+	for _, c := range g.Classes {
+		g.Boundaries = append(g.Boundaries, c.From, c.To)
+		g.Centres = append(g.Centres, c.DataCentre)
+	}
+	slices.Sort(g.Boundaries)
+	g.Boundaries = slices.Compact(g.Boundaries)
+	slices.Sort(g.Centres)
+	g.Centres = slices.Compact(g.Centres)
+	for _, l := range links {
+		from, to := slices.Index(g.Centres, l.From), slices.Index(g.Centres, l.To)
+		if from >= 0 && to >= 0 {
+			g.links[[2]int{from, to}] = l
+		}
+	}
+	return g
+}
+
+// classify groups the endpoints that hold a part of the model's version.
+func (g *Graph) classify(model, version string, endpoints []Endpoint) {
+	type key struct {
+		centre   string
+		from, to int
+	}
+	classes := map[key]*Class{}
+	for _, e := range endpoints {
+		for _, h := range e.Held {
+			if h.Model != model || h.Version != version || h.From < 0 || h.To > g.Layers || h.From >= h.To {
+				continue
+			}
+			k := key{e.DataCentre, h.From, h.To}
+			c := classes[k]
+			if c == nil {
+				c = &Class{DataCentre: e.DataCentre, From: h.From, To: h.To}
+				classes[k] = c
+			}
+			c.Rate += e.Rate
+			c.Endpoints = append(c.Endpoints, e.ID)
+		}
+	}
+	for _, c := range classes {
+		slices.Sort(c.Endpoints)
+		g.Classes = append(g.Classes, *c)
+	}
+	slices.SortFunc(g.Classes, func(a, b Class) int {
+		return cmp.Or(cmp.Compare(a.From, b.From), cmp.Compare(a.To, b.To), cmp.Compare(a.DataCentre, b.DataCentre))
+	})
+}
+
+// Arcs returns the arcs of a class: its range and the parts of it between boundaries.
+func (g *Graph) Arcs(class int) []Arc {
+	c := g.Classes[class]
+	first, _ := slices.BinarySearch(g.Boundaries, c.From)
+	last, _ := slices.BinarySearch(g.Boundaries, c.To)
+	var arcs []Arc
+	for i := first; i < last; i++ {
+		for j := i + 1; j <= last; j++ {
+			arcs = append(arcs, Arc{Class: class, From: i, To: j})
+		}
+	}
+	return arcs
+}
+
+// Width returns the number of layers of an arc.
+func (g *Graph) Width(a Arc) int {
+	return g.Boundaries[a.To] - g.Boundaries[a.From]
+}
+
+// Covered reports whether every layer is held.
+func (g *Graph) Covered() bool {
+	next := 0
+	for _, c := range g.Classes {
+		if c.From > next {
+			return false
+		}
+		next = max(next, c.To)
+	}
+	return next >= g.Layers && g.Layers > 0
+}
+
+// Lacking returns the ranges of layers that no endpoint holds.
+func (g *Graph) Lacking() []Held {
+	var lacking []Held
+	next := 0
+	for _, c := range g.Classes {
+		if c.From > next {
+			lacking = append(lacking, Held{From: next, To: c.From})
+		}
+		next = max(next, c.To)
+	}
+	if next < g.Layers {
+		lacking = append(lacking, Held{From: next, To: g.Layers})
+	}
+	return lacking
+}
+
+// centre returns the index of a data centre that the graph has.
+func (g *Graph) centre(name string) int {
+	return slices.Index(g.Centres, name)
+}
+
+// sortedLinks returns the links in the order of their ends.
+func (g *Graph) sortedLinks() iter.Seq2[[2]int, Link] {
+	return func(yield func([2]int, Link) bool) {
+		for from := range g.Centres {
+			for to := range g.Centres {
+				ends := [2]int{from, to}
+				if l, ok := g.links[ends]; ok && !yield(ends, l) {
+					return
+				}
+			}
+		}
+	}
+}
--- a/internal/routing/planner/planner.go
+++ b/internal/routing/planner/planner.go
@@ -1,6 +1,9 @@
-// Package planner finds ways through a model's layers over the endpoints that hold them.
+// Package planner finds ways through a model's layers over the endpoints that hold them, and computes the throughput
+// that endpoints and links allow.
 package planner
 
+import "time"
+
 // Endpoint is one model-serving server as the planner sees it.
 type Endpoint struct {
 	ID         string
@@ -22,6 +25,16 @@
 	To      int
 }
 
+// Link is the way between the endpoints of two data centres, in one direction.
+type Link struct {
+	From string
+	To   string
+	// Rate is the capacity in tokens a second that cross the link. Zero means that the link does not limit.
+	Rate float64
+	// Delay is the time that a step takes to cross the link.
+	Delay time.Duration
+}
+
 // Stage is one part of a plan.
 type Stage struct {
 	Endpoint string
--- /dev/null
+++ b/internal/routing/planner/planner_test.go
@@ -0,0 +1,123 @@
+package planner
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
+)
+
+// holder returns an endpoint that holds one range of the model that the tests use.
+func holder(id, centre string, from, to int, rate float64) Endpoint {
+	return Endpoint{ID: id, DataCentre: centre, Rate: rate, Held: []Held{{Model: "m", Version: "1", From: from, To: to}}}
+}
+
+func TestBound(t *testing.T) {
+	cases := []struct {
+		name      string
+		endpoints []Endpoint
+		links     []Link
+		want      float64
+		limits    []string
+		lacking   []Held
+	}{
+		{"no endpoint", nil, nil, 0, nil, []Held{{From: 0, To: 40}}},
+		{"a gap", []Endpoint{holder("a", "x", 0, 10, 100), holder("b", "x", 20, 40, 100)}, nil, 0, nil,
+			[]Held{{From: 10, To: 20}}},
+		{"a chain is as fast as its slowest stage",
+			[]Endpoint{holder("a", "x", 0, 10, 1000), holder("b", "x", 10, 40, 1500)}, nil,
+			50, []string{"layers 10-40 in x"}, nil},
+		{"ranges cut at different layers share the work",
+			[]Endpoint{holder("a", "x", 0, 40, 4000), holder("b", "x", 0, 10, 500), holder("c", "x", 10, 40, 3000)}, nil,
+			187.5, []string{"layers 0-10 in x", "layers 0-40 in x", "layers 10-40 in x"}, nil},
+		{"an endpoint's capacity counts once over its parts",
+			[]Endpoint{holder("a", "x", 0, 40, 4000), holder("b", "x", 0, 20, 2000)}, nil,
+			150, []string{"layers 0-20 in x", "layers 0-40 in x"}, nil},
+		{"overlapping ranges meet inside",
+			[]Endpoint{holder("a", "x", 0, 30, 3000), holder("b", "x", 20, 40, 1000)}, nil,
+			100, []string{"layers 0-30 in x", "layers 20-40 in x"}, nil},
+		{"a link limits",
+			[]Endpoint{holder("a", "x", 0, 20, 2000), holder("b", "y", 20, 40, 2000)},
+			[]Link{{From: "x", To: "y", Rate: 30}}, 30, []string{"link x to y"}, nil},
+		{"a slow link is gone round",
+			[]Endpoint{holder("a", "x", 0, 20, 2000), holder("b", "y", 20, 40, 2000), holder("c", "x", 20, 40, 1000)},
+			[]Link{{From: "x", To: "y", Rate: 30}}, 80, []string{"layers 20-40 in x", "link x to y"}, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := NewGraph("m", "1", 40, c.endpoints, c.links).Bound()
+			var limits []string
+			for _, l := range b.Limits {
+				limits = append(limits, l.Name)
+			}
+			if diff := cmp.Diff(c.want, b.Rate, cmpopts.EquateApprox(1e-6, 0)); diff != "" {
+				t.Errorf("Rate mismatch (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(c.limits, limits, cmpopts.SortSlices(func(a, b string) bool { return a < b })); diff != "" {
+				t.Errorf("Limits mismatch (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(c.lacking, b.Lacking); diff != "" {
+				t.Errorf("Lacking mismatch (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestSpread draws graphs and checks that a spread of the demand runs every layer for all of it, and that no class or
+// link is used much over its capacity when the demand is the bound.
+func TestSpread(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cuts := []int{0, 10, 20, 30, 40}
+		var endpoints []Endpoint
+		for i := range rapid.IntRange(1, 12).Draw(t, "endpoints") {
+			from := rapid.IntRange(0, 3).Draw(t, "from")
+			to := rapid.IntRange(from+1, 4).Draw(t, "to")
+			centre := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "centre")
+			rate := rapid.Float64Range(500, 4000).Draw(t, "rate")
+			endpoints = append(endpoints, holder(fmt.Sprint(i), centre, cuts[from], cuts[to], rate))
+		}
+		g := NewGraph("m", "1", 40, endpoints, nil)
+		demand := g.Rate()
+		if (demand > 0) != (len(g.Lacking()) == 0) {
+			t.Fatalf("Rate() = %v with lacking %v", demand, g.Lacking())
+		}
+		s := g.Spread(demand)
+		steps := 0.0
+		for a, flow := range s.Flows {
+			steps += flow * float64(g.Width(a))
+		}
+		if want := demand * 40; math.Abs(steps-want) > 1e-6*max(1, want) {
+			t.Errorf("spread runs %v layer steps a second, want %v", steps, want)
+		}
+		if s.Peak > 1.1 {
+			t.Errorf("Peak = %v, want at most a tenth over the capacity", s.Peak)
+		}
+	})
+}
+
+func TestCovers(t *testing.T) {
+	cases := []struct {
+		name   string
+		stages []Stage
+		want   bool
+	}{
+		{"none", nil, false},
+		{"whole", []Stage{{From: 0, To: 40}}, true},
+		{"in order", []Stage{{From: 0, To: 10}, {From: 10, To: 40}}, true},
+		{"gap", []Stage{{From: 0, To: 10}, {From: 11, To: 40}}, false},
+		{"overlap", []Stage{{From: 0, To: 10}, {From: 9, To: 40}}, false},
+		{"out of order", []Stage{{From: 10, To: 40}, {From: 0, To: 10}}, false},
+		{"short", []Stage{{From: 0, To: 39}}, false},
+		{"empty stage", []Stage{{From: 0, To: 40}, {From: 40, To: 40}}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if diff := cmp.Diff(c.want, Covers(c.stages, 40)); diff != "" {
+				t.Errorf("Covers mismatch (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/routing/planner/spread.go
@@ -0,0 +1,164 @@
+package planner
+
+import (
+	"math"
+)
+
+const (
+	// spreadSlices is the number of equal parts in which a demand is spread over the graph.
+	spreadSlices = 160
+	// spreadSlope is the growth of a part's price with its use: at its capacity it costs e^spreadSlope times as much as
+	// unused.
+	spreadSlope = 9
+)
+
+// Spread is a division of a demand over the arcs of a graph.
+type Spread struct {
+	// Flows holds the rate of each arc in tokens a second.
+	Flows map[Arc]float64
+	// Moves holds the rate of each way to enter an arc's data centre, in tokens a second.
+	Moves map[Move]float64
+	// Peak is the highest use of a class or link, as a share of its capacity.
+	Peak float64
+}
+
+// Move is the way at a boundary from one data centre to another, or on in the same. Both are indices. At boundary 0
+// From equals To.
+type Move struct {
+	Boundary int
+	From     int
+	To       int
+}
+
+// Spread divides a demand in tokens a second over the arcs so that the highest use is low, and uses elsewhere are even
+// too. It routes equal slices one by one over the cheapest path, at prices that grow exponentially with use (after
+// Garg and Könemann, Faster and Simpler Algorithms for Multicommodity Flow, 2007), so that the parts of one range and
+// the boundaries of one link share their capacity.
+func (g *Graph) Spread(demand float64) Spread {
+	s := spreader{graph: g, slice: demand / spreadSlices}
+	s.classUse = make([]float64, len(g.Classes))
+	s.linkUse = make(map[[2]int]float64, len(g.links))
+	s.flows, s.moves = map[Arc]float64{}, map[Move]float64{}
+	s.index()
+	if !g.Covered() || demand <= 0 {
+		return Spread{Flows: s.flows, Moves: s.moves}
+	}
+	for range spreadSlices {
+		s.route()
+	}
+	peak := 0.0
+	for _, use := range s.classUse {
+		peak = max(peak, use)
+	}
+	for _, use := range s.linkUse {
+		peak = max(peak, use)
+	}
+	return Spread{Flows: s.flows, Moves: s.moves, Peak: peak}
+}
+
+// spreader is the state of a spread: uses are shares of capacity.
+type spreader struct {
+	graph    *Graph
+	slice    float64
+	starts   [][]Arc
+	classUse []float64
+	linkUse  map[[2]int]float64
+	flows    map[Arc]float64
+	moves    map[Move]float64
+}
+
+// step is the cheapest way to a node: over an arc from the boundary before, and over a link before it from another
+// data centre.
+type step struct {
+	price  float64
+	arc    Arc
+	centre int
+}
+
+// index groups the arcs by the boundary at which they start.
+func (s *spreader) index() {
+	s.starts = make([][]Arc, len(s.graph.Boundaries))
+	for i := range s.graph.Classes {
+		for _, a := range s.graph.Arcs(i) {
+			s.starts[a.From] = append(s.starts[a.From], a)
+		}
+	}
+}
+
+// route sends one slice over the cheapest path and raises the use of what it takes.
+func (s *spreader) route() {
+	last := len(s.graph.Boundaries) - 1
+	nodes := make([][]step, last+1)
+	for b := range nodes {
+		nodes[b] = make([]step, len(s.graph.Centres))
+		for c := range nodes[b] {
+			nodes[b][c] = step{price: math.Inf(1)}
+			if b == 0 {
+				nodes[b][c].price = 0
+			}
+		}
+	}
+	for b := range last {
+		for _, a := range s.starts[b] {
+			centre := s.graph.centre(s.graph.Classes[a.Class].DataCentre)
+			price, from := s.enter(nodes[b], b, centre)
+			price += s.price(a)
+			if price < nodes[a.To][centre].price {
+				nodes[a.To][centre] = step{price: price, arc: a, centre: from}
+			}
+		}
+	}
+	centre := 0
+	for c := range nodes[last] {
+		if nodes[last][c].price < nodes[last][centre].price {
+			centre = c
+		}
+	}
+	for b := last; b > 0; {
+		n := nodes[b][centre]
+		s.use(n.arc, n.centre, centre)
+		b, centre = n.arc.From, n.centre
+	}
+}
+
+// enter returns the cheapest price at which a slice at a boundary is in a data centre, and where it was before.
+func (s *spreader) enter(nodes []step, boundary, centre int) (float64, int) {
+	best, from := nodes[centre].price, centre
+	if boundary == 0 {
+		return best, from
+	}
+	for c := range nodes {
+		if c == centre {
+			continue
+		}
+		price := nodes[c].price + s.linkPrice(c, centre)
+		if price < best {
+			best, from = price, c
+		}
+	}
+	return best, from
+}
+
+// price returns the price of an arc.
+func (s *spreader) price(a Arc) float64 {
+	share := s.slice * float64(s.graph.Width(a)) / s.graph.Classes[a.Class].Rate
+	return share * math.Exp(spreadSlope*s.classUse[a.Class])
+}
+
+// linkPrice returns the price of a link. A link without a limit costs a little, so that a path does not cross without
+// need.
+func (s *spreader) linkPrice(from, to int) float64 {
+	rate := s.graph.linkRate(from, to)
+	share := s.slice / rate
+	return share*math.Exp(spreadSlope*s.linkUse[[2]int{from, to}]) + flowTolerance
+}
+
+// use raises the use of an arc and of the link taken to reach it.
+func (s *spreader) use(a Arc, from, to int) {
+	s.flows[a] += s.slice
+	s.moves[Move{Boundary: a.From, From: from, To: to}] += s.slice
+	s.classUse[a.Class] += s.slice * float64(s.graph.Width(a)) / s.graph.Classes[a.Class].Rate
+	if from != to {
+		s.linkUse[[2]int{from, to}] += s.slice / s.graph.linkRate(from, to)
+	}
+}
