Add the routing experiments over a fake of engines in virtual time

Cause: the policies have to be measured against the bound and against simple ones before they are improved. Change: experiments flow, burst, latency, slowkind, link and fair, with the picker, detector and queue that serve; weights come from a balanced spread in place of the exact flow, loads count layer steps in place of requests.

--- /dev/null
+++ b/internal/bench/router/engine.go
@@ -0,0 +1,115 @@
+package router
+
+import (
+	"time"
+
+	"github.com/heatherrock/heatherrock/internal/routing/planner"
+)
+
+const (
+	// iteration is the time that an engine aims at for a batch.
+	iteration = 6 * time.Millisecond
+	// promptPart is the part of a batch that is kept for prompts while tokens wait too.
+	promptPart = 0.5
+	// promptCost is the work of a prompt token against that of a generated one.
+	promptCost = 0.1
+)
+
+// engine is a fake of a model engine: it runs waiting jobs in batches, each as long as its work needs and at least as
+// long as one pass over the weights takes. Prompts run in chunks beside the tokens.
+type engine struct {
+	clock    *clock
+	endpoint planner.Endpoint
+	// rate is the true capacity in layer steps a second.
+	rate  float64
+	floor time.Duration
+	// running counts the requests that have a stage here.
+	running int
+	tokens  []*job
+	prompts []*job
+	busy    bool
+	worked  float64
+	width int
+}
+
+// job is the work of one stage: a token's, or a whole prompt's.
+type job struct {
+	steps float64
+	done  func()
+}
+
+// add queues a job.
+func (e *engine) add(j *job, prompt bool) {
+	if prompt {
+		e.prompts = append(e.prompts, j)
+	} else {
+		e.tokens = append(e.tokens, j)
+	}
+	if !e.busy {
+		e.busy = true
+		e.clock.after(0, e.batch)
+	}
+}
+
+// batch runs one batch and, after it, the next.
+func (e *engine) batch() {
+	if len(e.tokens) == 0 && len(e.prompts) == 0 {
+		e.busy = false
+		return
+	}
+	budget := e.rate * max(iteration, e.floor).Seconds()
+	left := budget
+	if len(e.prompts) > 0 {
+		left -= budget * promptPart
+	}
+	var finished []*job
+	work := 0.0
+	for len(e.tokens) > 0 && left > 0 {
+		j := e.tokens[0]
+		e.tokens = e.tokens[1:]
+		left -= j.steps
+		work += j.steps
+		finished = append(finished, j)
+	}
+	left = budget - work
+	for len(e.prompts) > 0 && left > 0 {
+		j := e.prompts[0]
+		chunk := min(j.steps, left)
+		j.steps -= chunk
+		left -= chunk
+		work += chunk
+		if j.steps > 0 {
+			break
+		}
+		e.prompts = e.prompts[1:]
+		finished = append(finished, j)
+	}
+	e.worked += work
+	took := max(e.floor, time.Duration(work/e.rate*float64(time.Second)))
+	e.clock.after(took, func() {
+		for _, j := range finished {
+			j.done()
+		}
+		e.batch()
+	})
+}
+
+// wire is a fake of the link between two data centres: steps cross it one after another.
+type wire struct {
+	clock *clock
+	link  planner.Link
+	free  time.Time
+	used float64
+}
+
+// send calls a function when a step of so many tokens' size has crossed.
+func (w *wire) send(tokens float64, call func()) {
+	if w.free.Before(w.clock.now) {
+		w.free = w.clock.now
+	}
+	w.used += tokens
+	if w.link.Rate > 0 {
+		w.free = w.free.Add(time.Duration(tokens / w.link.Rate * float64(time.Second)))
+	}
+	w.clock.after(w.free.Sub(w.clock.now)+w.link.Delay, call)
+}
--- /dev/null
+++ b/internal/bench/router/flow.go
@@ -0,0 +1,45 @@
+package router
+
+import (
+	"time"
+
+	"github.com/heatherrock/heatherrock/internal/bench/reporter"
+)
+
+const (
+	// warm is the time that a trial runs before it is measured, and measured the time that it is measured.
+	warm     = 3 * time.Second
+	measured = 6 * time.Second
+	// overload is the offered load at saturation, as a multiple of the bound.
+	overload = 1.3
+)
+
+// Experiments returns the experiments of routing.
+func Experiments() []reporter.Experiment {
+	return []reporter.Experiment{
+		{Name: "flow", Help: "share of the bound at saturation from 7 instances over 3 accelerator kinds", Run: flow},
+		{Name: "burst", Help: "a tenfold burst: share served within the deadline and time to return to normal", Run: burst},
+		{Name: "latency", Help: "first token and time between tokens at 0.8 of the bound", Run: latency},
+		{Name: "slowkind", Help: "share of the new bound after one kind has slowed to a third", Run: slowkind},
+		{Name: "link", Help: "share of the new bound after one link has become a hundred times slower", Run: slowlink},
+		{Name: "fair", Help: "the small teams' 95th percentile while one team sends ten times its share", Run: fair},
+	}
+}
+
+// flow measures the share of the bound at saturation.
+func flow(seed uint64) (reporter.Result, error) {
+	result := reporter.NewResult("flow", seed)
+	bound := newFleet(newClock()).bound()
+	result.Set("bound", bound, "tokens/s")
+	for _, p := range policies() {
+		t := newTrial(seed, p.make, []load{steady("team", overload, bound)})
+		t.clock.run(warm + measured)
+		share := t.throughput(warm, warm+measured) / bound
+		if p.name == ownPolicy {
+			result.SetTarget(p.name, share, "ratio", 0.95)
+			continue
+		}
+		result.Set(p.name, share, "ratio")
+	}
+	return result, nil
+}
--- a/internal/routing/picker/chooser.go
+++ b/internal/routing/picker/chooser.go
@@ -29,7 +29,7 @@
 // path is a way through the layers.
 type path struct {
 	stages []stage
-	// cost is the expected time for a token, in seconds, less what cached prefixes save.
+	// cost is the sum of the stages' costs and the time on links, in seconds.
 	cost float64
 	// busy is the longest time, in seconds, in which one of the endpoints runs a step of each of its requests.
 	busy float64
--- a/internal/routing/picker/graph.go
+++ b/internal/routing/picker/graph.go
@@ -23,7 +23,6 @@
 	starts  [][]planner.Arc
 	members [][]*load
 	centres map[string]int
-	rate    float64
 	built   time.Time
 	// membership is the picker's count of changes of membership at the build.
 	membership int
@@ -71,8 +70,7 @@
 			g.starts[a.From] = append(g.starts[a.From], a)
 		}
 	}
-	g.rate = g.Rate()
-	g.spread = g.Spread(g.rate)
+	g.spread = g.Balance()
 	return g
 }
 
--- a/internal/routing/picker/link.go
+++ b/internal/routing/picker/link.go
@@ -87,5 +87,5 @@
 	if rate <= 0 {
 		return time.Hour
 	}
-	return time.Duration((p.running(now, l) + 1) * float64(layers) / rate * float64(time.Second))
+	return time.Duration(p.work(now, l, layers) / rate * float64(time.Second))
 }
--- a/internal/routing/picker/load.go
+++ b/internal/routing/picker/load.go
@@ -13,6 +13,8 @@
 	report   Report
 	// inflight counts this instance's own requests on the endpoint.
 	inflight int
+	// steps counts the layers of the own requests' stages.
+	steps int
 	// changes holds the own starts and finishes that the last report may not show.
 	changes []change
 	// joined is when the endpoint came or came back.
@@ -111,6 +113,7 @@
 			continue
 		}
 		l.inflight = max(0, l.inflight+delta)
+		l.steps = max(0, l.steps+delta*(s.To-s.From))
 		if len(l.changes) < maxChanges {
 			l.changes = append(l.changes, change{at: now, delta: delta})
 		}
@@ -132,6 +135,16 @@
 	return float64(max(count, l.inflight))
 }
 
+// work returns the layer steps in a round of one token for each request believed to be on an endpoint. A report counts
+// requests only, so their stages are taken to be as wide as the own ones there, else as wide as a whole range.
+func (p *Picker) work(now time.Time, l *load, width int) float64 {
+	mean := float64(width)
+	if l.inflight > 0 {
+		mean = float64(l.steps) / float64(l.inflight)
+	}
+	return p.running(now, l)*mean + float64(width)
+}
+
 // rate returns the layer steps a second that an endpoint is believed to give.
 func (p *Picker) rate(now time.Time, l *load) float64 {
 	return l.endpoint.Rate * p.health.Share(now, l.endpoint.ID)
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -106,7 +106,7 @@
 
 const (
 	// defaultChoices is the number of paths that are drawn and compared.
-	defaultChoices = 2
+	defaultChoices = 4
 	// defaultPace is the longest time in which an endpoint may run one step of each of its requests.
 	defaultPace = 40 * time.Millisecond
 	// defaultRamp is the time over which a new or returned endpoint comes to its full weight.
--- a/internal/routing/planner/spread.go
+++ b/internal/routing/planner/spread.go
@@ -2,14 +2,15 @@
 
 import (
 	"math"
+	"slices"
 )
 
 const (
 	// spreadSlices is the number of equal parts in which a demand is spread over the graph.
-	spreadSlices = 160
+	spreadSlices = 320
 	// spreadSlope is the growth of a part's price with its use: at its capacity it costs e^spreadSlope times as much as
 	// unused.
-	spreadSlope = 9
+	spreadSlope = 16
 )
 
 // Spread is a division of a demand over the arcs of a graph.
@@ -36,11 +37,9 @@
 // the boundaries of one link share their capacity.
 func (g *Graph) Spread(demand float64) Spread {
 	s := spreader{graph: g, slice: demand / spreadSlices}
-	s.classUse = make([]float64, len(g.Classes))
-	s.linkUse = make(map[[2]int]float64, len(g.links))
 	s.flows, s.moves = map[Arc]float64{}, map[Move]float64{}
 	s.index()
-	if !g.Covered() || demand <= 0 {
+	if !g.Covered() || demand <= 0 || math.IsInf(demand, 1) {
 		return Spread{Flows: s.flows, Moves: s.moves}
 	}
 	for range spreadSlices {
@@ -50,19 +49,50 @@
 	for _, use := range s.classUse {
 		peak = max(peak, use)
 	}
-	for _, use := range s.linkUse {
-		peak = max(peak, use)
+	for _, uses := range s.linkUse {
+		peak = max(peak, slices.Max(uses))
 	}
 	return Spread{Flows: s.flows, Moves: s.moves, Peak: peak}
 }
 
+// Balance spreads the highest demand at which no class or link is used over its capacity. It begins with the rate of the
+// part between boundaries that has the least capacity, and scales it by the peak use, which is cheaper than Rate.
+func (g *Graph) Balance() Spread {
+	demand := math.Inf(1)
+	for part := range len(g.Boundaries) - 1 {
+		rate := 0.0
+		for _, c := range g.Classes {
+			if c.From <= g.Boundaries[part] && g.Boundaries[part+1] <= c.To {
+				rate += c.Rate
+			}
+		}
+		demand = min(demand, rate/float64(g.Boundaries[part+1]-g.Boundaries[part]))
+	}
+	s := g.Spread(demand)
+	for range balanceRounds {
+		if s.Peak <= 1 {
+			return s
+		}
+		demand /= s.Peak
+		s = g.Spread(demand)
+	}
+	return s
+}
+
+// balanceRounds bounds the corrections of a demand.
+const balanceRounds = 2
+
 // spreader is the state of a spread: uses are shares of capacity.
 type spreader struct {
-	graph    *Graph
-	slice    float64
-	starts   [][]Arc
+	graph  *Graph
+	slice  float64
+	starts [][]Arc
+	// centres holds the data centre of each class.
+	centres  []int
 	classUse []float64
-	linkUse  map[[2]int]float64
+	linkRate [][]float64
+	linkUse  [][]float64
+	nodes    [][]step
 	flows    map[Arc]float64
 	moves    map[Move]float64
 }
@@ -75,22 +105,34 @@
 	centre int
 }
 
-// index groups the arcs by the boundary at which they start.
+// index groups the arcs by the boundary at which they start, and looks up what each round needs.
 func (s *spreader) index() {
-	s.starts = make([][]Arc, len(s.graph.Boundaries))
-	for i := range s.graph.Classes {
-		for _, a := range s.graph.Arcs(i) {
+	g := s.graph
+	s.starts = make([][]Arc, len(g.Boundaries))
+	s.classUse = make([]float64, len(g.Classes))
+	for i, c := range g.Classes {
+		s.centres = append(s.centres, g.centre(c.DataCentre))
+		for _, a := range g.Arcs(i) {
 			s.starts[a.From] = append(s.starts[a.From], a)
 		}
 	}
+	for from := range g.Centres {
+		s.linkRate = append(s.linkRate, nil)
+		s.linkUse = append(s.linkUse, make([]float64, len(g.Centres)))
+		for to := range g.Centres {
+			s.linkRate[from] = append(s.linkRate[from], g.linkRate(from, to))
+		}
+	}
+	for range g.Boundaries {
+		s.nodes = append(s.nodes, make([]step, len(g.Centres)))
+	}
 }
 
 // route sends one slice over the cheapest path and raises the use of what it takes.
 func (s *spreader) route() {
 	last := len(s.graph.Boundaries) - 1
-	nodes := make([][]step, last+1)
+	nodes := s.nodes
 	for b := range nodes {
-		nodes[b] = make([]step, len(s.graph.Centres))
 		for c := range nodes[b] {
 			nodes[b][c] = step{price: math.Inf(1)}
 			if b == 0 {
@@ -100,7 +142,7 @@
 	}
 	for b := range last {
 		for _, a := range s.starts[b] {
-			centre := s.graph.centre(s.graph.Classes[a.Class].DataCentre)
+			centre := s.centres[a.Class]
 			price, from := s.enter(nodes[b], b, centre)
 			price += s.price(a)
 			if price < nodes[a.To][centre].price {
@@ -139,26 +181,26 @@
 	return best, from
 }
 
-// price returns the price of an arc.
+// price returns the price of an arc, for each of its layers that of its class.
 func (s *spreader) price(a Arc) float64 {
-	share := s.slice * float64(s.graph.Width(a)) / s.graph.Classes[a.Class].Rate
-	return share * math.Exp(spreadSlope*s.classUse[a.Class])
+	return float64(s.graph.Width(a)) * math.Exp(spreadSlope*s.classUse[a.Class])
 }
 
-// linkPrice returns the price of a link. A link without a limit costs a little, so that a path does not cross without
-// need.
+// linkPrice returns the price of a link. An unused or unlimited link costs a little, so that a path does not cross
+// without need.
 func (s *spreader) linkPrice(from, to int) float64 {
-	rate := s.graph.linkRate(from, to)
-	share := s.slice / rate
-	return share*math.Exp(spreadSlope*s.linkUse[[2]int{from, to}]) + flowTolerance
+	return crossPrice * math.Exp(spreadSlope*s.linkUse[from][to])
 }
 
+// crossPrice is the price of an unused link, in layers.
+const crossPrice = 1
+
 // use raises the use of an arc and of the link taken to reach it.
 func (s *spreader) use(a Arc, from, to int) {
 	s.flows[a] += s.slice
 	s.moves[Move{Boundary: a.From, From: from, To: to}] += s.slice
 	s.classUse[a.Class] += s.slice * float64(s.graph.Width(a)) / s.graph.Classes[a.Class].Rate
 	if from != to {
-		s.linkUse[[2]int{from, to}] += s.slice / s.graph.linkRate(from, to)
+		s.linkUse[from][to] += s.slice / s.linkRate[from][to]
 	}
 }
