Serve teams within their share first, and test the decisions of routing

The queue charged each answer's error to its team with a share of zero; instances over their part of an endpoint held back the others; a team over its share kept the engines saturated. Change: the queue learns a ratio of real to expected tokens, pops teams within their share first, and passes the picker a slack on the bound of busy endpoints; an instance below its part of the bound is not held back; the second of two choices is another endpoint than the first; the bound no longer varies in its last digits.

--- /dev/null
+++ b/internal/routing/detector/detector_test.go
@@ -0,0 +1,149 @@
+package detector
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// begin is the time at which the tests begin.
+var begin = time.Unix(1000, 0)
+
+// at returns a time since begin.
+func at(d time.Duration) time.Time { return begin.Add(d) }
+
+// kinds returns the kinds and names of actions.
+func kinds(actions []Action) []string {
+	var names []string
+	for _, a := range actions {
+		names = append(names, a.Kind+" "+a.Connection+" "+a.Endpoint)
+	}
+	return names
+}
+
+func TestCheck(t *testing.T) {
+	cases := []struct {
+		name  string
+		feed  func(d *Detector)
+		want  []string
+		share float64
+	}{
+		{"an idle connection may be quiet", func(d *Detector) { d.Opened(begin, "c", "e") }, nil, 1},
+		{"a quiet connection is pinged", func(d *Detector) {
+			d.Opened(at(time.Second), "c", "e")
+			d.Await(at(time.Second+500*time.Millisecond), "c")
+		}, []string{"ping c e"}, 1},
+		{"a silent connection is replaced and its endpoint stays", func(d *Detector) {
+			d.Opened(begin, "c", "e")
+			d.Opened(begin, "other", "e")
+			d.Await(begin, "c")
+			d.Progress(at(2*time.Second), "other")
+		}, []string{"replace c e"}, 1},
+		{"one silence of the only connection is not the endpoint's failure", func(d *Detector) {
+			d.Opened(begin, "c", "e")
+			d.Await(begin, "c")
+		}, []string{"replace c e"}, 1},
+		{"an endpoint silent on three new connections is ejected", func(d *Detector) {
+			for _, id := range []string{"1", "2", "3"} {
+				d.Opened(begin, id, "e")
+				d.Await(begin, id)
+			}
+		}, []string{"replace 1 e", "replace 2 e", "replace 3 e", "eject  e"}, 0},
+		{"progress puts off the deadline", func(d *Detector) {
+			d.Opened(begin, "c", "e")
+			d.Await(begin, "c")
+			d.Progress(at(2*time.Second), "c")
+		}, nil, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := New()
+			for _, id := range []string{"e", "f"} {
+				d.Join(begin, id, "0-10")
+			}
+			c.feed(d)
+			got := kinds(d.Check(at(2700 * time.Millisecond)))
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("Check mismatch (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(c.share, d.Share(at(2700*time.Millisecond), "e")); diff != "" {
+				t.Errorf("Share mismatch (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestFalseAlarm has all endpoints of a layer range fail at once, as when this instance's own network breaks: at most
+// half of them are ejected, and all come back.
+func TestFalseAlarm(t *testing.T) {
+	d := New()
+	ids := []string{"a", "b", "c", "d"}
+	for _, id := range ids {
+		d.Join(begin, id, "0-10")
+	}
+	for range 5 {
+		for _, id := range ids {
+			d.Failed(begin, id, "refused")
+		}
+	}
+	ejected := 0
+	for _, id := range ids {
+		if d.Share(begin, id) == 0 {
+			ejected++
+		}
+	}
+	if diff := cmp.Diff(2, ejected); diff != "" {
+		t.Errorf("ejected mismatch (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]string{"return  a", "return  b"}, kinds(d.Check(at(defaultEject)))); diff != "" {
+		t.Errorf("Check mismatch (-want +got):\n%s", diff)
+	}
+}
+
+// TestCompare feeds times of paths over two endpoints drawn from three and a link, and checks which part is found slow.
+func TestCompare(t *testing.T) {
+	cases := []struct {
+		name string
+		slow map[string]float64
+		// all is a factor on every part, as under load.
+		all  float64
+		want []string
+	}{
+		{"none", nil, 1, nil},
+		{"all alike", nil, 3, nil},
+		{"one endpoint", map[string]float64{"e1": 3}, 1, []string{"e1"}},
+		{"one endpoint under load", map[string]float64{"e4": 3}, 2, []string{"e4"}},
+		{"a link", map[string]float64{"link": 100}, 1, []string{"link"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := New()
+			r := rand.New(rand.NewPCG(1, 1))
+			for range 600 {
+				parts := []Part{
+					{Name: fmt.Sprintf("e%d", r.IntN(3)), Expected: 10 * time.Millisecond},
+					{Name: fmt.Sprintf("e%d", 3+r.IntN(3)), Expected: 12 * time.Millisecond},
+				}
+				if r.IntN(2) == 0 {
+					parts = append(parts, Part{Name: "link", Expected: time.Millisecond})
+				}
+				took := 0.0
+				for _, p := range parts {
+					took += p.Expected.Seconds() * c.all * max(1, c.slow[p.Name])
+				}
+				took *= 0.9 + 0.2*r.Float64()
+				d.Compare(begin, parts, time.Duration(took*float64(time.Second)))
+			}
+			var slow []string
+			for _, p := range d.State(begin).Slow {
+				slow = append(slow, p.Name)
+			}
+			if diff := cmp.Diff(c.want, slow); diff != "" {
+				t.Errorf("Slow mismatch (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/routing/limiter/budget.go
+++ b/internal/routing/limiter/budget.go
@@ -13,6 +13,9 @@
 // budgetSize bounds the retries that can be saved up, in retries.
 const budgetSize = 100
 
+// creditError is the rounding error of a sum of shares, in retries.
+const creditError = 1e-9
+
 // NewBudget returns a budget that allows retries for a share of the requests, and floor retries a second besides.
 func NewBudget(share, floor float64) *Budget {
 	return &Budget{share: share, floor: floor, credit: floor}
@@ -27,10 +30,10 @@
 // Retry reports whether a retry is within the budget, and counts it if so.
 func (b *Budget) Retry(now time.Time) bool {
 	b.refill(now)
-	if b.credit < 1 {
+	if b.credit < 1-creditError {
 		return false
 	}
-	b.credit--
+	b.credit = max(0, b.credit-1)
 	return true
 }
 
--- a/internal/routing/limiter/limiter.go
+++ b/internal/routing/limiter/limiter.go
@@ -213,7 +213,7 @@
 		}
 	}
 	n := max(l.expected, live)
-	if n > 1 && live == 1 {
+	if live == 1 {
 		return part{share: 1 / float64(n), alone: true}
 	}
 	return part{share: evenPart/float64(n) + (1-evenPart)*t.usage(now)}
--- a/internal/routing/limiter/team.go
+++ b/internal/routing/limiter/team.go
@@ -158,7 +158,7 @@
 
 // allowed returns what is left of this instance's part.
 func (b *bucket) allowed(now time.Time, share float64) float64 {
-	room := min(b.size, max(0, b.base)+b.limit*now.Sub(b.since).Seconds())
+	room := max(0, b.base) + b.limit*now.Sub(b.since).Seconds()
 	return share*room - b.spent
 }
 
--- a/internal/routing/picker/chooser.go
+++ b/internal/routing/picker/chooser.go
@@ -31,8 +31,8 @@
 	stages []stage
 	// cost is the sum of the stages' costs and the time on links, in seconds.
 	cost float64
-	// busy is the longest time, in seconds, in which one of the endpoints runs a step of each of its requests.
-	busy float64
+	// crowd is the highest crowd of an endpoint, in seconds.
+	crowd float64
 }
 
 const (
@@ -50,6 +50,9 @@
 // bound returns the busiest that an endpoint may be for the query, in seconds.
 func (c *chooser) bound() float64 {
 	pace := c.picker.pace.Seconds()
+	if c.query.Slack > 0 {
+		pace *= c.query.Slack
+	}
 	switch {
 	case c.query.Priority < 0:
 		return pace * lowPart
@@ -135,11 +138,16 @@
 	if total <= 0 {
 		return stage{}, false
 	}
-	first := members[c.weighted(weights, total)]
-	second := members[c.weighted(weights, total)]
-	best := stage{arc: a, load: first}
-	if c.cost(a, second) < c.cost(a, first) {
-		best.load = second
+	first := c.weighted(weights, total)
+	best := stage{arc: a, load: members[first]}
+	if rest := total - weights[first]; rest > 0 {
+		kept := weights[first]
+		weights[first] = 0
+		second := members[c.weighted(weights, rest)]
+		weights[first] = kept
+		if c.cost(a, second) < c.cost(a, best.load) {
+			best.load = second
+		}
 	}
 	if l := c.warm(a, members, weights); l != nil && c.cost(a, l) < c.cost(a, best.load) {
 		best.load = l
@@ -212,11 +220,22 @@
 
 // busy returns the time, in seconds, in which an endpoint runs a step of each request it has, with this one.
 func (c *chooser) busy(a planner.Arc, l *load) float64 {
-	rate := c.picker.rate(c.now, l)
-	if rate <= 0 {
-		rate = l.endpoint.Rate
+	return c.picker.step(c.now, l, c.graph.Width(a), c.rate(l)).Seconds()
+}
+
+// crowd returns how busy an endpoint is as far as the bound goes. An instance that has less than its part of the
+// bound there is not held back by what others have: they are, until it has its part.
+func (c *chooser) crowd(a planner.Arc, l *load) float64 {
+	own := float64((l.steps+c.graph.Width(a))*c.picker.peers) / c.rate(l)
+	return min(c.busy(a, l), own)
+}
+
+// rate returns the rate of an endpoint, the nominal one if it is ejected.
+func (c *chooser) rate(l *load) float64 {
+	if rate := c.picker.rate(c.now, l); rate > 0 {
+		return rate
 	}
-	return c.picker.step(c.now, l, c.graph.Width(a), rate).Seconds()
+	return max(l.endpoint.Rate, 1)
 }
 
 // cost returns the cost of a stage in seconds.
@@ -231,7 +250,7 @@
 		from = p.stages[len(p.stages)-1].load.endpoint.DataCentre
 	}
 	p.cost += c.cost(s.arc, s.load) + c.picker.crossing(c.now, from, s.load.endpoint.DataCentre).Seconds()
-	p.busy = max(p.busy, c.busy(s.arc, s.load))
+	p.crowd = max(p.crowd, c.crowd(s.arc, s.load))
 	p.stages = append(p.stages, s)
 }
 
@@ -274,7 +293,7 @@
 		if start == nil {
 			continue
 		}
-		p := path{stages: slices.Clone(start.stages), cost: start.cost, busy: start.busy}
+		p := path{stages: slices.Clone(start.stages), cost: start.cost, crowd: start.crowd}
 		c.extend(&p, s)
 		if known := nodes[a.To][to]; known == nil || p.cost < known.cost {
 			nodes[a.To][to] = &p
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -43,6 +43,8 @@
 	Avoid []string
 	// Priority lets a request above 0 use an endpoint that is too busy for others, and holds one below 0 back earlier.
 	Priority int
+	// Slack multiplies the bound on how busy an endpoint may be. Zero counts as one.
+	Slack float64
 	// Tokens is the expected length of prompt and answer in tokens.
 	Tokens int
 	// Alone asks for endpoints that run nothing else, and keeps others off them until Finish.
@@ -183,7 +185,7 @@
 		return c.alone()
 	}
 	best, found := c.draw()
-	if found && best.busy <= c.bound() {
+	if found && best.crowd <= c.bound() {
 		return c.plan(best), Refusal{}
 	}
 	best, found = c.search()
@@ -194,7 +196,7 @@
 	if !found {
 		return planner.Plan{}, Refusal{Reason: ReasonCover, RetryAfter: retryAfterCover}
 	}
-	if best.busy > c.bound() {
+	if best.crowd > c.bound() {
 		return planner.Plan{}, Refusal{Reason: ReasonBusy, RetryAfter: retryAfterBusy}
 	}
 	return c.plan(best), Refusal{}
--- a/internal/routing/planner/bound.go
+++ b/internal/routing/planner/bound.go
@@ -11,12 +11,14 @@
 const (
 	// flowTolerance is the relative error of the rates of flows.
 	flowTolerance = 1e-9
+	// flowGrain is the share of a network's capacity below which a flow counts as none.
+	flowGrain = 1e-13
 	// placeRounds bounds the bisection of a placement's rate.
-	placeRounds = 32
+	placeRounds = 48
 	// cutProbe is the share of its rate by which a part is slowed to see whether it limits.
 	cutProbe = 0.01
 	// rateGrain is the grain to which a bound is rounded, in tokens a second.
-	rateGrain = 1e-6
+	rateGrain = 1e-4
 )
 
 // Bound is the throughput that the endpoints and links allow, and what limits it.
@@ -203,7 +205,7 @@
 		edge := simple.WeightedEdge{F: simple.Node(ends[0]), T: simple.Node(ends[1]), W: min(rate, finite)}
 		net.SetWeightedEdge(edge)
 	}
-	return network.MaxFlowDinic(net, simple.Node(source), simple.Node(sink), finite*flowTolerance/firstNode)
+	return network.MaxFlowDinic(net, simple.Node(source), simple.Node(sink), finite*flowGrain)
 }
 
 // Name returns the name of a class in the bound's limits.
--- a/internal/routing/queuer/level.go
+++ b/internal/routing/queuer/level.go
@@ -12,6 +12,10 @@
 	// virtual is the start tag of the item popped last.
 	virtual float64
 	flows   map[string]*flow
+	usage   usage
+	// within is when a team within its share was last served, and withinTeam which.
+	within     time.Time
+	withinTeam string
 }
 
 // flow is the queue of one team. finish is the tag at which its next item may start, in tokens for a share of one.
@@ -35,19 +39,22 @@
 	f.items = append(f.items, i)
 }
 
-// pop removes the item with the lowest start tag that is not late.
+// pop removes the item with the lowest start tag that is not late, of teams within their share first: their items are
+// few, and must not wait for room that an item of a team over its share is refused.
 func (l *level) pop(now time.Time) (Item, bool) {
 	var best *flow
 	var name string
-	at := 0
+	at, bestWithin := 0, false
+	l.usage.measure(now)
 	for _, team := range l.teams() {
 		f := l.flows[team]
 		next := slices.IndexFunc(f.items, func(i Item) bool { return !late(now, i) })
 		if next < 0 {
 			continue
 		}
-		if best == nil || f.finish < best.finish {
-			best, name, at = f, team, next
+		within := l.usage.within(team)
+		if best == nil || f.before(best, within, bestWithin) {
+			best, name, at, bestWithin = f, team, next, within
 		}
 	}
 	if best == nil {
@@ -56,35 +63,43 @@
 	i := best.items[at]
 	best.items = slices.Delete(best.items, at, at+1)
 	l.virtual = max(l.virtual, best.finish)
-	best.finish += float64(i.Tokens) / i.Share
+	best.finish += i.charge
 	l.forget(name)
+	i.Slack = l.slack(now, i, bestWithin)
+	l.usage.add(name, i.Share, i.charge)
 	return i, true
 }
 
+// before reports whether the next item of one team goes before that of another.
+func (f *flow) before(other *flow, within, otherWithin bool) bool {
+	if within != otherWithin {
+		return within
+	}
+	return f.finish < other.finish
+}
+
+// slack returns the slack of an item that is popped.
+func (l *level) slack(now time.Time, i Item, within bool) float64 {
+	if within {
+		l.within, l.withinTeam = now, i.Team
+		return withinSlack
+	}
+	if now.Sub(l.within) < withinTime && l.withinTeam != i.Team {
+		return overSlack
+	}
+	return evenSlack
+}
+
 // unpop puts an item back at the head of its team's queue and takes back its charge.
 func (l *level) unpop(i Item) {
 	f := l.flows[i.Team]
 	if f == nil {
-		f = &flow{share: i.Share, finish: l.virtual + float64(i.Tokens)/i.Share}
+		f = &flow{share: i.Share, finish: l.virtual + i.charge}
 		l.flows[i.Team] = f
 	}
 	f.items = slices.Insert(f.items, 0, i)
-	f.finish -= float64(i.Tokens) / i.Share
-}
-
-// charge moves a team's next start tag. A team with nothing waiting is charged too, unless it lags behind the virtual
-// time.
-func (l *level) charge(team string, tokens float64) {
-	f := l.flows[team]
-	if f == nil {
-		if tokens <= 0 {
-			return
-		}
-		f = &flow{share: 1, finish: l.virtual}
-		l.flows[team] = f
-	}
-	f.finish += tokens
-	l.forget(team)
+	f.finish -= i.charge
+	l.usage.add(i.Team, i.Share, -i.charge)
 }
 
 // forget drops a team that has nothing waiting and no charge left, so that state is bounded by the active teams.
--- a/internal/routing/queuer/queuer.go
+++ b/internal/routing/queuer/queuer.go
@@ -22,6 +22,12 @@
 	Deadline time.Time
 	// Pushed is the time of the push. Push sets it.
 	Pushed time.Time
+	// Slack is set by Pop: the part of the usual bound on busy endpoints that holds for the item. It is above 1 for a
+	// team within its share, so that it need not wait for those over theirs, and below 1 for a team over its share while
+	// others are within theirs, so that what the others run on is not slowed down.
+	Slack float64
+	// charge is the advance of the team's tag when the item is popped.
+	charge float64
 }
 
 // The reasons of a Decision that does not accept an item.
@@ -52,6 +58,8 @@
 	levels []*level
 	length int
 	pace   pace
+	// ratios holds the real tokens for each expected one by team.
+	ratios map[string]float64
 }
 
 // Option changes a Queue under construction.
@@ -64,6 +72,15 @@
 	minRetryAfter = time.Second
 	// maxRetryAfter is the longest.
 	maxRetryAfter = time.Minute
+	// maxRatio bounds the ratio of real to expected tokens, and ratioGain is the weight of the newest item in it.
+	maxRatio  = 100
+	ratioGain = 0.05
+	// withinSlack, evenSlack and overSlack are the values of an item's Slack.
+	withinSlack = 1.25
+	evenSlack   = 1
+	overSlack   = 0.4
+	// withinTime is how long a team within its share holds back those over theirs.
+	withinTime = time.Second
 )
 
 // WithLimit bounds the number of waiting items.
@@ -73,7 +90,7 @@
 
 // New returns an empty queue.
 func New(options ...Option) *Queue {
-	q := &Queue{limit: defaultLimit}
+	q := &Queue{limit: defaultLimit, ratios: map[string]float64{}}
 	for _, option := range options {
 		option(q)
 	}
@@ -88,9 +105,8 @@
 // Push adds an item unless it would begin after its deadline or the queue is full of items that go before it.
 func (q *Queue) Push(now time.Time, i Item) Decision {
 	i.Pushed = now
-	if i.Share <= 0 {
-		i.Share = 1
-	}
+	i.Share = i.weight()
+	i.charge = float64(i.Tokens) * q.ratio(i.Team) / i.Share
 	wait := q.wait(now, i)
 	if !i.Deadline.IsZero() && now.Add(wait).After(i.Deadline) {
 		late := now.Add(wait).Sub(i.Deadline)
@@ -131,6 +147,7 @@
 	var expired []Item
 	for _, l := range q.levels {
 		expired = append(expired, l.remove(func(i Item) bool { return late(now, i) })...)
+		l.usage.measure(now)
 	}
 	q.length -= len(expired)
 	return expired
@@ -150,21 +167,38 @@
 // Return puts back at the head of its team an item that was popped and could not be started. The team is not charged
 // for it twice.
 func (q *Queue) Return(_ time.Time, i Item) {
+	i.Share = i.weight()
 	q.level(i.Priority).unpop(i)
+	q.pace.tokens -= float64(i.Tokens)
 	q.length++
 }
 
-// Settle charges a team the difference between the tokens that an item used and those that were expected.
+// Settle learns from the tokens that an item used how the team's expected tokens compare with the real ones. Later
+// items are charged by that ratio. A charge for each item's own error would make a team that is within its share wait
+// for every long answer, while an idle team's credit for short ones lapses.
 func (q *Queue) Settle(_ time.Time, i Item, used int) {
-	for _, l := range q.levels {
-		if l.priority == i.Priority {
-			l.charge(i.Team, float64(used-i.Tokens)/max(i.Share, minShare))
-		}
+	if i.Tokens <= 0 {
+		return
 	}
+	ratio := min(max(float64(used)/float64(i.Tokens), 1/maxRatio), maxRatio)
+	q.ratios[i.Team] = q.ratio(i.Team) + ratioGain*(ratio-q.ratio(i.Team))
 }
 
-// minShare keeps the division by a share finite.
-const minShare = 1e-6
+// ratio returns a team's real tokens for each expected one.
+func (q *Queue) ratio(team string) float64 {
+	if ratio, ok := q.ratios[team]; ok {
+		return ratio
+	}
+	return 1
+}
+
+// weight returns the team's weight.
+func (i Item) weight() float64 {
+	if i.Share <= 0 {
+		return 1
+	}
+	return i.Share
+}
 
 // level returns the level of a priority, the highest first.
 func (q *Queue) level(priority int) *level {
@@ -172,7 +206,7 @@
 		return cmp.Compare(p, l.priority)
 	})
 	if !found {
-		q.levels = slices.Insert(q.levels, at, &level{priority: priority, flows: map[string]*flow{}})
+		q.levels = slices.Insert(q.levels, at, &level{priority: priority, flows: map[string]*flow{}, usage: newUsage()})
 	}
 	return q.levels[at]
 }
