--- a/internal/bench/reporter/reporter.go
+++ b/internal/bench/reporter/reporter.go
@@ -22,6 +22,8 @@
 	Help string
 	// Run measures. The same seed gives the same decisions.
 	Run func(seed uint64) (Result, error)
+	// Plot measures what its chart shows. It is nil if there is no chart.
+	Plot func(seed uint64) (Chart, error)
 }
 
 // NewResult returns a result without figures.
--- a/internal/bench/router/flow.go
+++ b/internal/bench/router/flow.go
@@ -17,11 +17,14 @@
 // Experiments returns the experiments of routing.
 func Experiments() []reporter.Experiment {
 	return []reporter.Experiment{
-		{Name: "flow", Help: "share of the bound at saturation from 7 instances over 3 accelerator kinds", Run: flow},
+		{Name: "flow", Help: "share of the bound at saturation from 7 instances over 3 accelerator kinds", Run: flow,
+			Plot: plotFlow},
 		{Name: "burst", Help: "a tenfold burst: share served within the deadline and time to return to normal", Run: burst},
 		{Name: "latency", Help: "first token and time between tokens at 0.8 of the bound", Run: latency},
-		{Name: "slowkind", Help: "share of the new bound after one kind has slowed to a third", Run: slowkind},
-		{Name: "link", Help: "share of the new bound after one link has become a hundred times slower", Run: slowlink},
+		{Name: "slowkind", Help: "share of the new bound after one kind has slowed to a third", Run: slowkind,
+			Plot: plotKind},
+		{Name: "link", Help: "share of the new bound after one link has become a hundred times slower", Run: slowlink,
+			Plot: plotLink},
 		{Name: "fair", Help: "the small teams' 95th percentile while one team sends ten times its share", Run: fair},
 	}
 }
--- a/internal/bench/router/slow.go
+++ b/internal/bench/router/slow.go
@@ -23,12 +23,25 @@
 
 // slowkind measures the share of the new bound after the medium kind has slowed to a third of its speed.
 func slowkind(seed uint64) (reporter.Result, error) {
-	return fault("slowkind", seed, func(f *fleet) { f.slow(medium, kindTimes) })
+	return fault("slowkind", seed, slowMedium)
 }
 
 // slowlink measures the share of the new bound after one link has become a hundred times slower.
 func slowlink(seed uint64) (reporter.Result, error) {
-	return fault("link", seed, func(f *fleet) { f.slowLink("a", "c", linkTimes) })
+	return fault("link", seed, slowOneLink)
+}
+
+// slowMedium slows the kind that gives the most, slowOneLink the link that the bound uses most.
+func slowMedium(f *fleet)  { f.slow(medium, kindTimes) }
+func slowOneLink(f *fleet) { f.slowLink("a", "c", linkTimes) }
+
+// faultTrial runs a policy until after a fault.
+func faultTrial(seed uint64, p named, before float64, slow func(*fleet)) *trial {
+	t := newTrial(seed, p.make, []load{steady("team", faultLoad, before)})
+	t.clock.run(faultAt)
+	slow(t.fleet)
+	t.clock.run(faultAt + faultGrace + faultTime)
+	return t
 }
 
 // fault measures the share of the new bound, or of the load if that is lower, from faultGrace after a fault on.
@@ -42,10 +55,7 @@
 	result.Set("bound", after, "tokens/s")
 	reach := min(after, faultLoad*before)
 	for _, p := range policies() {
-		t := newTrial(seed, p.make, []load{steady("team", faultLoad, before)})
-		t.clock.run(faultAt)
-		slow(t.fleet)
-		t.clock.run(faultAt + faultGrace + faultTime)
+		t := faultTrial(seed, p, before, slow)
 		share := t.throughput(faultAt+faultGrace, faultAt+faultGrace+faultTime) / reach
 		if p.name != ownPolicy {
 			result.Set(p.name, share, "ratio")
