--- /dev/null
+++ b/internal/routing/tracker/tracker_test.go
@@ -0,0 +1,141 @@
+package tracker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/heatherrock/heatherrock/internal/routing/planner"
+)
+
+var (
+	start  = time.Unix(1000, 0)
+	stages = []planner.Stage{{Endpoint: "a", From: 0, To: 4}, {Endpoint: "b", From: 4, To: 6}}
+	swap   = []planner.Stage{{Endpoint: "b", From: 4, To: 6}, {Endpoint: "a", From: 0, To: 4}}
+	plan   = planner.Plan{Model: "m", Stages: stages}
+	limits = Limits{Silence: time.Second, Stall: 3 * time.Second}
+)
+
+func token(attempt, position int) Step {
+	return Step{Kind: Token, Attempt: attempt, Position: position, Token: position, Ran: stages}
+}
+
+func TestTake(t *testing.T) {
+	cases := []struct {
+		name  string
+		steps []Step
+		want  []Verb
+		why   Why
+		kept  int
+	}{
+		{"in order", []Step{token(1, 0), token(1, 1), {Kind: End, Attempt: 1, Position: 2}}, []Verb{Deliver, Deliver, Finish}, "", 2},
+		{"repeated position", []Step{token(1, 0), token(1, 0)}, []Verb{Deliver, Drop}, WhyRepeated, 1},
+		{"older attempt", []Step{token(0, 0)}, []Verb{Drop}, WhyStale, 0},
+		{"attempt from the future", []Step{token(2, 0)}, []Verb{Drop}, WhyStale, 0},
+		{"another range", []Step{{Kind: Token, Attempt: 1, Ran: stages[:1]}}, []Verb{Drop}, WhyRange, 0},
+		{"stages out of order", []Step{{Kind: Token, Attempt: 1, Ran: swap}}, []Verb{Drop}, WhyRange, 0},
+		{"a gap", []Step{token(1, 1)}, []Verb{Abandon}, WhyGap, 0},
+		{"more tokens than asked for", []Step{token(1, 0), token(1, 1), token(1, 2), token(1, 3)}, []Verb{Deliver, Deliver, Deliver, Abandon}, WhyGap, 3},
+		{"an end after a gap", []Step{token(1, 0), {Kind: End, Attempt: 1, Position: 2}}, []Verb{Deliver, Abandon}, WhyGap, 1},
+		{"a step after the end", []Step{{Kind: End, Attempt: 1}, token(1, 0)}, []Verb{Finish, Drop}, WhyOver, 0},
+		{"a fault", []Step{{Kind: Fault, Attempt: 1, Endpoint: "b"}}, []Verb{Abandon}, WhyFault, 0},
+		{"a fault of an older attempt", []Step{{Kind: Fault, Attempt: 0, Endpoint: "b"}}, []Verb{Drop}, WhyStale, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			tr := New("r", 6, 3, limits)
+			tr.Begin(start, plan)
+			var got []Verb
+			var last Action
+			for _, s := range c.steps {
+				last = tr.Take(start, s)
+				got = append(got, last.Verb)
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("verbs mismatch (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(c.why, last.Why); diff != "" {
+				t.Errorf("reason mismatch (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(c.kept, len(tr.Delivered)); diff != "" {
+				t.Errorf("delivered mismatch (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestBeginRefusesPlans(t *testing.T) {
+	cases := []struct {
+		name   string
+		stages []planner.Stage
+	}{
+		{"no stage", nil},
+		{"a gap", []planner.Stage{{From: 0, To: 3}, {From: 4, To: 6}}},
+		{"an overlap", []planner.Stage{{From: 0, To: 5}, {From: 4, To: 6}}},
+		{"too short", stages[:1]},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			tr := New("r", 6, 3, limits)
+			if diff := cmp.Diff(0, tr.Begin(start, planner.Plan{Stages: c.stages})); diff != "" {
+				t.Errorf("Begin mismatch (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestLapsed(t *testing.T) {
+	cases := []struct {
+		name string
+		ping time.Duration
+		at   time.Duration
+		want Lapse
+	}{
+		{"fresh", 0, 999 * time.Millisecond, OnTime},
+		{"nothing heard", 0, time.Second, Silent},
+		{"pings but no token", 2500 * time.Millisecond, 3 * time.Second, Stalled},
+		{"pings within the stall limit", 2 * time.Second, 2900 * time.Millisecond, OnTime},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			tr := New("r", 6, 3, limits)
+			tr.Begin(start, plan)
+			tr.Take(start.Add(c.ping), Step{Kind: Ping, Attempt: 1})
+			if diff := cmp.Diff(c.want, tr.Lapsed(start.Add(c.at))); diff != "" {
+				t.Errorf("Lapsed mismatch (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestDeliversOnceInOrder feeds a tracker steps that are lost, repeated, delayed over attempts and reordered, and checks
+// that what is delivered is a prefix of the answer.
+func TestDeliversOnceInOrder(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		tr := New("r", 6, 8, limits)
+		var sent []Step
+		var got []int
+		for range rapid.IntRange(1, 4).Draw(r, "attempts") {
+			attempt := tr.Begin(start, plan)
+			for p := len(tr.Delivered); p < 8; p++ {
+				sent = append(sent, token(attempt, p))
+			}
+			for range rapid.IntRange(0, 20).Draw(r, "arrivals") {
+				s := sent[rapid.IntRange(0, len(sent)-1).Draw(r, "step")]
+				if a := tr.Take(start, s); a.Verb == Deliver {
+					got = append(got, a.Token)
+				}
+			}
+			if len(sent) == 0 {
+				break
+			}
+		}
+		for i, k := range got {
+			if i != k {
+				r.Fatalf("delivered %v", got)
+			}
+		}
+	})
+}
