--- /dev/null
+++ b/internal/platform/streamer/client.go
@@ -0,0 +1,220 @@
+package streamer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
+)
+
+const (
+	// lineLimit bounds one line of a stream, in bytes.
+	lineLimit = 1 << 20
+	// answerLimit bounds an answer that is not a stream, in bytes.
+	answerLimit = 8 << 20
+	// connections bounds the idle connections kept to one endpoint.
+	connections = 64
+	// dialTimeout bounds the opening of a connection.
+	dialTimeout = time.Second
+)
+
+// Client talks to model engines. Each endpoint has a pool of connections of its own, so that one endpoint's silent
+// connections can be replaced without touching another's.
+type Client struct {
+	mu    sync.Mutex
+	pools map[string]*http.Transport
+}
+
+// NewClient returns a client without connections.
+func NewClient() *Client {
+	return &Client{pools: map[string]*http.Transport{}}
+}
+
+// pool returns the connections to an address.
+func (c *Client) pool(address string) *http.Transport {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.pools[address]
+	if !ok {
+		p = &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost: connections,
+			DisableCompression:  true,
+		}
+		c.pools[address] = p
+	}
+	return p
+}
+
+// Replace abandons the idle connections to an address: the next call opens a new one.
+func (c *Client) Replace(address string) {
+	c.mu.Lock()
+	p, ok := c.pools[address]
+	delete(c.pools, address)
+	c.mu.Unlock()
+	if ok {
+		p.CloseIdleConnections()
+	}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.pools {
+		p.CloseIdleConnections()
+	}
+}
+
+// send sends one request with a body of JSON. The outcome is NotSent if no byte left, and Unknown otherwise.
+func (c *Client) send(ctx context.Context, method, address, path string, body any) (*http.Response, classifier.Outcome, error) {
+	content, err := json.Marshal(body)
+	if err != nil {
+		return nil, classifier.NotSent, merry.Wrap(err)
+	}
+	var wrote atomic.Bool
+	trace := &httptrace.ClientTrace{WroteHeaderField: func(string, []string) { wrote.Store(true) }}
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	// A reader without GetBody keeps the transport from sending the request again by itself.
+	reader := struct{ io.Reader }{bytes.NewReader(content)}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, reader)
+	if err != nil {
+		return nil, classifier.NotSent, merry.Wrap(err)
+	}
+	r.ContentLength = int64(len(content))
+	r.Header.Set("Content-Type", "application/json")
+	answer, err := c.pool(address).RoundTrip(r)
+	if err != nil {
+		if !wrote.Load() {
+			return nil, classifier.NotSent, merry.Wrap(err)
+		}
+		return nil, classifier.Unknown, merry.Wrap(err)
+	}
+	return answer, classifier.Completed, nil
+}
+
+// Stream is an open attempt at an answer. Next and Close are for one goroutine each.
+type Stream struct {
+	body    io.ReadCloser
+	scanner *bufio.Scanner
+	cancel  context.CancelFunc
+}
+
+// Open sends a request to the endpoint of its first stage. Without an error the outcome is Completed and the stream is
+// open; otherwise it says what is known of the attempt.
+func (c *Client) Open(ctx context.Context, r Request) (*Stream, classifier.Outcome, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	answer, outcome, err := c.send(ctx, http.MethodPost, r.Stages[0].Address, "/engine/streams", r)
+	if err != nil {
+		cancel()
+		return nil, outcome, err
+	}
+	if answer.StatusCode != http.StatusOK {
+		defer cancel()
+		defer answer.Body.Close()
+		text, _ := io.ReadAll(io.LimitReader(answer.Body, lineLimit))
+		return nil, refusal(answer.StatusCode), merry.Errorf("endpoint %s: %s: %s", r.Stages[0].Endpoint, answer.Status, bytes.TrimSpace(text))
+	}
+	scanner := bufio.NewScanner(answer.Body)
+	scanner.Buffer(make([]byte, 0, 4096), lineLimit)
+	return &Stream{body: answer.Body, scanner: scanner, cancel: cancel}, classifier.Completed, nil
+}
+
+// refusal returns the outcome of a status other than 200: engines answer 4xx and 503 before they run anything.
+func refusal(status int) classifier.Outcome {
+	if status >= 400 && status < 500 || status == http.StatusServiceUnavailable {
+		return classifier.Refused
+	}
+	return classifier.Unknown
+}
+
+// Next returns the next step. It returns io.EOF if the stream has stopped without an explicit end.
+func (s *Stream) Next() (Step, error) {
+	if !s.scanner.Scan() {
+		if err := s.scanner.Err(); err != nil {
+			return Step{}, merry.Wrap(err)
+		}
+		return Step{}, io.EOF
+	}
+	var step Step
+	if err := json.Unmarshal(s.scanner.Bytes(), &step); err != nil {
+		return Step{}, merry.Prepend(err, "step")
+	}
+	return step, nil
+}
+
+// Close ends the stream and its connection if the answer is not complete. It may be called during Next.
+func (s *Stream) Close() {
+	s.cancel()
+	_ = s.body.Close()
+}
+
+// Cancel tells the endpoint of the first stage to give up an attempt.
+func (c *Client) Cancel(ctx context.Context, address, request string, attempt int) error {
+	path := fmt.Sprintf("/engine/streams/%s/%d", url.PathEscape(request), attempt)
+	return c.call(ctx, http.MethodDelete, address, path, nil, nil)
+}
+
+// Load returns an endpoint's load report.
+func (c *Client) Load(ctx context.Context, address string) (Load, error) {
+	var l Load
+	err := c.call(ctx, http.MethodGet, address, "/engine/load", nil, &l)
+	return l, err
+}
+
+// Events returns an endpoint's cache events with sequence numbers above after.
+func (c *Client) Events(ctx context.Context, address string, after int64) ([]Event, error) {
+	var events []Event
+	err := c.call(ctx, http.MethodGet, address, fmt.Sprintf("/engine/events?after=%d", after), nil, &events)
+	return events, err
+}
+
+// Order sends an order to an endpoint. The outcome says whether the endpoint can have carried it out.
+func (c *Client) Order(ctx context.Context, address string, o Order) (classifier.Outcome, error) {
+	answer, outcome, err := c.send(ctx, http.MethodPost, address, "/engine/orders", o)
+	if err != nil {
+		return outcome, err
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(answer.Body, lineLimit))
+	if err != nil {
+		return classifier.Unknown, merry.Wrap(err)
+	}
+	if answer.StatusCode/100 != 2 {
+		return refusal(answer.StatusCode), merry.Errorf("order %s: %s: %s", o.ID, answer.Status, bytes.TrimSpace(text))
+	}
+	return classifier.Completed, nil
+}
+
+// call sends a request and decodes its answer into result, unless that is nil.
+func (c *Client) call(ctx context.Context, method, address, path string, body, result any) error {
+	answer, _, err := c.send(ctx, method, address, path, body)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	content, err := io.ReadAll(io.LimitReader(answer.Body, answerLimit))
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	if answer.StatusCode/100 != 2 {
+		return merry.Errorf("%s %s: %s: %s", method, path, answer.Status, bytes.TrimSpace(content))
+	}
+	if result == nil {
+		return nil
+	}
+	return merry.Wrap(json.Unmarshal(content, result))
+}
--- a/internal/platform/streamer/streamer.go
+++ b/internal/platform/streamer/streamer.go
@@ -51,6 +51,18 @@
 	ReasonLength = "length"
 )
 
+// The reasons of a KindFault step.
+const (
+	// FaultCrashed means that the endpoint went away while it ran the attempt.
+	FaultCrashed = "crashed"
+	// FaultStalled means that the endpoint did not answer a step in time.
+	FaultStalled = "stalled"
+	// FaultRefused means that the endpoint did not take the attempt.
+	FaultRefused = "refused"
+	// FaultUnreachable means that no connection to the endpoint could be opened.
+	FaultUnreachable = "unreachable"
+)
+
 // Step is one line of an engine's stream, as JSON. Ran lists what was run for this token, in order: the receiver
 // checks that it covers every layer once.
 type Step struct {
--- /dev/null
+++ b/internal/serving/server/problem.go
@@ -0,0 +1,115 @@
+package server
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
+)
+
+// The headers that answers carry.
+const (
+	// HeaderOutcome says what became of the request: not-run, completed or unknown.
+	HeaderOutcome = "Heatherrock-Outcome"
+	// HeaderRequest carries the request's id.
+	HeaderRequest = "X-Request-Id"
+)
+
+// Code is a stable name of a problem, for programs.
+type Code string
+
+// The codes of problems.
+const (
+	CodeInvalid     Code = "invalid_request"
+	CodeUnsupported Code = "unsupported_parameter"
+	CodeTooLarge    Code = "body_too_large"
+	CodeCredential  Code = "invalid_api_key"
+	CodeModel       Code = "model_not_found"
+	CodeService     Code = "service_not_found"
+	CodePath        Code = "path_not_found"
+	CodeMethod      Code = "method_not_allowed"
+	CodeRate        Code = "rate_limited"
+	CodeQueue       Code = "queue_full"
+	CodeDeadline    Code = "deadline"
+	CodeCapacity    Code = "no_capacity"
+	CodeQuarantine  Code = "request_quarantined"
+	CodeStale       Code = "configuration_stale"
+	CodeLeaving     Code = "instance_leaving"
+	CodeInterrupted Code = "interrupted"
+)
+
+// statuses maps each code to its HTTP status.
+var statuses = map[Code]int{
+	CodeInvalid:     http.StatusBadRequest,
+	CodeUnsupported: http.StatusBadRequest,
+	CodeTooLarge:    http.StatusRequestEntityTooLarge,
+	CodeCredential:  http.StatusUnauthorized,
+	CodeModel:       http.StatusNotFound,
+	CodeService:     http.StatusNotFound,
+	CodePath:        http.StatusNotFound,
+	CodeMethod:      http.StatusMethodNotAllowed,
+	CodeRate:        http.StatusTooManyRequests,
+	CodeQueue:       http.StatusTooManyRequests,
+	CodeDeadline:    http.StatusServiceUnavailable,
+	CodeCapacity:    http.StatusServiceUnavailable,
+	CodeQuarantine:  http.StatusUnprocessableEntity,
+	CodeStale:       http.StatusServiceUnavailable,
+	CodeLeaving:     http.StatusServiceUnavailable,
+	CodeInterrupted: http.StatusBadGateway,
+}
+
+// Problem is why a request got no complete answer.
+type Problem struct {
+	Code    Code
+	Message string
+	// Parameter names the field of the request at fault, if there is one.
+	Parameter string
+	Verdict   classifier.Verdict
+	// After is when the caller may try again; 0 means that a retry would not help.
+	After time.Duration
+}
+
+// refuse returns a problem of a request that did not run.
+func refuse(code Code, message string) *Problem {
+	return &Problem{Code: code, Message: message, Verdict: classifier.VerdictNotRun}
+}
+
+// body is a problem in the callers' format.
+type body struct {
+	Error detail `json:"error"`
+}
+
+// detail is the content of a problem in the callers' format.
+type detail struct {
+	Message   string  `json:"message"`
+	Type      string  `json:"type"`
+	Parameter *string `json:"param"`
+	Code      Code    `json:"code"`
+}
+
+// encode returns the problem in the callers' format.
+func (p *Problem) encode() body {
+	d := detail{Message: p.Message, Code: p.Code, Type: "server_error"}
+	if statuses[p.Code] < http.StatusInternalServerError {
+		d.Type = "invalid_request_error"
+	}
+	if p.Parameter != "" {
+		d.Parameter = &p.Parameter
+	}
+	return body{Error: d}
+}
+
+// write answers a request with the problem, before any part of an answer was written.
+func (p *Problem) write(w http.ResponseWriter) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderOutcome, p.Verdict.String())
+	if p.After > 0 {
+		seconds := int64((p.After + time.Second - 1) / time.Second)
+		h.Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	w.WriteHeader(statuses[p.Code])
+	_ = json.NewEncoder(w).Encode(p.encode())
+}
