Prove an answer whole under each fault of a stream

Cause: late, repeated, lost and foreign steps, silent connections and dead stages are what the path exists to survive. Change: a table of faults over three chains of stand-in engines; engines name the stage at fault; an answer whose caller left before its first attempt is reported as not run.

--- a/internal/serving/generator/generator.go
+++ b/internal/serving/generator/generator.go
@@ -256,6 +256,9 @@
 // prepare begins the next attempt as soon as there is a plan for it.
 func (a *answer) prepare(ctx context.Context) (Failure, time.Duration) {
 	for {
+		if ctx.Err() != nil {
+			return a.left(ctx), 0
+		}
 		now := a.clock()
 		route, failure := a.route(now)
 		if failure != FailureNone {
--- /dev/null
+++ b/internal/serving/generator/generator_test.go
@@ -0,0 +1,351 @@
+package generator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
+	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/routing/planner"
+	"github.com/heatherrock/heatherrock/internal/routing/quarantiner"
+	"github.com/heatherrock/heatherrock/internal/routing/tracker"
+	"github.com/heatherrock/heatherrock/internal/standin/decoder"
+)
+
+const (
+	layers = 12
+	limit  = 20
+	prompt = "user: which latch fits the drawer of a till from 1962"
+)
+
+// The limits of the cases in which a deadline passes: the other one is far away.
+var (
+	silent  = tracker.Limits{Silence: 300 * time.Millisecond, Stall: time.Minute}
+	stalled = tracker.Limits{Silence: time.Minute, Stall: 300 * time.Millisecond}
+)
+
+// meddler stands between the generator and an engine and changes the lines of the first stream that it serves.
+type meddler struct {
+	engine http.Handler
+	mu     sync.Mutex
+	meddle func(w http.ResponseWriter, r *http.Request, line int, content []byte)
+}
+
+// ServeHTTP passes a call on.
+func (m *meddler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	m.mu.Lock()
+	meddle := m.meddle
+	if r.URL.Path == "/engine/streams" {
+		m.meddle = nil
+	}
+	m.mu.Unlock()
+	if meddle == nil || r.URL.Path != "/engine/streams" {
+		m.engine.ServeHTTP(w, r)
+		return
+	}
+	m.engine.ServeHTTP(&lines{ResponseWriter: w, request: r, meddle: meddle}, r)
+}
+
+// lines calls meddle with each line written.
+type lines struct {
+	http.ResponseWriter
+	request *http.Request
+	meddle  func(w http.ResponseWriter, r *http.Request, line int, content []byte)
+	line    int
+}
+
+// Write passes on one line.
+func (l *lines) Write(content []byte) (int, error) {
+	l.meddle(l.ResponseWriter, l.request, l.line, content)
+	l.line++
+	return len(content), nil
+}
+
+// Flush flushes the lines written.
+func (l *lines) Flush() {
+	l.ResponseWriter.(http.Flusher).Flush()
+}
+
+// bench is three chains of engines with a router that takes the first plan without an endpoint to avoid.
+type bench struct {
+	plans   []planner.Plan
+	engines map[string]*decoder.Decoder
+	heads   []*meddler
+	servers map[string]*httptest.Server
+	rulings map[quarantiner.Fingerprint]quarantiner.Ruling
+	crashes []string
+	endings []Ending
+	retries int
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	b := &bench{engines: map[string]*decoder.Decoder{}, servers: map[string]*httptest.Server{}, retries: 5}
+	for _, chain := range [][]string{{"a", "b", "c"}, {"d", "e", "f"}, {"g", "h", "i"}} {
+		var p planner.Plan
+		for i, id := range chain {
+			from, to := i*layers/3, (i+1)*layers/3
+			held := streamer.Held{Model: "m", Version: "v", From: from, To: to}
+			engine := decoder.New(decoder.WithEndpoint(id), decoder.WithHeld(held), decoder.WithPing(10*time.Millisecond),
+				decoder.WithPoison("POISON"))
+			m := &meddler{engine: engine}
+			server := httptest.NewServer(m)
+			t.Cleanup(server.Close)
+			t.Cleanup(engine.Close)
+			b.engines[id] = engine
+			b.servers[id] = server
+			if i == 0 {
+				b.heads = append(b.heads, m)
+			}
+			p.Stages = append(p.Stages, planner.Stage{Endpoint: id, Address: server.Listener.Addr().String(), From: from, To: to})
+		}
+		b.plans = append(b.plans, p)
+	}
+	return b
+}
+
+func (b *bench) Route(_ time.Time, _ Job, avoid []string, _ int) Route {
+	for _, p := range b.plans {
+		if !uses(p, avoid) {
+			return Route{Plan: p, OK: true}
+		}
+	}
+	return Route{After: time.Millisecond}
+}
+
+func uses(p planner.Plan, avoid []string) bool {
+	for _, s := range p.Stages {
+		for _, a := range avoid {
+			if s.Endpoint == a {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (b *bench) Started(time.Time, Job, planner.Plan) {}
+func (b *bench) Moved(time.Time, Job, planner.Plan)   {}
+func (b *bench) Ended(_ time.Time, _ Job, a Attempt)  { b.endings = append(b.endings, a.Ending) }
+func (b *bench) Retry(time.Time) bool {
+	b.retries--
+	return b.retries >= 0
+}
+
+func (b *bench) Check(_ time.Time, f quarantiner.Fingerprint) quarantiner.Ruling { return b.rulings[f] }
+func (b *bench) Open(time.Time, quarantiner.Fingerprint, string)                 {}
+func (b *bench) Busy(time.Time, quarantiner.Fingerprint) []string                { return nil }
+func (b *bench) Clear(time.Time, quarantiner.Fingerprint)                        {}
+func (b *bench) Crash(_ time.Time, _ quarantiner.Fingerprint, endpoint string) {
+	b.crashes = append(b.crashes, endpoint)
+}
+
+func job(text string) Job {
+	return Job{
+		Request:  "r1",
+		Model:    "m",
+		Version:  "v",
+		Layers:   layers,
+		Prompt:   text,
+		Limit:    limit,
+		Deadline: time.Now().Add(time.Minute),
+		Limits:   tracker.Limits{Silence: time.Minute, Stall: time.Minute},
+	}
+}
+
+func write(w http.ResponseWriter, content []byte) {
+	_, _ = w.Write(content)
+	w.(http.Flusher).Flush()
+}
+
+// edit writes a line with its step changed.
+func edit(w http.ResponseWriter, content []byte, change func(s *streamer.Step)) {
+	var s streamer.Step
+	if err := json.Unmarshal(content, &s); err != nil {
+		panic(err)
+	}
+	change(&s)
+	line, err := json.Marshal(s)
+	if err != nil {
+		panic(err)
+	}
+	write(w, append(line, '\n'))
+}
+
+// TestAnswerIsWholeUnderFaults compares the answer given under each fault with the reference.
+func TestAnswerIsWholeUnderFaults(t *testing.T) {
+	_, want := decoder.Answer("m", "v", "", prompt, layers, limit)
+	cases := []struct {
+		name    string
+		prepare func(b *bench)
+		meddle  func(w http.ResponseWriter, r *http.Request, line int, content []byte)
+		ending  Ending
+		limits  tracker.Limits
+	}{
+		{name: "no fault", ending: EndingComplete},
+		{name: "every step twice", ending: EndingComplete, meddle: func(w http.ResponseWriter, _ *http.Request, _ int, content []byte) {
+			write(w, bytes.Repeat(content, 2))
+		}},
+		{name: "a step of an older attempt", ending: EndingComplete, meddle: func(w http.ResponseWriter, _ *http.Request, _ int, content []byte) {
+			edit(w, content, func(s *streamer.Step) { s.Attempt = 0 })
+			write(w, content)
+		}},
+		{name: "a step of another range", ending: EndingComplete, meddle: func(w http.ResponseWriter, _ *http.Request, _ int, content []byte) {
+			edit(w, content, func(s *streamer.Step) {
+				if s.Kind == streamer.KindToken {
+					s.Ran = s.Ran[1:]
+					s.Token++
+				}
+				if s.Kind == streamer.KindEnd {
+					s.Attempt = 0
+				}
+			})
+			write(w, content)
+		}},
+		{name: "a step of another range in place of the right one", ending: EndingBroken, meddle: func(w http.ResponseWriter, _ *http.Request, line int, content []byte) {
+			if line != 3 {
+				write(w, content)
+				return
+			}
+			edit(w, content, func(s *streamer.Step) { s.Ran[0].To-- })
+		}},
+		{name: "a lost step", ending: EndingBroken, meddle: func(w http.ResponseWriter, _ *http.Request, line int, content []byte) {
+			if line != 2 {
+				write(w, content)
+			}
+		}},
+		{name: "an end too early", ending: EndingBroken, meddle: func(w http.ResponseWriter, _ *http.Request, line int, content []byte) {
+			if line == 4 {
+				edit(w, content, func(s *streamer.Step) { s.Kind = streamer.KindEnd; s.Position += 3 })
+				return
+			}
+			write(w, content)
+		}},
+		{name: "the stream stops without an end", ending: EndingCrashed, meddle: func(w http.ResponseWriter, r *http.Request, line int, content []byte) {
+			if line == 4 {
+				panic(http.ErrAbortHandler)
+			}
+			write(w, content)
+		}},
+		{name: "half a line", ending: EndingCrashed, meddle: func(w http.ResponseWriter, r *http.Request, line int, content []byte) {
+			if line == 4 {
+				write(w, content[:len(content)/2])
+				panic(http.ErrAbortHandler)
+			}
+			write(w, content)
+		}},
+		{name: "the connection falls silent", ending: EndingSilent, limits: silent, meddle: func(w http.ResponseWriter, r *http.Request, line int, content []byte) {
+			if line >= 4 {
+				<-r.Context().Done()
+				return
+			}
+			write(w, content)
+		}},
+		{name: "the connection is silent from the start", ending: EndingSilent, limits: silent, meddle: func(_ http.ResponseWriter, r *http.Request, _ int, _ []byte) {
+			<-r.Context().Done()
+		}},
+		{name: "pings without a token", ending: EndingStalled, limits: stalled, meddle: func(w http.ResponseWriter, r *http.Request, line int, content []byte) {
+			if line < 4 {
+				write(w, content)
+				return
+			}
+			tick := time.NewTicker(10 * time.Millisecond)
+			defer tick.Stop()
+			for r.Context().Err() == nil {
+				<-tick.C
+				edit(w, content, func(s *streamer.Step) { s.Kind = streamer.KindPing })
+			}
+		}},
+		{name: "the first stage is gone", ending: EndingUnreachable, prepare: func(b *bench) { b.servers["a"].Close() }},
+		{name: "a middle stage is gone", ending: EndingUnreachable, prepare: func(b *bench) { b.servers["b"].Close() }},
+		{name: "the last stage crashed", ending: EndingCrashed, prepare: func(b *bench) { b.engines["c"].Crash() }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			b.heads[0].meddle = c.meddle
+			if c.prepare != nil {
+				c.prepare(b)
+			}
+			client := streamer.NewClient()
+			defer client.Close()
+			var text strings.Builder
+			j := job(prompt)
+			if c.limits != (tracker.Limits{}) {
+				j.Limits = c.limits
+			}
+			r := New(b, b, client).Run(context.Background(), j, func(s string) error {
+				text.WriteString(s)
+				return nil
+			})
+			if diff := cmp.Diff(want, text.String()); diff != "" {
+				t.Errorf("answer mismatch (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(FailureNone, r.Failure); diff != "" {
+				t.Errorf("failure mismatch (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(c.ending, b.endings[0]); diff != "" {
+				t.Errorf("ending of the first attempt mismatch (-want +got):\n%s\n%+v", diff, r.Attempts)
+			}
+			if diff := cmp.Diff(classifier.VerdictCompleted, r.Verdict); diff != "" {
+				t.Errorf("verdict mismatch (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestFailures provokes each way in which an answer is not complete, and checks what the caller is told of it.
+func TestFailures(t *testing.T) {
+	cases := []struct {
+		name    string
+		prompt  string
+		prepare func(b *bench)
+		sink    error
+		cancel  bool
+		want    Failure
+		verdict classifier.Verdict
+	}{
+		{name: "no plan", prompt: prompt, prepare: func(b *bench) { b.plans = nil }, want: FailureCapacity, verdict: classifier.VerdictNotRun},
+		{name: "in quarantine", prompt: prompt, prepare: func(b *bench) {
+			b.rulings = map[quarantiner.Fingerprint]quarantiner.Ruling{0: quarantiner.Refuse}
+		}, want: FailureQuarantine, verdict: classifier.VerdictNotRun},
+		{name: "no connection and no budget", prompt: prompt, prepare: func(b *bench) {
+			b.retries = 0
+			b.servers["a"].Close()
+		}, want: FailureBudget, verdict: classifier.VerdictNotRun},
+		{name: "a crash and no budget", prompt: "POISON", prepare: func(b *bench) { b.retries = 0 }, want: FailureBudget, verdict: classifier.VerdictUnknown},
+		{name: "the caller leaves", prompt: prompt, sink: context.Canceled, want: FailureCaller, verdict: classifier.VerdictUnknown},
+		{name: "the caller left before", prompt: prompt, cancel: true, want: FailureCaller, verdict: classifier.VerdictNotRun},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			if c.prepare != nil {
+				c.prepare(b)
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if c.cancel {
+				cancel()
+			}
+			client := streamer.NewClient()
+			defer client.Close()
+			r := New(b, b, client).Run(ctx, job(c.prompt), func(string) error { return c.sink })
+			if diff := cmp.Diff(c.want, r.Failure); diff != "" {
+				t.Errorf("failure mismatch (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(c.verdict, r.Verdict); diff != "" {
+				t.Errorf("verdict mismatch (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/serving/server/server.go
+++ b/internal/serving/server/server.go
@@ -236,7 +236,7 @@
 		limit = min(model.Tokens, *n)
 	}
 	return generator.Job{
-		Request:     id + "/" + uuid.NewString(),
+		Request:     id + "." + uuid.NewString(),
 		Team:        team,
 		Model:       q.Model,
 		Version:     version,
--- a/internal/standin/decoder/step.go
+++ b/internal/standin/decoder/step.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -156,11 +158,24 @@
 	}
 	reply, err := d.call(ctx, g.Address, s)
 	if err != nil {
-		return Reply{Endpoint: g.Endpoint, Reason: err.Error()}
+		return Reply{Endpoint: g.Endpoint, Reason: fault(err)}
 	}
 	return reply
 }
 
+// fault returns the reason in the engines' protocol for a step that could not be passed on.
+func fault(err error) string {
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return streamer.FaultUnreachable
+	}
+	var slow net.Error
+	if errors.As(err, &slow) && slow.Timeout() {
+		return streamer.FaultStalled
+	}
+	return streamer.FaultCrashed
+}
+
 // call posts a step to the engine at an address.
 func (d *Decoder) call(ctx context.Context, address string, s Step) (Reply, error) {
 	body, err := json.Marshal(s)
