--- /dev/null
+++ b/internal/control/recorder/view_test.go
@@ -0,0 +1,128 @@
+package recorder
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// modelSnapshot returns the snapshot of one model with the given versions.
+func modelSnapshot(t *testing.T, versions ...Version) Snapshot {
+	t.Helper()
+	r, err := NewRecord(KindModel, "chat", Model{Layers: 8, Versions: versions})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Snapshot{Epoch: 1, Records: []Record{r}}
+}
+
+// assign returns the version of each of many keys.
+func assign(t *testing.T, versions ...Version) []string {
+	t.Helper()
+	v, err := NewView(modelSnapshot(t, versions...))
+	if err != nil {
+		t.Fatal(err)
+	}
+	const keys = 20_000
+	names := make([]string, keys)
+	for i := range names {
+		names[i], _ = v.Version("chat", fmt.Sprint("key", i))
+	}
+	return names
+}
+
+func TestVersionMovesOnlyNeededKeys(t *testing.T) {
+	before := assign(t, Version{"a", 90}, Version{"b", 10})
+	after := assign(t, Version{"a", 70}, Version{"b", 30})
+	back, moved, share := 0, 0, 0
+	for i := range before {
+		if after[i] == "b" {
+			share++
+		}
+		if before[i] != after[i] {
+			moved++
+		}
+		if before[i] == "b" && after[i] == "a" {
+			back++
+		}
+	}
+	if back != 0 {
+		t.Errorf("%d keys moved back to the version whose share fell", back)
+	}
+	near := func(got int, want float64) bool {
+		return float64(got) > (want-0.01)*float64(len(before)) && float64(got) < (want+0.01)*float64(len(before))
+	}
+	if !near(moved, 0.2) || !near(share, 0.3) {
+		t.Errorf("moved %d and share %d of %d keys, want 20%% and 30%%", moved, share, len(before))
+	}
+}
+
+func TestVersionWithoutShare(t *testing.T) {
+	for i, got := range assign(t, Version{"a", 100}, Version{"b", 0}) {
+		if got != "a" {
+			t.Fatalf("key %d got %q", i, got)
+		}
+	}
+	v, err := NewView(Snapshot{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if name, found := v.Version("absent", "k"); found {
+		t.Errorf("absent model has version %q", name)
+	}
+}
+
+func TestNewViewRefusesOtherSchemas(t *testing.T) {
+	for _, schema := range []int{0, 1, 3} {
+		s := modelSnapshot(t, Version{"a", 100})
+		s.Records[0].Schema = schema
+		if _, err := NewView(s); !errors.Is(err, ErrSchema) {
+			t.Errorf("schema %d: %v", schema, err)
+		}
+	}
+}
+
+func TestCall(t *testing.T) {
+	v := View{Services: map[string]Service{"stock": {Calls: []Call{
+		{Method: "GET", Path: "/"},
+		{Method: "POST", Path: "/holds", Deadline: 1},
+		{Method: "POST", Path: "/holds/cancel", Deadline: 2},
+	}}}}
+	cases := []struct {
+		method, path string
+		deadline     int
+		found        bool
+	}{
+		{"GET", "/parts/7", 0, true},
+		{"POST", "/holds", 1, true},
+		{"POST", "/holds/9", 1, true},
+		{"POST", "/holds/cancel", 2, true},
+		{"POST", "/holdsome", 0, false},
+		{"DELETE", "/holds", 0, false},
+	}
+	for _, c := range cases {
+		got, found := v.Call("stock", c.method, c.path)
+		if diff := cmp.Diff([]any{c.deadline, c.found}, []any{got.Deadline, found}); diff != "" {
+			t.Errorf("%s %s: %s", c.method, c.path, diff)
+		}
+	}
+}
+
+func TestAdvance(t *testing.T) {
+	base := modelSnapshot(t, Version{"a", 100})
+	next := base.With(nil, []Ref{{KindModel, "chat"}})
+	good := Delta{Epoch: 2, Drop: []Ref{{KindModel, "chat"}}, Sum: next.Sum()}
+	got, err := base.Advance(good)
+	if diff := cmp.Diff(Snapshot{Epoch: 2, Records: []Record{}}, got); err != nil || diff != "" {
+		t.Error(err, diff)
+	}
+	if _, err := got.Advance(good); !errors.Is(err, ErrGap) {
+		t.Errorf("repeated delta: %v", err)
+	}
+	good.Sum = base.Sum()
+	if _, err := base.Advance(good); !errors.Is(err, ErrSum) {
+		t.Errorf("other content: %v", err)
+	}
+}
