Carry soft state and calls between instances over net/rpc

Cause: The decisions on soft state need a transport, and other areas need calls between instances and a way for a joining instance to learn the configuration when the store is down.

Change: exchanger serves peers on a listener, keeps one connection for each peer with deadlines, replaces a silent one, publishes and delivers entries in order, learns peers from the platform's list, announces leaving, and asks peers for the highest epoch that they vouch for.

Measured: go test -race ./internal/serving/exchanger passes (delivery, deletion, silent connection replaced, call errors told apart, highest epoch), goleak included.

--- a/internal/control/gossiper/member.go
+++ b/internal/control/gossiper/member.go
@@ -107,6 +107,18 @@
 	return out
 }
 
+// Known returns the other instances that have not announced that they go, in the order of their IDs: those that are
+// gone and those known only from a list included.
+func (g *Gossiper) Known() []Peer {
+	var out []Peer
+	for _, id := range g.ids() {
+		if p := g.Members[id].Peer; !p.Leaving && p.Address != "" {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // Pick returns the peers of a round: some of the own data centre, every second round one of another data centre of the
 // region, every fourth one of another region, and every eighth one that is lost or only listed, so that parts of the
 // fleet that lost each other meet again.
@@ -114,7 +126,7 @@
 	var near, region, far, lost []Peer
 	for _, id := range g.ids() {
 		m := g.Members[id]
-		if now.Sub(m.Failed) < retryAfter || m.Peer.Leaving {
+		if now.Sub(m.Failed) < retryAfter || m.Peer.Leaving || m.Peer.Address == "" {
 			continue
 		}
 		switch {
--- /dev/null
+++ b/internal/serving/exchanger/exchanger.go
@@ -0,0 +1,299 @@
+// Package exchanger carries soft state and calls between instances over net/rpc.
+package exchanger
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/heatherrock/heatherrock/internal/control/gossiper"
+	"github.com/heatherrock/heatherrock/internal/platform/lister"
+)
+
+// leavePeers bounds the peers that are told at once when the instance leaves.
+const leavePeers = 8
+
+// Exchanger is one instance's part in the exchange. Its methods may be called from any goroutine.
+type Exchanger struct {
+	// Count counts the traffic with peers.
+	Count Count
+
+	options options
+	server  *rpc.Server
+	done    chan struct{}
+	wait    sync.WaitGroup
+	wake    chan struct{}
+
+	mu          sync.Mutex
+	closed      bool
+	gossip      *gossiper.Gossiper
+	subscribers map[string][]func(gossiper.Entry)
+	pending     []delivery
+	clients     map[string]*rpc.Client
+	sessions    map[*session]struct{}
+	listener    net.Listener
+	r           *rand.Rand
+}
+
+// delivery is an entry that a subscriber has still to be called for.
+type delivery struct {
+	f     func(gossiper.Entry)
+	entry gossiper.Entry
+}
+
+// New returns an Exchanger for an instance. It exchanges nothing before Start.
+func New(self gossiper.Peer, settings ...Option) *Exchanger {
+	o := defaults()
+	for _, s := range settings {
+		s(&o)
+	}
+	x := &Exchanger{
+		options:     o,
+		server:      rpc.NewServer(),
+		done:        make(chan struct{}),
+		wake:        make(chan struct{}, 1),
+		gossip:      gossiper.New(time.Now(), self, o.gossip...),
+		subscribers: map[string][]func(gossiper.Entry){},
+		clients:     map[string]*rpc.Client{},
+		sessions:    map[*session]struct{}{},
+		r:           rand.New(rand.NewPCG(o.seed, uint64(time.Now().UnixNano()))),
+	}
+	if err := x.Register("Exchange", &Exchange{x}); err != nil {
+		panic(err)
+	}
+	return x
+}
+
+// Register adds the methods of a receiver to those that peers may call, as in net/rpc. Call it before Start.
+func (x *Exchanger) Register(name string, receiver any) error {
+	return x.server.RegisterName(name, receiver)
+}
+
+// Subscribe calls f for each entry of a topic that another instance shares, deletions included, in the order in which
+// they come in. Entries that are held already come first. The calls are made one after another: f must not block.
+func (x *Exchanger) Subscribe(topic string, f func(gossiper.Entry)) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.subscribers[topic] = append(x.subscribers[topic], f)
+	for _, e := range x.gossip.Entries(time.Now(), topic) {
+		if e.Owner != x.gossip.Self.ID {
+			x.pending = append(x.pending, delivery{f, e})
+		}
+	}
+	x.signal()
+}
+
+// Publish shares a value under a topic and key, for ttl or as long as the instance lives if ttl is 0. This instance's
+// own subscribers are not called.
+func (x *Exchanger) Publish(topic, key string, value []byte, ttl time.Duration) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.gossip.Put(time.Now(), topic, key, value, ttl)
+}
+
+// Withdraw removes a value shared before.
+func (x *Exchanger) Withdraw(topic, key string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.gossip.Delete(time.Now(), topic, key)
+}
+
+// Entries returns the entries of a topic that are held, this instance's own included.
+func (x *Exchanger) Entries(topic string) []gossiper.Entry {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.gossip.Entries(time.Now(), topic)
+}
+
+// Peers returns the other instances that are alive or suspected.
+func (x *Exchanger) Peers() []gossiper.Peer {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.gossip.Peers(time.Now())
+}
+
+// Dump returns the state of the exchange.
+func (x *Exchanger) Dump() gossiper.Dump {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.gossip.Dump(time.Now())
+}
+
+// Start serves peers on a listener and begins the rounds. The listener is closed by Close.
+func (x *Exchanger) Start(l net.Listener) {
+	x.listener = l
+	x.wait.Add(3)
+	go x.runServer()
+	go x.loopRounds()
+	go x.loopDeliveries()
+	if x.options.lister != nil {
+		x.wait.Add(1)
+		go x.loopList()
+	}
+}
+
+// Leave announces that the instance goes, and tells some peers at once. It returns when they know or the context ends.
+func (x *Exchanger) Leave(ctx context.Context) {
+	x.mu.Lock()
+	x.gossip.Leave(time.Now())
+	peers := x.gossip.Peers(time.Now())
+	x.r.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	x.mu.Unlock()
+	x.exchangeAll(ctx, peers[:min(leavePeers, len(peers))])
+}
+
+// Close ends the exchange and waits for its goroutines.
+func (x *Exchanger) Close() {
+	x.mu.Lock()
+	if x.closed {
+		x.mu.Unlock()
+		return
+	}
+	x.closed = true
+	close(x.done)
+	for _, c := range x.clients {
+		_ = c.Close()
+	}
+	for s := range x.sessions {
+		_ = s.raw.Close()
+	}
+	x.mu.Unlock()
+	if x.listener != nil {
+		_ = x.listener.Close()
+	}
+	x.wait.Wait()
+}
+
+// loopRounds begins a round at each interval until done is closed.
+func (x *Exchanger) loopRounds() {
+	defer x.wait.Done()
+	ticker := time.NewTicker(x.options.interval)
+	defer ticker.Stop()
+	for {
+		x.round()
+		select {
+		case <-x.done:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// round exchanges with the peers of one round.
+func (x *Exchanger) round() {
+	now := time.Now()
+	x.mu.Lock()
+	x.deliver(x.gossip.Tick(now))
+	peers := x.gossip.Pick(now, x.r)
+	x.mu.Unlock()
+	x.exchangeAll(context.Background(), peers)
+	x.report()
+}
+
+// exchangeAll exchanges with peers side by side.
+func (x *Exchanger) exchangeAll(ctx context.Context, peers []gossiper.Peer) {
+	var wait sync.WaitGroup
+	for _, p := range peers {
+		wait.Go(func() { x.exchange(ctx, p) })
+	}
+	wait.Wait()
+}
+
+// handle takes a message of a peer in and returns the answer.
+func (x *Exchanger) handle(m gossiper.Message) gossiper.Message {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	reply, entries := x.gossip.Handle(time.Now(), m)
+	x.deliver(entries)
+	return reply
+}
+
+// deliver queues entries for subscribers. The lock is held.
+func (x *Exchanger) deliver(entries []gossiper.Entry) {
+	for _, e := range entries {
+		for _, f := range x.subscribers[e.Topic] {
+			x.pending = append(x.pending, delivery{f, e})
+		}
+	}
+	x.signal()
+}
+
+// signal wakes the deliveries.
+func (x *Exchanger) signal() {
+	select {
+	case x.wake <- struct{}{}:
+	default:
+	}
+}
+
+// loopDeliveries calls subscribers until done is closed.
+func (x *Exchanger) loopDeliveries() {
+	defer x.wait.Done()
+	for {
+		select {
+		case <-x.done:
+			return
+		case <-x.wake:
+		}
+		x.mu.Lock()
+		pending := x.pending
+		x.pending = nil
+		x.mu.Unlock()
+		for _, d := range pending {
+			d.f(d.entry)
+		}
+	}
+}
+
+// loopList learns peers from the platform's list until done is closed.
+func (x *Exchanger) loopList() {
+	defer x.wait.Done()
+	ticker := time.NewTicker(x.options.list)
+	defer ticker.Stop()
+	for {
+		x.learn()
+		select {
+		case <-x.done:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// learn reads the platform's list once.
+func (x *Exchanger) learn() {
+	ctx, cancel := context.WithTimeout(context.Background(), x.options.timeout)
+	defer cancel()
+	instances, err := x.options.lister.List(ctx)
+	if err != nil {
+		x.options.logger.Warn("instance list unavailable", "error", err)
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.gossip.Seed(entryPeers(instances))
+}
+
+// entryPeers returns the entry instances of the platform's list as peers.
+func entryPeers(instances []lister.Instance) []gossiper.Peer {
+	var out []gossiper.Peer
+	for _, i := range instances {
+		if i.Role == lister.RoleEntry {
+			out = append(out, gossiper.Peer{ID: i.ID, Address: i.Address, DataCentre: i.DataCentre, Region: i.Region})
+		}
+	}
+	return out
+}
+
+// report updates the metrics.
+func (x *Exchanger) report() {
+	s := x.options.scope
+	s.Gauge("exchange_sent_bytes").Update(float64(x.Count.Sent.Load()))
+	s.Gauge("exchange_received_bytes").Update(float64(x.Count.Received.Load()))
+	s.Gauge("exchange_calls").Update(float64(x.Count.Calls.Load()))
+	s.Gauge("exchange_failed").Update(float64(x.Count.Failed.Load()))
+	s.Gauge("exchange_peers").Update(float64(len(x.Peers())))
+}
