--- a/internal/standin/decoder/decoder.go
+++ b/internal/standin/decoder/decoder.go
@@ -15,6 +15,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/heatherrock/heatherrock/internal/platform/caller"
 	"github.com/heatherrock/heatherrock/internal/platform/streamer"
 )
 
@@ -236,6 +237,7 @@
 
 // refuse answers that the work was not run.
 func (d *Decoder) refuse(w http.ResponseWriter, status int, reason string) {
+	caller.Refuse(w.Header())
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(Refusal{Endpoint: d.endpoint, Reason: reason})
