Run non-idempotent calls at most once and repeat lookups within a budget

Cause: nothing yet stood between a caller's stock hold and the service, so a resend after a lost answer would have placed it twice.

Change: package claimer decides one attempt: one conditional insert moves a key to dispatching, the work is sent only after that write is known to have taken effect, and every other attempt waits for the row, asks the service or answers unknown. Writes are grouped, bounded by the instance's part of the fleet's budget, and turned away at once while the table is down. Package dispatcher serves /v1/services/ with it; its sender writes a request once only and knows whether a byte left. Lookups are repeated within a budget and hedged where the latencies have a long tail.

--- a/internal/dispatch/classifier/classifier.go
+++ b/internal/dispatch/classifier/classifier.go
@@ -76,3 +76,20 @@
 	}
 	return verdict
 }
+
+// statusTooMany is the status of RFC 6585 by which a receiver refuses to run a request for now.
+const statusTooMany = 429
+
+// Answered returns the outcome of a complete HTTP answer. Told is the value of its Heatherrock-Outcome header: a
+// receiver may state there that it did not run the work. A server error without that statement proves nothing, since
+// it may come from after the effect or from something between the two ends.
+func Answered(status int, told string) Outcome {
+	switch {
+	case told == VerdictNotRun.String(), status == statusTooMany:
+		return Refused
+	case status >= 500 && told != VerdictCompleted.String():
+		return Unknown
+	default:
+		return Completed
+	}
+}
--- /dev/null
+++ b/internal/serving/dispatcher/answer.go
@@ -0,0 +1,121 @@
+package dispatcher
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/heatherrock/heatherrock/internal/control/claimer"
+	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
+)
+
+// The headers of calls and answers.
+const (
+	// HeaderKey carries the caller's idempotency key.
+	HeaderKey = "Idempotency-Key"
+	// HeaderAttempt counts the caller's sends of one key from 1.
+	HeaderAttempt = "Heatherrock-Attempt"
+	// HeaderCode carries the stable code of an answer that is not the service's own.
+	HeaderCode = "Heatherrock-Code"
+)
+
+// The stable codes of this package; those of claims are in package claimer.
+const (
+	CodeService   = "service_unknown"
+	CodeCall      = "call_unknown"
+	CodeBody      = "body_too_large"
+	CodeRead      = "body_unreadable"
+	CodeAttempt   = "attempt_invalid"
+	CodeEndpoints = "no_endpoint"
+	CodeFailed    = "service_failed"
+)
+
+// retryAfter is the value of Retry-After, in seconds, where the same call may work soon.
+const retryAfter = 1
+
+// reason is the HTTP status and the message of a code.
+type reason struct {
+	status  int
+	message string
+}
+
+// reasons holds what callers are told for each code.
+var reasons = map[string]reason{
+	CodeService:         {http.StatusNotFound, "there is no such service"},
+	CodeCall:            {http.StatusNotFound, "the service has no such call"},
+	CodeBody:            {http.StatusRequestEntityTooLarge, "the body is too large"},
+	CodeRead:            {http.StatusBadRequest, "the body could not be read"},
+	CodeAttempt:         {http.StatusBadRequest, "the attempt is not a number from 1"},
+	CodeEndpoints:       {http.StatusServiceUnavailable, "no endpoint of the service is live"},
+	CodeFailed:          {http.StatusBadGateway, "the service gave no whole answer"},
+	claimer.CodeMissing: {http.StatusBadRequest, "the call may not be repeated and needs an Idempotency-Key"},
+	claimer.CodeUndated: {http.StatusBadRequest, "the key is neither a version 7 UUID nor begins with a day and a dash"},
+	claimer.CodeFuture:  {http.StatusBadRequest, "the key's day lies ahead"},
+	claimer.CodeExpired: {http.StatusGone, "the key is older than keys are kept"},
+	claimer.CodeReused:  {http.StatusUnprocessableEntity, "the key was used for another call or body"},
+	claimer.CodeBusy:    {http.StatusServiceUnavailable, "the budget of writes to the table service is spent"},
+	claimer.CodeTable:   {http.StatusServiceUnavailable, "the table service cannot be reached"},
+	claimer.CodeLate:    {http.StatusServiceUnavailable, "the call could not be sent in time"},
+	claimer.CodeRefused: {http.StatusServiceUnavailable, "the service refused the call before running it"},
+	claimer.CodeSettled: {http.StatusConflict, "an operator has settled the call as not run"},
+	claimer.CodeUnknown: {http.StatusGatewayTimeout, "the call may have run"},
+	claimer.CodeRunning: {http.StatusGatewayTimeout, "the call is running or its owner is gone"},
+}
+
+// failure is the body of an error answer, in the format of the callers' interface.
+type failure struct {
+	Error detail `json:"error"`
+}
+
+// detail describes an error to callers.
+type detail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+}
+
+// respond writes an answer.
+func respond(w http.ResponseWriter, a claimer.Answer) {
+	w.Header().Set(HeaderOutcome, a.Verdict.String())
+	if a.Code == "" {
+		replay(w, a.Reply)
+		return
+	}
+	r := reasons[a.Code]
+	status := r.status
+	if a.Verdict == classifier.VerdictUnknown {
+		status = http.StatusGatewayTimeout
+	}
+	if a.Retry {
+		w.Header().Set("Retry-After", strconv.Itoa(retryAfter))
+	}
+	w.Header().Set(HeaderCode, a.Code)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	body := failure{Error: detail{Message: r.message, Type: a.Verdict.String(), Code: a.Code}}
+	if err := json.NewEncoder(w).Encode(body); err != nil {
+		return
+	}
+}
+
+// replay writes a service's reply.
+func replay(w http.ResponseWriter, r *claimer.Reply) {
+	if r == nil {
+		r = &claimer.Reply{Status: http.StatusNoContent}
+	}
+	if r.Type != "" {
+		w.Header().Set("Content-Type", r.Type)
+	}
+	if r.Cut {
+		w.Header().Set("Heatherrock-Cut", "true")
+	}
+	w.WriteHeader(r.Status)
+	if _, err := w.Write(r.Body); err != nil {
+		return
+	}
+}
+
+// notRun returns an answer to a call that was turned away and that sending again unchanged would not help.
+func notRun(code string) claimer.Answer {
+	return claimer.Answer{Verdict: classifier.VerdictNotRun, Code: code}
+}
--- /dev/null
+++ b/internal/serving/dispatcher/handler.go
@@ -0,0 +1,139 @@
+package dispatcher
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/heatherrock/heatherrock/internal/control/claimer"
+	"github.com/heatherrock/heatherrock/internal/control/recorder"
+)
+
+// defaultDeadline bounds a call whose record gives no deadline.
+const defaultDeadline = 10 * time.Second
+
+// forwarded lists the headers of a caller that go to the service.
+var forwarded = []string{"Accept", "Content-Type", "X-Request-Id"}
+
+// visit is one request of a caller to a service.
+type visit struct {
+	team    string
+	service string
+	call    recorder.Call
+	message Message
+	print   string
+	begun   time.Time
+}
+
+// ServeHTTP answers a call of a plain service.
+func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	v, code := d.visit(w, r)
+	if code != "" {
+		respond(w, notRun(code))
+		return
+	}
+	if v.call.Idempotent {
+		respond(w, d.lookup(r.Context(), v))
+		return
+	}
+	key, code := claimer.ParseKey(r.Header.Get(HeaderKey))
+	if code != "" {
+		respond(w, notRun(code))
+		return
+	}
+	attempt, ok := attemptOf(r)
+	if !ok {
+		respond(w, notRun(CodeAttempt))
+		return
+	}
+	respond(w, d.hold(r.Context(), v, key, attempt))
+}
+
+// visit reads a request, or returns the code of what is wrong with it.
+func (d *Dispatcher) visit(w http.ResponseWriter, r *http.Request) (visit, string) {
+	name := mux.Vars(r)["service"]
+	service, ok := d.view.Service(name)
+	if !ok {
+		return visit{}, CodeService
+	}
+	path := strings.TrimPrefix(r.URL.EscapedPath(), "/v1/services/"+name)
+	call, ok := match(service, r.Method, path)
+	if !ok {
+		return visit{}, CodeCall
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, d.settings.body))
+	if err != nil {
+		return visit{}, codeOf(err)
+	}
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	v := visit{team: d.identifier.Team(r), service: name, call: call, begun: d.settings.now()}
+	v.message = Message{Method: r.Method, Path: path, Header: http.Header{}, Body: body}
+	for _, h := range forwarded {
+		if value := r.Header.Get(h); value != "" {
+			v.message.Header.Set(h, value)
+		}
+	}
+	v.print = printOf(name, v.message)
+	return v, ""
+}
+
+// deadline returns the longest duration of the call.
+func (v visit) deadline() time.Duration {
+	if v.call.Deadline <= 0 {
+		return defaultDeadline
+	}
+	return time.Duration(v.call.Deadline) * time.Millisecond
+}
+
+// match returns the call of a service with the method and the longest prefix of the path.
+func match(s recorder.Service, method, path string) (recorder.Call, bool) {
+	var best recorder.Call
+	found := false
+	for _, c := range s.Calls {
+		if c.Method != method || !strings.HasPrefix(path, c.Path) {
+			continue
+		}
+		if !found || len(c.Path) > len(best.Path) {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
+// codeOf returns the code of an error in reading a body.
+func codeOf(err error) string {
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return CodeBody
+	}
+	return CodeRead
+}
+
+// printOf returns the fingerprint of a call and its body.
+func printOf(service string, m Message) string {
+	h := sha256.New()
+	for _, part := range []string{service, m.Method, m.Path, m.Header.Get("Content-Type")} {
+		h.Write([]byte(strconv.Itoa(len(part)) + ":" + part))
+	}
+	h.Write(m.Body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// attemptOf returns the number of the caller's attempt; a request that does not tell is the first.
+func attemptOf(r *http.Request) (int, bool) {
+	text := r.Header.Get(HeaderAttempt)
+	if text == "" {
+		return 1, true
+	}
+	n, err := strconv.Atoi(text)
+	return n, err == nil && n >= 1
+}
--- /dev/null
+++ b/internal/serving/dispatcher/state.go
@@ -0,0 +1,82 @@
+package dispatcher
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/heatherrock/heatherrock/internal/control/claimer"
+	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
+	"github.com/heatherrock/heatherrock/internal/dispatch/retrier"
+)
+
+// Counts counts the answers given to callers by verdict.
+type Counts struct {
+	NotRun    int64
+	Completed int64
+	Unknown   int64
+}
+
+// State is a dispatcher's part of the state dump.
+type State struct {
+	// Claims are the claims in flight, in the order of their rows.
+	Claims  []claimer.Claim
+	Group   claimer.Group
+	Budget  claimer.Budget
+	Breaker claimer.Breaker
+	Horizon claimer.Horizon
+	// Retries are the budgets of repeats by service.
+	Retries map[string]retrier.Budget
+	Counts  Counts
+}
+
+// State returns a copy of the dispatcher's state.
+func (d *Dispatcher) State() State {
+	var s State
+	d.mu.Lock()
+	for _, c := range d.claims {
+		s.Claims = append(s.Claims, *c)
+	}
+	s.Retries = map[string]retrier.Budget{}
+	for name, t := range d.calls {
+		s.Retries[name] = t.budget
+	}
+	s.Counts = d.counts
+	d.mu.Unlock()
+	slices.SortFunc(s.Claims, func(a, b claimer.Claim) int { return strings.Compare(a.Call.Row(), b.Call.Row()) })
+	d.writer.mu.Lock()
+	defer d.writer.mu.Unlock()
+	s.Group = d.writer.group
+	s.Group.Waiting = slices.Clone(s.Group.Waiting)
+	s.Budget, s.Breaker, s.Horizon = d.writer.budget, d.writer.breaker, d.writer.horizon
+	return s
+}
+
+// enter notes a claim in flight.
+func (d *Dispatcher) enter(c *claimer.Claim) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.claims[c.ID] = c
+}
+
+// leave forgets a claim that has ended.
+func (d *Dispatcher) leave(c *claimer.Claim) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.claims, c.ID)
+	close(d.left)
+	d.left = make(chan struct{})
+}
+
+// count counts an answer.
+func (d *Dispatcher) count(a claimer.Answer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch a.Verdict {
+	case classifier.VerdictNotRun:
+		d.counts.NotRun++
+	case classifier.VerdictCompleted:
+		d.counts.Completed++
+	default:
+		d.counts.Unknown++
+	}
+}
