--- a/internal/serving/generator/attempt.go
+++ b/internal/serving/generator/attempt.go
@@ -103,7 +103,7 @@
 		c := &canceller{engines: a.engines, address: plan.Stages[0].Address, request: a.job.Request, attempt: t.Number}
 		go c.run()
 	}
-	a.log.Debug("attempt ended", "request", a.job.Request, "attempt", t.Number, "ending", t.Ending,
+	a.log.Debug("attempt ended", "request", a.job.Request, "attempt", t.Number, "ending", t.Ending.String(),
 		"endpoint", t.Endpoint, "reason", t.Reason, "tokens", t.Tokens)
 	return t
 }
--- a/internal/serving/generator/generator.go
+++ b/internal/serving/generator/generator.go
@@ -348,3 +348,19 @@
 func streamEnded(err error) bool {
 	return errors.Is(err, io.EOF)
 }
+
+// endings names the endings of an attempt, in order.
+var endings = []string{"complete", "left", "silent", "stalled", "crashed", "refused", "unreachable", "broken"}
+
+// String returns the ending's name in logs and metrics.
+func (e Ending) String() string {
+	return endings[e]
+}
+
+// failures names the failures of an answer, in order.
+var failures = []string{"none", "capacity", "deadline", "caller", "quarantine", "budget"}
+
+// String returns the failure's name in logs and metrics.
+func (f Failure) String() string {
+	return failures[f]
+}
--- /dev/null
+++ b/internal/serving/router/router.go
@@ -0,0 +1,253 @@
+// Package router shares one picker between the requests of a process, and tells it and the detector how attempts go.
+package router
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/heatherrock/heatherrock/internal/routing/detector"
+	"github.com/heatherrock/heatherrock/internal/routing/limiter"
+	"github.com/heatherrock/heatherrock/internal/routing/picker"
+	"github.com/heatherrock/heatherrock/internal/routing/planner"
+	"github.com/heatherrock/heatherrock/internal/serving/generator"
+)
+
+const (
+	// retryShare is the share of requests that may be retries, unless the fleet's record says otherwise.
+	retryShare = 0.1
+	// retryFloor is the number of retries a second that are always allowed.
+	retryFloor = 10
+)
+
+// Router holds the picker, the detector and the retry budget of one instance. Its methods may be called from any
+// goroutine.
+type Router struct {
+	datacentre string
+	log        *slog.Logger
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	picker   *picker.Picker
+	detector *detector.Detector
+	budget   *limiter.Budget
+	attempts map[string]*attempt
+	counts   map[string]int
+}
+
+// attempt is an attempt in progress.
+type attempt struct {
+	began  time.Time
+	first  time.Time
+	last   time.Time
+	tokens int
+}
+
+// Option changes a Router under construction.
+type Option func(*Router)
+
+// WithLog sets the log.
+func WithLog(l *slog.Logger) Option { return func(r *Router) { r.log = l } }
+
+// WithSeed sets the seed of the random choices.
+func WithSeed(seed uint64) Option {
+	return func(r *Router) { r.random = rand.New(rand.NewPCG(seed, seed)) }
+}
+
+// New returns a router of an instance in a data centre, over a detector and the options of the picker.
+func New(datacentre string, d *detector.Detector, p []picker.Option, options ...Option) *Router {
+	r := &Router{
+		datacentre: datacentre,
+		log:        slog.Default(),
+		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		picker:     picker.New(append(p, picker.WithHealth(d))...),
+		detector:   d,
+		budget:     limiter.NewBudget(retryShare, retryFloor),
+		attempts:   map[string]*attempt{},
+		counts:     map[string]int{},
+	}
+	for _, o := range options {
+		o(r)
+	}
+	return r
+}
+
+// Observe takes in an endpoint and its load report.
+func (r *Router) Observe(now time.Time, e planner.Endpoint, report picker.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.picker.Observe(now, e, report)
+	r.detector.Join(now, e.ID, group(e))
+}
+
+// group names the endpoints that can stand in for each other.
+func group(e planner.Endpoint) string {
+	name := ""
+	for _, h := range e.Held {
+		name += h.Model + "/" + h.Version + "/" + strconv.Itoa(h.From) + "-" + strconv.Itoa(h.To) + " "
+	}
+	return name
+}
+
+// Leave takes in that an endpoint is leaving: it gets no new work.
+func (r *Router) Leave(now time.Time, id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.picker.Leave(now, id)
+}
+
+// Remove forgets an endpoint.
+func (r *Router) Remove(now time.Time, id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.picker.Remove(now, id)
+	r.detector.Remove(now, id)
+}
+
+// Cached takes in a cache event of an endpoint.
+func (r *Router) Cached(now time.Time, endpoint string, prefix uint64, evicted bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.picker.Cached(now, endpoint, prefix, evicted)
+}
+
+// SetPeers takes in the number of instances, this one included.
+func (r *Router) SetPeers(now time.Time, instances int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.picker.SetPeers(now, instances)
+}
+
+// Route returns a plan for the next attempt of a job, without the endpoints to avoid.
+func (r *Router) Route(now time.Time, j generator.Job, avoid []string, delivered int) generator.Route {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	plan, refusal := r.picker.Pick(now, picker.Query{
+		Model:      j.Model,
+		Version:    j.Version,
+		Layers:     j.Layers,
+		Adapter:    j.Adapter,
+		DataCentre: r.datacentre,
+		Prefixes:   j.Prefixes,
+		Avoid:      avoid,
+		Priority:   j.Priority,
+		Tokens:     j.Limit - delivered,
+	}, r.random)
+	if refusal.Refused() {
+		r.counts[refusal.Reason]++
+		return generator.Route{After: refusal.RetryAfter, Reason: refusal.Reason}
+	}
+	return generator.Route{Plan: plan, OK: true}
+}
+
+// Started takes in that an attempt began.
+func (r *Router) Started(now time.Time, j generator.Job, p planner.Plan) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.attempts[j.Request]; !ok {
+		r.budget.Request(now)
+	}
+	r.attempts[j.Request] = &attempt{began: now}
+	r.picker.Start(now, p, j.Limit)
+	r.picker.Used(now, p, j.Prefixes)
+	r.detector.Opened(now, j.Request, p.Stages[0].Endpoint)
+	r.detector.Await(now, j.Request)
+}
+
+// Moved takes in that an attempt delivered a token.
+func (r *Router) Moved(now time.Time, j generator.Job, p planner.Plan) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a, ok := r.attempts[j.Request]
+	if !ok {
+		return
+	}
+	r.detector.Progress(now, j.Request)
+	if a.tokens == 0 {
+		a.first = now
+	} else {
+		r.picker.Progress(now, p, now.Sub(a.last))
+	}
+	a.tokens++
+	a.last = now
+}
+
+// Ended takes in how an attempt ended.
+func (r *Router) Ended(now time.Time, j generator.Job, t generator.Attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := r.attempts[j.Request]
+	delete(r.attempts, j.Request)
+	r.detector.Closed(now, j.Request)
+	r.picker.Finish(now, t.Plan, result(a, t))
+	r.counts[t.Ending.String()]++
+	if !blames(t) {
+		return
+	}
+	for _, action := range r.detector.Failed(now, t.Endpoint, t.Reason) {
+		r.log.Warn("endpoint health", "action", action.Kind, "endpoint", action.Endpoint, "reason", action.Reason)
+	}
+}
+
+// blames reports whether the end of an attempt is a failure of an endpoint.
+func blames(t generator.Attempt) bool {
+	switch t.Ending {
+	case generator.EndingCrashed, generator.EndingUnreachable, generator.EndingStalled, generator.EndingBroken:
+		return t.Endpoint != ""
+	default:
+		return false
+	}
+}
+
+// result returns what the picker learns from an attempt.
+func result(a *attempt, t generator.Attempt) picker.Result {
+	out := picker.Result{Tokens: t.Tokens, Failed: t.Ending != generator.EndingComplete}
+	if a != nil && a.tokens > 1 {
+		out.Between = a.last.Sub(a.first) / time.Duration(a.tokens-1)
+	}
+	return out
+}
+
+// Retry reports whether the retry budget allows one more attempt.
+func (r *Router) Retry(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget.Retry(now)
+}
+
+// Check looks at the health of the endpoints at now: ejected ones come back after their time.
+func (r *Router) Check(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, action := range r.detector.Check(now) {
+		r.log.Info("endpoint health", "action", action.Kind, "endpoint", action.Endpoint, "reason", action.Reason)
+	}
+}
+
+// State is the router's state, for the state dump.
+type State struct {
+	Picker   picker.State
+	Detector detector.State
+	// Attempts counts the attempts in progress.
+	Attempts int
+	// Counts counts refusals by reason and attempts by ending.
+	Counts map[string]int
+}
+
+// State returns the router's state at now.
+func (r *Router) State(now time.Time) State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	counts := make(map[string]int, len(r.counts))
+	for k, n := range r.counts {
+		counts[k] = n
+	}
+	return State{
+		Picker:   r.picker.State(now),
+		Detector: r.detector.State(now),
+		Attempts: len(r.attempts),
+		Counts:   counts,
+	}
+}
--- a/internal/serving/server/server.go
+++ b/internal/serving/server/server.go
@@ -280,7 +280,7 @@
 	s.ended(job.Team, job.Model, result, took)
 	s.log.Info("answer ended", "request", id, "team", job.Team, "model", job.Model, "version", job.Version,
 		"epoch", view.Epoch, "outcome", result.Verdict.String(), "tokens", result.Tokens,
-		"attempts", len(result.Attempts), "failure", int(result.Failure), "took", took)
+		"attempts", len(result.Attempts), "failure", result.Failure.String(), "took", took)
 	if result.Failure != generator.FailureNone {
 		out.fail(problem(result))
 		return
