Read and check settings from flags, the environment and a file

Cause: a process learns its addresses, data centre and the platform's services from its settings, and a wrong file must be told apart from a right one before anything starts.

Times gets header, idle and reload.

--- /dev/null
+++ b/internal/serving/configurer/problem.go
@@ -0,0 +1,79 @@
+package configurer
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Problem is one fault of the settings. Line and Column count from 1, columns in characters; they are 0 if the fault
+// is not in a file.
+type Problem struct {
+	File   string `json:"file,omitempty"`
+	Line   int    `json:"line,omitempty"`
+	Column int    `json:"column,omitempty"`
+	// Name is the setting at fault, or what stands in its place.
+	Name string `json:"name,omitempty"`
+	Text string `json:"text"`
+	// Nearest is the known name closest to an unknown one.
+	Nearest string `json:"nearest,omitempty"`
+}
+
+// String returns the problem as FILE:LINE:COLUMN: NAME: TEXT.
+func (p Problem) String() string {
+	var b strings.Builder
+	if p.Line > 0 {
+		fmt.Fprintf(&b, "%s:%d:%d: ", p.File, p.Line, p.Column)
+	}
+	if p.Name != "" {
+		b.WriteString(p.Name + ": ")
+	}
+	b.WriteString(p.Text)
+	if p.Nearest != "" {
+		fmt.Fprintf(&b, "; did you mean %q?", p.Nearest)
+	}
+	return b.String()
+}
+
+// Problems is a list of faults, as an error.
+type Problems []Problem
+
+// Error returns the problems, one a line.
+func (p Problems) Error() string {
+	var lines []string
+	for _, n := range p {
+		lines = append(lines, n.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// nearest returns the known name with the smallest edit distance, or nothing if all differ in more than half.
+func nearest(name string, known []string) string {
+	best, least := "", len(name)/2+1
+	for _, k := range known {
+		if d := distance(name, k); d < least {
+			best, least = k, d
+		}
+	}
+	return best
+}
+
+// distance returns the edit distance of two texts (Levenshtein 1966), with one row of the table of Wagner and Fischer.
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			change := diagonal
+			if a[i] != b[j] {
+				change++
+			}
+			diagonal = row[j+1]
+			row[j+1] = min(change, row[j]+1, row[j+1]+1)
+		}
+	}
+	return row[len(b)]
+}
--- a/internal/serving/configurer/settings.go
+++ b/internal/serving/configurer/settings.go
@@ -1,4 +1,5 @@
-// Package configurer reads and checks the settings of a process.
+// Package configurer reads and checks the settings of a process. They come from flags, the environment and a file of
+// JSON with comments, in that order.
 package configurer
 
 import "time"
@@ -43,10 +44,12 @@
 
 // Limits bounds what callers may ask of the process. Body and Header are in bytes.
 type Limits struct {
-	Body    int64
-	Header  int
+	Body   int64
+	Header int
+	// Streams bounds the requests that run at once.
 	Streams int
-	Queue   int
+	// Queue bounds the requests that wait.
+	Queue int
 }
 
 // Times are the process's intervals and timeouts.
@@ -63,6 +66,11 @@
 	Progress time.Duration
 	// Request bounds a request from its arrival to its end.
 	Request time.Duration
+	// Header bounds the wait for the headers of a request, and Idle that for the next request on a connection.
+	Header time.Duration
+	Idle   time.Duration
+	// Reload is the time between looks at the certificate files.
+	Reload time.Duration
 	// Notice is how long a leaving instance serves after it fails readiness, for the balancer to see it.
 	Notice time.Duration
 	// Drain bounds the wait for requests in flight on shutdown.
