Add stand-ins for objects, instances, weights and services

Cause: the object store, the lagging instance list, the weight store and the plain services lie outside the project and each fails in its own way.

An object whose name is derived from its content is checked on reading. A call in memory and over HTTP is struck once by a fault, and a crash clears the stand-in's state before its connections are cut. Services say not-run in the header that callers get too.

--- a/internal/platform/caller/caller.go
+++ b/internal/platform/caller/caller.go
@@ -77,12 +77,12 @@
 	c.client.CloseIdleConnections()
 }
 
-// HeaderOutcome is the header by which a service says, with the value "refused", that it did not run a call.
-const HeaderOutcome = "Outcome"
+// HeaderOutcome is the header by which a service says, with the value "not-run", that it did not run a call.
+const HeaderOutcome = "Heatherrock-Outcome"
 
 // Refuse marks an answer that is not yet written as a refusal.
 func Refuse(h http.Header) {
-	h.Set(HeaderOutcome, classifier.Refused.String())
+	h.Set(HeaderOutcome, classifier.VerdictNotRun.String())
 }
 
 // Answer is what became of a call. Status and Body are set if the service answered. The outcome is Completed for a
@@ -102,7 +102,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	r, err := c.request(ctx, method, path, query, body)
+	r, err := c.request(ctx, method, path, query.Encode(), body)
 	if err != nil {
 		return Answer{Outcome: classifier.NotSent}, err
 	}
@@ -118,10 +118,10 @@
 }
 
 // request returns a request that the transport cannot repeat: its body cannot be read again.
-func (c *Caller) request(ctx context.Context, method, path string, query url.Values, body []byte) (*http.Request, error) {
+func (c *Caller) request(ctx context.Context, method, path, query string, body []byte) (*http.Request, error) {
 	u := c.base + path
-	if len(query) > 0 {
-		u += "?" + query.Encode()
+	if query != "" {
+		u += "?" + query
 	}
 	if body == nil {
 		return http.NewRequestWithContext(ctx, method, u, nil)
@@ -157,7 +157,7 @@
 	switch {
 	case p.StatusCode >= 200 && p.StatusCode < 300, p.StatusCode == http.StatusNotFound:
 		return classifier.Completed
-	case p.Header.Get(HeaderOutcome) == classifier.Refused.String():
+	case classifier.Answered(p.StatusCode, p.Header.Get(HeaderOutcome)) == classifier.Refused:
 		return classifier.Refused
 	default:
 		return classifier.Unknown
--- a/internal/platform/caller/caller_test.go
+++ b/internal/platform/caller/caller_test.go
@@ -83,7 +83,7 @@
 	return fmt.Sprintf("HTTP/1.1 %d x\r\n%sContent-Length: 2\r\n\r\n{}", status, strings.Join(headers, ""))
 }
 
-const refused = HeaderOutcome + ": refused\r\n"
+const refused = HeaderOutcome + ": not-run\r\n"
 
 func TestOutcomes(t *testing.T) {
 	cases := []struct {
@@ -105,7 +105,10 @@
 			[]classifier.Outcome{classifier.Completed, classifier.Unknown},
 		},
 		{"cut short", []string{"HTTP/1.1 200 x\r\nContent-Length: 9\r\n\r\n{"}, []classifier.Outcome{classifier.Unknown}},
-		{"too large", []string{"HTTP/1.1 200 x\r\nContent-Length: 9\r\n\r\n1234567{}"}, []classifier.Outcome{classifier.Unknown}},
+		{
+			"too large", []string{"HTTP/1.1 200 x\r\nContent-Length: 9\r\n\r\n1234567{}"},
+			[]classifier.Outcome{classifier.Unknown},
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/serving/configurer/configurer_test.go
+++ b/internal/serving/configurer/configurer_test.go
@@ -59,11 +59,11 @@
 			`f:1:36: times.gossip: "-1s" must be more than 0`,
 			`f:1:51: times.list: "" is not a duration with a unit, as in 500ms, 2s or 5m`,
 		}},
-		{"texts", `{"tables": "7000", "callers": {"address": "9000"}, "credential": "secret", "log": {"level": "loud"}}`, []string{
-			`f:1:12: tables: "7000" is not a URL of http or https`,
-			`f:1:43: callers.address: "9000" is not a host and port, as in 127.0.0.1:8080`,
-			`f:1:66: credential: is not a SHA-256 of 64 hexadecimal digits`,
-			`f:1:93: log.level: "loud" is not one of debug, info, warn, error`,
+		{"texts", `{"tables": "7", "callers": {"address": "9"}, "credential": "abc", "log": {"level": "loud"}}`, []string{
+			`f:1:12: tables: "7" is not a URL of http or https`,
+			`f:1:40: callers.address: "9" is not a host and port, as in 127.0.0.1:8080`,
+			`f:1:60: credential: is not a SHA-256 of 64 hexadecimal digits`,
+			`f:1:84: log.level: "loud" is not one of debug, info, warn, error`,
 		}},
 		{"given twice", `{"id": "a", "id": "b"}`, []string{`f:1:13: id: is given twice`}},
 		{"certificate without a key", `{"peers": {"cert": "c.pem"}}`, []string{`f:1:20: peers.cert: needs peers.key`}},
--- a/internal/serving/configurer/parser.go
+++ b/internal/serving/configurer/parser.go
@@ -13,9 +13,9 @@
 const fileFlag = "config"
 
 // Parse returns the settings that flags, environment variables and the file named by the flag config give, in that
-// order, and the defaults of the rest. Environ holds variables as NAME=VALUE, which go before those of the process; one
-// that begins as a setting and is none is at fault. The error is Problems if a setting is at fault, flag.ErrHelp if help
-// was asked for, and that of the flags or the file otherwise.
+// order, and the defaults of the rest. Environ holds variables as NAME=VALUE, which go before those of the process;
+// one that begins like a setting and is none is at fault. The error is Problems if a setting is at fault, flag.ErrHelp
+// if help was asked for, and that of the flags or the file otherwise.
 func Parse(args []string, environ ...string) (Settings, error) {
 	given, problems := fromEnviron(environ)
 	p := newParser()
--- a/internal/standin/decoder/order.go
+++ b/internal/standin/decoder/order.go
@@ -12,7 +12,8 @@
 // RoleLeaving is the role of an engine that takes no new streams.
 const RoleLeaving = "leaving"
 
-// Fetch fetches the weights of a range of layers, or of an adapter, by name. It takes as long as the weight store needs.
+// Fetch fetches the weights of a range of layers, or of an adapter, by name. It takes as long as the weight store
+// needs.
 type Fetch func(ctx context.Context, name string) error
 
 // orders is what an engine knows of its orders.
--- /dev/null
+++ b/internal/standin/faulter/faulter_test.go
@@ -0,0 +1,250 @@
+package faulter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// counter counts its runs and answers with three lines, each flushed.
+type counter struct{ begun, ended atomic.Int64 }
+
+func (c *counter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	c.begun.Add(1)
+	defer c.ended.Add(1)
+	for i := range 3 {
+		_, _ = fmt.Fprintf(w, "%d\n", i)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// call is one call of a client. It is given up once quit returns true: what should never come cannot be waited for.
+type call struct {
+	client *http.Client
+	url    string
+	quit   func(c *call) bool
+	read   atomic.Int64
+}
+
+// Write counts what was read, for io.TeeReader.
+func (c *call) Write(b []byte) (int, error) {
+	c.read.Add(int64(len(b)))
+	return len(b), nil
+}
+
+// loop gives the call up once it is time to.
+func (c *call) loop(ctx context.Context, cancel context.CancelFunc) {
+	for ctx.Err() == nil && !c.quit(c) {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+}
+
+// get sends the call and returns what came of it: the body up to its end or to a cut or silence.
+func (c *call) get(t *testing.T) string {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	if c.quit != nil {
+		go c.loop(ctx, cancel)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url, io.NopCloser(strings.NewReader("body")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := c.client.Do(r)
+	if err != nil {
+		return ended(err)
+	}
+	defer p.Body.Close()
+	var got strings.Builder
+	if p.StatusCode != http.StatusOK {
+		fmt.Fprintf(&got, "%d ", p.StatusCode)
+	}
+	if _, err := io.Copy(&got, io.TeeReader(p.Body, c)); err != nil {
+		got.WriteString(ended(err))
+	}
+	return strings.ReplaceAll(got.String(), "\n", "")
+}
+
+func ended(err error) string {
+	if errors.Is(err, context.Canceled) {
+		return "silent"
+	}
+	return "cut"
+}
+
+func TestWrap(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault Fault
+		want  []string
+		runs  int
+	}{
+		{"no fault", Fault{Call: "GET /", Kind: Refuse}, []string{"012"}, 1},
+		{"another path", Fault{Call: "POST /other", Kind: Refuse}, []string{"012"}, 1},
+		{
+			"refuse once", Fault{Call: "POST /", Kind: Refuse, Count: 1},
+			[]string{`503 {"reason":"refused by a fault"}`, "012"}, 1,
+		},
+		{"skip one", Fault{Kind: Lose, Skip: 1}, []string{"012", "cut"}, 2},
+		{"crash", Fault{Kind: Crash, Count: 1}, []string{"cut", "cut"}, 0},
+		{"delay", Fault{Kind: Delay, Delay: 1}, []string{"012"}, 1},
+		{"lose", Fault{Kind: Lose, Count: 1}, []string{"cut", "012"}, 2},
+		{"silent", Fault{Kind: Silent, Count: 1}, []string{"silent", "012"}, 1},
+		{"repeat", Fault{Kind: Repeat}, []string{"012"}, 2},
+		{"crash after a line", Fault{Kind: Crash, After: 1}, []string{"0cut", "cut"}, 1},
+		{"lose after two lines", Fault{Kind: Lose, After: 2, Count: 1}, []string{"01cut", "012"}, 2},
+		{"silent after a line", Fault{Kind: Silent, After: 1, Count: 1}, []string{"0silent", "012"}, 2},
+		{"repeat a line", Fault{Kind: Repeat, After: 1}, []string{"0112"}, 1},
+		{"delay after a line", Fault{Kind: Delay, After: 1, Delay: 1}, []string{"012"}, 1},
+		{"left to the stand-in", Fault{Kind: Late}, []string{"012"}, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			faults := NewFaults(1)
+			if err := faults.Set(c.fault); err != nil {
+				t.Fatal(err)
+			}
+			next := &counter{}
+			s := httptest.NewServer(Wrap(faults, next))
+			defer s.Close()
+			silent := func(l *call) bool {
+				return faults.List()[0].Struck > 0 && next.ended.Load() == int64(c.fault.After) &&
+					l.read.Load() >= int64(2*c.fault.After)
+			}
+			var got []string
+			for _, want := range c.want {
+				l := &call{client: s.Client(), url: s.URL}
+				if strings.HasSuffix(want, "silent") {
+					l.quit = silent
+				}
+				got = append(got, l.get(t))
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("answers mismatch (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(c.runs, int(next.begun.Load())); diff != "" {
+				t.Errorf("runs mismatch (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestServerCrash(t *testing.T) {
+	faults := NewFaults(1)
+	var crashes atomic.Int64
+	s := NewServer("127.0.0.1:0", &counter{}, faults, func() { crashes.Add(1) })
+	if err := s.Restore(); err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	url := "http://" + s.Address()
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	got := []string{(&call{client: client, url: url}).get(t)}
+	if err := faults.Set(Fault{Kind: Crash, Count: 1}); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		got = append(got, (&call{client: client, url: url}).get(t))
+	}
+	got = append(got, fmt.Sprint(s.Up()))
+	if err := s.Restore(); err != nil {
+		t.Fatal(err)
+	}
+	got = append(got, (&call{client: client, url: url}).get(t), fmt.Sprint(s.Up(), crashes.Load()))
+	if diff := cmp.Diff([]string{"012", "cut", "cut", "false", "012", "true 1"}, got); diff != "" {
+		t.Errorf("answers mismatch (-want +got):\n%s", diff)
+	}
+}
+
+func TestOpenConnections(t *testing.T) {
+	faults := NewFaults(1)
+	s := NewServer("127.0.0.1:0", &counter{}, faults, nil)
+	if err := s.Restore(); err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	url := "http://" + s.Address()
+	old, fresh := &http.Client{Transport: &http.Transport{}}, &http.Client{Transport: &http.Transport{}}
+	defer old.CloseIdleConnections()
+	defer fresh.CloseIdleConnections()
+	got := []string{(&call{client: old, url: url}).get(t)}
+	if err := faults.Set(Fault{Kind: Silent, Open: true}); err != nil {
+		t.Fatal(err)
+	}
+	struck := func(*call) bool { return faults.List()[0].Struck > 0 }
+	got = append(got, (&call{client: old, url: url, quit: struck}).get(t), (&call{client: fresh, url: url}).get(t))
+	if diff := cmp.Diff([]string{"012", "silent", "012"}, got); diff != "" {
+		t.Errorf("answers mismatch (-want +got):\n%s", diff)
+	}
+}
+
+func TestChance(t *testing.T) {
+	struck := func(seed uint64) []bool {
+		faults := NewFaults(seed)
+		if err := faults.Set(Fault{Kind: Refuse, Chance: 0.5}); err != nil {
+			t.Fatal(err)
+		}
+		var list []bool
+		for range 64 {
+			_, ok := faults.Take("GET /")
+			list = append(list, ok)
+		}
+		return list
+	}
+	if diff := cmp.Diff(struck(1), struck(1)); diff != "" {
+		t.Errorf("one seed gives two histories:\n%s", diff)
+	}
+	if cmp.Equal(struck(1), struck(2)) {
+		t.Error("two seeds give one history")
+	}
+}
+
+func TestControl(t *testing.T) {
+	s := httptest.NewServer(Wrap(NewFaults(1), &counter{}))
+	defer s.Close()
+	steps := []struct {
+		method, body string
+		status       int
+		want         string
+	}{
+		{"POST", `{"call": "GET /x", "kind": "refuse", "count": 2}`, 204, ""},
+		{"POST", `[{"kind": "delay", "delay": 5}, {"kind": "lose"}]`, 204, ""},
+		{"POST", `{"kind": "explode"}`, 400, "unknown kind of fault \"explode\"\n"},
+		{"POST", `{"kind": "lose", "chance": 2}`, 400, "fault of \"\": a number is out of range\n"},
+		{"POST", `{`, 400, "unexpected EOF\n"},
+		{"GET", "", 200, `[{"call":"GET /x","kind":"refuse","count":2,"struck":0},` +
+			`{"call":"","kind":"delay","delay":5,"struck":0},{"call":"","kind":"lose","struck":0}]` + "\n"},
+		{"DELETE", "", 204, ""},
+		{"GET", "", 200, "[]\n"},
+		{"PUT", "", 405, ""},
+	}
+	for _, n := range steps {
+		r, err := http.NewRequestWithContext(t.Context(), n.method, s.URL+Path, strings.NewReader(n.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		p, err := s.Client().Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(p.Body)
+		p.Body.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff([]any{n.status, n.want}, []any{p.StatusCode, string(body)}); diff != "" {
+			t.Errorf("%s %s mismatch (-want +got):\n%s", n.method, n.body, diff)
+		}
+	}
+}
--- a/internal/standin/faulter/faults.go
+++ b/internal/standin/faulter/faults.go
@@ -2,6 +2,7 @@
 package faulter
 
 import (
+	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
@@ -172,6 +173,37 @@
 	return true
 }
 
+// Strike carries out, for a call in memory, the fault that strikes before the call runs, and returns it. The error is
+// set if the call must not run: the fault failed it, or the context ended during a delay or silence. A call that came
+// through Wrap is struck only by the kinds that Wrap leaves to the stand-in.
+func (f *Faults) Strike(ctx context.Context, call string) (Fault, error) {
+	var left []Kind
+	if ctx.Value(wrappedKey{}) != nil {
+		left = []Kind{Late, Skip}
+	}
+	n, ok := f.Take(call, left...)
+	if !ok {
+		return Fault{}, nil
+	}
+	switch n.Kind {
+	case Refuse, Crash, Late:
+		return n, n.Failure()
+	case Silent:
+		<-ctx.Done()
+		return n, ctx.Err()
+	case Delay:
+		if !pause(ctx, n.Wait()) {
+			return n, ctx.Err()
+		}
+	}
+	return n, nil
+}
+
+// Failure returns the error of a call that the fault struck.
+func (f Fault) Failure() error {
+	return merry.Errorf("fault: %s", f.Kind, merry.WithHTTPCode(http.StatusServiceUnavailable))
+}
+
 // among reports whether a kind is in a list. An empty list has them all.
 func among(kind Kind, list []Kind) bool {
 	for _, k := range list {
--- a/internal/standin/faulter/server.go
+++ b/internal/standin/faulter/server.go
@@ -22,7 +22,8 @@
 }
 
 // NewServer returns a server that is not yet started. Its handler is wrapped with the faults. An address with port 0
-// becomes a free port at the first start. OnCrash, if not nil, is called after a crash.
+// becomes a free port at the first start. OnCrash, if not nil, is called when a
+// crash begins.
 func NewServer(address string, handler http.Handler, faults *Faults, onCrash func()) *Server {
 	s := &Server{Faults: faults, address: address, onCrash: onCrash, handler: Wrap(faults, handler)}
 	faults.mu.Lock()
@@ -71,28 +72,28 @@
 
 // Crash cuts all connections and refuses new ones until Restore.
 func (s *Server) Crash() {
-	if s.stop() && s.onCrash != nil {
-		s.onCrash()
-	}
+	s.stop(s.onCrash)
 }
 
 // Close ends the server.
 func (s *Server) Close() {
-	s.stop()
+	s.stop(nil)
 }
 
-// stop closes the listener and the connections and reports whether the server ran.
-func (s *Server) stop() bool {
+// stop closes the listener and the connections if the server runs, and calls a function before them.
+func (s *Server) stop(before func()) {
 	s.mu.Lock()
 	server, done := s.server, s.done
 	s.server = nil
 	s.mu.Unlock()
 	if server == nil {
-		return false
+		return
+	}
+	if before != nil {
+		before()
 	}
 	_ = server.Close()
 	<-done
-	return true
 }
 
 // Fell crashes the stand-in. Without a Server it cuts every call until Rise.
--- a/internal/standin/faulter/wrapper.go
+++ b/internal/standin/faulter/wrapper.go
@@ -25,6 +25,9 @@
 
 type openedKey struct{}
 
+// wrappedKey marks the context of a call that came through Wrap.
+type wrappedKey struct{}
+
 // ConnContext notes when a connection was opened, for faults of open connections. It fits http.Server.ConnContext.
 func ConnContext(ctx context.Context, _ net.Conn) context.Context {
 	return context.WithValue(ctx, openedKey{}, time.Now())
@@ -49,6 +52,7 @@
 		p.faults.ServeHTTP(w, r)
 		return
 	}
+	r = r.WithContext(context.WithValue(r.Context(), wrappedKey{}, true))
 	opened, _ := r.Context().Value(openedKey{}).(time.Time)
 	f, ok := p.faults.take(r.Method+" "+r.URL.Path, opened, wrapped...)
 	switch {
--- /dev/null
+++ b/internal/standin/fetcher/store_test.go
@@ -0,0 +1,70 @@
+package fetcher
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/heatherrock/heatherrock/internal/platform/fetcher"
+	"github.com/heatherrock/heatherrock/internal/standin/faulter"
+)
+
+func TestContract(t *testing.T) {
+	ways := map[string]func(*testing.T, *Store, *faulter.Faults) fetcher.Fetcher{
+		"memory": func(_ *testing.T, s *Store, _ *faulter.Faults) fetcher.Fetcher { return s },
+		"http": func(t *testing.T, s *Store, f *faulter.Faults) fetcher.Fetcher {
+			h := httptest.NewServer(faulter.Wrap(f, s.Handler()))
+			t.Cleanup(h.Close)
+			return fetcher.NewClient(h.URL, nil)
+		},
+	}
+	cases := []struct {
+		name    string
+		weights string
+		fault   faulter.Kind
+		size    int64
+	}{
+		{"five layers", "m.v.4-9", "", 5 * 20000},
+		{"an adapter", "lora", "", 20000},
+		{"no range", "m.v.9-4", "", 20000},
+		{"refused", "m.v.4-9", faulter.Refuse, -1},
+		{"the answer is lost", "m.v.4-9", faulter.Lose, -1},
+	}
+	for way, open := range ways {
+		for _, c := range cases {
+			t.Run(way+"/"+c.name, func(t *testing.T) {
+				faults := faulter.NewFaults(1)
+				if c.fault != "" {
+					if err := faults.Set(faulter.Fault{Call: CallFetch, Kind: c.fault}); err != nil {
+						t.Fatal(err)
+					}
+				}
+				size, err := open(t, New(WithLayer(20000), WithFaults(faults)), faults).Fetch(t.Context(), c.weights)
+				if (err != nil) != (c.size < 0) {
+					t.Fatalf("error %v", err)
+				}
+				if diff := cmp.Diff(c.size, size); diff != "" && err == nil {
+					t.Errorf("size mismatch (-want +got):\n%s", diff)
+				}
+			})
+		}
+	}
+}
+
+func TestRate(t *testing.T) {
+	s := New(WithLayer(chunk), WithRate(1))
+	if _, err := s.Fetch(t.Context(), "a"); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	if _, err := s.Fetch(ctx, "b"); err == nil {
+		t.Error("the rate is spent, but a second fetch succeeds at once")
+	}
+	if diff := cmp.Diff([]int{1, 1, 0}, []int{s.Fetches("a"), s.Fetches("b"), s.Fetches("c")}); diff != "" {
+		t.Errorf("fetches mismatch (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/internal/standin/lister/list.go
@@ -0,0 +1,158 @@
+// Package lister is a stand-in for the platform's lagging list of instances, in memory and over HTTP.
+package lister
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/gorilla/mux"
+
+	"github.com/heatherrock/heatherrock/internal/platform/caller"
+	"github.com/heatherrock/heatherrock/internal/platform/lister"
+	"github.com/heatherrock/heatherrock/internal/standin/faulter"
+)
+
+// CallList is the name of the call, by which faults are set.
+const CallList = "GET " + lister.PathInstances
+
+// version is the list since a time.
+type version struct {
+	since time.Time
+	list  []lister.Instance
+}
+
+// List is the list of instances. What it tells is older than the truth by its lag.
+type List struct {
+	lag    time.Duration
+	clock  func() time.Time
+	faults *faulter.Faults
+
+	mu       sync.Mutex
+	versions []version
+}
+
+var _ lister.Lister = (*List)(nil)
+
+// Option sets one property of a List.
+type Option func(*List)
+
+// WithLag sets how late a change shows. Without it the list is the truth.
+func WithLag(lag time.Duration) Option { return func(l *List) { l.lag = lag } }
+
+// WithClock sets the clock. It is time.Now if not set.
+func WithClock(clock func() time.Time) Option { return func(l *List) { l.clock = clock } }
+
+// WithFaults sets the faults that strike the calls.
+func WithFaults(f *faulter.Faults) Option { return func(l *List) { l.faults = f } }
+
+// New returns a list that has always held the instances given.
+func New(first []lister.Instance, options ...Option) *List {
+	l := &List{clock: time.Now, versions: []version{{list: slices.Clone(first)}}}
+	for _, o := range options {
+		o(l)
+	}
+	return l
+}
+
+// Put adds an instance, or replaces that with its id.
+func (l *List) Put(i lister.Instance) {
+	l.change(func(list []lister.Instance) []lister.Instance {
+		return append(slices.DeleteFunc(list, named(i.ID)), i)
+	})
+}
+
+// Leave marks an instance as leaving.
+func (l *List) Leave(id string) {
+	l.change(func(list []lister.Instance) []lister.Instance {
+		if n := slices.IndexFunc(list, named(id)); n >= 0 {
+			list[n].Leaving = true
+		}
+		return list
+	})
+}
+
+// Remove removes an instance.
+func (l *List) Remove(id string) {
+	l.change(func(list []lister.Instance) []lister.Instance { return slices.DeleteFunc(list, named(id)) })
+}
+
+func named(id string) func(lister.Instance) bool {
+	return func(i lister.Instance) bool { return i.ID == id }
+}
+
+// change makes a new version of the list and forgets those that no reader can see any more.
+func (l *List) change(f func([]lister.Instance) []lister.Instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock()
+	last := l.versions[len(l.versions)-1]
+	l.versions = append(l.versions, version{now, f(slices.Clone(last.list))})
+	for len(l.versions) > 1 && !l.versions[1].since.After(now.Add(-l.lag)) {
+		l.versions = l.versions[1:]
+	}
+}
+
+// List returns the instances as they were before the lag.
+func (l *List) List(ctx context.Context) ([]lister.Instance, error) {
+	f, err := l.faults.Strike(ctx, CallList)
+	if err == nil && f.Kind == faulter.Lose {
+		err = f.Failure()
+	}
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	seen := l.versions[0]
+	for _, v := range l.versions {
+		if !v.since.After(l.clock().Add(-l.lag)) {
+			seen = v
+		}
+	}
+	return append([]lister.Instance{}, seen.list...), nil
+}
+
+// Handler returns the list over HTTP. Besides reading, it takes a POST of an instance and a DELETE by id, and a POST
+// to an instance's leave.
+func (l *List) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc(lister.PathInstances, l.get).Methods(http.MethodGet)
+	r.HandleFunc(lister.PathInstances, l.put).Methods(http.MethodPost)
+	r.HandleFunc(lister.PathInstances+"/{id}/leave", l.byID(l.Leave)).Methods(http.MethodPost)
+	r.HandleFunc(lister.PathInstances+"/{id}", l.byID(l.Remove)).Methods(http.MethodDelete)
+	return r
+}
+
+func (l *List) get(w http.ResponseWriter, r *http.Request) {
+	list, err := l.List(r.Context())
+	if err != nil {
+		caller.Refuse(w.Header())
+		http.Error(w, err.Error(), merry.HTTPCode(err))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
+
+func (l *List) put(w http.ResponseWriter, r *http.Request) {
+	var i lister.Instance
+	if err := json.NewDecoder(r.Body).Decode(&i); err != nil || i.ID == "" {
+		http.Error(w, "not an instance", http.StatusBadRequest)
+		return
+	}
+	l.Put(i)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// byID returns a handler that applies a change to the instance in the path.
+func (l *List) byID(f func(id string)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		f(mux.Vars(r)["id"])
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
--- /dev/null
+++ b/internal/standin/storer/store.go
@@ -0,0 +1,111 @@
+// Package storer is a stand-in for the platform's object store, in memory and over HTTP.
+package storer
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/gorilla/mux"
+
+	"github.com/heatherrock/heatherrock/internal/platform/caller"
+	"github.com/heatherrock/heatherrock/internal/platform/storer"
+	"github.com/heatherrock/heatherrock/internal/standin/faulter"
+)
+
+// The names of the calls, by which faults are set.
+const (
+	CallPut = "PUT " + storer.PathObjects
+	CallGet = "GET " + storer.PathObjects
+)
+
+// maxObject bounds an object, in bytes.
+const maxObject = 64 << 20
+
+// Store is an object store in memory.
+type Store struct {
+	faults *faulter.Faults
+
+	mu      sync.Mutex
+	objects map[string][]byte
+}
+
+var _ storer.Store = (*Store)(nil)
+
+// New returns an empty object store that the faults strike. Without faults, they are nil.
+func New(faults *faulter.Faults) *Store {
+	return &Store{faults: faults, objects: map[string][]byte{}}
+}
+
+// Put stores an object under a name. After an error the object may be stored or not.
+func (s *Store) Put(ctx context.Context, name string, body []byte) error {
+	f, err := s.faults.Strike(ctx, CallPut+name)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.objects[name] = append([]byte{}, body...)
+	s.mu.Unlock()
+	if f.Kind == faulter.Lose {
+		return f.Failure()
+	}
+	return nil
+}
+
+// Get returns an object and whether it exists.
+func (s *Store) Get(ctx context.Context, name string) ([]byte, bool, error) {
+	f, err := s.faults.Strike(ctx, CallGet+name)
+	if err == nil && f.Kind == faulter.Lose {
+		err = f.Failure()
+	}
+	if err != nil {
+		return nil, false, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	body, ok := s.objects[name]
+	return append([]byte(nil), body...), ok, nil
+}
+
+// Handler returns the object store over HTTP.
+func (s *Store) Handler() http.Handler {
+	r := mux.NewRouter().UseEncodedPath()
+	r.HandleFunc(storer.PathObjects+"{name}", s.put).Methods(http.MethodPut)
+	r.HandleFunc(storer.PathObjects+"{name}", s.get).Methods(http.MethodGet)
+	return r
+}
+
+func (s *Store) put(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObject))
+	if err != nil {
+		refuse(w, merry.Wrap(err, merry.WithHTTPCode(http.StatusBadRequest)))
+		return
+	}
+	if err := s.Put(r.Context(), mux.Vars(r)["name"], body); err != nil {
+		refuse(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	body, ok, err := s.Get(r.Context(), mux.Vars(r)["name"])
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = w.Write(body)
+}
+
+// refuse answers that a call was not run.
+func refuse(w http.ResponseWriter, err error) {
+	caller.Refuse(w.Header())
+	http.Error(w, err.Error(), merry.HTTPCode(err))
+}
--- /dev/null
+++ b/internal/standin/storer/store_test.go
@@ -0,0 +1,74 @@
+package storer
+
+import (
+	"net/http/httptest"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/heatherrock/heatherrock/internal/platform/storer"
+	"github.com/heatherrock/heatherrock/internal/standin/faulter"
+)
+
+// ways are the ways to reach an object store: in memory and over HTTP.
+var ways = map[string]func(*testing.T, *Store, *faulter.Faults) storer.Store{
+	"memory": func(_ *testing.T, s *Store, _ *faulter.Faults) storer.Store { return s },
+	"http": func(t *testing.T, s *Store, f *faulter.Faults) storer.Store {
+		h := httptest.NewServer(faulter.Wrap(f, s.Handler()))
+		t.Cleanup(h.Close)
+		c := storer.NewClient(h.URL)
+		t.Cleanup(c.Close)
+		return c
+	},
+}
+
+func TestContract(t *testing.T) {
+	body := []byte("a pattern drawing")
+	cases := []struct {
+		name   string
+		object string
+		faults []faulter.Fault
+		failed bool
+		stored bool
+	}{
+		{"named by content", storer.Name(body), nil, false, true},
+		{"another name", "head/1 ä", nil, false, true},
+		{"refused", "x", []faulter.Fault{{Call: CallPut, Kind: faulter.Refuse}}, true, false},
+		{"the answer is lost", "x", []faulter.Fault{{Call: CallPut, Kind: faulter.Lose}}, true, true},
+		{"repeated", "x", []faulter.Fault{{Call: CallPut, Kind: faulter.Repeat}}, false, true},
+	}
+	for way, open := range ways {
+		for _, c := range cases {
+			t.Run(way+"/"+c.name, func(t *testing.T) {
+				faults := faulter.NewFaults(1)
+				if err := faults.Set(c.faults...); err != nil {
+					t.Fatal(err)
+				}
+				s := open(t, New(faults), faults)
+				if err := s.Put(t.Context(), c.object, body); (err != nil) != c.failed {
+					t.Errorf("put: error %v, want failure %v", err, c.failed)
+				}
+				got, ok, err := s.Get(t.Context(), c.object)
+				if ok != c.stored || err != nil {
+					t.Errorf("get: found %v, error %v", ok, err)
+				}
+				if diff := cmp.Diff(string(body), string(got)); diff != "" && c.stored {
+					t.Errorf("object mismatch (-want +got):\n%s", diff)
+				}
+			})
+		}
+	}
+}
+
+func TestAnotherContent(t *testing.T) {
+	h := httptest.NewServer(New(nil).Handler())
+	defer h.Close()
+	s := storer.NewClient(h.URL)
+	name := storer.Name([]byte("right"))
+	if err := s.Put(t.Context(), name, []byte("wrong")); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := s.Get(t.Context(), name); err == nil {
+		t.Error("an object with another content than its name gives no error")
+	}
+}
--- a/internal/standin/tabler/table.go
+++ b/internal/standin/tabler/table.go
@@ -121,60 +121,42 @@
 
 // Commit applies a transaction. The error explains an outcome other than Completed.
 func (t *Table) Commit(ctx context.Context, txn tabler.Txn) (tabler.Result, error) {
-	f, struck := t.faults.Take(CallCommit)
-	if struck {
-		if result, err, ended := t.before(ctx, f, txn); ended {
-			return result, err
-		}
+	f, err := t.faults.Strike(ctx, CallCommit)
+	if err != nil {
+		return t.fail(f, txn), err
 	}
 	result, err := t.apply(txn)
-	if struck && f.Kind == faulter.Lose {
-		return tabler.Result{Outcome: classifier.Unknown}, failure(f)
-	}
-	if struck && f.Kind == faulter.Repeat && err == nil {
+	switch {
+	case f.Kind == faulter.Lose:
+		return tabler.Result{Outcome: classifier.Unknown}, f.Failure()
+	case f.Kind == faulter.Repeat && err == nil:
 		return t.apply(txn)
+	default:
+		return result, err
 	}
-	return result, err
 }
 
-// before carries out a fault that strikes before the commit, and reports whether the call ends with it.
-func (t *Table) before(ctx context.Context, f faulter.Fault, txn tabler.Txn) (tabler.Result, error, bool) {
-	switch f.Kind {
-	case faulter.Refuse:
-		return tabler.Result{Outcome: classifier.Refused}, failure(f), true
-	case faulter.Crash:
-		return tabler.Result{Outcome: classifier.Unknown}, failure(f), true
-	case faulter.Silent:
-		<-ctx.Done()
-		return tabler.Result{Outcome: classifier.Unknown}, ctx.Err(), true
-	case faulter.Late:
+// fail returns the result of a commit that a fault struck before it ran. A late one is kept until it is due.
+func (t *Table) fail(f faulter.Fault, txn tabler.Txn) tabler.Result {
+	if f.Kind == faulter.Refuse {
+		return tabler.Result{Outcome: classifier.Refused}
+	}
+	if f.Kind == faulter.Late {
 		t.mu.Lock()
+		defer t.mu.Unlock()
 		t.late = append(t.late, lateWrite{txn, t.clock().Add(f.Wait())})
-		t.mu.Unlock()
-		return tabler.Result{Outcome: classifier.Unknown}, failure(f), true
-	case faulter.Delay:
-		if !pause(ctx, f.Wait()) {
-			return tabler.Result{Outcome: classifier.Unknown}, ctx.Err(), true
-		}
 	}
-	return tabler.Result{}, nil, false
+	return tabler.Result{Outcome: classifier.Unknown}
 }
 
 // read carries out the faults and the rate of a read.
 func (t *Table) read(ctx context.Context, call string) error {
-	if f, ok := t.faults.Take(call); ok {
-		switch f.Kind {
-		case faulter.Silent:
-			<-ctx.Done()
-			return ctx.Err()
-		case faulter.Delay:
-			if !pause(ctx, f.Wait()) {
-				return ctx.Err()
-			}
-		case faulter.Repeat, faulter.Late, faulter.Skip:
-		default:
-			return failure(f)
-		}
+	f, err := t.faults.Strike(ctx, call)
+	if err == nil && f.Kind == faulter.Lose {
+		err = f.Failure()
+	}
+	if err != nil {
+		return err
 	}
 	if t.reads != nil && !t.reads.AllowN(t.clock(), 1) {
 		t.limited()
@@ -279,20 +261,3 @@
 
 // errLimited is the error of a call over the rate.
 var errLimited = merry.New("rate of the table service is spent", merry.WithHTTPCode(http.StatusTooManyRequests))
-
-// failure returns the error of a call that a fault struck.
-func failure(f faulter.Fault) error {
-	return merry.Errorf("table service: fault %s", f.Kind, merry.WithHTTPCode(http.StatusServiceUnavailable))
-}
-
-// pause waits and reports whether the context lasted.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
