Serve a request from one end to the other

Cause: everything else is built onto the whole path. Change: runner wires the callers' listener, admission, routing, generation and the operators' listener into one instance, and drains it. Measured: the openai-go client gets chat and text completions, streamed and not, usage, the model list and a coded error from three engines in a chain; 15 bad inputs are refused as not run with the instance still serving; 16 streams survive a shutdown whole. The first run failed: tally's default registry allows one instance a process; each meter now has its own.

--- a/internal/serving/meter/meter.go
+++ b/internal/serving/meter/meter.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	registry "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -29,7 +30,8 @@
 
 // New returns a meter whose metrics carry the instance's id and data centre.
 func New(instance, datacentre string) *Meter {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	r := registry.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: r, Gatherer: r})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         "heatherrock",
 		Tags:           map[string]string{"instance": instance, "datacentre": datacentre},
--- /dev/null
+++ b/internal/serving/runner/contract_test.go
@@ -0,0 +1,330 @@
+package runner
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/openai/openai-go"
+	"github.com/openai/openai-go/option"
+
+	"github.com/heatherrock/heatherrock/internal/control/recorder"
+	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/routing/picker"
+	"github.com/heatherrock/heatherrock/internal/routing/planner"
+	"github.com/heatherrock/heatherrock/internal/serving/configurer"
+	"github.com/heatherrock/heatherrock/internal/standin/decoder"
+)
+
+const (
+	layers = 12
+	token  = "workshop-7"
+)
+
+// settings returns the settings of a test's instance, on free ports of the loopback.
+func settings() configurer.Settings {
+	free := configurer.Listener{Address: "127.0.0.1:0"}
+	return configurer.Settings{
+		ID:         "entry-1",
+		DataCentre: "scot-central-a",
+		Region:     "scot-central",
+		Callers:    free,
+		Operators:  free,
+		Peers:      free,
+		Limits:     configurer.Limits{Body: 4096, Header: 8192, Streams: 64, Queue: 64},
+		Times: configurer.Times{
+			Poll:     50 * time.Millisecond,
+			Gossip:   50 * time.Millisecond,
+			List:     50 * time.Millisecond,
+			Report:   50 * time.Millisecond,
+			Progress: time.Minute,
+			Request:  time.Minute,
+			Stale:    time.Minute,
+		},
+	}
+}
+
+// view returns a configuration with one team and one model.
+func view() recorder.View {
+	sum := sha256.Sum256([]byte(token))
+	hash := hex.EncodeToString(sum[:])
+	return recorder.View{
+		Epoch: 1,
+		Models: map[string]recorder.Model{
+			"oak": {Layers: layers, Tokens: 64, Versions: []recorder.Version{{Name: "v1", Share: 100}}},
+		},
+		Teams:       map[string]recorder.Team{"workshop": {Credential: hash, Share: 1}},
+		Credentials: map[string]string{hash: "workshop"},
+	}
+}
+
+// start starts an instance before three engines of different kinds that together hold the model.
+func start(t *testing.T) *Runner {
+	t.Helper()
+	r := New(settings(), Platform{})
+	if err := r.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	for i, kind := range []string{"large", "small", "old"} {
+		from, to := i*layers/3, (i+1)*layers/3
+		engine := decoder.New(decoder.WithEndpoint(kind), decoder.WithKind(kind),
+			decoder.WithHeld(streamer.Held{Model: "oak", Version: "v1", From: from, To: to}))
+		s := httptest.NewServer(engine)
+		t.Cleanup(s.Close)
+		t.Cleanup(engine.Close)
+		r.Router().Observe(time.Now(), planner.Endpoint{
+			ID: kind, Address: s.Listener.Addr().String(), Kind: kind, DataCentre: "scot-central-a", Region: "scot-central",
+			Held: []planner.Held{{Model: "oak", Version: "v1", From: from, To: to}}, Rate: 1e6,
+		}, picker.Report{At: time.Now()})
+	}
+	r.Apply(view())
+	return r
+}
+
+// client returns a client library for the instance.
+func client(r *Runner, key string) openai.Client {
+	return openai.NewClient(option.WithBaseURL("http://"+r.CallerAddress()+"/v1/"), option.WithAPIKey(key),
+		option.WithMaxRetries(0))
+}
+
+// chat returns the parameters of a chat of one message.
+func chat(text string) openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model:     "oak",
+		Messages:  []openai.ChatCompletionMessageParamUnion{openai.UserMessage(text)},
+		MaxTokens: openai.Int(20),
+	}
+}
+
+// TestClientLibrary drives the callers' interface with the client library that callers use.
+func TestClientLibrary(t *testing.T) {
+	r := start(t)
+	c := client(r, token)
+	ctx := context.Background()
+	tokens, want := decoder.Answer("oak", "v1", "", "user: a drawing of a sash\n", layers, 20)
+	t.Run("chat", func(t *testing.T) {
+		got, err := c.Chat.Completions.New(ctx, chat("a drawing of a sash"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(want, got.Choices[0].Message.Content); diff != "" {
+			t.Errorf("answer mismatch (-want +got):\n%s", diff)
+		}
+		if diff := cmp.Diff(int64(len(tokens)), got.Usage.CompletionTokens); diff != "" {
+			t.Errorf("usage mismatch (-want +got):\n%s", diff)
+		}
+	})
+	t.Run("chat streamed with usage", func(t *testing.T) {
+		q := chat("a drawing of a sash")
+		q.StreamOptions = openai.ChatCompletionStreamOptionsParam{IncludeUsage: openai.Bool(true)}
+		s := c.Chat.Completions.NewStreaming(ctx, q)
+		var text strings.Builder
+		var used int64
+		for s.Next() {
+			chunk := s.Current()
+			used += chunk.Usage.CompletionTokens
+			for _, choice := range chunk.Choices {
+				text.WriteString(choice.Delta.Content)
+			}
+		}
+		if diff := cmp.Diff(nil, s.Err()); diff != "" {
+			t.Errorf("error mismatch (-want +got):\n%s", diff)
+		}
+		if diff := cmp.Diff(want, text.String()); diff != "" {
+			t.Errorf("answer mismatch (-want +got):\n%s", diff)
+		}
+		if diff := cmp.Diff(int64(len(tokens)), used); diff != "" {
+			t.Errorf("usage mismatch (-want +got):\n%s", diff)
+		}
+	})
+	t.Run("completion", func(t *testing.T) {
+		_, want := decoder.Answer("oak", "v1", "", "a sash", layers, 9)
+		q := openai.CompletionNewParams{Model: "oak", MaxTokens: openai.Int(9),
+			Prompt: openai.CompletionNewParamsPromptUnion{OfString: openai.String("a sash")}}
+		got, err := c.Completions.New(ctx, q)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(want, got.Choices[0].Text); diff != "" {
+			t.Errorf("answer mismatch (-want +got):\n%s", diff)
+		}
+		s := c.Completions.NewStreaming(ctx, q)
+		var text strings.Builder
+		for s.Next() {
+			text.WriteString(s.Current().Choices[0].Text)
+		}
+		if diff := cmp.Diff(want, text.String()); diff != "" {
+			t.Errorf("streamed answer mismatch (-want +got):\n%s", diff)
+		}
+	})
+	t.Run("models", func(t *testing.T) {
+		page, err := c.Models.List(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff("oak", page.Data[0].ID); diff != "" {
+			t.Errorf("model mismatch (-want +got):\n%s", diff)
+		}
+	})
+	t.Run("cancel", func(t *testing.T) {
+		ctx, cancel := context.WithCancel(ctx)
+		s := c.Chat.Completions.NewStreaming(ctx, chat("a drawing of a sash"))
+		s.Next()
+		cancel()
+		for s.Next() {
+		}
+		for r.Router().State(time.Now()).Attempts > 0 {
+			time.Sleep(time.Millisecond)
+		}
+	})
+	t.Run("error", func(t *testing.T) {
+		q := chat("a drawing of a sash")
+		q.Model = "elm"
+		_, err := c.Chat.Completions.New(ctx, q)
+		var problem *openai.Error
+		if !errors.As(err, &problem) {
+			t.Fatalf("error is %v", err)
+		}
+		if diff := cmp.Diff("model_not_found", problem.Code); diff != "" {
+			t.Errorf("code mismatch (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestBadInput checks that each bad request is refused in the callers' format as not run, and that the instance serves
+// on.
+func TestBadInput(t *testing.T) {
+	r := start(t)
+	good := `{"model":"oak","messages":[{"role":"user","content":"hello"}],"max_tokens":3}`
+	cases := []struct {
+		name   string
+		method string
+		path   string
+		key    string
+		body   string
+		status int
+		code   string
+	}{
+		{"malformed JSON", "POST", "/v1/chat/completions", token, `{"model":`, 400, "invalid_request"},
+		{"not an object", "POST", "/v1/chat/completions", token, `[]`, 400, "invalid_request"},
+		{"no model", "POST", "/v1/chat/completions", token, `{}`, 400, "invalid_request"},
+		{"unknown model", "POST", "/v1/chat/completions", token, strings.Replace(good, "oak", "elm", 1), 404, "model_not_found"},
+		{"no messages", "POST", "/v1/chat/completions", token, `{"model":"oak"}`, 400, "invalid_request"},
+		{"an image", "POST", "/v1/chat/completions", token, `{"model":"oak","messages":[{"content":[{"type":"image_url"}]}]}`, 400, "invalid_request"},
+		{"two answers", "POST", "/v1/chat/completions", token, `{"model":"oak","n":2}`, 400, "unsupported_parameter"},
+		{"a limit of zero", "POST", "/v1/chat/completions", token, `{"model":"oak","max_tokens":0}`, 400, "invalid_request"},
+		{"unknown adapter", "POST", "/v1/chat/completions", token, strings.Replace(good, "{", `{"adapter":"x",`, 1), 400, "invalid_request"},
+		{"a body over the limit", "POST", "/v1/chat/completions", token, strings.Repeat(" ", 5000) + good, 413, "body_too_large"},
+		{"no credential", "POST", "/v1/chat/completions", "", good, 401, "invalid_api_key"},
+		{"a wrong credential", "POST", "/v1/chat/completions", "wrong", good, 401, "invalid_api_key"},
+		{"unknown path", "GET", "/v1/images", token, "", 404, "path_not_found"},
+		{"wrong method", "GET", "/v1/chat/completions", token, "", 405, "method_not_allowed"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			status, header, code := send(t, r, c.method, c.path, c.key, c.body)
+			if diff := cmp.Diff(c.status, status); diff != "" {
+				t.Errorf("status mismatch (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(c.code, code); diff != "" {
+				t.Errorf("code mismatch (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff("not-run", header.Get("Heatherrock-Outcome")); diff != "" {
+				t.Errorf("outcome mismatch (-want +got):\n%s", diff)
+			}
+			status, _, _ = send(t, r, "POST", "/v1/chat/completions", token, good)
+			if diff := cmp.Diff(200, status); diff != "" {
+				t.Errorf("status of a good request after it mismatch (-want +got):\n%s", diff)
+			}
+		})
+	}
+	t.Run("a header flood", func(t *testing.T) {
+		q, err := http.NewRequest("GET", "http://"+r.CallerAddress()+"/v1/models", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		q.Header.Set("X-Flood", strings.Repeat("x", 20000))
+		a, err := http.DefaultClient.Do(q)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer a.Body.Close()
+		if diff := cmp.Diff(431, a.StatusCode); diff != "" {
+			t.Errorf("status mismatch (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// send sends one request and returns the answer's status, header and code.
+func send(t *testing.T, r *Runner, method, path, key, body string) (int, http.Header, string) {
+	t.Helper()
+	q, err := http.NewRequest(method, "http://"+r.CallerAddress()+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if key != "" {
+		q.Header.Set("Authorization", "Bearer "+key)
+	}
+	a, err := http.DefaultClient.Do(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Body.Close()
+	content, err := io.ReadAll(a.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var p struct {
+		Error struct {
+			Code string `json:"code"`
+		} `json:"error"`
+	}
+	if err := json.Unmarshal(content, &p); err != nil {
+		t.Errorf("the answer is not JSON: %s", content)
+	}
+	return a.StatusCode, a.Header, p.Error.Code
+}
+
+// TestDrainCutsOffNothing ends an instance while answers are streamed, and checks that each is whole.
+func TestDrainCutsOffNothing(t *testing.T) {
+	r := start(t)
+	c := client(r, token)
+	_, want := decoder.Answer("oak", "v1", "", "user: a drawing of a sash\n", layers, 20)
+	const streams = 16
+	opened := make(chan struct{}, streams)
+	texts := make(chan string, streams)
+	for range streams {
+		go func() {
+			s := c.Chat.Completions.NewStreaming(context.Background(), chat("a drawing of a sash"))
+			var text strings.Builder
+			for s.Next() {
+				if text.Len() == 0 {
+					opened <- struct{}{}
+				}
+				text.WriteString(s.Current().Choices[0].Delta.Content)
+			}
+			texts <- text.String()
+		}()
+	}
+	for range streams {
+		<-opened
+	}
+	if diff := cmp.Diff(0, r.callers.drain(context.Background())); diff != "" {
+		t.Errorf("cut mismatch (-want +got):\n%s", diff)
+	}
+	for range streams {
+		if diff := cmp.Diff(want, <-texts); diff != "" {
+			t.Errorf("answer mismatch (-want +got):\n%s", diff)
+		}
+	}
+}
--- /dev/null
+++ b/internal/serving/runner/runner.go
@@ -0,0 +1,260 @@
+// Package runner puts the parts of one instance together, starts them and ends them without cutting off a request.
+package runner
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/gorilla/mux"
+
+	"github.com/heatherrock/heatherrock/internal/platform/lister"
+	"github.com/heatherrock/heatherrock/internal/platform/storer"
+	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/routing/detector"
+	"github.com/heatherrock/heatherrock/internal/routing/picker"
+	"github.com/heatherrock/heatherrock/internal/routing/quarantiner"
+	"github.com/heatherrock/heatherrock/internal/routing/tracker"
+	"github.com/heatherrock/heatherrock/internal/serving/admitter"
+	"github.com/heatherrock/heatherrock/internal/serving/configurer"
+	"github.com/heatherrock/heatherrock/internal/serving/dumper"
+	"github.com/heatherrock/heatherrock/internal/serving/generator"
+	"github.com/heatherrock/heatherrock/internal/serving/isolator"
+	"github.com/heatherrock/heatherrock/internal/serving/meter"
+	"github.com/heatherrock/heatherrock/internal/serving/router"
+	"github.com/heatherrock/heatherrock/internal/serving/server"
+)
+
+// Platform is the platform's services.
+type Platform struct {
+	Table   tabler.Table
+	Objects storer.Store
+	List    lister.Lister
+}
+
+// Runner is one instance.
+type Runner struct {
+	settings configurer.Settings
+	platform Platform
+	clock    func() time.Time
+	log      *slog.Logger
+	// owner names this process: it differs after a restart.
+	owner string
+	done  chan struct{}
+	wait  sync.WaitGroup
+
+	phase     phase
+	engines   *streamer.Client
+	router    *router.Router
+	isolator  *isolator.Isolator
+	admitter  *admitter.Admitter
+	meter     *meter.Meter
+	dumper    *dumper.Dumper
+	config    configuration
+	callers   *front
+	operators *front
+}
+
+// Option changes a Runner under construction.
+type Option func(*Runner)
+
+// WithClock sets the source of the present time.
+func WithClock(clock func() time.Time) Option { return func(r *Runner) { r.clock = clock } }
+
+// WithLog sets the log.
+func WithLog(l *slog.Logger) Option { return func(r *Runner) { r.log = l } }
+
+// New returns an instance that is not yet started.
+func New(s configurer.Settings, p Platform, options ...Option) *Runner {
+	r := &Runner{
+		settings: s,
+		platform: p,
+		clock:    time.Now,
+		log:      slog.Default(),
+		owner:    s.ID + "-" + suffix(),
+		done:     make(chan struct{}),
+		engines:  streamer.NewClient(),
+	}
+	for _, o := range options {
+		o(r)
+	}
+	r.log = r.log.With("instance", s.ID)
+	return r
+}
+
+// suffix returns a random suffix of a process's name.
+func suffix() string {
+	var b [6]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// Start opens the listeners and starts the parts. The error says which listener could not be opened.
+func (r *Runner) Start() error {
+	r.build()
+	callers, err := listen(r.settings.Callers)
+	if err != nil {
+		return merry.Prepend(err, "callers")
+	}
+	operators, err := listen(r.settings.Operators)
+	if err != nil {
+		_ = callers.Close()
+		return merry.Prepend(err, "operators")
+	}
+	r.callers = newFront(callers, r.callerRoutes(), r.settings.Limits.Header, &r.phase)
+	r.operators = newFront(operators, r.operatorRoutes(), r.settings.Limits.Header, nil)
+	r.wait.Add(3)
+	go r.callers.run(&r.wait)
+	go r.operators.run(&r.wait)
+	go r.loop()
+	r.log.Info("instance started", "callers", r.CallerAddress(), "operators", r.OperatorAddress())
+	return nil
+}
+
+// listen opens a listener.
+func listen(l configurer.Listener) (net.Listener, error) {
+	return net.Listen("tcp", l.Address)
+}
+
+// build makes the parts.
+func (r *Runner) build() {
+	s := r.settings
+	r.meter = meter.New(s.ID, s.DataCentre)
+	d := detector.New(detector.WithProgress(s.Times.Progress))
+	r.router = router.New(s.DataCentre, d, []picker.Option{}, router.WithLog(r.log))
+	r.isolator = isolator.New(quarantiner.New(), silent{}, r.log)
+	r.admitter = admitter.New(admitter.WithClock(r.clock), admitter.WithStreams(s.Limits.Streams),
+		admitter.WithQueue(s.Limits.Queue))
+	r.dumper = dumper.New(dumper.WithClock(r.clock), dumper.WithReady(r.ready))
+	r.dumper.Add("router", func(now time.Time) any { return r.router.State(now) })
+	r.dumper.Add("admitter", func(now time.Time) any { return r.admitter.State(now) })
+	r.dumper.Add("quarantine", func(time.Time) any { return r.isolator.State() })
+	r.dumper.Add("phase", func(time.Time) any { return r.phase.String() })
+}
+
+// silent tells no other instance.
+type silent struct{}
+
+// Publish does nothing.
+func (silent) Publish(string, []byte, time.Duration) {}
+
+// Urgent does nothing.
+func (silent) Urgent(string, []byte, time.Duration) {}
+
+// callerRoutes returns the callers' interface.
+func (r *Runner) callerRoutes() http.Handler {
+	routes := mux.NewRouter()
+	g := generator.New(r.router, r.isolator, r.engines, generator.WithClock(r.clock), generator.WithLog(r.log))
+	s := server.New(&r.config, r, r.admitter, g,
+		server.WithClock(r.clock),
+		server.WithLog(r.log),
+		server.WithTimeout(r.settings.Times.Request),
+		server.WithSize(r.settings.Limits.Body),
+		server.WithLimits(tracker.Limits{
+			Silence: r.settings.Times.Progress,
+			Stall:   stallFactor * r.settings.Times.Progress,
+		}),
+		server.WithEnded(r.ended),
+	)
+	s.Register(routes)
+	return routes
+}
+
+// stallFactor is how many times longer than the silence limit a stage may take for a token.
+const stallFactor = 5
+
+// ended counts an answer that has ended.
+func (r *Runner) ended(team, model string, result generator.Result, took time.Duration) {
+	r.meter.Count("answers", "outcome", result.Verdict.String(), 1)
+	r.meter.Count("tokens", "team", team, int64(result.Tokens))
+	r.meter.Time("answer", "model", model, took)
+	for _, a := range result.Attempts {
+		r.meter.Count("attempts", "ending", a.Ending.String(), 1)
+	}
+}
+
+// operatorRoutes returns the operators' interface.
+func (r *Runner) operatorRoutes() http.Handler {
+	routes := mux.NewRouter()
+	r.dumper.Register(routes)
+	routes.Handle("/metrics", r.meter.Handler())
+	return routes
+}
+
+// loop does what is due in the parts at intervals, until done is closed.
+func (r *Runner) loop() {
+	defer r.wait.Done()
+	t := time.NewTicker(checkInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-r.done:
+			return
+		case <-t.C:
+			r.router.Check(r.clock())
+		}
+	}
+}
+
+// checkInterval is the time between looks at the health of endpoints.
+const checkInterval = 100 * time.Millisecond
+
+// CallerAddress returns the address of the callers' listener.
+func (r *Runner) CallerAddress() string {
+	return r.callers.listener.Addr().String()
+}
+
+// OperatorAddress returns the address of the operators' listener.
+func (r *Runner) OperatorAddress() string {
+	return r.operators.listener.Addr().String()
+}
+
+// Router returns the instance's router.
+func (r *Runner) Router() *router.Router {
+	return r.router
+}
+
+// ready returns why the balancer should not send requests at now, or an empty text.
+func (r *Runner) ready(now time.Time) string {
+	if r.phase.leaving() {
+		return "leaving"
+	}
+	if p := r.Gate(now); p != nil {
+		return p.Message
+	}
+	return ""
+}
+
+// Drain ends the instance without cutting off a request: it fails readiness, serves on until the balancer has noticed,
+// then takes no new request and waits for those in flight. It returns the number of requests that the context's end
+// cut off.
+func (r *Runner) Drain(ctx context.Context) int {
+	r.phase.leave()
+	r.log.Info("instance leaving", "notice", r.settings.Times.Notice)
+	select {
+	case <-time.After(r.settings.Times.Notice):
+	case <-ctx.Done():
+	}
+	cut := r.callers.drain(ctx)
+	r.log.Info("instance drained", "cut", cut)
+	r.Close()
+	return cut
+}
+
+// Close ends the instance at once.
+func (r *Runner) Close() {
+	close(r.done)
+	r.callers.close()
+	r.operators.close()
+	r.admitter.Close()
+	r.engines.Close()
+	r.wait.Wait()
+	_ = r.meter.Close()
+}
