--- /dev/null
+++ b/internal/control/accepter/mutation_test.go
@@ -0,0 +1,172 @@
+package accepter
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/heatherrock/heatherrock/internal/control/recorder"
+	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
+)
+
+// prepared returns a store with two submitted revisions of the model, of which the first is in force at epoch 1.
+func prepared(t *testing.T) *store {
+	t.Helper()
+	s := newStore()
+	for _, c := range []Command{submit("s1", modelRecord(t, 100)), accept("a1", "ann", 0, 1),
+		submit("s2", modelRecord(t, 90, 10)), submit("s3", modelRecord(t, 50, 50))} {
+		if r := s.run(c, nil); r.Outcome != classifier.Completed {
+			t.Fatalf("%s: %+v", c.ID, r)
+		}
+	}
+	return s
+}
+
+func TestAnswerLost(t *testing.T) {
+	cases := []struct {
+		name    string
+		faults  []fault
+		land    bool
+		outcome classifier.Outcome
+		applied bool
+	}{
+		{"no fault", nil, false, classifier.Completed, true},
+		{"lost after the effect", []fault{faultLost}, false, classifier.Completed, true},
+		{"never arrived", []fault{faultDropped}, false, classifier.Refused, false},
+		{"late after the block", []fault{faultLate}, true, classifier.Refused, false},
+		{"block lost too", []fault{faultLate, faultLost}, true, classifier.Refused, false},
+		{"block late too", []fault{faultLate, faultLate}, true, classifier.Refused, false},
+		{"refused", []fault{faultRefused}, false, classifier.Refused, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := prepared(t)
+			got := s.run(accept("a2", "ann", 1, 2), nil, c.faults...)
+			for c.land && len(s.late) > 0 {
+				s.land(0)
+			}
+			applied := slices.Contains(s.audits(t), "a2")
+			if diff := cmp.Diff([]any{c.outcome, c.applied}, []any{got.Outcome, applied}); diff != "" {
+				t.Errorf("%s\n%+v", diff, got)
+			}
+		})
+	}
+}
+
+func TestAnswerUnknownUntilAsked(t *testing.T) {
+	s := prepared(t)
+	m := NewMutation(accept("a2", "ann", 1, 2), recorder.Snapshot{}, nil)
+	step := m.Begin(start)
+	step = s.next(start, m, step, faultNone)
+	step = s.next(start, m, step, faultLost)
+	s.down = true
+	for step.Result == nil {
+		step = s.next(start, m, step, faultNone)
+	}
+	if step.Result.Outcome != classifier.Unknown {
+		t.Fatalf("store down: %+v", step.Result)
+	}
+	s.down = false
+	got := s.run(Command{ID: "a2", Action: ActionResolve}, nil)
+	if diff := cmp.Diff([]any{classifier.Completed, int64(2)}, []any{got.Outcome, got.Epoch}); diff != "" {
+		t.Error(diff)
+	}
+	again := s.run(accept("a2", "ann", 1, 2), nil)
+	if again.Outcome != classifier.Completed || again.Epoch != 2 {
+		t.Errorf("same id again: %+v", again)
+	}
+	none := s.run(Command{ID: "never", Action: ActionResolve}, nil)
+	late := s.run(accept("never", "ann", 2, 3), nil)
+	if none.Outcome != classifier.Refused || late.Outcome != classifier.Refused {
+		t.Errorf("resolved as absent: %+v, then sent: %+v", none, late)
+	}
+}
+
+func TestOperatorsRace(t *testing.T) {
+	s := prepared(t)
+	a := NewMutation(accept("a2", "ann", 1, 2), recorder.Snapshot{}, nil)
+	b := NewMutation(accept("b2", "bob", 1, 3), recorder.Snapshot{}, nil)
+	sa, sb := a.Begin(start), b.Begin(start)
+	sa, sb = s.next(start, a, sa, faultNone), s.next(start, b, sb, faultNone)
+	sb = s.next(start, b, sb, faultNone)
+	for sa.Result == nil {
+		sa = s.next(start, a, sa, faultNone)
+	}
+	if sb.Result == nil || sb.Result.Outcome != classifier.Completed {
+		t.Fatalf("first to commit: %+v", sb.Result)
+	}
+	want := []Conflict{{Record: "model/chat", Seen: 1, Force: 3, Winner: "bob", Mutation: "b2", Epoch: 2}}
+	if diff := cmp.Diff(want, sa.Result.Conflicts); diff != "" || sa.Result.Outcome != classifier.Refused {
+		t.Error(sa.Result.Outcome, diff)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	older := []Instance{{ID: "new", Reads: map[string]int{recorder.KindModel: 2}},
+		{ID: "old", Reads: map[string]int{recorder.KindModel: 1}}, {ID: "mute"}}
+	twice := accept("x", "ann", 1, 2)
+	twice.Changes = append(twice.Changes, twice.Changes[0])
+	cases := []struct {
+		name      string
+		command   Command
+		instances []Instance
+		want      string
+	}{
+		{"unreadable", accept("x", "ann", 1, 2), older,
+			"model/chat: schema: is 2; instance old reads up to 1\n" +
+				"model/chat: schema: is 2; instance mute has not said what it reads"},
+		{"never submitted", accept("x", "ann", 1, 9), nil, "model/chat: changes[0].revision: 9 was never submitted"},
+		{"in force", accept("x", "ann", 1, 1), nil, "model/chat: changes[0].revision: 1 is the revision in force already"},
+		{"retire unseen", retire("x", 0), nil, "model/chat: changes[0].seen: is 0; a record not in force cannot be retired"},
+		{"twice", twice, nil, "command: changes[1]: model/chat is given twice"},
+		{"empty", Command{ID: "x", Action: ActionSubmit}, nil, "command: records: are missing"},
+		{"action", Command{ID: "x", Action: "burn"}, nil, `command: action: "burn" is unknown`},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := prepared(t)
+			before := len(s.rows)
+			got := s.run(c.command, c.instances)
+			var lines []string
+			for _, f := range got.Faults {
+				lines = append(lines, f.String())
+			}
+			if diff := cmp.Diff(c.want, strings.Join(lines, "\n")); diff != "" || got.Outcome != classifier.Refused {
+				t.Error(got.Outcome, diff)
+			}
+			if len(s.rows) != before {
+				t.Error("a refused command left a row")
+			}
+		})
+	}
+}
+
+func TestDryRunAndGoingBack(t *testing.T) {
+	s := prepared(t)
+	dry := accept("d", "ann", 1, 2)
+	dry.Dry = true
+	rows := len(s.rows)
+	got := s.run(dry, nil)
+	var lines []string
+	for _, d := range got.Diffs {
+		lines = append(lines, d.String())
+	}
+	want := []string{
+		"model/chat: body.versions[0].share: 100 -> 90",
+		`model/chat: body.versions[1]: (absent) -> {"name":"v1","share":10}`,
+	}
+	if diff := cmp.Diff(want, lines); diff != "" || got.Epoch != 2 || len(s.rows) != rows {
+		t.Errorf("epoch %d, %d rows: %s", got.Epoch, len(s.rows)-rows, diff)
+	}
+	forth := s.run(accept("a2", "ann", 1, 2), nil)
+	back := s.run(accept("a3", "ann", 2, 1), nil)
+	gone := s.run(retire("r1", 1), nil)
+	if diff := cmp.Diff([]int64{2, 3, 4}, []int64{forth.Epoch, back.Epoch, gone.Epoch}); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff([]recorder.Ref{{Kind: "model", Name: "chat"}}, gone.Delta.Drop); diff != "" {
+		t.Error(diff)
+	}
+}
--- /dev/null
+++ b/internal/control/accepter/store_test.go
@@ -0,0 +1,179 @@
+package accepter
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/heatherrock/heatherrock/internal/control/recorder"
+	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
+	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+)
+
+// errStore is the error of a fake store that does not answer.
+var errStore = errors.New("store is away")
+
+// fault is what happens to one commit.
+type fault int
+
+const (
+	faultNone fault = iota
+	faultLost
+	faultLate
+	faultRefused
+	faultDropped
+	faults
+)
+
+// store is a table in memory whose commits may fail in the ways of fault.
+type store struct {
+	rows map[string]tabler.Row
+	late []tabler.Txn
+	down bool
+}
+
+func newStore() *store {
+	return &store{rows: map[string]tabler.Row{}}
+}
+
+// read answers a step with keys.
+func (s *store) read(step Step) Read {
+	if s.down {
+		return Read{Err: errStore}
+	}
+	r := Read{Rows: map[string]tabler.Row{}}
+	for _, key := range step.Keys {
+		if row, found := s.rows[key]; found {
+			r.Rows[key] = row
+		}
+	}
+	for epoch := step.After + 1; ; epoch++ {
+		row, found := s.rows[LogKey(epoch)]
+		if !found {
+			return r
+		}
+		var d recorder.Delta
+		if err := json.Unmarshal(row.Value, &d); err != nil {
+			panic(err)
+		}
+		r.Deltas = append(r.Deltas, d)
+	}
+}
+
+// apply applies a transaction if its conditions hold.
+func (s *store) apply(t tabler.Txn) bool {
+	for _, c := range t.Conditions {
+		if s.rows[c.Key].Version != c.Version {
+			return false
+		}
+	}
+	for _, w := range t.Writes {
+		s.rows[w.Key] = tabler.Row{Table: w.Table, Key: w.Key, Value: w.Value, Version: s.rows[w.Key].Version + 1}
+	}
+	return true
+}
+
+// commit answers a step with a transaction.
+func (s *store) commit(t tabler.Txn, f fault) (tabler.Result, error) {
+	switch f {
+	case faultRefused:
+		return tabler.Result{Outcome: classifier.Refused}, errStore
+	case faultDropped:
+		return tabler.Result{Outcome: classifier.Unknown}, errStore
+	case faultLate:
+		s.late = append(s.late, t)
+		return tabler.Result{Outcome: classifier.Unknown}, errStore
+	case faultLost:
+		s.apply(t)
+		return tabler.Result{Outcome: classifier.Unknown}, errStore
+	default:
+		return tabler.Result{Outcome: classifier.Completed, Applied: s.apply(t)}, nil
+	}
+}
+
+// land applies the late transaction with the given index.
+func (s *store) land(i int) {
+	t := s.late[i]
+	s.late = append(s.late[:i], s.late[i+1:]...)
+	s.apply(t)
+}
+
+// next carries out one step.
+func (s *store) next(now time.Time, m *Mutation, step Step, f fault) Step {
+	if step.Txn != nil {
+		r, err := s.commit(*step.Txn, f)
+		return m.TakeCommit(now, r, err)
+	}
+	return m.TakeRead(now, s.read(step))
+}
+
+// start is the present time of tests.
+var start = time.Unix(1_700_000_000, 0)
+
+// run carries a command through. The faults hit its commits in order.
+func (s *store) run(c Command, instances []Instance, fs ...fault) Result {
+	m := NewMutation(c, recorder.Snapshot{}, instances)
+	step := m.Begin(start)
+	for step.Result == nil {
+		f := faultNone
+		if step.Txn != nil && len(fs) > 0 {
+			f, fs = fs[0], fs[1:]
+		}
+		step = s.next(start, m, step, f)
+	}
+	return *step.Result
+}
+
+// modelRecord returns a record of a model named chat.
+func modelRecord(t testing.TB, shares ...int) recorder.Record {
+	t.Helper()
+	m := recorder.Model{Layers: 8, Tokens: 100, First: 1900, Between: 43}
+	for i, share := range shares {
+		m.Versions = append(m.Versions, recorder.Version{Name: fmt.Sprint("v", i), Share: share})
+	}
+	r, err := recorder.NewRecord(recorder.KindModel, "chat", m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// submit returns the command that submits records.
+func submit(id string, records ...recorder.Record) Command {
+	return Command{ID: id, Action: ActionSubmit, Operator: "ann", Records: records}
+}
+
+// accept returns the command of an operator that accepts a revision of the model.
+func accept(id, operator string, seen, revision int64) Command {
+	change := Change{Kind: recorder.KindModel, Name: "chat", Seen: seen, Revision: revision}
+	return Command{ID: id, Action: ActionAccept, Operator: operator, Changes: []Change{change}}
+}
+
+// retire returns the command that retires the model.
+func retire(id string, seen int64) Command {
+	c := accept(id, "ann", seen, 0)
+	c.Action = ActionRetire
+	return c
+}
+
+// audits returns the ids of the mutations that took effect.
+func (s *store) audits(t *testing.T) []string {
+	t.Helper()
+	var ids []string
+	for key, row := range s.rows {
+		if !strings.HasPrefix(key, AuditPrefix) {
+			continue
+		}
+		a, err := Decode[Audit](row)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !a.Blocked {
+			ids = append(ids, a.ID)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/control/follower/follower_test.go
@@ -0,0 +1,210 @@
+package follower
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/heatherrock/heatherrock/internal/control/converter"
+	"github.com/heatherrock/heatherrock/internal/control/recorder"
+)
+
+// start is when the followers of tests join.
+var start = time.Unix(1_700_000_000, 0)
+
+// chain returns the snapshots of the epochs 0 to n and the deltas that lead to the epochs 1 to n.
+func chain(t testing.TB, n int) ([]recorder.Snapshot, []recorder.Delta) {
+	t.Helper()
+	snapshots := []recorder.Snapshot{{}}
+	var deltas []recorder.Delta
+	for i := 1; i <= n; i++ {
+		m := recorder.Model{Layers: i, Versions: []recorder.Version{{Name: "a", Share: 100}}}
+		r, err := recorder.NewRecord(recorder.KindModel, fmt.Sprint("m", i%3), m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Revision = int64(i)
+		d := recorder.Delta{Epoch: int64(i), Put: []recorder.Record{r}}
+		next := snapshots[i-1].With(d.Put, nil)
+		next.Epoch = d.Epoch
+		d.Sum = next.Sum()
+		snapshots, deltas = append(snapshots, next), append(deltas, d)
+	}
+	return snapshots, deltas
+}
+
+func TestAdvance(t *testing.T) {
+	snapshots, deltas := chain(t, 4)
+	f := NewFollower(start)
+	d := f.Advance(start, deltas[1])
+	if !errors.Is(d.Err, recorder.ErrGap) || !d.Fetch || d.From != 0 || d.Applied {
+		t.Errorf("gap: %+v", d)
+	}
+	if d = f.Advance(start, deltas[0]); !d.Applied || !d.Fetch || d.From != 1 || d.View.Epoch != 1 {
+		t.Errorf("next, with more known: %+v", d)
+	}
+	if d = f.Apply(start, snapshots[3]); !d.Applied || d.Fetch || f.Force != 3 {
+		t.Errorf("snapshot: %+v", d)
+	}
+	for _, late := range []Decision{f.Advance(start, deltas[2]), f.Apply(start, snapshots[2])} {
+		if !errors.Is(late.Err, ErrOld) || late.Applied {
+			t.Errorf("late: %+v", late)
+		}
+	}
+	wrong := deltas[3]
+	wrong.Sum = deltas[2].Sum
+	if d = f.Advance(start, wrong); !errors.Is(d.Err, recorder.ErrSum) || d.Applied || f.Force != 3 {
+		t.Errorf("other content: %+v", d)
+	}
+}
+
+func TestUnreadableKeepsLastGood(t *testing.T) {
+	snapshots, deltas := chain(t, 3)
+	older := converter.NewReader()
+	older.Highest[recorder.KindModel] = 2
+	f := NewFollower(start, WithReader(older), WithStale(time.Minute))
+	f.Head(start, 1)
+	f.Advance(start, deltas[0])
+	newer := snapshots[2]
+	newer.Records = append([]recorder.Record{}, newer.Records...)
+	newer.Records[1].Schema = 3
+	d := f.Apply(start, newer)
+	if !errors.Is(d.Err, converter.ErrUnreadable) || d.Applied || !d.Learned || f.Force != 1 {
+		t.Fatalf("newer schema: %+v, in force %d", d, f.Force)
+	}
+	if ready, why := f.Ready(start); ready || why == "" || !f.Admits(start) {
+		t.Errorf("ready %v (%s), admits %v", ready, why, f.Admits(start))
+	}
+	late := start.Add(time.Minute)
+	f.Head(late, 2)
+	if f.Admits(late) {
+		t.Error("admits after knowing of an unreadable epoch for a minute")
+	}
+	if d = f.Apply(late, snapshots[3]); !d.Applied || f.Force != 3 || !f.Admits(late) {
+		t.Errorf("readable again: %+v", d)
+	}
+}
+
+func TestJoin(t *testing.T) {
+	type event struct {
+		after time.Duration
+		do    func(f *Follower, now time.Time)
+	}
+	snapshots, _ := chain(t, 2)
+	heard := func(peer string, epoch int64, ready bool) func(*Follower, time.Time) {
+		return func(f *Follower, now time.Time) { f.Heard(now, peer, epoch, ready) }
+	}
+	learn := func(f *Follower, now time.Time) { f.Apply(now, snapshots[2]) }
+	head := func(epoch int64) func(*Follower, time.Time) {
+		return func(f *Follower, now time.Time) { f.Head(now, epoch) }
+	}
+	nothing := func(*Follower, time.Time) {}
+	cases := []struct {
+		name   string
+		events []event
+		want   bool
+	}{
+		{"nothing heard", []event{{time.Hour, nothing}}, false},
+		{"empty store", []event{{0, head(0)}}, true},
+		{"store ahead", []event{{0, head(2)}}, false},
+		{"store", []event{{0, head(2)}, {0, learn}}, true},
+		{"one peer at once", []event{{0, heard("a", 2, true)}, {0, learn}}, false},
+		{"one peer after the wait", []event{{0, heard("a", 2, true)}, {0, learn}, {5 * time.Second, nothing}}, true},
+		{"peers that are not ready", []event{{0, heard("a", 2, false)}, {0, learn}, {time.Minute, nothing}}, false},
+		{"three peers", []event{{0, heard("a", 2, true)}, {0, heard("b", 1, true)}, {0, heard("c", 2, true)}, {0, learn}}, true},
+		{"a peer ahead", []event{{0, heard("a", 2, true)}, {0, heard("b", 3, true)}, {0, heard("c", 2, true)}, {0, learn}}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := NewFollower(start)
+			now := start
+			for _, e := range c.events {
+				now = now.Add(e.after)
+				e.do(f, now)
+			}
+			if diff := cmp.Diff(c.want, f.Admits(now)); diff != "" {
+				_, why := f.Ready(now)
+				t.Error(diff, why)
+			}
+		})
+	}
+}
+
+func TestCutOff(t *testing.T) {
+	f := NewFollower(start, WithStale(30*time.Second))
+	f.Head(start, 0)
+	cases := []struct {
+		after time.Duration
+		peer  bool
+		want  bool
+	}{
+		{0, false, true}, {30 * time.Second, false, true}, {31 * time.Second, false, false}, {40 * time.Second, true, true},
+		{70 * time.Second, false, true}, {71 * time.Second, false, false},
+	}
+	for _, c := range cases {
+		now := start.Add(c.after)
+		if c.peer {
+			f.Heard(now, "a", 0, true)
+		}
+		if got := f.Admits(now); got != c.want {
+			t.Errorf("after %v: admits %v", c.after, got)
+		}
+	}
+}
+
+// chooser makes the random choices of a history.
+type chooser interface{ IntN(n int) int }
+
+// drawn draws choices from rapid.
+type drawn struct{ t *rapid.T }
+
+func (d drawn) IntN(n int) int { return rapid.IntRange(0, n-1).Draw(d.t, "choice") }
+
+// reverts delivers snapshots and deltas in a random order, repeated and late, and reports whether the epoch in force
+// ever fell.
+func reverts(c chooser, snapshots []recorder.Snapshot, deltas []recorder.Delta, unguarded bool) bool {
+	f := NewFollower(start)
+	f.unguarded = unguarded
+	force := int64(0)
+	for range 30 {
+		switch i := c.IntN(len(deltas)); c.IntN(3) {
+		case 0:
+			f.Apply(start, snapshots[i+1])
+		case 1:
+			f.Advance(start, deltas[i])
+		default:
+			f.Head(start, deltas[i].Epoch)
+		}
+		if f.Force < force {
+			return true
+		}
+		force = f.Force
+	}
+	return false
+}
+
+func TestNeverReverts(t *testing.T) {
+	snapshots, deltas := chain(t, 6)
+	rapid.Check(t, func(rt *rapid.T) {
+		if reverts(drawn{rt}, snapshots, deltas, false) {
+			rt.Fatal("the epoch in force fell")
+		}
+	})
+}
+
+func TestExplorationFindsMissingGuard(t *testing.T) {
+	const histories = 1000
+	snapshots, deltas := chain(t, 6)
+	r := rand.New(rand.NewPCG(1, 2))
+	for range histories {
+		if reverts(r, snapshots, deltas, true) {
+			return
+		}
+	}
+	t.Errorf("%d histories without the guard found no reversion", histories)
+}
--- a/internal/control/validator/values.go
+++ b/internal/control/validator/values.go
@@ -18,6 +18,7 @@
 	maxTokens   = 10_000_000
 	maxRetries  = 10
 	maxShare    = 1_000_000
+	minRate     = 0.001
 	maxRate     = 1e9
 	maxQueue    = 1_000_000
 	maxSeconds  = 366 * 86_400
@@ -175,8 +176,8 @@
 		w.fault("body.credential", "is not the SHA-256 of a bearer token in 64 hexadecimal digits")
 	}
 	within(w, "body.share", t.Share, 1, maxShare, "parts")
-	optional(w, "body.requests", t.Requests, 1e-6, maxRate, "requests a second, or nothing for no bound")
-	optional(w, "body.tokens", t.Tokens, 1e-6, maxRate, "tokens a second, or nothing for no bound")
+	optional(w, "body.requests", t.Requests, minRate, maxRate, "requests a second, or nothing for no bound")
+	optional(w, "body.tokens", t.Tokens, minRate, maxRate, "tokens a second, or nothing for no bound")
 	optional(w, "body.priority", t.Priority, -maxPriority, maxPriority, "")
 }
 
