--- a/cmd/heatherrock/main.go
+++ b/cmd/heatherrock/main.go
@@ -1,11 +1,22 @@
 // Command heatherrock is the router: every process between callers and endpoints runs it.
 package main
 
-import "fmt"
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/heatherrock/heatherrock/internal/serving/launcher"
+)
 
 // release is the version that the program reports.
 const release = "0.1.0"
 
 func main() {
-	fmt.Println("heatherrock", release)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	streams := launcher.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Environ: os.Environ()}
+	code := launcher.New(release).Run(ctx, streams, os.Args[1:])
+	stop()
+	os.Exit(code)
 }
--- /dev/null
+++ b/internal/serving/runner/platform.go
@@ -0,0 +1,13 @@
+package runner
+
+import (
+	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/serving/configurer"
+)
+
+// Dial returns clients of the platform's services that the settings name. Nothing is connected before its first use.
+func Dial(s configurer.Settings) Platform {
+	return Platform{
+		Table: tabler.NewClient(s.Tables),
+	}
+}
