Wire plain services into the instance

Cause: holds and lookups take the same way in as model requests. Change: a selector orders the services' endpoints; the dispatcher is mounted behind the teams' credentials and is drained before the instance ends.

--- /dev/null
+++ b/internal/routing/selector/selector_test.go
@@ -0,0 +1,57 @@
+package selector
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var start = time.Unix(1000, 0)
+
+func TestChoose(t *testing.T) {
+	cases := []struct {
+		name  string
+		steps func(s *Selector)
+		at    time.Duration
+		want  []string
+	}{
+		{"a leaving endpoint gets nothing", func(s *Selector) { s.Leave(start, "a") }, 0, []string{"b"}},
+		{"a live sign does not bring back a leaving one", func(s *Selector) {
+			s.Leave(start, "a")
+			s.Observe(start, "a", "x", "stock")
+		}, 0, []string{"b"}},
+		{"a removed endpoint", func(s *Selector) { s.Remove(start, "b") }, 0, []string{"a"}},
+		{"a failing endpoint goes last", func(s *Selector) {
+			s.Report(start, "a", true, 0)
+			s.Report(start, "a", true, 0)
+		}, time.Second, []string{"b", "a"}},
+		{"the faster of two", func(s *Selector) { s.Report(start, "b", false, time.Second) }, 0, []string{"a", "b"}},
+		{"a failing endpoint that recovered", func(s *Selector) {
+			s.Report(start, "a", true, 0)
+			s.Report(start, "a", true, 0)
+			s.Report(start, "b", false, time.Second)
+		}, 2 * time.Second, []string{"a", "b"}},
+		{"another service's endpoints", func(s *Selector) {
+			s.Remove(start, "a")
+			s.Remove(start, "b")
+		}, 0, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := New()
+			s.Observe(start, "a", "x", "stock")
+			s.Observe(start, "b", "y", "stock")
+			s.Observe(start, "c", "z", "orders")
+			c.steps(s)
+			var got []string
+			for _, e := range s.Choose(start.Add(c.at), "stock", rand.New(rand.NewPCG(1, 1))) {
+				got = append(got, e.ID)
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("Choose mismatch (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/serving/runner/runner.go
+++ b/internal/serving/runner/runner.go
@@ -24,6 +24,7 @@
 	"github.com/heatherrock/heatherrock/internal/routing/tracker"
 	"github.com/heatherrock/heatherrock/internal/serving/admitter"
 	"github.com/heatherrock/heatherrock/internal/serving/configurer"
+	"github.com/heatherrock/heatherrock/internal/serving/dispatcher"
 	"github.com/heatherrock/heatherrock/internal/serving/dumper"
 	"github.com/heatherrock/heatherrock/internal/serving/generator"
 	"github.com/heatherrock/heatherrock/internal/serving/isolator"
@@ -55,6 +56,8 @@
 	router    *router.Router
 	isolator  *isolator.Isolator
 	admitter  *admitter.Admitter
+	services  *services
+	calls     *dispatcher.Dispatcher
 	meter     *meter.Meter
 	dumper    *dumper.Dumper
 	config    configuration
@@ -132,10 +135,15 @@
 	r.isolator = isolator.New(quarantiner.New(), silent{}, r.log)
 	r.admitter = admitter.New(admitter.WithClock(r.clock), admitter.WithStreams(s.Limits.Streams),
 		admitter.WithQueue(s.Limits.Queue))
+	r.services = newServices(r.clock)
+	r.calls = dispatcher.New(r.owner, r.platform.Table, r, r.services, r, dispatcher.WithLogger(r.log),
+		dispatcher.WithBody(s.Limits.Body))
 	r.dumper = dumper.New(dumper.WithClock(r.clock), dumper.WithReady(r.ready))
 	r.dumper.Add("router", func(now time.Time) any { return r.router.State(now) })
 	r.dumper.Add("admitter", func(now time.Time) any { return r.admitter.State(now) })
 	r.dumper.Add("quarantine", func(time.Time) any { return r.isolator.State() })
+	r.dumper.Add("services", func(time.Time) any { return r.services.State() })
+	r.dumper.Add("calls", func(time.Time) any { return r.calls.State() })
 	r.dumper.Add("phase", func(time.Time) any { return r.phase.String() })
 }
 
@@ -164,6 +172,7 @@
 		server.WithEnded(r.ended),
 	)
 	s.Register(routes)
+	routes.PathPrefix("/v1/services/{service}/").Handler(r.admitted(r.calls))
 	return routes
 }
 
@@ -242,7 +251,7 @@
 	case <-time.After(r.settings.Times.Notice):
 	case <-ctx.Done():
 	}
-	cut := r.callers.drain(ctx)
+	cut := r.callers.drain(ctx) + r.calls.Drain(ctx)
 	r.log.Info("instance drained", "cut", cut)
 	r.Close()
 	return cut
@@ -254,6 +263,7 @@
 	r.callers.close()
 	r.operators.close()
 	r.admitter.Close()
+	r.calls.Close()
 	r.engines.Close()
 	r.wait.Wait()
 	_ = r.meter.Close()
--- a/internal/serving/server/parse.go
+++ b/internal/serving/server/parse.go
@@ -47,13 +47,13 @@
 	content, err := io.ReadAll(r.Body)
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
-		return q, refuse(CodeTooLarge, fmt.Sprintf("the body is over the limit of %d bytes", large.Limit))
+		return q, Refuse(CodeTooLarge, fmt.Sprintf("the body is over the limit of %d bytes", large.Limit))
 	}
 	if err != nil {
-		return q, refuse(CodeInvalid, "the body could not be read")
+		return q, Refuse(CodeInvalid, "the body could not be read")
 	}
 	if err := json.Unmarshal(content, &q); err != nil {
-		return q, refuse(CodeInvalid, "the body is not valid JSON: "+err.Error())
+		return q, Refuse(CodeInvalid, "the body is not valid JSON: "+err.Error())
 	}
 	return q, q.check()
 }
@@ -77,7 +77,7 @@
 
 // parameter returns a refusal that names a field.
 func parameter(code Code, name, message string) *Problem {
-	p := refuse(code, message)
+	p := Refuse(code, message)
 	p.Parameter = name
 	return p
 }
--- a/internal/serving/server/problem.go
+++ b/internal/serving/server/problem.go
@@ -71,8 +71,8 @@
 	After time.Duration
 }
 
-// refuse returns a problem of a request that did not run.
-func refuse(code Code, message string) *Problem {
+// Refuse returns a problem of a request that did not run.
+func Refuse(code Code, message string) *Problem {
 	return &Problem{Code: code, Message: message, Verdict: classifier.VerdictNotRun}
 }
 
@@ -101,8 +101,8 @@
 	return body{Error: d}
 }
 
-// write answers a request with the problem, before any part of an answer was written.
-func (p *Problem) write(w http.ResponseWriter) {
+// Write answers a request with the problem, before any part of an answer was written.
+func (p *Problem) Write(w http.ResponseWriter) {
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(HeaderOutcome, p.Verdict.String())
--- a/internal/serving/server/reply.go
+++ b/internal/serving/server/reply.go
@@ -152,7 +152,7 @@
 // fail tells the caller of a problem. In an open stream it is the last event, and the stream has no end mark.
 func (r *reply) fail(p *Problem) {
 	if !r.opened {
-		p.write(r.w)
+		p.Write(r.w)
 		return
 	}
 	_ = r.event(p.encode())
--- a/internal/serving/server/server.go
+++ b/internal/serving/server/server.go
@@ -137,10 +137,10 @@
 	r.HandleFunc("/v1/models", s.models).Methods(http.MethodGet)
 	r.HandleFunc("/v1/models/{model}", s.model).Methods(http.MethodGet)
 	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		refuse(CodePath, "there is no path "+r.URL.Path).write(w)
+		Refuse(CodePath, "there is no path "+r.URL.Path).Write(w)
 	})
 	r.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		refuse(CodeMethod, r.Method+" is not allowed on "+r.URL.Path).write(w)
+		Refuse(CodeMethod, r.Method+" is not allowed on "+r.URL.Path).Write(w)
 	})
 }
 
@@ -163,13 +163,13 @@
 func Authenticate(v recorder.View, r *http.Request) (string, *Problem) {
 	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok || token == "" {
-		return "", refuse(CodeCredential, "a bearer token is required")
+		return "", Refuse(CodeCredential, "a bearer token is required")
 	}
 	// The lookup is by the token's hash: its time says nothing of the tokens that exist.
 	sum := sha256.Sum256([]byte(token))
 	name, _, ok := v.Team(hex.EncodeToString(sum[:]))
 	if !ok {
-		return "", refuse(CodeCredential, "the bearer token is not known")
+		return "", Refuse(CodeCredential, "the bearer token is not known")
 	}
 	return name, nil
 }
@@ -211,7 +211,7 @@
 // refused answers a request that did not run.
 func (s *Server) refused(w http.ResponseWriter, id, team string, p *Problem) {
 	s.log.Info("request refused", "request", id, "team", team, "code", p.Code, "reason", p.Message)
-	p.write(w)
+	p.Write(w)
 }
 
 // job returns the answer to run for a request.
