Exchange quarantine cases and teams' counts between instances

Cause: a request that crashes endpoints must be refused on every instance, and limits hold for the fleet. Change: the exchange is part of the instance; a crash is told to all reachable peers before the request goes on; peers' addresses may be set.

--- a/internal/serving/configurer/checks.go
+++ b/internal/serving/configurer/checks.go
@@ -43,6 +43,14 @@
 	return nil
 }
 
+// isOptionalAddress accepts an address to connect to, or none.
+func isOptionalAddress(text string) error {
+	if text == "" {
+		return nil
+	}
+	return isAddress(text)
+}
+
 // isURL accepts an absolute URL of http or https.
 func isURL(text string) error {
 	if text == "" {
--- a/internal/serving/configurer/settings.go
+++ b/internal/serving/configurer/settings.go
@@ -14,6 +14,8 @@
 	Operators  Listener
 	// Peers is the listener for the other instances, over net/rpc.
 	Peers Listener
+	// Advertise is the address at which other instances reach the peers' listener. Empty means the listener's own.
+	Advertise string
 	// Tables, Objects, Instances and Weights are the base URLs of the platform's services.
 	Tables    string
 	Objects   string
--- a/internal/serving/meter/meter.go
+++ b/internal/serving/meter/meter.go
@@ -41,6 +41,11 @@
 	return &Meter{scope: scope, reporter: reporter, closer: closer}
 }
 
+// Scope returns the scope, for parts that name their metrics themselves.
+func (m *Meter) Scope() tally.Scope {
+	return m.scope
+}
+
 // Count adds to a counter with one tag.
 func (m *Meter) Count(name, tag, value string, n int64) {
 	m.scope.Tagged(map[string]string{tag: value}).Counter(name).Inc(n)
--- /dev/null
+++ b/internal/serving/runner/peers.go
@@ -0,0 +1,106 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/heatherrock/heatherrock/internal/control/gossiper"
+	"github.com/heatherrock/heatherrock/internal/routing/limiter"
+	"github.com/heatherrock/heatherrock/internal/serving/exchanger"
+)
+
+const (
+	// urgentTimeout bounds the wait for the other instances to learn of a crash.
+	urgentTimeout = 500 * time.Millisecond
+	// countsKey is the key under which an instance shares its teams' counts.
+	countsKey = "counts"
+)
+
+// newExchange returns the instance's part in the exchange, at an address that peers reach.
+func (r *Runner) newExchange(address string) *exchanger.Exchanger {
+	s := r.settings
+	self := gossiper.Peer{ID: s.ID, Address: address, DataCentre: s.DataCentre, Region: s.Region}
+	options := []exchanger.Option{
+		exchanger.WithInterval(s.Times.Gossip),
+		exchanger.WithLogger(r.log),
+		exchanger.WithMetrics(r.meter.Scope()),
+	}
+	if r.platform.List != nil {
+		options = append(options, exchanger.WithLister(r.platform.List, s.Times.List))
+	}
+	return exchanger.New(self, options...)
+}
+
+// notices are what instances tell each other at once. Its methods are called by peers.
+type notices struct {
+	runner *Runner
+}
+
+// Case takes in a case of the quarantine.
+func (n *notices) Case(value []byte, _ *exchanger.Nothing) error {
+	return n.runner.isolator.Take(n.runner.clock(), value)
+}
+
+// Publish shares a case of the quarantine with the other instances in time.
+func (n *notices) Publish(key string, value []byte, ttl time.Duration) {
+	n.runner.exchange.Publish(gossiper.TopicQuarantine, key, value, ttl)
+}
+
+// Urgent shares a case of the quarantine and returns once each reachable instance has it, or a bound has passed.
+func (n *notices) Urgent(key string, value []byte, ttl time.Duration) {
+	n.Publish(key, value, ttl)
+	ctx, cancel := context.WithTimeout(context.Background(), urgentTimeout)
+	defer cancel()
+	var wait sync.WaitGroup
+	for _, p := range n.runner.exchange.Peers() {
+		wait.Go(func() {
+			if err := n.runner.exchange.Call(ctx, p, "Notices.Case", value, &exchanger.Nothing{}); err != nil {
+				n.runner.log.Warn("peer not told of a crash", "peer", p.ID, "error", err)
+			}
+		})
+	}
+	wait.Wait()
+}
+
+// subscribe takes in what the other instances share.
+func (r *Runner) subscribe() {
+	r.exchange.Subscribe(gossiper.TopicQuarantine, func(e gossiper.Entry) {
+		if e.Deleted {
+			return
+		}
+		if err := r.isolator.Take(r.clock(), e.Value); err != nil {
+			r.log.Warn("case not readable", "owner", e.Owner, "error", err)
+		}
+	})
+	r.exchange.Subscribe(gossiper.TopicLimit, func(e gossiper.Entry) {
+		if e.Deleted {
+			r.admitter.Forget(e.Owner)
+			return
+		}
+		var counts limiter.Counts
+		if err := json.Unmarshal(e.Value, &counts); err != nil {
+			r.log.Warn("counts not readable", "owner", e.Owner, "error", err)
+			return
+		}
+		r.admitter.Merge(e.Owner, counts)
+	})
+}
+
+// share shares the teams' counts, and takes in how many instances there are.
+func (r *Runner) share(now time.Time) {
+	members := r.Members()
+	r.router.SetPeers(now, members)
+	r.admitter.Expect(members)
+	value, err := json.Marshal(r.admitter.Counts())
+	if err != nil {
+		panic(err) // Counts always have an encoding.
+	}
+	r.exchange.Publish(gossiper.TopicLimit, countsKey, value, 0)
+}
+
+// Members counts the live instances, this one included.
+func (r *Runner) Members() int {
+	return len(r.exchange.Peers()) + 1
+}
--- a/internal/serving/runner/runner.go
+++ b/internal/serving/runner/runner.go
@@ -26,6 +26,7 @@
 	"github.com/heatherrock/heatherrock/internal/serving/configurer"
 	"github.com/heatherrock/heatherrock/internal/serving/dispatcher"
 	"github.com/heatherrock/heatherrock/internal/serving/dumper"
+	"github.com/heatherrock/heatherrock/internal/serving/exchanger"
 	"github.com/heatherrock/heatherrock/internal/serving/generator"
 	"github.com/heatherrock/heatherrock/internal/serving/isolator"
 	"github.com/heatherrock/heatherrock/internal/serving/meter"
@@ -58,6 +59,7 @@
 	admitter  *admitter.Admitter
 	services  *services
 	calls     *dispatcher.Dispatcher
+	exchange  *exchanger.Exchanger
 	meter     *meter.Meter
 	dumper    *dumper.Dumper
 	config    configuration
@@ -101,60 +103,78 @@
 
 // Start opens the listeners and starts the parts. The error says which listener could not be opened.
 func (r *Runner) Start() error {
-	r.build()
-	callers, err := listen(r.settings.Callers)
+	listeners, err := listenAll(r.settings.Callers, r.settings.Operators, r.settings.Peers)
 	if err != nil {
-		return merry.Prepend(err, "callers")
+		return err
 	}
-	operators, err := listen(r.settings.Operators)
-	if err != nil {
-		_ = callers.Close()
-		return merry.Prepend(err, "operators")
-	}
-	r.callers = newFront(callers, r.callerRoutes(), r.settings.Limits.Header, &r.phase)
-	r.operators = newFront(operators, r.operatorRoutes(), r.settings.Limits.Header, nil)
-	r.wait.Add(3)
+	r.build(listeners[2].Addr().String())
+	r.callers = newFront(listeners[0], r.callerRoutes(), r.settings.Limits.Header, &r.phase)
+	r.operators = newFront(listeners[1], r.operatorRoutes(), r.settings.Limits.Header, nil)
+	r.exchange.Start(listeners[2])
+	r.wait.Add(4)
 	go r.callers.run(&r.wait)
 	go r.operators.run(&r.wait)
-	go r.loop()
+	go r.loopChecks()
+	go r.loopShares()
 	r.log.Info("instance started", "callers", r.CallerAddress(), "operators", r.OperatorAddress())
 	return nil
 }
 
+// listenAll opens listeners, or none if one cannot be opened.
+func listenAll(list ...configurer.Listener) ([]net.Listener, error) {
+	var opened []net.Listener
+	for _, l := range list {
+		o, err := listen(l)
+		if err != nil {
+			for _, o := range opened {
+				_ = o.Close()
+			}
+			return nil, merry.Prependf(err, "listener %s", l.Address)
+		}
+		opened = append(opened, o)
+	}
+	return opened, nil
+}
+
 // listen opens a listener.
 func listen(l configurer.Listener) (net.Listener, error) {
 	return net.Listen("tcp", l.Address)
 }
 
-// build makes the parts.
-func (r *Runner) build() {
+// build makes the parts. Peers reach the instance at the address given, unless the settings name another.
+func (r *Runner) build(address string) {
 	s := r.settings
+	if s.Advertise != "" {
+		address = s.Advertise
+	}
 	r.meter = meter.New(s.ID, s.DataCentre)
+	r.exchange = r.newExchange(address)
 	d := detector.New(detector.WithProgress(s.Times.Progress))
 	r.router = router.New(s.DataCentre, d, []picker.Option{}, router.WithLog(r.log))
-	r.isolator = isolator.New(quarantiner.New(), silent{}, r.log)
+	r.isolator = isolator.New(quarantiner.New(), &notices{r}, r.log)
 	r.admitter = admitter.New(admitter.WithClock(r.clock), admitter.WithStreams(s.Limits.Streams),
 		admitter.WithQueue(s.Limits.Queue))
 	r.services = newServices(r.clock)
 	r.calls = dispatcher.New(r.owner, r.platform.Table, r, r.services, r, dispatcher.WithLogger(r.log),
 		dispatcher.WithBody(s.Limits.Body))
+	r.register()
 	r.dumper = dumper.New(dumper.WithClock(r.clock), dumper.WithReady(r.ready))
 	r.dumper.Add("router", func(now time.Time) any { return r.router.State(now) })
 	r.dumper.Add("admitter", func(now time.Time) any { return r.admitter.State(now) })
 	r.dumper.Add("quarantine", func(time.Time) any { return r.isolator.State() })
 	r.dumper.Add("services", func(time.Time) any { return r.services.State() })
 	r.dumper.Add("calls", func(time.Time) any { return r.calls.State() })
+	r.dumper.Add("peers", func(time.Time) any { return r.exchange.Dump() })
 	r.dumper.Add("phase", func(time.Time) any { return r.phase.String() })
 }
 
-// silent tells no other instance.
-type silent struct{}
-
-// Publish does nothing.
-func (silent) Publish(string, []byte, time.Duration) {}
-
-// Urgent does nothing.
-func (silent) Urgent(string, []byte, time.Duration) {}
+// register offers the methods that peers call, and takes in what they share.
+func (r *Runner) register() {
+	if err := r.exchange.Register("Notices", &notices{r}); err != nil {
+		panic(err) // The methods have the form that net/rpc asks for.
+	}
+	r.subscribe()
+}
 
 // callerRoutes returns the callers' interface.
 func (r *Runner) callerRoutes() http.Handler {
@@ -197,8 +217,8 @@
 	return routes
 }
 
-// loop does what is due in the parts at intervals, until done is closed.
-func (r *Runner) loop() {
+// loopChecks looks at the health of endpoints until done is closed.
+func (r *Runner) loopChecks() {
 	defer r.wait.Done()
 	t := time.NewTicker(checkInterval)
 	defer t.Stop()
@@ -212,6 +232,21 @@
 	}
 }
 
+// loopShares shares the teams' counts with the other instances until done is closed.
+func (r *Runner) loopShares() {
+	defer r.wait.Done()
+	t := time.NewTicker(r.settings.Times.Gossip)
+	defer t.Stop()
+	for {
+		select {
+		case <-r.done:
+			return
+		case <-t.C:
+			r.share(r.clock())
+		}
+	}
+}
+
 // checkInterval is the time between looks at the health of endpoints.
 const checkInterval = 100 * time.Millisecond
 
@@ -246,6 +281,7 @@
 // cut off.
 func (r *Runner) Drain(ctx context.Context) int {
 	r.phase.leave()
+	r.exchange.Leave(ctx)
 	r.log.Info("instance leaving", "notice", r.settings.Times.Notice)
 	select {
 	case <-time.After(r.settings.Times.Notice):
@@ -264,6 +300,7 @@
 	r.operators.close()
 	r.admitter.Close()
 	r.calls.Close()
+	r.exchange.Close()
 	r.engines.Close()
 	r.wait.Wait()
 	_ = r.meter.Close()
--- a/internal/serving/runner/services.go
+++ b/internal/serving/runner/services.go
@@ -90,11 +90,6 @@
 	return r.config.View().Fleet
 }
 
-// Members counts the live instances, this one included.
-func (r *Runner) Members() int {
-	return 1
-}
-
 // teamKey is the key of a request's team in its context.
 type teamKey struct{}
 
