--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -268,3 +268,18 @@
 	reason := f.refusal(now)
 	return reason == "", reason
 }
+
+// The bounds of the time between reads of the store's head.
+const (
+	// HeadReads is the number of reads of the head that the whole fleet makes in a second, once it is large.
+	HeadReads = 150
+	// MaxInterval is the longest time between two reads by one instance.
+	MaxInterval = 2500 * time.Millisecond
+)
+
+// Interval returns the time between reads of the store's head in a fleet of live instances: the given least interval,
+// or longer in a large fleet so that the fleet's reads stay at HeadReads a second, up to MaxInterval.
+func Interval(least time.Duration, live int) time.Duration {
+	spread := time.Duration(live) * time.Second / HeadReads
+	return max(least, min(spread, MaxInterval))
+}
