--- a/internal/serving/meter/meter.go
+++ b/internal/serving/meter/meter.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	registry "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -29,7 +30,8 @@
 
 // New returns a meter whose metrics carry the instance's id and data centre.
 func New(instance, datacentre string) *Meter {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	r := registry.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: r, Gatherer: r})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         "heatherrock",
 		Tags:           map[string]string{"instance": instance, "datacentre": datacentre},
@@ -39,6 +41,11 @@
 	return &Meter{scope: scope, reporter: reporter, closer: closer}
 }
 
+// Scope returns the scope, for parts that name their metrics themselves.
+func (m *Meter) Scope() tally.Scope {
+	return m.scope
+}
+
 // Count adds to a counter with one tag.
 func (m *Meter) Count(name, tag, value string, n int64) {
 	m.scope.Tagged(map[string]string{tag: value}).Counter(name).Inc(n)
