Drive the instance by records

Cause: operators submit and accept records; nothing else configures a fleet. Change: the poller's view replaces the fixed one; the operators' listener serves records; the program has the record commands. Measured: the contract tests submit and accept a model and a team through the table service's stand-in and pass with the race detector.

--- a/internal/serving/launcher/launcher.go
+++ b/internal/serving/launcher/launcher.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"io"
 	"text/tabwriter"
+
+	"github.com/heatherrock/heatherrock/internal/serving/commander"
 )
 
 // The exit codes.
@@ -59,6 +61,7 @@
 		{Name: "serve", Usage: "serve [-config FILE] [-NAME VALUE ...]", Help: "run an instance", Run: serve},
 		{Name: "check", Usage: "check FILE ...", Help: "check files of settings or records, without starting anything", Run: check},
 		{Name: "state", Usage: "state -addr HOST:PORT [-part NAME]", Help: "print the state of a running instance", Run: state},
+		{Name: "record", Usage: "record COMMAND [ARGUMENT ...]", Help: "submit, accept, retire, list, show, diff and wait for records", Run: group("record")},
 	}
 	for _, o := range options {
 		o(l)
@@ -89,6 +92,13 @@
 	return c.Run(ctx, s, args[1:])
 }
 
+// group returns the function of a group of commands that talk to a running instance.
+func group(name string) func(context.Context, Streams, []string) int {
+	return func(ctx context.Context, s Streams, args []string) int {
+		return commander.Run(ctx, append([]string{name}, args...), s.Out, s.Err)
+	}
+}
+
 // find returns a command by name.
 func (l *Launcher) find(name string) (Command, bool) {
 	for _, c := range l.commands {
--- a/internal/serving/runner/configuration.go
+++ b/internal/serving/runner/configuration.go
@@ -1,49 +1,67 @@
 package runner
 
 import (
-	"sync/atomic"
 	"time"
 
+	"github.com/gorilla/mux"
+
+	"github.com/heatherrock/heatherrock/internal/control/follower"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
+	"github.com/heatherrock/heatherrock/internal/serving/committer"
+	"github.com/heatherrock/heatherrock/internal/serving/operator"
+	"github.com/heatherrock/heatherrock/internal/serving/poller"
 	"github.com/heatherrock/heatherrock/internal/serving/server"
 )
 
-// configuration is the view in force.
-type configuration struct {
-	view atomic.Pointer[recorder.View]
+// newPoller returns the part that keeps the instance's configuration current.
+func (r *Runner) newPoller() *poller.Poller {
+	options := []poller.Option{
+		poller.WithInterval(r.settings.Times.Poll),
+		poller.WithClock(r.clock),
+		poller.WithLogger(r.log),
+		poller.WithMetrics(r.meter.Scope()),
+		poller.WithSeed(uint64(r.clock().UnixNano())),
+		poller.WithFollower(follower.WithStale(r.settings.Times.Stale)),
+	}
+	if r.platform.List != nil {
+		options = append(options, poller.WithLister(r.platform.List))
+	}
+	p, err := poller.New(r.settings.ID, r.platform.Table, r.platform.Objects, r.exchange, options...)
+	if err != nil {
+		panic(err) // The methods that it registers have the form that net/rpc asks for.
+	}
+	return p
 }
 
-// View returns the view in force, or an empty one.
-func (c *configuration) View() recorder.View {
-	if v := c.view.Load(); v != nil {
-		return *v
-	}
-	return recorder.View{}
+// registerRecords adds the operators' routes for records.
+func (r *Runner) registerRecords(routes *mux.Router) {
+	c := committer.New(r.platform.Table, r.config, committer.WithLogger(r.log))
+	operator.New(r.platform.Table, c, r.config, operator.WithCredential(r.settings.Credential)).Register(routes)
 }
 
-// Apply brings a view into force, unless it is of a lower epoch.
-func (r *Runner) Apply(v recorder.View) {
-	for {
-		old := r.config.view.Load()
-		if old != nil && old.Epoch >= v.Epoch {
-			return
-		}
-		if r.config.view.CompareAndSwap(old, &v) {
-			return
-		}
-	}
+// View returns the configuration in force.
+func (r *Runner) View() recorder.View {
+	return r.config.View()
 }
 
 // Gate returns why the instance admits no request at now, or nil.
-func (r *Runner) Gate(time.Time) *server.Problem {
-	if r.config.view.Load() == nil {
-		return &server.Problem{
-			Code:    server.CodeStale,
-			Message: "the configuration in force is not known",
-			Verdict: classifier.VerdictNotRun,
-			After:   time.Second,
-		}
+func (r *Runner) Gate(now time.Time) *server.Problem {
+	if r.config.Admits(now) {
+		return nil
+	}
+	return &server.Problem{
+		Code:    server.CodeStale,
+		Message: "the configuration in force is not known: " + r.config.Ready(now),
+		Verdict: classifier.VerdictNotRun,
+		After:   time.Second,
+	}
+}
+
+// ready returns why the balancer should not send requests at now, or an empty text.
+func (r *Runner) ready(now time.Time) string {
+	if r.phase.leaving() {
+		return "leaving"
 	}
-	return nil
+	return r.config.Ready(now)
 }
--- a/internal/serving/runner/contract_test.go
+++ b/internal/serving/runner/contract_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -17,12 +18,18 @@
 	"github.com/openai/openai-go"
 	"github.com/openai/openai-go/option"
 
+	"github.com/heatherrock/heatherrock/internal/control/accepter"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
+	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 	"github.com/heatherrock/heatherrock/internal/platform/streamer"
 	"github.com/heatherrock/heatherrock/internal/routing/picker"
 	"github.com/heatherrock/heatherrock/internal/routing/planner"
+	"github.com/heatherrock/heatherrock/internal/serving/committer"
 	"github.com/heatherrock/heatherrock/internal/serving/configurer"
 	"github.com/heatherrock/heatherrock/internal/standin/decoder"
+	"github.com/heatherrock/heatherrock/internal/standin/faulter"
+	"github.com/heatherrock/heatherrock/internal/standin/storer"
+	"github.com/heatherrock/heatherrock/internal/standin/tabler"
 )
 
 const (
@@ -53,24 +60,42 @@
 	}
 }
 
-// view returns a configuration with one team and one model.
-func view() recorder.View {
+// records returns a configuration with one team and one model.
+func records(t *testing.T) []recorder.Record {
+	t.Helper()
 	sum := sha256.Sum256([]byte(token))
-	hash := hex.EncodeToString(sum[:])
-	return recorder.View{
-		Epoch: 1,
-		Models: map[string]recorder.Model{
-			"oak": {Layers: layers, Tokens: 64, Versions: []recorder.Version{{Name: "v1", Share: 100}}},
-		},
-		Teams:       map[string]recorder.Team{"workshop": {Credential: hash, Share: 1}},
-		Credentials: map[string]string{hash: "workshop"},
+	model, err := recorder.NewRecord(recorder.KindModel, "oak", recorder.Model{
+		Layers: layers, Tokens: 64, First: 1900, Between: 43,
+		Versions: []recorder.Version{{Name: "v1", Share: 100}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	team, err := recorder.NewRecord(recorder.KindTeam, "workshop",
+		recorder.Team{Credential: hex.EncodeToString(sum[:]), Share: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return []recorder.Record{model, team}
+}
+
+// accept brings records into force on an instance.
+func accept(t *testing.T, r *Runner, records []recorder.Record) {
+	t.Helper()
+	c := committer.New(r.platform.Table, r.config)
+	submit := accepter.Command{ID: "submit-1", Action: accepter.ActionSubmit, Operator: "duty", Records: records}
+	submitted := c.Do(context.Background(), submit)
+	command := accepter.Command{ID: "accept-1", Action: accepter.ActionAccept, Operator: "duty", Changes: submitted.Changes}
+	accepted := c.Do(context.Background(), command)
+	if diff := cmp.Diff(classifier.Completed, accepted.Outcome); diff != "" {
+		t.Fatalf("accept mismatch (-want +got):\n%s\n%+v", diff, accepted)
 	}
 }
 
 // start starts an instance before three engines of different kinds that together hold the model.
 func start(t *testing.T) *Runner {
 	t.Helper()
-	r := New(settings(), Platform{})
+	r := New(settings(), Platform{Table: tabler.New(), Objects: storer.New(faulter.NewFaults(1))}, WithLog(slog.New(slog.DiscardHandler)))
 	if err := r.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -87,7 +112,7 @@
 			Held: []planner.Held{{Model: "oak", Version: "v1", From: from, To: to}}, Rate: 1e6,
 		}, picker.Report{At: time.Now()})
 	}
-	r.Apply(view())
+	accept(t, r, records(t))
 	return r
 }
 
--- a/internal/serving/runner/platform.go
+++ b/internal/serving/runner/platform.go
@@ -1,6 +1,8 @@
 package runner
 
 import (
+	"github.com/heatherrock/heatherrock/internal/platform/lister"
+	"github.com/heatherrock/heatherrock/internal/platform/storer"
 	"github.com/heatherrock/heatherrock/internal/platform/tabler"
 	"github.com/heatherrock/heatherrock/internal/serving/configurer"
 )
@@ -8,6 +10,8 @@
 // Dial returns clients of the platform's services that the settings name. Nothing is connected before its first use.
 func Dial(s configurer.Settings) Platform {
 	return Platform{
-		Table: tabler.NewClient(s.Tables),
+		Table:   tabler.NewClient(s.Tables),
+		Objects: storer.NewClient(s.Objects),
+		List:    lister.NewClient(s.Instances),
 	}
 }
--- a/internal/serving/runner/runner.go
+++ b/internal/serving/runner/runner.go
@@ -30,6 +30,7 @@
 	"github.com/heatherrock/heatherrock/internal/serving/generator"
 	"github.com/heatherrock/heatherrock/internal/serving/isolator"
 	"github.com/heatherrock/heatherrock/internal/serving/meter"
+	"github.com/heatherrock/heatherrock/internal/serving/poller"
 	"github.com/heatherrock/heatherrock/internal/serving/router"
 	"github.com/heatherrock/heatherrock/internal/serving/server"
 )
@@ -62,7 +63,7 @@
 	exchange  *exchanger.Exchanger
 	meter     *meter.Meter
 	dumper    *dumper.Dumper
-	config    configuration
+	config    *poller.Poller
 	callers   *front
 	operators *front
 }
@@ -111,6 +112,7 @@
 	r.callers = newFront(listeners[0], r.callerRoutes(), r.settings.Limits.Header, &r.phase)
 	r.operators = newFront(listeners[1], r.operatorRoutes(), r.settings.Limits.Header, nil)
 	r.exchange.Start(listeners[2])
+	r.config.Start()
 	r.wait.Add(4)
 	go r.callers.run(&r.wait)
 	go r.operators.run(&r.wait)
@@ -149,6 +151,7 @@
 	}
 	r.meter = meter.New(s.ID, s.DataCentre)
 	r.exchange = r.newExchange(address)
+	r.config = r.newPoller()
 	d := detector.New(detector.WithProgress(s.Times.Progress))
 	r.router = router.New(s.DataCentre, d, []picker.Option{}, router.WithLog(r.log))
 	r.isolator = isolator.New(quarantiner.New(), &notices{r}, r.log)
@@ -164,6 +167,7 @@
 	r.dumper.Add("quarantine", func(time.Time) any { return r.isolator.State() })
 	r.dumper.Add("services", func(time.Time) any { return r.services.State() })
 	r.dumper.Add("calls", func(time.Time) any { return r.calls.State() })
+	r.dumper.Add("records", r.config.State)
 	r.dumper.Add("peers", func(time.Time) any { return r.exchange.Dump() })
 	r.dumper.Add("phase", func(time.Time) any { return r.phase.String() })
 }
@@ -180,7 +184,7 @@
 func (r *Runner) callerRoutes() http.Handler {
 	routes := mux.NewRouter()
 	g := generator.New(r.router, r.isolator, r.engines, generator.WithClock(r.clock), generator.WithLog(r.log))
-	s := server.New(&r.config, r, r.admitter, g,
+	s := server.New(r, r, r.admitter, g,
 		server.WithClock(r.clock),
 		server.WithLog(r.log),
 		server.WithTimeout(r.settings.Times.Request),
@@ -213,6 +217,7 @@
 func (r *Runner) operatorRoutes() http.Handler {
 	routes := mux.NewRouter()
 	r.dumper.Register(routes)
+	r.registerRecords(routes)
 	routes.Handle("/metrics", r.meter.Handler())
 	return routes
 }
@@ -265,17 +270,6 @@
 	return r.router
 }
 
-// ready returns why the balancer should not send requests at now, or an empty text.
-func (r *Runner) ready(now time.Time) string {
-	if r.phase.leaving() {
-		return "leaving"
-	}
-	if p := r.Gate(now); p != nil {
-		return p.Message
-	}
-	return ""
-}
-
 // Drain ends the instance without cutting off a request: it fails readiness, serves on until the balancer has noticed,
 // then takes no new request and waits for those in flight. It returns the number of requests that the context's end
 // cut off.
@@ -300,6 +294,7 @@
 	r.operators.close()
 	r.admitter.Close()
 	r.calls.Close()
+	r.config.Close()
 	r.exchange.Close()
 	r.engines.Close()
 	r.wait.Wait()
