--- a/internal/bench/runner/runner.go
+++ b/internal/bench/runner/runner.go
@@ -1,9 +1,14 @@
 // Package runner holds the table of experiments and runs them by name.
 package runner
 
-import "github.com/heatherrock/heatherrock/internal/bench/reporter"
+import (
+	"github.com/heatherrock/heatherrock/internal/bench/claimer"
+	"github.com/heatherrock/heatherrock/internal/bench/reporter"
+)
 
 // Experiments is the table of experiments, in the order in which they are listed.
 func Experiments() []reporter.Experiment {
-	return nil
+	var all []reporter.Experiment
+	all = append(all, claimer.Experiments()...)
+	return all
 }
--- a/internal/control/claimer/budget.go
+++ b/internal/control/claimer/budget.go
@@ -12,6 +12,8 @@
 	Tokens float64
 	// At is the time for which Tokens was counted.
 	At time.Time
+	// shared is set once the budget has been given its part.
+	shared bool
 }
 
 // Share sets the rate to one part in members of the fleet's bound, in transactions a second.
@@ -19,6 +21,10 @@
 	b.fill(now)
 	b.Rate = fleet / float64(max(members, 1))
 	b.Burst = max(1, b.Rate/10)
+	if !b.shared {
+		b.Tokens = b.Burst
+	}
+	b.shared = true
 	b.Tokens = min(b.Tokens, b.Burst)
 }
 
--- /dev/null
+++ b/internal/control/claimer/group_test.go
@@ -0,0 +1,88 @@
+package claimer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var start = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+
+func TestGroupWritesALoneClaimAtOnce(t *testing.T) {
+	g := Group{Delay: 5 * time.Millisecond, Size: 3, Parallel: 2, Patience: time.Second}
+	b := Budget{}
+	b.Share(start, 700, 7)
+	g.Add(start, Entry{Number: 1, Key: "a", Since: start}, &b)
+	got, _ := g.Next(start, &b)
+	if diff := cmp.Diff([]int64{1}, got); diff != "" {
+		t.Errorf("first transaction mismatch (-want +got):\n%s", diff)
+	}
+	g.Add(start, Entry{Number: 2, Key: "b", Since: start}, &b)
+	got, again := g.Next(start, &b)
+	if got != nil || !again.Equal(start.Add(g.Delay)) {
+		t.Errorf("second claim got %v and %v, want to wait for the delay", got, again)
+	}
+	g.Add(start, Entry{Number: 3, Key: "b", Since: start}, &b)
+	g.Add(start, Entry{Number: 4, Key: "c", Since: start, First: true}, &b)
+	got, _ = g.Next(start, &b)
+	if diff := cmp.Diff([]int64{4, 2}, got); diff != "" {
+		t.Errorf("full transaction mismatch (-want +got): results first, a row once\n%s", diff)
+	}
+	if got, _ = g.Next(start.Add(time.Hour), &b); got != nil {
+		t.Errorf("a third transaction %v beside two that run", got)
+	}
+	g.Done()
+	got, _ = g.Next(start.Add(time.Hour), &b)
+	if diff := cmp.Diff([]int64{3}, got); diff != "" {
+		t.Errorf("last transaction mismatch (-want +got):\n%s", diff)
+	}
+}
+
+func TestGroupTurnsAwayWhatTheBudgetCannotCarry(t *testing.T) {
+	g := Group{Size: 1, Parallel: 1, Patience: time.Second}
+	b := Budget{}
+	b.Share(start, 7, 7)
+	var taken []bool
+	for i := range 4 {
+		taken = append(taken, g.Add(start, Entry{Number: int64(i)}, &b))
+	}
+	taken = append(taken, g.Add(start, Entry{Number: 9, First: true}, &b))
+	if diff := cmp.Diff([]bool{true, true, false, false, true}, taken); diff != "" {
+		t.Errorf("admitted mismatch (-want +got):\n%s", diff)
+	}
+}
+
+func TestBudgetIsSharedByTheFleet(t *testing.T) {
+	const seconds = 10
+	taken := 0
+	for range 7 {
+		b := Budget{}
+		b.Share(start, 350, 7)
+		for i := range seconds * 1000 {
+			if b.Take(start.Add(time.Duration(i) * time.Millisecond)) {
+				taken++
+			}
+		}
+	}
+	if most := 350*seconds + 7*5; taken > most || taken < 350*seconds*9/10 {
+		t.Errorf("the fleet wrote %d transactions in %d s, want at most %d", taken, seconds, most)
+	}
+}
+
+func TestBreaker(t *testing.T) {
+	b := Breaker{Limit: 2, Probe: time.Second}
+	b.Report(start, false)
+	if !b.Allow(start) {
+		t.Error("one failure opened the breaker")
+	}
+	b.Report(start, false)
+	got := []bool{b.Allow(start), b.Allow(start.Add(time.Second)), b.Allow(start.Add(time.Second))}
+	if diff := cmp.Diff([]bool{false, true, false}, got); diff != "" {
+		t.Errorf("probes mismatch (-want +got):\n%s", diff)
+	}
+	b.Report(start.Add(time.Second), true)
+	if !b.Allow(start.Add(time.Second)) {
+		t.Error("the breaker stays open after a success")
+	}
+}
