Keep the surviving stages when an answer moves

Cause: after the loss of one stage a whole new plan would run the prefix again on every stage. Change: the picker repairs a plan in place; the new attempt asks the kept stages for the KV cache of the one before.

--- a/internal/serving/generator/attempt.go
+++ b/internal/serving/generator/attempt.go
@@ -159,6 +159,10 @@
 		Delivered: a.tracker.Delivered,
 		Limit:     a.job.Limit,
 	}
+	if a.tracker.Attempt > 1 {
+		// Stages that ran an earlier attempt keep its KV cache under the request's name.
+		r.Imports = []string{a.job.Request}
+	}
 	for _, s := range a.tracker.Plan.Stages {
 		r.Stages = append(r.Stages, streamer.Stage(s))
 	}
--- a/internal/serving/generator/generator.go
+++ b/internal/serving/generator/generator.go
@@ -86,10 +86,20 @@
 	Pause time.Duration
 }
 
+// Ask says what the plan of the next attempt has to respect.
+type Ask struct {
+	// Avoid lists endpoints that must not be used.
+	Avoid []string
+	// Delivered counts the tokens that the caller has.
+	Delivered int
+	// Last is the plan of the attempt before, empty for the first. Its surviving stages hold the request's KV cache.
+	Last planner.Plan
+}
+
 // Router chooses the plan of each attempt and learns how it ended.
 type Router interface {
-	// Route returns a plan that uses none of the endpoints to avoid.
-	Route(now time.Time, j Job, avoid []string, delivered int) Route
+	// Route returns a plan for the next attempt.
+	Route(now time.Time, j Job, a Ask) Route
 	// Started tells that an attempt at a plan began.
 	Started(now time.Time, j Job, p planner.Plan)
 	// Moved tells that an attempt delivered a token.
@@ -293,7 +303,7 @@
 	case quarantiner.Trial:
 		avoid = append(a.guard.Busy(now, a.job.Fingerprint), avoid...)
 	}
-	route := a.router.Route(now, a.job, avoid, len(a.tracker.Delivered))
+	route := a.router.Route(now, a.job, Ask{Avoid: avoid, Delivered: len(a.tracker.Delivered), Last: a.tracker.Plan})
 	if a.trial && route.OK {
 		a.guard.Open(now, a.job.Fingerprint, route.Plan.Stages[0].Endpoint)
 	}
--- a/internal/serving/generator/generator_test.go
+++ b/internal/serving/generator/generator_test.go
@@ -113,9 +113,9 @@
 	return b
 }
 
-func (b *bench) Route(_ time.Time, _ Job, avoid []string, _ int) Route {
+func (b *bench) Route(_ time.Time, _ Job, a Ask) Route {
 	for _, p := range b.plans {
-		if !uses(p, avoid) {
+		if !uses(p, a.Avoid) {
 			return Route{Plan: p, OK: true}
 		}
 	}
--- a/internal/serving/router/router.go
+++ b/internal/serving/router/router.go
@@ -120,26 +120,37 @@
 	r.picker.SetPeers(now, instances)
 }
 
-// Route returns a plan for the next attempt of a job, without the endpoints to avoid.
-func (r *Router) Route(now time.Time, j generator.Job, avoid []string, delivered int) generator.Route {
+// Route returns a plan for the next attempt of a job. A new attempt keeps the stages of the one before that can still be
+// used; on trial it may be told to avoid some.
+func (r *Router) Route(now time.Time, j generator.Job, a generator.Ask) generator.Route {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	plan, refusal := r.picker.Pick(now, picker.Query{
+	q := r.query(j, a)
+	if plan, ok := r.picker.Repair(now, q, a.Last, r.random); ok {
+		r.counts["repair"]++
+		return generator.Route{Plan: plan, OK: true}
+	}
+	plan, refusal := r.picker.Pick(now, q, r.random)
+	if refusal.Refused() {
+		r.counts[refusal.Reason]++
+		return generator.Route{After: refusal.RetryAfter, Reason: refusal.Reason}
+	}
+	return generator.Route{Plan: plan, OK: true}
+}
+
+// query returns what the picker is asked for.
+func (r *Router) query(j generator.Job, a generator.Ask) picker.Query {
+	return picker.Query{
 		Model:      j.Model,
 		Version:    j.Version,
 		Layers:     j.Layers,
 		Adapter:    j.Adapter,
 		DataCentre: r.datacentre,
 		Prefixes:   j.Prefixes,
-		Avoid:      avoid,
+		Avoid:      a.Avoid,
 		Priority:   j.Priority,
-		Tokens:     j.Limit - delivered,
-	}, r.random)
-	if refusal.Refused() {
-		r.counts[refusal.Reason]++
-		return generator.Route{After: refusal.RetryAfter, Reason: refusal.Reason}
+		Tokens:     j.Limit - a.Delivered,
 	}
-	return generator.Route{Plan: plan, OK: true}
 }
 
 // Started takes in that an attempt began.
