Run the record commands against a small fleet in scripts

Cause: nothing showed two operators racing, lost answers, a join during an outage, a rolling upgrade or a retire with a request in flight end to end. The scripts showed that a fleet of which every instance had been cut off at once stayed stopped until the store was back, since none counted the others as ready.

Change: testscript scenarios over an in-memory exchange and the stand-in table. An instance vouches for its epoch once it has joined, also while it is cut off.

--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -27,8 +27,8 @@
 type Peer struct {
 	Epoch int64     `json:"epoch"`
 	Heard time.Time `json:"heard"`
-	// Ready is set if the peer itself served under that epoch.
-	Ready bool `json:"ready"`
+	// Vouches is set if the peer has joined and can read the newest configuration that it knows.
+	Vouches bool `json:"vouches"`
 }
 
 // Decision tells the caller what an event led to.
@@ -145,13 +145,7 @@
 	f.Known = s
 	f.Highest = max(f.Highest, s.Epoch)
 	d := f.fetch(Decision{Learned: true})
-	raised, err := f.Reader.RaiseAll(s)
-	if err != nil {
-		f.Unreadable = err.Error()
-		d.Err = err
-		return d
-	}
-	view, err := recorder.NewView(raised)
+	view, err := f.read(s)
 	if err != nil {
 		f.Unreadable = err.Error()
 		d.Err = err
@@ -163,6 +157,18 @@
 	return d
 }
 
+// read decodes a snapshot if the instance's reader knows the schema of each record.
+func (f *Follower) read(s recorder.Snapshot) (recorder.View, error) {
+	if _, err := f.Reader.RaiseAll(s); err != nil {
+		return recorder.View{}, err
+	}
+	raised, err := converter.NewReader().RaiseAll(s)
+	if err != nil {
+		return recorder.View{}, err
+	}
+	return recorder.NewView(raised)
+}
+
 // fetch adds to the decision what is still to be fetched.
 func (f *Follower) fetch(d Decision) Decision {
 	if f.Highest > f.Known.Epoch {
@@ -179,10 +185,10 @@
 	return f.fetch(Decision{})
 }
 
-// Heard takes in what a peer said at now: the epoch it has in force and whether it is ready under it.
-func (f *Follower) Heard(now time.Time, peer string, epoch int64, ready bool) Decision {
+// Heard takes in what a peer said at now: the epoch it has in force and whether it vouches for it.
+func (f *Follower) Heard(now time.Time, peer string, epoch int64, vouches bool) Decision {
 	defer f.settle(now)
-	f.Peers[peer] = Peer{Epoch: epoch, Heard: now, Ready: ready}
+	f.Peers[peer] = Peer{Epoch: epoch, Heard: now, Vouches: vouches}
 	f.Highest = max(f.Highest, epoch)
 	return f.fetch(Decision{})
 }
@@ -192,18 +198,25 @@
 	delete(f.Peers, peer)
 }
 
-// vouchers counts the peers heard from since a time that were ready.
+// Vouches reports whether the instance vouches for the epoch it has in force: it has joined and can read the newest
+// configuration that it knows. One that is cut off still vouches: when every instance was cut off at once, they find
+// each other again without the store.
+func (f *Follower) Vouches() bool {
+	return f.Joined && f.Unreadable == ""
+}
+
+// vouchers counts the peers that vouched for their epochs since a time.
 func (f *Follower) vouchers(since time.Time) int {
 	count := 0
 	for _, p := range f.Peers {
-		if p.Ready && !p.Heard.Before(since) {
+		if p.Vouches && !p.Heard.Before(since) {
 			count++
 		}
 	}
 	return count
 }
 
-// Touch reports whether the store or a ready peer was heard from within Stale before now.
+// Touch reports whether the store or a peer that vouches was heard from within Stale before now.
 func (f *Follower) Touch(now time.Time) bool {
 	since := now.Add(-f.Stale)
 	if !f.Read.IsZero() && !f.Read.Before(since) {
@@ -213,7 +226,7 @@
 }
 
 // joinable reports whether the instance may take the configuration that it knows for the current one: it read the
-// store's head, or enough ready peers vouched for no higher epoch.
+// store's head, or enough peers vouched for no higher epoch.
 func (f *Follower) joinable(now time.Time) bool {
 	if f.Known.Epoch < f.Highest {
 		return false
@@ -240,7 +253,7 @@
 }
 
 // Admits reports whether the instance may admit a request: it has joined, and within Stale it has heard from the store
-// or from a ready peer, and it has not known for longer than Stale of an epoch that it cannot bring into force.
+// or from a peer that vouches, and it has not known for longer than Stale of an epoch that it cannot bring into force.
 func (f *Follower) Admits(now time.Time) bool {
 	return f.refusal(now) == ""
 }
--- /dev/null
+++ b/internal/serving/commander/scenario_test.go
@@ -0,0 +1,145 @@
+package commander
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/heatherrock/heatherrock/internal/standin/faulter"
+	"github.com/heatherrock/heatherrock/internal/standin/tabler"
+)
+
+// fleetKey is the key of a script's fleet.
+type fleetKey struct{}
+
+// command is a command of the scripts.
+type command func(ts *testscript.TestScript, f *fleet, args []string)
+
+// commands are the commands of the scripts besides those of testscript.
+var commands = map[string]command{
+	// record EXIT INSTANCE COMMAND ARGUMENTS runs a record command against an instance.
+	"record": func(ts *testscript.TestScript, f *fleet, args []string) {
+		line := append([]string{"record", args[2], "-address", f.instances[args[1]].url, "-operator", "ann"}, args[3:]...)
+		for i, arg := range line {
+			if strings.HasSuffix(arg, ".json") {
+				line[i] = ts.MkAbs(arg)
+			}
+		}
+		exit := Run(context.Background(), line, ts.Stdout(), ts.Stderr())
+		if strconv.Itoa(exit) != args[0] {
+			ts.Fatalf("exit code %d, want %s", exit, args[0])
+		}
+	},
+	// commit FAULT makes the next commit fail.
+	"commit": func(ts *testscript.TestScript, f *fleet, args []string) {
+		const hour = 3_600_000
+		fault := faulter.Fault{Call: tabler.CallCommit, Kind: faulter.Kind(args[0]), Count: 1, Delay: hour}
+		ts.Check(f.faults.Set(fault))
+	},
+	// store down|up takes the table service away or brings it back.
+	"store": func(ts *testscript.TestScript, f *fleet, args []string) {
+		if args[0] == "up" {
+			f.faults.Clear()
+			return
+		}
+		ts.Check(f.faults.Set(faulter.Fault{Kind: faulter.Crash}))
+	},
+	// land lets the late writes arrive.
+	"land": func(ts *testscript.TestScript, f *fleet, _ []string) {
+		ts.Logf("%d late writes", f.table.Land())
+	},
+	// join INSTANCE [SCHEMA] adds an instance that reads models up to a schema version.
+	"join": func(ts *testscript.TestScript, f *fleet, args []string) {
+		schema := 2
+		if len(args) > 1 {
+			schema, _ = strconv.Atoi(args[1])
+		}
+		f.join(args[0], schema)
+	},
+	// leave INSTANCE takes an instance out of the fleet.
+	"leave": func(_ *testscript.TestScript, f *fleet, args []string) {
+		f.mesh.leave(args[0])
+		delete(f.instances, args[0])
+	},
+	// cut INSTANCE and heal INSTANCE cut an instance off from its peers and connect it again.
+	"cut":  func(_ *testscript.TestScript, f *fleet, args []string) { f.instances[args[0]].node.set(true) },
+	"heal": func(_ *testscript.TestScript, f *fleet, args []string) { f.instances[args[0]].node.set(false) },
+	// round lets every instance read the head.
+	"round": func(_ *testscript.TestScript, f *fleet, _ []string) { f.round() },
+	// pass DURATION moves the clock.
+	"pass": func(ts *testscript.TestScript, f *fleet, args []string) {
+		d, err := time.ParseDuration(args[0])
+		ts.Check(err)
+		f.pass(d)
+	},
+	// ready INSTANCE prints why an instance is not ready.
+	"ready": func(ts *testscript.TestScript, f *fleet, args []string) {
+		i := f.instances[args[0]]
+		reason := i.Ready(f.clock())
+		if reason == "" {
+			reason = "ready"
+		}
+		_, err := ts.Stdout().Write([]byte(reason + ", admits " + strconv.FormatBool(i.Admits(f.clock())) + "\n"))
+		ts.Check(err)
+	},
+	// admit INSTANCE admits a request, and request INSTANCE prints the models that it and a new one see.
+	"admit": func(_ *testscript.TestScript, f *fleet, args []string) {
+		f.instances[args[0]].admitted = f.instances[args[0]].View()
+	},
+	"request": func(ts *testscript.TestScript, f *fleet, args []string) {
+		i := f.instances[args[0]]
+		old, _ := i.admitted.Version("chat", "k")
+		now, _ := i.View().Version("chat", "k")
+		_, err := ts.Stdout().Write([]byte("in flight: " + old + ", new: " + now + "\n"))
+		ts.Check(err)
+	},
+}
+
+// set cuts the node off or connects it.
+func (n *node) set(cut bool) {
+	n.mesh.mu.Lock()
+	defer n.mesh.mu.Unlock()
+	n.cut = cut
+}
+
+// leave removes a node and what it shared.
+func (m *mesh) leave(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var nodes []*node
+	for _, n := range m.nodes {
+		if n.id != id {
+			nodes = append(nodes, n)
+		}
+	}
+	m.nodes = nodes
+}
+
+func TestScenarios(t *testing.T) {
+	cmds := map[string]func(*testscript.TestScript, bool, []string){}
+	for name, c := range commands {
+		cmds[name] = func(ts *testscript.TestScript, neg bool, args []string) {
+			if neg {
+				ts.Fatalf("%s cannot be negated", name)
+			}
+			c(ts, ts.Value(fleetKey{}).(*fleet), args)
+		}
+	}
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			f := newFleet(t)
+			for _, id := range []string{"a", "b", "c"} {
+				f.join(id, 2)
+			}
+			f.round()
+			env.Values[fleetKey{}] = f
+			return nil
+		},
+		Cmds: cmds,
+	})
+}
--- a/internal/serving/poller/peers.go
+++ b/internal/serving/poller/peers.go
@@ -35,9 +35,9 @@
 
 // Status is what an instance says of its configuration.
 type Status struct {
-	ID    string
-	Epoch int64
-	Ready bool
+	ID      string
+	Epoch   int64
+	Vouches bool
 }
 
 // Missing is what follows an epoch: the deltas, or the whole snapshot if they are no longer held.
@@ -49,7 +49,7 @@
 // Nothing is an argument without content.
 type Nothing struct{}
 
-// Status answers the epoch in force and whether the instance is ready under it.
+// Status answers the epoch in force and whether the instance vouches for it.
 func (r *Records) Status(_ Nothing, reply *Status) error {
 	*reply = r.p.status()
 	return nil
@@ -72,8 +72,7 @@
 func (p *Poller) status() Status {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	ready, _ := p.follower.Ready(p.now())
-	return Status{ID: p.id, Epoch: p.follower.Force, Ready: ready}
+	return Status{ID: p.id, Epoch: p.follower.Force, Vouches: p.follower.Vouches()}
 }
 
 // since returns what follows an epoch.
@@ -163,7 +162,7 @@
 func (p *Poller) heard(peer gossiper.Peer, s Status) follower.Decision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.follower.Heard(p.now(), peer.ID, s.Epoch, s.Ready)
+	return p.follower.Heard(p.now(), peer.ID, s.Epoch, s.Vouches)
 }
 
 // ask asks some peers for their epochs and fetches what is missing from one that has it.
