--- a/internal/serving/runner/peers.go
+++ b/internal/serving/runner/peers.go
@@ -18,10 +18,10 @@
 	countsKey = "counts"
 )
 
-// newExchange returns the instance's part in the exchange, at an address that peers reach.
-func (r *Runner) newExchange(address string) *exchanger.Exchanger {
+// newExchange returns the instance's part in the exchange.
+func (r *Runner) newExchange() *exchanger.Exchanger {
 	s := r.settings
-	self := gossiper.Peer{ID: s.ID, Address: address, DataCentre: s.DataCentre, Region: s.Region}
+	self := gossiper.Peer{ID: s.ID, Address: r.address, DataCentre: s.DataCentre, Region: s.Region}
 	options := []exchanger.Option{
 		exchanger.WithInterval(s.Times.Gossip),
 		exchanger.WithLogger(r.log),
--- a/internal/serving/runner/runner.go
+++ b/internal/serving/runner/runner.go
@@ -50,8 +50,10 @@
 	log      *slog.Logger
 	// owner names this process: it differs after a restart.
 	owner string
-	done  chan struct{}
-	wait  sync.WaitGroup
+	// address is where other instances reach this one.
+	address string
+	done    chan struct{}
+	wait    sync.WaitGroup
 
 	phase     phase
 	engines   *streamer.Client
@@ -108,7 +110,11 @@
 	if err != nil {
 		return err
 	}
-	r.build(listeners[2].Addr().String())
+	r.address = listeners[2].Addr().String()
+	if r.settings.Advertise != "" {
+		r.address = r.settings.Advertise
+	}
+	r.build()
 	r.callers = newFront(listeners[0], r.callerRoutes(), r.settings.Limits.Header, &r.phase)
 	r.operators = newFront(listeners[1], r.operatorRoutes(), r.settings.Limits.Header, nil)
 	r.exchange.Start(listeners[2])
@@ -143,14 +149,11 @@
 	return net.Listen("tcp", l.Address)
 }
 
-// build makes the parts. Peers reach the instance at the address given, unless the settings name another.
-func (r *Runner) build(address string) {
+// build makes the parts.
+func (r *Runner) build() {
 	s := r.settings
-	if s.Advertise != "" {
-		address = s.Advertise
-	}
 	r.meter = meter.New(s.ID, s.DataCentre)
-	r.exchange = r.newExchange(address)
+	r.exchange = r.newExchange()
 	r.config = r.newPoller()
 	d := detector.New(detector.WithProgress(s.Times.Progress))
 	r.router = router.New(s.DataCentre, d, []picker.Option{}, router.WithLog(r.log))
@@ -300,3 +303,13 @@
 	r.wait.Wait()
 	_ = r.meter.Close()
 }
+
+// ID returns the instance's name.
+func (r *Runner) ID() string {
+	return r.settings.ID
+}
+
+// PeerAddress returns the address at which other instances reach this one.
+func (r *Runner) PeerAddress() string {
+	return r.address
+}
