--- a/internal/standin/decoder/decoder.go
+++ b/internal/standin/decoder/decoder.go
@@ -17,6 +17,7 @@
 
 	"github.com/heatherrock/heatherrock/internal/platform/caller"
 	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 )
 
 // The defaults of the options.
@@ -50,7 +51,8 @@
 	fenced   bool
 	clock    func() time.Time
 	crash    func()
-	link     func(address string) time.Duration
+	link     func(address string, positions int) time.Duration
+	faults   *faulter.Faults
 	fetch    Fetch
 	drop     func(sequence int64) bool
 	router   *mux.Router
@@ -110,14 +112,17 @@
 // WithCrash sets what ends the engine's process. Without it, Crash cuts the connections until Restore.
 func WithCrash(crash func()) Option { return func(d *Decoder) { d.crash = crash } }
 
-// WithLink sets the delay of the link to another engine, by its address.
-func WithLink(link func(address string) time.Duration) Option {
+// WithLink sets the delay of the link to another engine, by its address and the positions that a step carries.
+func WithLink(link func(address string, positions int) time.Duration) Option {
 	return func(d *Decoder) { d.link = link }
 }
 
 // WithWeights sets how weights are fetched for an order to load. Without it they are there at once.
 func WithWeights(fetch Fetch) Option { return func(d *Decoder) { d.fetch = fetch } }
 
+// WithFaults sets the faults of the kind Skip, which strike the steps of this engine's stage.
+func WithFaults(f *faulter.Faults) Option { return func(d *Decoder) { d.faults = f } }
+
 // WithGaps sets which cache events are lost.
 func WithGaps(drop func(sequence int64) bool) Option { return func(d *Decoder) { d.drop = drop } }
 
@@ -131,7 +136,7 @@
 		ping:     defaultPing,
 		clock:    time.Now,
 		service:  Service{Batch: defaultBatch},
-		link:     func(string) time.Duration { return 0 },
+		link:     func(string, int) time.Duration { return 0 },
 		drop:     func(int64) bool { return false },
 		prefixes: newPrefixes(defaultCache),
 		caches:   map[string]Cache{},
--- a/internal/standin/decoder/decoder_test.go
+++ b/internal/standin/decoder/decoder_test.go
@@ -16,6 +16,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 )
 
 const (
@@ -214,6 +215,25 @@
 	}
 }
 
+func TestSkip(t *testing.T) {
+	faults := faulter.NewFaults(1)
+	if err := faults.Set(faulter.Fault{Call: CallStep, Kind: faulter.Skip, Skip: 4, Count: 1}); err != nil {
+		t.Fatal(err)
+	}
+	f := newFleet(t, WithFaults(faults))
+	q := request(f, "a 0 4", "b 4 9", "c 9 12")
+	steps := collect(t, f.open(t, q))
+	wrong := q.Stages[1]
+	wrong.To--
+	want := []streamer.Stage{q.Stages[0], wrong, q.Stages[2]}
+	if diff := cmp.Diff(want, steps[1].Ran); diff != "" {
+		t.Errorf("ran mismatch (-want +got):\n%s", diff)
+	}
+	if _, text := Answer("m", "v", "", q.Prompt, layers, q.Limit); text == textOf(steps) {
+		t.Errorf("a skipped layer leaves the answer %q as it is", text)
+	}
+}
+
 func TestPoison(t *testing.T) {
 	f := newFleet(t)
 	q := request(f, "a 0 4", "b 4 9")
--- a/internal/standin/decoder/session.go
+++ b/internal/standin/decoder/session.go
@@ -39,24 +39,22 @@
 	return cut
 }
 
-// run runs the stage's layers for the next positions and returns what the last layer puts out for each.
-func (c *Cache) run(inputs []uint64) []uint64 {
+// run runs the stage's layers below a bound for the next positions.
+func (c *Cache) run(inputs []uint64, bound int) {
 	salt := salt(c.Model, c.Version, c.Adapter)
-	first := len(c.Inputs)
 	for _, input := range inputs {
 		states := make([]uint64, c.To-c.From)
 		if n := len(c.States); n > 0 {
 			copy(states, c.States[n-1])
 		}
 		output := input
-		for i := range states {
+		for i := range min(bound, c.To) - c.From {
 			states[i], output = layer(salt, c.From+i, states[i], output)
 		}
 		c.Inputs = append(c.Inputs, input)
 		c.Outputs = append(c.Outputs, output)
 		c.States = append(c.States, states)
 	}
-	return c.Outputs[first:]
 }
 
 // sessionKey names the work of one stage of an attempt. An engine may run several stages of one attempt.
--- a/internal/standin/decoder/step.go
+++ b/internal/standin/decoder/step.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 )
 
 // Step is the call from the engine of one stage to that of the next.
@@ -35,6 +36,9 @@
 	Reason   string `json:"reason,omitempty"`
 }
 
+// CallStep is the name of a step, by which faults of the kind Skip are set.
+const CallStep = "POST /engine/steps"
+
 // takeStep runs a step that the engine of the stage before passed on.
 func (d *Decoder) takeStep(w http.ResponseWriter, r *http.Request) {
 	var s Step
@@ -57,6 +61,9 @@
 	if reason != "" {
 		return Reply{Endpoint: d.endpoint, Reason: reason}
 	}
+	if _, ok := d.faults.Take(CallStep, faulter.Skip); ok {
+		g.To--
+	}
 	outputs, reason := d.compute(ctx, n, s, g)
 	if reason != "" {
 		return Reply{Endpoint: d.endpoint, Reason: reason}
@@ -130,7 +137,8 @@
 	return false
 }
 
-// compute runs the stage's layers for a step's inputs once its batch comes up.
+// compute runs the layers of a stage, which may be fewer than the session's, for a step's inputs once its batch comes
+// up.
 func (d *Decoder) compute(ctx context.Context, n *session, s Step, g streamer.Stage) ([]uint64, string) {
 	fresh := s.Inputs
 	if s.Position == 0 {
@@ -145,7 +153,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	n.cache.run(fresh)
+	n.cache.run(fresh, g.To)
 	outputs := n.cache.Outputs
 	return append([]uint64(nil), outputs[len(outputs)-len(s.Inputs):]...), ""
 }
@@ -153,7 +161,7 @@
 // pass sends a step to the engine of the next stage and returns its reply.
 func (d *Decoder) pass(ctx context.Context, s Step) Reply {
 	g := s.Request.Stages[s.Index]
-	if !pause(ctx, d.link(g.Address)) {
+	if !pause(ctx, d.link(g.Address, len(s.Inputs))) {
 		return Reply{Endpoint: d.endpoint, Reason: "cancelled"}
 	}
 	reply, err := d.call(ctx, g.Address, s)
--- a/internal/standin/faulter/server.go
+++ b/internal/standin/faulter/server.go
@@ -15,10 +15,15 @@
 	handler http.Handler
 	onCrash func()
 
+	// restoring is held by the one Restore at a time.
+	restoring sync.Mutex
+
 	mu      sync.Mutex
 	address string
 	server  *http.Server
-	done    chan struct{}
+	closed  bool
+	// done is closed once the listener of the latest server is.
+	done chan struct{}
 }
 
 // NewServer returns a server that is not yet started. Its handler is wrapped with the faults. An address with port 0
@@ -32,17 +37,38 @@
 	return s
 }
 
-// Restore starts the server, for the first time or after a crash. It does nothing if the server runs.
+// Restore starts the server, for the first time or after a crash, once the listener from before is closed. It does
+// nothing if the server runs, and fails after Close.
 func (s *Server) Restore() error {
+	s.restoring.Lock()
+	defer s.restoring.Unlock()
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.server != nil {
+	running, closed, address, before := s.server != nil, s.closed, s.address, s.done
+	s.mu.Unlock()
+	if closed {
+		return http.ErrServerClosed
+	}
+	if running {
 		return nil
 	}
-	l, err := net.Listen("tcp", s.address)
+	if before != nil {
+		<-before
+	}
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
+	return s.start(l)
+}
+
+// start serves on a listener, unless the server was closed meanwhile.
+func (s *Server) start(l net.Listener) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = l.Close()
+		return http.ErrServerClosed
+	}
 	s.address = l.Addr().String()
 	s.server = &http.Server{Handler: s.handler, ConnContext: ConnContext}
 	s.done = make(chan struct{})
@@ -75,8 +101,11 @@
 	s.stop(s.onCrash)
 }
 
-// Close ends the server.
+// Close ends the server for good.
 func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
 	s.stop(nil)
 }
 
--- a/internal/standin/tabler/table.go
+++ b/internal/standin/tabler/table.go
@@ -70,14 +70,22 @@
 // WithFaults sets the faults that strike the calls.
 func WithFaults(f *faulter.Faults) Option { return func(t *Table) { t.faults = f } }
 
-// WithRates bounds the commits and the reads a second. Without it there is no bound.
+// WithRates bounds the commits and the reads a second. Without it, or with 0, there is no bound.
 func WithRates(writes, reads float64) Option {
 	return func(t *Table) {
-		t.writes = rate.NewLimiter(rate.Limit(writes), int(max(1, writes)))
-		t.reads = rate.NewLimiter(rate.Limit(reads), int(max(1, reads)))
+		t.writes = limiter(writes)
+		t.reads = limiter(reads)
 	}
 }
 
+// limiter returns a limiter with a burst of one second, or nil for a bound of 0.
+func limiter(bound float64) *rate.Limiter {
+	if bound <= 0 {
+		return nil
+	}
+	return rate.NewLimiter(rate.Limit(bound), int(max(1, bound)))
+}
+
 // New returns an empty table service.
 func New(options ...Option) *Table {
 	t := &Table{clock: time.Now, rows: map[rowKey]tabler.Row{}}
