Run instances and stand-ins together in one process

Cause: scenarios and experiments need the whole fleet, small. Change: stager starts stand-ins and instances, drives records and asks for streamed answers; observer keeps each instance's picture of the endpoints.

--- /dev/null
+++ b/internal/bench/stager/caller.go
@@ -0,0 +1,140 @@
+package stager
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Answer is what a caller got for one request.
+type Answer struct {
+	Status int
+	// Code is the code of a problem, whether it came in place of an answer or within a stream.
+	Code    string
+	Outcome string
+	Text    string
+	// Whole is set if a stream had its explicit end.
+	Whole bool
+	// Asked and Tokens are the times of the request and of each token.
+	Asked  time.Time
+	Tokens []time.Time
+}
+
+// Caller sends requests of one team.
+type Caller struct {
+	// Token is the team's bearer token.
+	Token  string
+	client *http.Client
+}
+
+// NewCaller returns a caller with a pool of connections of its own.
+func NewCaller(token string) *Caller {
+	return &Caller{Token: token, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
+}
+
+// Close closes the caller's idle connections.
+func (c *Caller) Close() {
+	c.client.CloseIdleConnections()
+}
+
+// chunk is one event of a stream.
+type chunk struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+	Error *struct {
+		Code string `json:"code"`
+	} `json:"error"`
+}
+
+// question is a request for a streamed completion.
+type question struct {
+	Model  string `json:"model"`
+	Prompt string `json:"prompt"`
+	Tokens int    `json:"max_tokens"`
+	Stream bool   `json:"stream"`
+}
+
+// Complete asks an instance for a streamed completion. The error is that of the connection.
+func (c *Caller) Complete(ctx context.Context, address, model, prompt string, limit int) (Answer, error) {
+	a := Answer{Asked: time.Now()}
+	body, err := json.Marshal(question{Model: model, Prompt: prompt, Tokens: limit, Stream: true})
+	if err != nil {
+		return a, err
+	}
+	r, err := c.Send(ctx, http.MethodPost, address, "/v1/completions", nil, body)
+	if err != nil {
+		return a, err
+	}
+	defer r.Body.Close()
+	a.Status = r.StatusCode
+	a.Outcome = r.Header.Get("Heatherrock-Outcome")
+	if r.StatusCode != http.StatusOK {
+		return a, a.refused(r.Body)
+	}
+	return a, a.read(r.Body)
+}
+
+// Send sends a request with the caller's credential.
+func (c *Caller) Send(ctx context.Context, method, address, path string, header http.Header, body []byte) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range header {
+		r.Header[name] = values
+	}
+	r.Header.Set("Authorization", "Bearer "+c.Token)
+	return c.client.Do(r)
+}
+
+// refused reads a problem that came in place of an answer.
+func (a *Answer) refused(r io.Reader) error {
+	var c chunk
+	if err := json.NewDecoder(r).Decode(&c); err != nil {
+		return merry.Prepend(err, "problem")
+	}
+	if c.Error != nil {
+		a.Code = c.Error.Code
+	}
+	return nil
+}
+
+// read reads a stream.
+func (a *Answer) read(r io.Reader) error {
+	var text strings.Builder
+	defer func() { a.Text = text.String() }()
+	lines := bufio.NewScanner(r)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			a.Whole = true
+			continue
+		}
+		var c chunk
+		if err := json.Unmarshal([]byte(data), &c); err != nil {
+			return merry.Prepend(err, "event")
+		}
+		if c.Error != nil {
+			a.Code = c.Error.Code
+			continue
+		}
+		for _, choice := range c.Choices {
+			if choice.Text != "" {
+				a.Tokens = append(a.Tokens, time.Now())
+				text.WriteString(choice.Text)
+			}
+		}
+	}
+	return lines.Err()
+}
--- /dev/null
+++ b/internal/bench/stager/stager.go
@@ -0,0 +1,233 @@
+// Package stager runs instances of heatherrock and stand-ins for all that lies outside them, in one process.
+package stager
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/google/uuid"
+
+	"github.com/heatherrock/heatherrock/internal/control/accepter"
+	"github.com/heatherrock/heatherrock/internal/control/recorder"
+	"github.com/heatherrock/heatherrock/internal/platform/lister"
+	"github.com/heatherrock/heatherrock/internal/serving/commander"
+	"github.com/heatherrock/heatherrock/internal/serving/configurer"
+	"github.com/heatherrock/heatherrock/internal/serving/runner"
+	"github.com/heatherrock/heatherrock/internal/standin/starter"
+)
+
+// poll is the time between looks at a condition.
+const poll = 5 * time.Millisecond
+
+// Stage is a number of instances before one set of stand-ins.
+type Stage struct {
+	Standins *starter.Starter
+	Nodes    []*runner.Runner
+
+	times      configurer.Times
+	limits     configurer.Limits
+	datacentre string
+	region     string
+	logger     *slog.Logger
+	started    int
+}
+
+// Option changes a Stage under construction.
+type Option func(*Stage)
+
+// WithTimes changes the instances' times.
+func WithTimes(change func(*configurer.Times)) Option {
+	return func(s *Stage) { change(&s.times) }
+}
+
+// WithLogger sets the instances' log. Without it nothing is logged.
+func WithLogger(l *slog.Logger) Option { return func(s *Stage) { s.logger = l } }
+
+// WithPlace sets the data centre and region of the instances.
+func WithPlace(datacentre, region string) Option {
+	return func(s *Stage) { s.datacentre, s.region = datacentre, region }
+}
+
+// New starts the stand-ins of a fleet and a number of instances. After an error none runs.
+func New(f starter.Fleet, nodes int, options ...Option) (*Stage, error) {
+	standins, err := starter.Start(f)
+	if err != nil {
+		return nil, err
+	}
+	s := &Stage{
+		Standins:   standins,
+		datacentre: "a",
+		region:     "r",
+		logger:     slog.New(slog.DiscardHandler),
+		limits:     configurer.Default().Limits,
+		times:      configurer.Default().Times,
+	}
+	s.times.Poll = 200 * time.Millisecond
+	s.times.Gossip = 100 * time.Millisecond
+	s.times.List = 100 * time.Millisecond
+	s.times.Report = 100 * time.Millisecond
+	s.times.Notice = 300 * time.Millisecond
+	for _, o := range options {
+		o(s)
+	}
+	for range nodes {
+		if _, err := s.Join(); err != nil {
+			s.Close()
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// Join starts one more instance and puts it into the instance list.
+func (s *Stage) Join() (*runner.Runner, error) {
+	s.started++
+	free := configurer.Listener{Address: "127.0.0.1:0"}
+	settings := configurer.Settings{
+		ID:         fmt.Sprintf("entry-%d", s.started),
+		DataCentre: s.datacentre,
+		Region:     s.region,
+		Callers:    free,
+		Operators:  free,
+		Peers:      free,
+		Tables:     s.Standins.URL(starter.NameTables),
+		Objects:    s.Standins.URL(starter.NameObjects),
+		Instances:  s.Standins.URL(starter.NameInstances),
+		Weights:    s.Standins.URL(starter.NameWeights),
+		Limits:     s.limits,
+		Times:      s.times,
+	}
+	r := runner.New(settings, runner.Dial(settings), runner.WithLog(s.logger))
+	if err := r.Start(); err != nil {
+		return nil, err
+	}
+	s.Nodes = append(s.Nodes, r)
+	s.Standins.List.Put(lister.Instance{
+		ID: settings.ID, Role: lister.RoleEntry, Address: r.PeerAddress(), DataCentre: s.datacentre, Region: s.region,
+	})
+	return r, nil
+}
+
+// Retire drains the first instance and takes it out of the list. It returns the number of requests cut off.
+func (s *Stage) Retire(ctx context.Context) int {
+	first := s.Nodes[0]
+	s.Nodes = s.Nodes[1:]
+	s.Standins.List.Leave(first.ID())
+	cut := first.Drain(ctx)
+	s.Standins.List.Remove(first.ID())
+	return cut
+}
+
+// Close ends the instances and the stand-ins.
+func (s *Stage) Close() {
+	for _, r := range s.Nodes {
+		r.Close()
+	}
+	s.Standins.Close()
+}
+
+// Until returns once a condition holds, or the context's error.
+func Until(ctx context.Context, holds func() bool) error {
+	for !holds() {
+		select {
+		case <-ctx.Done():
+			return merry.Prepend(ctx.Err(), "condition not reached")
+		case <-time.After(poll):
+		}
+	}
+	return nil
+}
+
+// Accept submits and accepts records by the first instance's operators' interface and waits until they are in force on
+// every instance. It returns the epoch.
+func (s *Stage) Accept(ctx context.Context, records ...recorder.Record) (int64, error) {
+	submitted, err := s.change(ctx, accepter.Command{Action: accepter.ActionSubmit, Records: records})
+	if err != nil {
+		return 0, err
+	}
+	// An instance that has just joined has not yet told the others what it reads: until then accepting is refused.
+	var accepted accepter.Result
+	wait := Until(ctx, func() bool {
+		accepted, err = s.change(ctx, accepter.Command{Action: accepter.ActionAccept, Changes: submitted.Changes})
+		return err == nil
+	})
+	if wait != nil {
+		return 0, err
+	}
+	return accepted.Epoch, s.InForce(ctx, accepted.Epoch)
+}
+
+// InForce returns once an epoch, or a later one, is in force on every instance.
+func (s *Stage) InForce(ctx context.Context, epoch int64) error {
+	return Until(ctx, func() bool {
+		for _, r := range s.Nodes {
+			if r.View().Epoch < epoch {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// change sends one command to the first instance.
+func (s *Stage) change(ctx context.Context, c accepter.Command) (accepter.Result, error) {
+	c.ID = uuid.NewString()
+	c.Operator = "duty"
+	var result accepter.Result
+	client := commander.NewClient("http://"+s.Nodes[0].OperatorAddress(), "")
+	status, err := client.Do(ctx, http.MethodPost, "/changes", c, &result, http.StatusOK, http.StatusConflict,
+		http.StatusUnprocessableEntity)
+	if err != nil {
+		return result, merry.Prepend(err, c.Action)
+	}
+	if status != http.StatusOK {
+		return result, merry.Errorf("%s: %s %v %v", c.Action, result.Reason, result.Faults, result.Conflicts)
+	}
+	return result, nil
+}
+
+// Covered returns once every instance knows of as many engines as the fleet has, or the context's error.
+func (s *Stage) Covered(ctx context.Context) error {
+	return Until(ctx, func() bool {
+		for _, r := range s.Nodes {
+			if len(r.Router().State(time.Now()).Picker.Endpoints) < len(s.Standins.Fleet.Engines) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Hash returns the credential of a bearer token as records hold it.
+func Hash(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// NewModel returns the record of a model with one version, v1.
+func NewModel(name string, layers, tokens int) recorder.Record {
+	return record(recorder.KindModel, name, recorder.Model{
+		Layers: layers, Tokens: tokens, First: 1900, Between: 43,
+		Versions: []recorder.Version{{Name: "v1", Share: 100}},
+	})
+}
+
+// NewTeam returns the record of a team whose bearer token is its name.
+func NewTeam(name string, share int) recorder.Record {
+	return record(recorder.KindTeam, name, recorder.Team{Credential: Hash(name), Share: share})
+}
+
+// record returns a record of the current schema.
+func record(kind, name string, body any) recorder.Record {
+	r, err := recorder.NewRecord(kind, name, body)
+	if err != nil {
+		panic(err) // The bodies of this package have an encoding.
+	}
+	return r
+}
--- a/internal/serving/runner/runner.go
+++ b/internal/serving/runner/runner.go
@@ -30,6 +30,7 @@
 	"github.com/heatherrock/heatherrock/internal/serving/generator"
 	"github.com/heatherrock/heatherrock/internal/serving/isolator"
 	"github.com/heatherrock/heatherrock/internal/serving/meter"
+	"github.com/heatherrock/heatherrock/internal/serving/observer"
 	"github.com/heatherrock/heatherrock/internal/serving/poller"
 	"github.com/heatherrock/heatherrock/internal/serving/router"
 	"github.com/heatherrock/heatherrock/internal/serving/server"
@@ -66,6 +67,7 @@
 	meter     *meter.Meter
 	dumper    *dumper.Dumper
 	config    *poller.Poller
+	observer  *observer.Observer
 	callers   *front
 	operators *front
 }
@@ -119,6 +121,11 @@
 	r.operators = newFront(listeners[1], r.operatorRoutes(), r.settings.Limits.Header, nil)
 	r.exchange.Start(listeners[2])
 	r.config.Start()
+	if r.platform.List != nil {
+		r.observer = observer.New(r.platform.List, r.engines, r.router, r.services, r.settings.Times.List,
+			r.settings.Times.Report, r.clock, r.log)
+		r.observer.Start()
+	}
 	r.wait.Add(4)
 	go r.callers.run(&r.wait)
 	go r.operators.run(&r.wait)
@@ -297,6 +304,9 @@
 	r.operators.close()
 	r.admitter.Close()
 	r.calls.Close()
+	if r.observer != nil {
+		r.observer.Close()
+	}
 	r.config.Close()
 	r.exchange.Close()
 	r.engines.Close()
