Show the product at work in one command

Cause: a newcomer should see the whole job done, and checked, in a minute. Change: 'heatherrock demo' leaves two instances and stand-ins up; -once goes through five checks; the router's state names the plan of each attempt.

--- a/cmd/heatherrock/main.go
+++ b/cmd/heatherrock/main.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/heatherrock/heatherrock/internal/bench/presenter"
 	"github.com/heatherrock/heatherrock/internal/serving/launcher"
 )
 
@@ -16,7 +17,7 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	streams := launcher.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Environ: os.Environ()}
-	code := launcher.New(release).Run(ctx, streams, os.Args[1:])
+	code := launcher.New(release, launcher.WithCommands(presenter.Command())).Run(ctx, streams, os.Args[1:])
 	stop()
 	os.Exit(code)
 }
--- /dev/null
+++ b/internal/bench/presenter/presenter.go
@@ -0,0 +1,95 @@
+// Package presenter shows the product at work on stand-ins, in one process.
+package presenter
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+
+	"github.com/heatherrock/heatherrock/internal/bench/stager"
+	"github.com/heatherrock/heatherrock/internal/serving/launcher"
+)
+
+const (
+	// step is the time of a layer on the fastest kind of accelerator.
+	step = 200 * time.Microsecond
+	// replicas is the number of engines of each range of layers.
+	replicas = 2
+	// team is the name of the demo's team, and its bearer token.
+	team = "joiners"
+	// bound is the longest time that the script may take.
+	bound = time.Minute
+)
+
+// Command returns the program's command for the demo.
+func Command() launcher.Command {
+	return launcher.Command{
+		Name:  "demo",
+		Usage: "demo [-once]",
+		Help:  "run two instances and stand-ins for all that lies outside, in one process",
+		Run:   run,
+	}
+}
+
+// run runs the demo and returns the exit code.
+func run(ctx context.Context, s launcher.Streams, args []string) int {
+	f := flag.NewFlagSet("demo", flag.ContinueOnError)
+	f.SetOutput(s.Err)
+	once := f.Bool("once", false, "go through a script, check each step and exit")
+	if err := ff.Parse(f, args); err != nil {
+		return launcher.ExitUsage
+	}
+	stage, err := stager.New(stager.Mixed(replicas, step), 2)
+	if err != nil {
+		fmt.Fprintln(s.Err, err)
+		return launcher.ExitFailed
+	}
+	defer stage.Close()
+	if *once {
+		return script(ctx, s.Out, stage)
+	}
+	return leave(ctx, s, stage)
+}
+
+// leave brings the demo's records into force and leaves everything up until the context ends.
+func leave(ctx context.Context, s launcher.Streams, stage *stager.Stage) int {
+	if _, err := stage.Accept(ctx, stager.Records(team)...); err != nil {
+		fmt.Fprintln(s.Err, err)
+		return launcher.ExitFailed
+	}
+	if err := stage.Covered(ctx); err != nil {
+		fmt.Fprintln(s.Err, err)
+		return launcher.ExitFailed
+	}
+	guide(s.Out, stage)
+	<-ctx.Done()
+	return launcher.ExitDone
+}
+
+// guide prints what to try.
+func guide(w io.Writer, stage *stager.Stage) {
+	first, second := stage.Nodes[0], stage.Nodes[1]
+	fmt.Fprintf(w, `Two instances and their stand-ins are up. Try:
+
+  curl -N http://%s/v1/completions -H 'Authorization: Bearer %s' \
+    -d '{"model":"%s","prompt":"a latch for a till","max_tokens":40,"stream":true}'
+
+  curl -i http://%s/v1/services/%s/holds -H 'Authorization: Bearer %s' \
+    -H "Idempotency-Key: $(date -u +%%F)-hold-1" -d '{"item":"%s","quantity":2}'
+
+  heatherrock state -addr %s -part router
+  heatherrock record list -address http://%s
+
+Crash an engine, and start it again:
+
+  curl -X POST %s/standins/medium-1-1/crash
+  curl -X POST %s/standins/medium-1-1/restore
+
+Interrupt ends the demo.
+`, first.CallerAddress(), team, stager.Model, second.CallerAddress(), stager.Service, team, stager.Item,
+		first.OperatorAddress(), second.OperatorAddress(), stage.Standins.Control(), stage.Standins.Control())
+}
--- /dev/null
+++ b/internal/bench/stager/mixed.go
@@ -0,0 +1,78 @@
+package stager
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/heatherrock/heatherrock/internal/control/recorder"
+	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/standin/booker"
+	"github.com/heatherrock/heatherrock/internal/standin/starter"
+)
+
+// The model and the service of a mixed fleet.
+const (
+	// Model is the model's name, and Layers counts its layers.
+	Model  = "oak"
+	Layers = 24
+	// Service is the name of the plain service, and Item what it stocks.
+	Service = "stores"
+	Item    = "seasoned-oak"
+	// Poison is the marker of a prompt that crashes the engines which run it.
+	Poison = "POISON"
+)
+
+// Mixed describes a fleet of three kinds of accelerators whose ranges are cut at different layers: a number of engines
+// of each range, and three servers of a plain service. Step is the time of a layer on the large kind; the others are
+// slower.
+func Mixed(replicas int, step time.Duration) starter.Fleet {
+	f := starter.Fleet{
+		Seed:      1,
+		Tables:    &starter.Tables{},
+		Objects:   &starter.Objects{},
+		Instances: &starter.List{},
+		Weights:   &starter.Weights{},
+		Kinds: map[string]starter.Kind{
+			"large":  {Layer: starter.Duration(step), Batch: 32, Poison: Poison},
+			"medium": {Layer: starter.Duration(2 * step), Batch: 32, Poison: Poison},
+			"small":  {Layer: starter.Duration(3 * step), Batch: 32, Poison: Poison},
+		},
+		Services: map[string]starter.Service{
+			Service: {Effect: booker.PathHolds, Lookup: true, Stock: map[string]int{Item: 1000}},
+		},
+	}
+	cuts := []struct {
+		kind string
+		from int
+		to   int
+	}{{"large", 0, 12}, {"medium", 12, 18}, {"medium", 12, 18}, {"small", 18, 24}}
+	for i := range replicas {
+		for j, c := range cuts {
+			f.Engines = append(f.Engines, starter.Engine{
+				ID: fmt.Sprintf("%s-%d-%d", c.kind, j, i+1), Kind: c.kind, DataCentre: "a", Region: "r",
+				Held: []streamer.Held{{Model: Model, Version: "v1", From: c.from, To: c.to}},
+			})
+		}
+	}
+	for i := range 3 {
+		f.Servers = append(f.Servers, starter.Server{
+			ID: fmt.Sprintf("%s-%d", Service, i+1), Service: Service, DataCentre: "a", Region: "r",
+		})
+	}
+	return f
+}
+
+// Records returns the records of a mixed fleet: its model, its service and teams whose bearer tokens are their names.
+func Records(teams ...string) []recorder.Record {
+	records := []recorder.Record{
+		NewModel(Model, Layers, 256),
+		record(recorder.KindService, Service, recorder.Service{Calls: []recorder.Call{
+			{Method: "POST", Path: booker.PathHolds, Deadline: 5000, Lookup: booker.PathHolds + "/{key}"},
+			{Method: "GET", Path: booker.PathCatalogue, Idempotent: true, Deadline: 1000, Retries: 3},
+		}}),
+	}
+	for _, t := range teams {
+		records = append(records, NewTeam(t, 1))
+	}
+	return records
+}
--- a/internal/serving/router/router.go
+++ b/internal/serving/router/router.go
@@ -3,7 +3,9 @@
 
 import (
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -33,16 +35,21 @@
 	picker   *picker.Picker
 	detector *detector.Detector
 	budget   *limiter.Budget
-	attempts map[string]*attempt
+	attempts map[string]*Attempt
 	counts   map[string]int
 }
 
-// attempt is an attempt in progress.
-type attempt struct {
-	began  time.Time
-	first  time.Time
-	last   time.Time
-	tokens int
+// Attempt is an attempt in progress.
+type Attempt struct {
+	Request string
+	Team    string
+	Plan    planner.Plan
+	Began   time.Time
+	// First and Last are the times of the first and the last token so far.
+	First time.Time
+	Last  time.Time
+	// Tokens counts the tokens that the attempt has delivered.
+	Tokens int
 }
 
 // Option changes a Router under construction.
@@ -65,7 +72,7 @@
 		picker:     picker.New(append(p, picker.WithHealth(d))...),
 		detector:   d,
 		budget:     limiter.NewBudget(retryShare, retryFloor),
-		attempts:   map[string]*attempt{},
+		attempts:   map[string]*Attempt{},
 		counts:     map[string]int{},
 	}
 	for _, o := range options {
@@ -160,7 +167,7 @@
 	if _, ok := r.attempts[j.Request]; !ok {
 		r.budget.Request(now)
 	}
-	r.attempts[j.Request] = &attempt{began: now}
+	r.attempts[j.Request] = &Attempt{Request: j.Request, Team: j.Team, Plan: p, Began: now}
 	r.picker.Start(now, p, j.Limit)
 	r.picker.Used(now, p, j.Prefixes)
 	r.detector.Opened(now, j.Request, p.Stages[0].Endpoint)
@@ -176,13 +183,13 @@
 		return
 	}
 	r.detector.Progress(now, j.Request)
-	if a.tokens == 0 {
-		a.first = now
+	if a.Tokens == 0 {
+		a.First = now
 	} else {
-		r.picker.Progress(now, p, now.Sub(a.last))
+		r.picker.Progress(now, p, now.Sub(a.Last))
 	}
-	a.tokens++
-	a.last = now
+	a.Tokens++
+	a.Last = now
 }
 
 // Ended takes in how an attempt ended.
@@ -213,10 +220,10 @@
 }
 
 // result returns what the picker learns from an attempt.
-func result(a *attempt, t generator.Attempt) picker.Result {
+func result(a *Attempt, t generator.Attempt) picker.Result {
 	out := picker.Result{Tokens: t.Tokens, Failed: t.Ending != generator.EndingComplete}
-	if a != nil && a.tokens > 1 {
-		out.Between = a.last.Sub(a.first) / time.Duration(a.tokens-1)
+	if a != nil && a.Tokens > 1 {
+		out.Between = a.Last.Sub(a.First) / time.Duration(a.Tokens-1)
 	}
 	return out
 }
@@ -241,8 +248,8 @@
 type State struct {
 	Picker   picker.State
 	Detector detector.State
-	// Attempts counts the attempts in progress.
-	Attempts int
+	// Attempts are those in progress, ordered by request.
+	Attempts []Attempt
 	// Counts counts refusals by reason and attempts by ending.
 	Counts map[string]int
 }
@@ -255,10 +262,14 @@
 	for k, n := range r.counts {
 		counts[k] = n
 	}
+	attempts := make([]Attempt, 0, len(r.attempts))
+	for _, id := range slices.Sorted(maps.Keys(r.attempts)) {
+		attempts = append(attempts, *r.attempts[id])
+	}
 	return State{
 		Picker:   r.picker.State(now),
 		Detector: r.detector.State(now),
-		Attempts: len(r.attempts),
+		Attempts: attempts,
 		Counts:   counts,
 	}
 }
--- a/internal/serving/runner/contract_test.go
+++ b/internal/serving/runner/contract_test.go
@@ -208,7 +208,7 @@
 		cancel()
 		for s.Next() {
 		}
-		for r.Router().State(time.Now()).Attempts > 0 {
+		for len(r.Router().State(time.Now()).Attempts) > 0 {
 			time.Sleep(time.Millisecond)
 		}
 	})
