--- a/internal/bench/runner/runner.go
+++ b/internal/bench/runner/runner.go
@@ -4,11 +4,13 @@
 import (
 	"github.com/heatherrock/heatherrock/internal/bench/claimer"
 	"github.com/heatherrock/heatherrock/internal/bench/reporter"
+	"github.com/heatherrock/heatherrock/internal/bench/spreader"
 )
 
 // Experiments is the table of experiments, in the order in which they are listed.
 func Experiments() []reporter.Experiment {
 	var all []reporter.Experiment
 	all = append(all, claimer.Experiments()...)
+	all = append(all, spreader.Experiments()...)
 	return all
 }
--- /dev/null
+++ b/internal/bench/spreader/explorer_test.go
@@ -0,0 +1,27 @@
+package spreader
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestExplore(t *testing.T) {
+	const histories = 300
+	got, err := Explore(1, histories)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%+v", got)
+	bad := []int{got.Reversions, got.Divergent, got.Misreported, got.Behind}
+	if diff := cmp.Diff([]int{0, 0, 0, 0}, bad); diff != "" {
+		t.Error(diff)
+	}
+	if got.Epochs < histories || got.Applied < histories {
+		t.Errorf("too little happened: %+v", got)
+	}
+	again, err := Explore(1, histories)
+	if diff := cmp.Diff(got, again); err != nil || diff != "" {
+		t.Error(err, diff)
+	}
+}
