--- a/internal/serving/runner/runner.go
+++ b/internal/serving/runner/runner.go
@@ -30,6 +30,7 @@
 	"github.com/heatherrock/heatherrock/internal/serving/generator"
 	"github.com/heatherrock/heatherrock/internal/serving/isolator"
 	"github.com/heatherrock/heatherrock/internal/serving/meter"
+	"github.com/heatherrock/heatherrock/internal/serving/observer"
 	"github.com/heatherrock/heatherrock/internal/serving/poller"
 	"github.com/heatherrock/heatherrock/internal/serving/router"
 	"github.com/heatherrock/heatherrock/internal/serving/server"
@@ -50,8 +51,10 @@
 	log      *slog.Logger
 	// owner names this process: it differs after a restart.
 	owner string
-	done  chan struct{}
-	wait  sync.WaitGroup
+	// address is where other instances reach this one.
+	address string
+	done    chan struct{}
+	wait    sync.WaitGroup
 
 	phase     phase
 	engines   *streamer.Client
@@ -64,6 +67,7 @@
 	meter     *meter.Meter
 	dumper    *dumper.Dumper
 	config    *poller.Poller
+	observer  *observer.Observer
 	callers   *front
 	operators *front
 }
@@ -108,11 +112,20 @@
 	if err != nil {
 		return err
 	}
-	r.build(listeners[2].Addr().String())
+	r.address = listeners[2].Addr().String()
+	if r.settings.Advertise != "" {
+		r.address = r.settings.Advertise
+	}
+	r.build()
 	r.callers = newFront(listeners[0], r.callerRoutes(), r.settings.Limits.Header, &r.phase)
 	r.operators = newFront(listeners[1], r.operatorRoutes(), r.settings.Limits.Header, nil)
 	r.exchange.Start(listeners[2])
 	r.config.Start()
+	if r.platform.List != nil {
+		r.observer = observer.New(r.platform.List, r.engines, r.router, r.services, r.settings.Times.List,
+			r.settings.Times.Report, r.clock, r.log)
+		r.observer.Start()
+	}
 	r.wait.Add(4)
 	go r.callers.run(&r.wait)
 	go r.operators.run(&r.wait)
@@ -143,14 +156,11 @@
 	return net.Listen("tcp", l.Address)
 }
 
-// build makes the parts. Peers reach the instance at the address given, unless the settings name another.
-func (r *Runner) build(address string) {
+// build makes the parts.
+func (r *Runner) build() {
 	s := r.settings
-	if s.Advertise != "" {
-		address = s.Advertise
-	}
 	r.meter = meter.New(s.ID, s.DataCentre)
-	r.exchange = r.newExchange(address)
+	r.exchange = r.newExchange()
 	r.config = r.newPoller()
 	d := detector.New(detector.WithProgress(s.Times.Progress))
 	r.router = router.New(s.DataCentre, d, []picker.Option{}, router.WithLog(r.log))
@@ -294,9 +304,22 @@
 	r.operators.close()
 	r.admitter.Close()
 	r.calls.Close()
+	if r.observer != nil {
+		r.observer.Close()
+	}
 	r.config.Close()
 	r.exchange.Close()
 	r.engines.Close()
 	r.wait.Wait()
 	_ = r.meter.Close()
 }
+
+// ID returns the instance's name.
+func (r *Runner) ID() string {
+	return r.settings.ID
+}
+
+// PeerAddress returns the address at which other instances reach this one.
+func (r *Runner) PeerAddress() string {
+	return r.address
+}
