Add the settings, records and stand-ins of two users

Cause: there was nothing to show how a fleet is set up, and nothing to try a whole fleet against.

Stand-ins take any character in an object's name, a key and an item.

--- /dev/null
+++ b/cmd/standin/examples_test.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/heatherrock/heatherrock/internal/control/recorder"
+	"github.com/heatherrock/heatherrock/internal/control/validator"
+	"github.com/heatherrock/heatherrock/internal/platform/lister"
+	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/serving/configurer"
+	"github.com/heatherrock/heatherrock/internal/standin/decoder"
+	"github.com/heatherrock/heatherrock/internal/standin/starter"
+)
+
+// users are the directories of the examples.
+var users = []string{"agency", "tregaron"}
+
+func path(elements ...string) string {
+	return filepath.Join(append([]string{"..", "..", "examples"}, elements...)...)
+}
+
+func readFile(t *testing.T, file string) []byte {
+	t.Helper()
+	content, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return content
+}
+
+// fleetOf returns the stand-ins of a user on free ports.
+func fleetOf(t *testing.T, user string) starter.Fleet {
+	t.Helper()
+	f, err := starter.Read(readFile(t, path(user, "standins.json")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Control, f.Tables.Address, f.Objects.Address, f.Instances.Address, f.Weights.Address = "", "", "", "", ""
+	for i := range f.Engines {
+		f.Engines[i].Address = ""
+	}
+	for i := range f.Servers {
+		f.Servers[i].Address = ""
+	}
+	return f
+}
+
+func TestExampleSettings(t *testing.T) {
+	for _, user := range users {
+		t.Run(user, func(t *testing.T) {
+			fleet, err := starter.Read(readFile(t, path(user, "standins.json")))
+			if err != nil {
+				t.Fatal(err)
+			}
+			files, err := filepath.Glob(path(user, "instances", "*.json"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			var entries []lister.Instance
+			for _, file := range files {
+				s, err := configurer.Parse([]string{"-config", file})
+				if err != nil {
+					t.Fatal(err)
+				}
+				entries = append(entries, lister.Instance{
+					ID: s.ID, Role: lister.RoleEntry, Address: s.Peers.Address, DataCentre: s.DataCentre, Region: s.Region,
+				})
+				got := []string{s.Tables, s.Objects, s.Instances, s.Weights}
+				want := []string{
+					"http://" + fleet.Tables.Address, "http://" + fleet.Objects.Address,
+					"http://" + fleet.Instances.Address, "http://" + fleet.Weights.Address,
+				}
+				if diff := cmp.Diff(want, got); diff != "" {
+					t.Errorf("%s: platform mismatch (-want +got):\n%s", file, diff)
+				}
+			}
+			if diff := cmp.Diff(fleet.Entries, entries); diff != "" || len(entries) != 7 {
+				t.Errorf("%d entries; mismatch (-listed +set):\n%s", len(entries), diff)
+			}
+		})
+	}
+}
+
+func TestExampleRecords(t *testing.T) {
+	for _, user := range users {
+		t.Run(user, func(t *testing.T) {
+			content := readFile(t, path(user, "records.json"))
+			faults, notes := validator.File("records.json", content)
+			if len(faults)+len(notes) > 0 {
+				t.Errorf("faults %v, notes %v", faults, notes)
+			}
+			records, _ := validator.Parse("records.json", content)
+			counts := map[string]int{}
+			for _, r := range records {
+				counts[r.Kind]++
+			}
+			want := map[string]int{
+				recorder.KindModel: 1, recorder.KindService: 1, recorder.KindTeam: 10, recorder.KindEndpoint: 3, recorder.KindFleet: 1,
+			}
+			if diff := cmp.Diff(want, counts); diff != "" {
+				t.Errorf("records mismatch (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestExampleStandins starts the stand-ins of each user and streams an answer through three stages of two kinds.
+func TestExampleStandins(t *testing.T) {
+	for _, user := range users {
+		t.Run(user, func(t *testing.T) {
+			s, err := starter.Start(fleetOf(t, user))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer s.Close()
+			if len(s.Engines) != 30 || len(s.Fleet.Servers) != 3 {
+				t.Errorf("%d engines and %d servers", len(s.Engines), len(s.Fleet.Servers))
+			}
+			stages, layers := mixed(s)
+			held := s.Fleet.Engines[0].Held[0]
+			q := streamer.Request{
+				Request: "r", Attempt: 1, Model: held.Model, Version: held.Version, Prompt: "a window sash", Limit: 8, Stages: stages,
+			}
+			_, want := decoder.Answer(held.Model, held.Version, "", q.Prompt, layers, q.Limit)
+			if diff := cmp.Diff(want, stream(t, q)); diff != "" {
+				t.Errorf("answer mismatch (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// mixed returns a plan through the first large engine and the small ones behind it, and the number of layers.
+func mixed(s *starter.Starter) ([]streamer.Stage, int) {
+	var stages []streamer.Stage
+	next := 0
+	for _, kind := range []string{"large", "small"} {
+		for _, e := range s.Fleet.Engines {
+			if e.Kind != kind || len(e.Held) == 0 || e.Held[0].From != next || kind == "large" && next > 0 {
+				continue
+			}
+			next = e.Held[0].To
+			stages = append(stages, streamer.Stage{
+				Endpoint: e.ID, Address: s.Part(e.ID).Server.Address(), From: e.Held[0].From, To: next,
+			})
+		}
+	}
+	return stages, next
+}
+
+// stream returns the text that engines answer with.
+func stream(t *testing.T, q streamer.Request) string {
+	t.Helper()
+	body, err := json.Marshal(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	url := "http://" + q.Stages[0].Address + "/engine/streams"
+	p, err := http.Post(url, "application/json", bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Body.Close()
+	var text string
+	lines := bufio.NewScanner(p.Body)
+	for lines.Scan() {
+		var step streamer.Step
+		if err := json.Unmarshal(lines.Bytes(), &step); err != nil {
+			t.Fatal(err)
+		}
+		text += step.Text
+	}
+	return text
+}
--- a/internal/standin/booker/booker.go
+++ b/internal/standin/booker/booker.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
 	"strings"
 	"sync"
 
@@ -145,7 +146,7 @@
 // New returns a server that places at a path, which is PathHolds or PathOrders. With lookup, the path and a key tell
 // what was placed under the key.
 func New(ledger *Ledger, path string, lookup bool) *Server {
-	s := &Server{ledger: ledger, router: mux.NewRouter()}
+	s := &Server{ledger: ledger, router: mux.NewRouter().UseEncodedPath()}
 	s.router.HandleFunc(path, s.place).Methods(http.MethodPost)
 	if lookup {
 		s.router.HandleFunc(path+"/{key}", s.find).Methods(http.MethodGet)
@@ -179,8 +180,9 @@
 
 // find tells what was placed under a key.
 func (s *Server) find(w http.ResponseWriter, r *http.Request) {
-	placed, ok := s.ledger.find(mux.Vars(r)["key"])
-	if !ok {
+	key, err := url.PathUnescape(mux.Vars(r)["key"])
+	placed, ok := s.ledger.find(key)
+	if !ok || err != nil {
 		http.NotFound(w, r)
 		return
 	}
@@ -188,9 +190,9 @@
 }
 
 func (s *Server) stock(w http.ResponseWriter, r *http.Request) {
-	item := mux.Vars(r)["item"]
+	item, err := url.PathUnescape(mux.Vars(r)["item"])
 	left, ok := s.ledger.left(item)
-	if !ok {
+	if !ok || err != nil {
 		http.NotFound(w, r)
 		return
 	}
--- a/internal/standin/booker/booker_test.go
+++ b/internal/standin/booker/booker_test.go
@@ -52,8 +52,8 @@
 				{"place", "POST", path, "k1", oak, "", 201, "", `{"number":1,"key":"k1","item":"oak","quantity":2}`},
 				{"place again", "POST", path, "k1", oak, "", 201, "", `{"number":2,"key":"k1","item":"oak","quantity":2}`},
 				{"refused", "POST", path, "k2", oak, faulter.Refuse, 503, "not-run", `{"reason":"refused by a fault"}`},
-				{"lost", "POST", path, "k3", oak, faulter.Lose, 0, "", ""},
-				{"look up", "GET", path + "/k3", "", "", "", 200, "", `{"number":3,"key":"k3","item":"oak","quantity":2}`},
+				{"lost", "POST", path, "a:k/3", oak, faulter.Lose, 0, "", ""},
+				{"look up", "GET", path + "/a:k%2F3", "", "", "", 200, "", `{"number":3,"key":"a:k/3","item":"oak","quantity":2}`},
 				{"look up what did not run", "GET", path + "/k2", "", "", "", 404, "", "404 page not found"},
 				{"too little", "POST", path, "k4", `{"item":"oak","quantity":9}`, "", 409, "", `{"item":"oak","left":0}`},
 				{"invalid", "POST", path, "k5", `{"item":"oak"}`, "", 400, "not-run", "not an item and a quantity"},
@@ -73,7 +73,7 @@
 					t.Errorf("%s: answer mismatch (-want +got):\n%s", n.name, diff)
 				}
 			}
-			if diff := cmp.Diff(map[string]int{"k1": 2, "k3": 1}, ledger.Runs()); diff != "" {
+			if diff := cmp.Diff(map[string]int{"k1": 2, "a:k/3": 1}, ledger.Runs()); diff != "" {
 				t.Errorf("runs mismatch (-want +got):\n%s", diff)
 			}
 		})
--- a/internal/standin/storer/store.go
+++ b/internal/standin/storer/store.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/url"
 	"sync"
 
 	"github.com/ansel1/merry/v2"
@@ -72,26 +73,38 @@
 // Handler returns the object store over HTTP.
 func (s *Store) Handler() http.Handler {
 	r := mux.NewRouter().UseEncodedPath()
-	r.HandleFunc(storer.PathObjects+"{name}", s.put).Methods(http.MethodPut)
-	r.HandleFunc(storer.PathObjects+"{name}", s.get).Methods(http.MethodGet)
+	r.HandleFunc(storer.PathObjects+"{name}", named(s.put)).Methods(http.MethodPut)
+	r.HandleFunc(storer.PathObjects+"{name}", named(s.get)).Methods(http.MethodGet)
 	return r
 }
 
-func (s *Store) put(w http.ResponseWriter, r *http.Request) {
+// named returns a handler that gets the name in the path, which may hold any character.
+func named(f func(w http.ResponseWriter, r *http.Request, name string)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		name, err := url.PathUnescape(mux.Vars(r)["name"])
+		if err != nil {
+			refuse(w, merry.Wrap(err, merry.WithHTTPCode(http.StatusBadRequest)))
+			return
+		}
+		f(w, r, name)
+	}
+}
+
+func (s *Store) put(w http.ResponseWriter, r *http.Request, name string) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObject))
 	if err != nil {
 		refuse(w, merry.Wrap(err, merry.WithHTTPCode(http.StatusBadRequest)))
 		return
 	}
-	if err := s.Put(r.Context(), mux.Vars(r)["name"], body); err != nil {
+	if err := s.Put(r.Context(), name, body); err != nil {
 		refuse(w, err)
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (s *Store) get(w http.ResponseWriter, r *http.Request) {
-	body, ok, err := s.Get(r.Context(), mux.Vars(r)["name"])
+func (s *Store) get(w http.ResponseWriter, r *http.Request, name string) {
+	body, ok, err := s.Get(r.Context(), name)
 	if err != nil {
 		refuse(w, err)
 		return
--- a/internal/standin/storer/store_test.go
+++ b/internal/standin/storer/store_test.go
@@ -44,10 +44,14 @@
 				if err := faults.Set(c.faults...); err != nil {
 					t.Fatal(err)
 				}
-				s := open(t, New(faults), faults)
+				store := New(faults)
+				s := open(t, store, faults)
 				if err := s.Put(t.Context(), c.object, body); (err != nil) != c.failed {
 					t.Errorf("put: error %v, want failure %v", err, c.failed)
 				}
+				if _, ok, err := store.Get(t.Context(), c.object); ok != c.stored || err != nil {
+					t.Errorf("stored %v, want %v, error %v", ok, c.stored, err)
+				}
 				got, ok, err := s.Get(t.Context(), c.object)
 				if ok != c.stored || err != nil {
 					t.Errorf("get: found %v, error %v", ok, err)
