Measure instances while endpoints, connections and instances fail

Change: five experiments over loopback on the whole path: overhead, stageloss, silent, poison, drain.

--- /dev/null
+++ b/internal/bench/prover/drain.go
@@ -0,0 +1,169 @@
+package prover
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/heatherrock/heatherrock/internal/bench/reporter"
+	"github.com/heatherrock/heatherrock/internal/bench/stager"
+	"github.com/heatherrock/heatherrock/internal/serving/runner"
+)
+
+const (
+	// drainNodes is the number of instances that are replaced one after another.
+	drainNodes = 7
+	// balancerInterval is the time between the balancer's looks at the instances' readiness.
+	balancerInterval = 100 * time.Millisecond
+	// leavingEndpoints is the number of endpoints that leave under load.
+	leavingEndpoints = 4
+	// lateTarget bounds the time after the first sign in which a leaving endpoint gets new work, in seconds.
+	lateTarget = 3
+	// settle is how long an endpoint that leaves is watched.
+	settle = time.Second
+)
+
+// balancer is the platform's balancer: it sends requests to the instances that were ready when it looked last.
+type balancer struct {
+	stage  *stager.Stage
+	client *http.Client
+	done   chan struct{}
+	wait   sync.WaitGroup
+
+	mu    sync.Mutex
+	ready []*runner.Runner
+	known []*runner.Runner
+}
+
+// newBalancer returns a balancer that has looked once.
+func newBalancer(s *stager.Stage) *balancer {
+	b := &balancer{stage: s, client: &http.Client{Timeout: time.Second}, done: make(chan struct{})}
+	b.look()
+	b.wait.Add(1)
+	go b.loop()
+	return b
+}
+
+// loop looks at each interval until done is closed.
+func (b *balancer) loop() {
+	defer b.wait.Done()
+	t := time.NewTicker(balancerInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-b.done:
+			return
+		case <-t.C:
+			b.look()
+		}
+	}
+}
+
+// look asks each instance that the platform runs whether it is ready.
+func (b *balancer) look() {
+	var ready []*runner.Runner
+	for _, r := range b.stage.Live() {
+		answer, err := b.client.Get("http://" + r.OperatorAddress() + "/readyz")
+		if err != nil {
+			continue
+		}
+		_ = answer.Body.Close()
+		if answer.StatusCode == http.StatusOK {
+			ready = append(ready, r)
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ready = ready
+}
+
+// nodes returns the instances that requests go to.
+func (b *balancer) nodes() []*runner.Runner {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ready
+}
+
+// close ends the balancer.
+func (b *balancer) close() {
+	close(b.done)
+	b.wait.Wait()
+	b.client.CloseIdleConnections()
+}
+
+// runDrain replaces every instance and lets endpoints leave, all under load.
+func runDrain(seed uint64) (reporter.Result, error) {
+	result := reporter.NewResult("drain", seed)
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	s, err := open(ctx, drainNodes, 3, 200*time.Microsecond)
+	if err != nil {
+		return result, err
+	}
+	defer s.Close()
+	b := newBalancer(s)
+	load := startLoad(ctx, b.nodes, 12, seed)
+	cut, err := replace(ctx, s, b)
+	if err != nil {
+		return result, err
+	}
+	late := time.Duration(0)
+	for i := range leavingEndpoints {
+		late = max(late, leave(s, s.Standins.Fleet.Engines[i].ID))
+	}
+	load.stop()
+	b.close()
+	result.Set("replaced", drainNodes, "instances")
+	result.Set("sent", float64(load.sent.Load()), "requests")
+	result.Set("refused", float64(load.refused.Load()), "requests")
+	result.SetTarget("cut", float64(cut)+float64(load.cut.Load()), "requests", 0)
+	result.SetTarget("wrong", float64(load.wrong.Load()), "answers", 0)
+	result.SetTarget("late", late.Seconds(), "s", lateTarget)
+	return result, nil
+}
+
+// replace puts a new instance in the place of each. It returns the number of requests that instances cut off.
+func replace(ctx context.Context, s *stager.Stage, b *balancer) (int, error) {
+	cut := 0
+	for range drainNodes {
+		joined, err := s.Join()
+		if err != nil {
+			return cut, err
+		}
+		// The new instance takes requests before the old one leaves.
+		err = stager.Until(ctx, func() bool {
+			for _, r := range b.nodes() {
+				if r == joined {
+					return true
+				}
+			}
+			return false
+		})
+		if err != nil {
+			return cut, err
+		}
+		cut += s.Retire(ctx)
+	}
+	return cut, nil
+}
+
+// leave lets an endpoint leave and returns the longest time after the first sign at which it got new work.
+func leave(s *stager.Stage, id string) time.Duration {
+	sign := time.Now()
+	s.Standins.List.Leave(id)
+	late := time.Duration(0)
+	for time.Since(sign) < settle {
+		for _, r := range s.Live() {
+			for _, a := range r.Router().State(time.Now()).Attempts {
+				for _, stage := range a.Plan.Stages {
+					if stage.Endpoint == id {
+						late = max(late, a.Began.Sub(sign))
+					}
+				}
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return late
+}
--- /dev/null
+++ b/internal/bench/prover/prover.go
@@ -0,0 +1,130 @@
+// Package prover measures instances over loopback while endpoints, connections and instances fail or leave.
+package prover
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/heatherrock/heatherrock/internal/bench/reporter"
+	"github.com/heatherrock/heatherrock/internal/bench/stager"
+	"github.com/heatherrock/heatherrock/internal/serving/router"
+	"github.com/heatherrock/heatherrock/internal/serving/runner"
+	"github.com/heatherrock/heatherrock/internal/standin/decoder"
+)
+
+const (
+	// bound is the longest time that an experiment may take.
+	bound = time.Minute
+	// team is the callers' team, and its bearer token.
+	team = "joiners"
+)
+
+// Experiments returns the table of this package's experiments.
+func Experiments() []reporter.Experiment {
+	return []reporter.Experiment{
+		{Name: "overhead", Help: "time that an instance adds to a token, and its processor time", Run: runOverhead},
+		{Name: "stageloss", Help: "stages killed mid-answer: wrong answers, and the pause with and without KV import", Run: runStageLoss},
+		{Name: "silent", Help: "connections gone silent: time to the next token, endpoints ejected", Run: runSilent},
+		{Name: "poison", Help: "a request that crashes what runs it, and its resends over 7 instances", Run: runPoison},
+		{Name: "drain", Help: "every instance replaced and endpoints leaving under load", Run: runDrain},
+	}
+}
+
+// open starts a mixed fleet of instances with the records in force.
+func open(ctx context.Context, nodes, replicas int, step time.Duration, options ...stager.Option) (*stager.Stage, error) {
+	s, err := stager.New(stager.Mixed(replicas, step), nodes, options...)
+	if err != nil {
+		return nil, err
+	}
+	if _, err = s.Accept(ctx, stager.Records(team)...); err == nil {
+		err = s.Covered(ctx)
+	}
+	if err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// asked is one answer that is on its way.
+type asked struct {
+	prompt string
+	limit  int
+	answer stager.Answer
+	err    error
+	done   chan struct{}
+}
+
+// ask sends a request to an instance.
+func ask(ctx context.Context, c *stager.Caller, r *runner.Runner, prompt string, limit int) *asked {
+	a := &asked{prompt: prompt, limit: limit, done: make(chan struct{})}
+	go a.run(ctx, c, r.CallerAddress())
+	return a
+}
+
+// run waits for the answer.
+func (a *asked) run(ctx context.Context, c *stager.Caller, address string) {
+	defer close(a.done)
+	a.answer, a.err = c.Complete(ctx, address, stager.Model, a.prompt, a.limit)
+}
+
+// wrong reports whether what the caller got is not the answer to its request. An answer that was openly broken off
+// is not whole, and so not wrong but cut.
+func (a *asked) wrong() bool {
+	_, want := decoder.Answer(stager.Model, "v1", "", a.prompt, stager.Layers, a.limit)
+	return a.answer.Whole && a.answer.Text != want
+}
+
+// whole reports whether the caller got its answer to the end.
+func (a *asked) whole() bool {
+	return a.err == nil && a.answer.Whole && !a.wrong()
+}
+
+// gap returns the longest time between two tokens.
+func (a *asked) gap() time.Duration {
+	longest := time.Duration(0)
+	for i := 1; i < len(a.answer.Tokens); i++ {
+		longest = max(longest, a.answer.Tokens[i].Sub(a.answer.Tokens[i-1]))
+	}
+	return longest
+}
+
+// progressed returns the attempt in progress on an instance once it has delivered a number of tokens.
+func progressed(ctx context.Context, r *runner.Runner, tokens int) (router.Attempt, error) {
+	var found router.Attempt
+	err := stager.Until(ctx, func() bool {
+		for _, a := range r.Router().State(time.Now()).Attempts {
+			if a.Tokens >= tokens {
+				found = a
+				return true
+			}
+		}
+		return false
+	})
+	return found, err
+}
+
+// words are what prompts are made of.
+var words = []string{"sash", "latch", "spring", "oak", "bogie", "drawer", "till", "panel", "hinge", "rail", "door", "lamp"}
+
+// write returns a prompt of a number of words whose answer is at least as long as the limit.
+func write(r *rand.Rand, length, limit int) (string, error) {
+	for range 1000 {
+		text := ""
+		for range length {
+			text += words[r.IntN(len(words))] + " "
+		}
+		if tokens, _ := decoder.Answer(stager.Model, "v1", "", text, stager.Layers, limit); len(tokens) == limit {
+			return text, nil
+		}
+	}
+	return "", merry.Errorf("no prompt has an answer of %d tokens", limit)
+}
+
+// random returns the source of an experiment's choices.
+func random(seed uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, seed))
+}
--- a/internal/bench/runner/runner.go
+++ b/internal/bench/runner/runner.go
@@ -3,6 +3,7 @@
 
 import (
 	"github.com/heatherrock/heatherrock/internal/bench/claimer"
+	"github.com/heatherrock/heatherrock/internal/bench/prover"
 	"github.com/heatherrock/heatherrock/internal/bench/reporter"
 	"github.com/heatherrock/heatherrock/internal/bench/spreader"
 )
@@ -12,5 +13,6 @@
 	var all []reporter.Experiment
 	all = append(all, claimer.Experiments()...)
 	all = append(all, spreader.Experiments()...)
+	all = append(all, prover.Experiments()...)
 	return all
 }
--- a/internal/bench/stager/stager.go
+++ b/internal/bench/stager/stager.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -28,13 +30,17 @@
 // Stage is a number of instances before one set of stand-ins.
 type Stage struct {
 	Standins *starter.Starter
-	Nodes    []*runner.Runner
+	// Nodes are the instances, the oldest first. Live returns them while others join and leave.
+	Nodes []*runner.Runner
 
+	mu         sync.Mutex
 	times      configurer.Times
 	limits     configurer.Limits
 	datacentre string
 	region     string
 	logger     *slog.Logger
+	options    []runner.Option
+	changes    []func(*starter.Fleet)
 	started    int
 }
 
@@ -49,6 +55,16 @@
 // WithLogger sets the instances' log. Without it nothing is logged.
 func WithLogger(l *slog.Logger) Option { return func(s *Stage) { s.logger = l } }
 
+// WithFleet changes the description of the stand-ins.
+func WithFleet(change func(*starter.Fleet)) Option {
+	return func(s *Stage) { s.changes = append(s.changes, change) }
+}
+
+// WithRunner adds options of the instances.
+func WithRunner(options ...runner.Option) Option {
+	return func(s *Stage) { s.options = append(s.options, options...) }
+}
+
 // WithPlace sets the data centre and region of the instances.
 func WithPlace(datacentre, region string) Option {
 	return func(s *Stage) { s.datacentre, s.region = datacentre, region }
@@ -56,12 +72,7 @@
 
 // New starts the stand-ins of a fleet and a number of instances. After an error none runs.
 func New(f starter.Fleet, nodes int, options ...Option) (*Stage, error) {
-	standins, err := starter.Start(f)
-	if err != nil {
-		return nil, err
-	}
 	s := &Stage{
-		Standins:   standins,
 		datacentre: "a",
 		region:     "r",
 		logger:     slog.New(slog.DiscardHandler),
@@ -76,6 +87,14 @@
 	for _, o := range options {
 		o(s)
 	}
+	for _, change := range s.changes {
+		change(&f)
+	}
+	standins, err := starter.Start(f)
+	if err != nil {
+		return nil, err
+	}
+	s.Standins = standins
 	for range nodes {
 		if _, err := s.Join(); err != nil {
 			s.Close()
@@ -103,11 +122,13 @@
 		Limits:     s.limits,
 		Times:      s.times,
 	}
-	r := runner.New(settings, runner.Dial(settings), runner.WithLog(s.logger))
+	r := runner.New(settings, runner.Dial(settings), append(s.options, runner.WithLog(s.logger))...)
 	if err := r.Start(); err != nil {
 		return nil, err
 	}
+	s.mu.Lock()
 	s.Nodes = append(s.Nodes, r)
+	s.mu.Unlock()
 	s.Standins.List.Put(lister.Instance{
 		ID: settings.ID, Role: lister.RoleEntry, Address: r.PeerAddress(), DataCentre: s.datacentre, Region: s.region,
 	})
@@ -116,14 +137,23 @@
 
 // Retire drains the first instance and takes it out of the list. It returns the number of requests cut off.
 func (s *Stage) Retire(ctx context.Context) int {
+	s.mu.Lock()
 	first := s.Nodes[0]
-	s.Nodes = s.Nodes[1:]
+	s.Nodes = slices.Clone(s.Nodes[1:])
+	s.mu.Unlock()
 	s.Standins.List.Leave(first.ID())
 	cut := first.Drain(ctx)
 	s.Standins.List.Remove(first.ID())
 	return cut
 }
 
+// Live returns the instances that were not retired.
+func (s *Stage) Live() []*runner.Runner {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Nodes
+}
+
 // Close ends the instances and the stand-ins.
 func (s *Stage) Close() {
 	for _, r := range s.Nodes {
@@ -166,7 +196,7 @@
 // InForce returns once an epoch, or a later one, is in force on every instance.
 func (s *Stage) InForce(ctx context.Context, epoch int64) error {
 	return Until(ctx, func() bool {
-		for _, r := range s.Nodes {
+		for _, r := range s.Live() {
 			if r.View().Epoch < epoch {
 				return false
 			}
@@ -195,7 +225,7 @@
 // Covered returns once every instance knows of as many engines as the fleet has, or the context's error.
 func (s *Stage) Covered(ctx context.Context) error {
 	return Until(ctx, func() bool {
-		for _, r := range s.Nodes {
+		for _, r := range s.Live() {
 			if len(r.Router().State(time.Now()).Picker.Endpoints) < len(s.Standins.Fleet.Engines) {
 				return false
 			}
--- a/internal/serving/generator/attempt.go
+++ b/internal/serving/generator/attempt.go
@@ -159,7 +159,7 @@
 		Delivered: a.tracker.Delivered,
 		Limit:     a.job.Limit,
 	}
-	if a.tracker.Attempt > 1 {
+	if a.tracker.Attempt > 1 && !a.afresh {
 		// Stages that ran an earlier attempt keep its KV cache under the request's name.
 		r.Imports = []string{a.job.Request}
 	}
--- a/internal/serving/generator/generator.go
+++ b/internal/serving/generator/generator.go
@@ -169,6 +169,7 @@
 	engines Engines
 	clock   func() time.Time
 	log     *slog.Logger
+	afresh  bool
 }
 
 // Option changes a Generator under construction.
@@ -184,6 +185,11 @@
 	return func(g *Generator) { g.log = l }
 }
 
+// WithoutImports makes each attempt run the whole prefix again, also on stages that have the request's KV cache.
+func WithoutImports() Option {
+	return func(g *Generator) { g.afresh = true }
+}
+
 // New returns a generator.
 func New(r Router, q Guard, e Engines, options ...Option) *Generator {
 	g := &Generator{router: r, guard: q, engines: e, clock: time.Now, log: slog.Default()}
--- a/internal/serving/router/router.go
+++ b/internal/serving/router/router.go
@@ -205,6 +205,7 @@
 		return
 	}
 	for _, action := range r.detector.Failed(now, t.Endpoint, t.Reason) {
+		r.counts[action.Kind]++
 		r.log.Warn("endpoint health", "action", action.Kind, "endpoint", action.Endpoint, "reason", action.Reason)
 	}
 }
@@ -240,6 +241,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, action := range r.detector.Check(now) {
+		r.counts[action.Kind]++
 		r.log.Info("endpoint health", "action", action.Kind, "endpoint", action.Endpoint, "reason", action.Reason)
 	}
 }
--- a/internal/serving/runner/runner.go
+++ b/internal/serving/runner/runner.go
@@ -56,6 +56,7 @@
 	done    chan struct{}
 	wait    sync.WaitGroup
 
+	generator []generator.Option
 	phase     phase
 	engines   *streamer.Client
 	router    *router.Router
@@ -81,6 +82,11 @@
 // WithLog sets the log.
 func WithLog(l *slog.Logger) Option { return func(r *Runner) { r.log = l } }
 
+// WithGenerator adds options of the part that runs answers.
+func WithGenerator(options ...generator.Option) Option {
+	return func(r *Runner) { r.generator = append(r.generator, options...) }
+}
+
 // New returns an instance that is not yet started.
 func New(s configurer.Settings, p Platform, options ...Option) *Runner {
 	r := &Runner{
@@ -193,7 +199,8 @@
 // callerRoutes returns the callers' interface.
 func (r *Runner) callerRoutes() http.Handler {
 	routes := mux.NewRouter()
-	g := generator.New(r.router, r.isolator, r.engines, generator.WithClock(r.clock), generator.WithLog(r.log))
+	options := append([]generator.Option{generator.WithClock(r.clock), generator.WithLog(r.log)}, r.generator...)
+	g := generator.New(r.router, r.isolator, r.engines, options...)
 	s := server.New(r, r, r.admitter, g,
 		server.WithClock(r.clock),
 		server.WithLog(r.log),
--- a/internal/standin/faulter/server.go
+++ b/internal/standin/faulter/server.go
@@ -22,6 +22,7 @@
 	address string
 	server  *http.Server
 	closed  bool
+	crashes int
 	// done is closed once the listener of the latest server is.
 	done chan struct{}
 }
@@ -96,6 +97,13 @@
 	return s.server != nil
 }
 
+// Crashes counts the crashes of a server that ran.
+func (s *Server) Crashes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashes
+}
+
 // Crash cuts all connections and refuses new ones until Restore.
 func (s *Server) Crash() {
 	s.stop(s.onCrash)
@@ -114,6 +122,9 @@
 	s.mu.Lock()
 	server, done := s.server, s.done
 	s.server = nil
+	if server != nil && !s.closed {
+		s.crashes++
+	}
 	s.mu.Unlock()
 	if server == nil {
 		return
