--- /dev/null
+++ b/internal/serving/operator/operator_test.go
@@ -0,0 +1,119 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/gorilla/mux"
+
+	"github.com/heatherrock/heatherrock/internal/control/accepter"
+	"github.com/heatherrock/heatherrock/internal/control/recorder"
+	"github.com/heatherrock/heatherrock/internal/control/validator"
+	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
+	"github.com/heatherrock/heatherrock/internal/serving/poller"
+	"github.com/heatherrock/heatherrock/internal/standin/faulter"
+	"github.com/heatherrock/heatherrock/internal/standin/tabler"
+)
+
+// fake is a committer with one result, and a source with fixed instances.
+type fake struct {
+	result accepter.Result
+	calls  int
+	forces []poller.Force
+}
+
+func (f *fake) Do(context.Context, accepter.Command) accepter.Result {
+	f.calls++
+	return f.result
+}
+
+func (f *fake) Base() recorder.Snapshot {
+	return recorder.Snapshot{Epoch: 7, Records: []recorder.Record{{Kind: "team", Name: "joiners", Revision: 3}}}
+}
+
+func (f *fake) Forces(context.Context) []poller.Force { return f.forces }
+
+// call sends a request to an operator and returns the answer.
+func call(f *fake, faults *faulter.Faults, method, path, token, body string) *httptest.ResponseRecorder {
+	sum := sha256.Sum256([]byte("secret"))
+	r := mux.NewRouter()
+	New(tabler.New(tabler.WithFaults(faults)), f, f, WithCredential(hex.EncodeToString(sum[:]))).Register(r)
+	request := httptest.NewRequest(method, path, strings.NewReader(body))
+	request.Header.Set("Authorization", "Bearer "+token)
+	w := httptest.NewRecorder()
+	r.ServeHTTP(w, request)
+	return w
+}
+
+func TestChange(t *testing.T) {
+	good := `{"action":"accept","operator":"ann","changes":[{"kind":"model","name":"chat","seen":0,"revision":1}]}`
+	changes := []accepter.Change{{Kind: "model", Name: "chat"}}
+	cases := []struct {
+		name, token, body string
+		result            accepter.Result
+		status, calls     int
+		outcome           string
+	}{
+		{"done", "secret", good, accepter.Result{Outcome: classifier.Completed}, 200, 1, "completed"},
+		{"unknown", "secret", good, accepter.Result{Outcome: classifier.Unknown}, 504, 1, "unknown"},
+		{"store away", "secret", good, accepter.Result{Outcome: classifier.NotSent}, 503, 1, "not-run"},
+		{"fault", "secret", good, accepter.Result{Outcome: classifier.Refused, Faults: []validator.Fault{{}}}, 422, 1, "not-run"},
+		{"conflict", "secret", good, accepter.Result{Outcome: classifier.Refused, Conflicts: []accepter.Conflict{{}}}, 409, 1,
+			"not-run"},
+		{"dry run", "secret", strings.Replace(good, "{", `{"dry":true,`, 1),
+			accepter.Result{Outcome: classifier.NotSent, Changes: changes}, 200, 1, "not-run"},
+		{"wrong token", "guess", good, accepter.Result{}, 401, 0, ""},
+		{"no token", "", good, accepter.Result{}, 401, 0, ""},
+		{"no operator", "secret", `{"action":"accept"}`, accepter.Result{}, 400, 0, "not-run"},
+		{"resolve by the wrong route", "secret", `{"action":"resolve","operator":"ann"}`, accepter.Result{}, 400, 0, "not-run"},
+		{"unknown member", "secret", `{"actoin":"accept"}`, accepter.Result{}, 400, 0, "not-run"},
+		{"malformed", "secret", `{`, accepter.Result{}, 400, 0, "not-run"},
+		{"too large", "secret", `{"note":"` + strings.Repeat("x", maxBody) + `"}`, accepter.Result{}, 400, 0, "not-run"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := &fake{result: c.result}
+			w := call(f, nil, http.MethodPost, "/changes", c.token, c.body)
+			want := []any{c.status, c.calls, c.outcome, c.status == 503}
+			got := []any{w.Code, f.calls, w.Header().Get(OutcomeHeader), w.Header().Get("Retry-After") != ""}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Error(diff, w.Body)
+			}
+		})
+	}
+}
+
+func TestReadsWhileStoreIsAway(t *testing.T) {
+	cases := []struct {
+		path, want string
+		status     int
+	}{
+		{"/records", `{"epoch":7,"from":"instance","entries":[{"kind":"team","name":"joiners","latest":3,"force":3,` +
+			`"state":"accepted","operator":"","mutation":"","stamp":0}]}`, 200},
+		{"/records?kind=model", `{"epoch":7,"from":"instance","entries":[]}`, 200},
+		{"/records/team/joiners", `{"error":"the store cannot be read: fault: refuse"}`, 503},
+		{"/records/team/joiners/diff", `{"error":"the store cannot be read: fault: refuse"}`, 503},
+		{"/audits", `{"error":"the store cannot be read: fault: refuse"}`, 503},
+		{"/epochs/7/wait", `{"epoch":7,"instances":2}`, 200},
+		{"/epochs/8/wait?timeout=1", `{"epoch":8,"instances":2,"behind":[{"id":"a","epoch":7}]}`, 504},
+		{"/epochs/x/wait", `{"error":"the epoch is not a whole number of 0 or more"}`, 400},
+		{"/epochs/8/wait?timeout=-1", `{"error":"timeout: \"-1\" is not a whole number of 0 or more"}`, 400},
+	}
+	for _, c := range cases {
+		faults := faulter.NewFaults(1)
+		if err := faults.Set(faulter.Fault{Kind: faulter.Refuse}); err != nil {
+			t.Fatal(err)
+		}
+		f := &fake{forces: []poller.Force{{ID: "a", Epoch: 7}, {ID: "b", Epoch: 8}}}
+		w := call(f, faults, http.MethodGet, c.path, "secret", "")
+		if diff := cmp.Diff([]any{c.status, c.want}, []any{w.Code, strings.TrimSpace(w.Body.String())}); diff != "" {
+			t.Errorf("%s: %s", c.path, diff)
+		}
+	}
+}
