Weigh the layouts of the configuration's storage

Cause: the choice of a log over the alternatives rested on an estimate.

Change: the experiment layout makes 300 changes to a configuration of 1,304 records and weighs what each layout writes and reads a change.

--- a/internal/bench/spreader/spreader.go
+++ b/internal/bench/spreader/spreader.go
@@ -29,6 +29,7 @@
 	targetSpread  = 5.0
 	targetHealthy = 1.0
 	targetBytes   = 20_000.0
+	targetCore    = 0.021
 )
 
 // Experiments is the table of this package's experiments.
@@ -37,6 +38,10 @@
 		Name: "epoch",
 		Help: "time from accept to in force over 7 instances, its cost, and reversions over random histories",
 		Run:  run,
+	}, {
+		Name: "layout",
+		Help: "bytes written and read a change under each layout of the configuration, at the planned size",
+		Run:  runLayout,
 	}}
 }
 
