--- a/internal/bench/claimer/claims.go
+++ b/internal/bench/claimer/claims.go
@@ -35,6 +35,7 @@
 func Experiments() []reporter.Experiment {
 	return []reporter.Experiment{
 		{Name: "claims", Help: "holds under each pair of faults: duplicated, misreported, lost; store writes and delay", Run: runClaims},
+		{Name: "leases", Help: "orders to engines: run for two holders at once, time without a holder", Run: runLeases},
 	}
 }
 
--- a/internal/bench/claimer/clock.go
+++ b/internal/bench/claimer/clock.go
@@ -62,8 +62,13 @@
 // run runs events until none is left.
 func (c *clock) run() {
 	for len(c.events) > 0 {
-		e := heap.Pop(&c.events).(event)
-		c.now = e.at
-		e.run()
+		c.next()
 	}
 }
+
+// next runs the first event.
+func (c *clock) next() {
+	e := heap.Pop(&c.events).(event)
+	c.now = e.at
+	e.run()
+}
