--- a/internal/serving/runner/runner.go
+++ b/internal/serving/runner/runner.go
@@ -24,10 +24,14 @@
 	"github.com/heatherrock/heatherrock/internal/routing/tracker"
 	"github.com/heatherrock/heatherrock/internal/serving/admitter"
 	"github.com/heatherrock/heatherrock/internal/serving/configurer"
+	"github.com/heatherrock/heatherrock/internal/serving/dispatcher"
 	"github.com/heatherrock/heatherrock/internal/serving/dumper"
+	"github.com/heatherrock/heatherrock/internal/serving/exchanger"
 	"github.com/heatherrock/heatherrock/internal/serving/generator"
 	"github.com/heatherrock/heatherrock/internal/serving/isolator"
 	"github.com/heatherrock/heatherrock/internal/serving/meter"
+	"github.com/heatherrock/heatherrock/internal/serving/observer"
+	"github.com/heatherrock/heatherrock/internal/serving/poller"
 	"github.com/heatherrock/heatherrock/internal/serving/router"
 	"github.com/heatherrock/heatherrock/internal/serving/server"
 )
@@ -47,17 +51,23 @@
 	log      *slog.Logger
 	// owner names this process: it differs after a restart.
 	owner string
-	done  chan struct{}
-	wait  sync.WaitGroup
+	// address is where other instances reach this one.
+	address string
+	done    chan struct{}
+	wait    sync.WaitGroup
 
 	phase     phase
 	engines   *streamer.Client
 	router    *router.Router
 	isolator  *isolator.Isolator
 	admitter  *admitter.Admitter
+	services  *services
+	calls     *dispatcher.Dispatcher
+	exchange  *exchanger.Exchanger
 	meter     *meter.Meter
 	dumper    *dumper.Dumper
-	config    configuration
+	config    *poller.Poller
+	observer  *observer.Observer
 	callers   *front
 	operators *front
 }
@@ -98,26 +108,49 @@
 
 // Start opens the listeners and starts the parts. The error says which listener could not be opened.
 func (r *Runner) Start() error {
-	r.build()
-	callers, err := listen(r.settings.Callers)
+	listeners, err := listenAll(r.settings.Callers, r.settings.Operators, r.settings.Peers)
 	if err != nil {
-		return merry.Prepend(err, "callers")
+		return err
 	}
-	operators, err := listen(r.settings.Operators)
-	if err != nil {
-		_ = callers.Close()
-		return merry.Prepend(err, "operators")
+	r.address = listeners[2].Addr().String()
+	if r.settings.Advertise != "" {
+		r.address = r.settings.Advertise
+	}
+	r.build()
+	r.callers = newFront(listeners[0], r.callerRoutes(), r.settings.Limits.Header, &r.phase)
+	r.operators = newFront(listeners[1], r.operatorRoutes(), r.settings.Limits.Header, nil)
+	r.exchange.Start(listeners[2])
+	r.config.Start()
+	if r.platform.List != nil {
+		r.observer = observer.New(r.platform.List, r.engines, r.router, r.services, r.settings.Times.List,
+			r.settings.Times.Report, r.clock, r.log)
+		r.observer.Start()
 	}
-	r.callers = newFront(callers, r.callerRoutes(), r.settings.Limits.Header, &r.phase)
-	r.operators = newFront(operators, r.operatorRoutes(), r.settings.Limits.Header, nil)
-	r.wait.Add(3)
+	r.wait.Add(4)
 	go r.callers.run(&r.wait)
 	go r.operators.run(&r.wait)
-	go r.loop()
+	go r.loopChecks()
+	go r.loopShares()
 	r.log.Info("instance started", "callers", r.CallerAddress(), "operators", r.OperatorAddress())
 	return nil
 }
 
+// listenAll opens listeners, or none if one cannot be opened.
+func listenAll(list ...configurer.Listener) ([]net.Listener, error) {
+	var opened []net.Listener
+	for _, l := range list {
+		o, err := listen(l)
+		if err != nil {
+			for _, o := range opened {
+				_ = o.Close()
+			}
+			return nil, merry.Prependf(err, "listener %s", l.Address)
+		}
+		opened = append(opened, o)
+	}
+	return opened, nil
+}
+
 // listen opens a listener.
 func listen(l configurer.Listener) (net.Listener, error) {
 	return net.Listen("tcp", l.Address)
@@ -127,32 +160,41 @@
 func (r *Runner) build() {
 	s := r.settings
 	r.meter = meter.New(s.ID, s.DataCentre)
+	r.exchange = r.newExchange()
+	r.config = r.newPoller()
 	d := detector.New(detector.WithProgress(s.Times.Progress))
 	r.router = router.New(s.DataCentre, d, []picker.Option{}, router.WithLog(r.log))
-	r.isolator = isolator.New(quarantiner.New(), silent{}, r.log)
+	r.isolator = isolator.New(quarantiner.New(), &notices{r}, r.log)
 	r.admitter = admitter.New(admitter.WithClock(r.clock), admitter.WithStreams(s.Limits.Streams),
 		admitter.WithQueue(s.Limits.Queue))
+	r.services = newServices(r.clock)
+	r.calls = dispatcher.New(r.owner, r.platform.Table, r, r.services, r, dispatcher.WithLogger(r.log),
+		dispatcher.WithBody(s.Limits.Body))
+	r.register()
 	r.dumper = dumper.New(dumper.WithClock(r.clock), dumper.WithReady(r.ready))
 	r.dumper.Add("router", func(now time.Time) any { return r.router.State(now) })
 	r.dumper.Add("admitter", func(now time.Time) any { return r.admitter.State(now) })
 	r.dumper.Add("quarantine", func(time.Time) any { return r.isolator.State() })
+	r.dumper.Add("services", func(time.Time) any { return r.services.State() })
+	r.dumper.Add("calls", func(time.Time) any { return r.calls.State() })
+	r.dumper.Add("records", r.config.State)
+	r.dumper.Add("peers", func(time.Time) any { return r.exchange.Dump() })
 	r.dumper.Add("phase", func(time.Time) any { return r.phase.String() })
 }
 
-// silent tells no other instance.
-type silent struct{}
-
-// Publish does nothing.
-func (silent) Publish(string, []byte, time.Duration) {}
-
-// Urgent does nothing.
-func (silent) Urgent(string, []byte, time.Duration) {}
+// register offers the methods that peers call, and takes in what they share.
+func (r *Runner) register() {
+	if err := r.exchange.Register("Notices", &notices{r}); err != nil {
+		panic(err) // The methods have the form that net/rpc asks for.
+	}
+	r.subscribe()
+}
 
 // callerRoutes returns the callers' interface.
 func (r *Runner) callerRoutes() http.Handler {
 	routes := mux.NewRouter()
 	g := generator.New(r.router, r.isolator, r.engines, generator.WithClock(r.clock), generator.WithLog(r.log))
-	s := server.New(&r.config, r, r.admitter, g,
+	s := server.New(r, r, r.admitter, g,
 		server.WithClock(r.clock),
 		server.WithLog(r.log),
 		server.WithTimeout(r.settings.Times.Request),
@@ -164,6 +206,7 @@
 		server.WithEnded(r.ended),
 	)
 	s.Register(routes)
+	routes.PathPrefix("/v1/services/{service}/").Handler(r.admitted(r.calls))
 	return routes
 }
 
@@ -184,12 +227,13 @@
 func (r *Runner) operatorRoutes() http.Handler {
 	routes := mux.NewRouter()
 	r.dumper.Register(routes)
+	r.registerRecords(routes)
 	routes.Handle("/metrics", r.meter.Handler())
 	return routes
 }
 
-// loop does what is due in the parts at intervals, until done is closed.
-func (r *Runner) loop() {
+// loopChecks looks at the health of endpoints until done is closed.
+func (r *Runner) loopChecks() {
 	defer r.wait.Done()
 	t := time.NewTicker(checkInterval)
 	defer t.Stop()
@@ -203,6 +247,21 @@
 	}
 }
 
+// loopShares shares the teams' counts with the other instances until done is closed.
+func (r *Runner) loopShares() {
+	defer r.wait.Done()
+	t := time.NewTicker(r.settings.Times.Gossip)
+	defer t.Stop()
+	for {
+		select {
+		case <-r.done:
+			return
+		case <-t.C:
+			r.share(r.clock())
+		}
+	}
+}
+
 // checkInterval is the time between looks at the health of endpoints.
 const checkInterval = 100 * time.Millisecond
 
@@ -221,28 +280,18 @@
 	return r.router
 }
 
-// ready returns why the balancer should not send requests at now, or an empty text.
-func (r *Runner) ready(now time.Time) string {
-	if r.phase.leaving() {
-		return "leaving"
-	}
-	if p := r.Gate(now); p != nil {
-		return p.Message
-	}
-	return ""
-}
-
 // Drain ends the instance without cutting off a request: it fails readiness, serves on until the balancer has noticed,
 // then takes no new request and waits for those in flight. It returns the number of requests that the context's end
 // cut off.
 func (r *Runner) Drain(ctx context.Context) int {
 	r.phase.leave()
+	r.exchange.Leave(ctx)
 	r.log.Info("instance leaving", "notice", r.settings.Times.Notice)
 	select {
 	case <-time.After(r.settings.Times.Notice):
 	case <-ctx.Done():
 	}
-	cut := r.callers.drain(ctx)
+	cut := r.callers.drain(ctx) + r.calls.Drain(ctx)
 	r.log.Info("instance drained", "cut", cut)
 	r.Close()
 	return cut
@@ -254,7 +303,23 @@
 	r.callers.close()
 	r.operators.close()
 	r.admitter.Close()
+	r.calls.Close()
+	if r.observer != nil {
+		r.observer.Close()
+	}
+	r.config.Close()
+	r.exchange.Close()
 	r.engines.Close()
 	r.wait.Wait()
 	_ = r.meter.Close()
 }
+
+// ID returns the instance's name.
+func (r *Runner) ID() string {
+	return r.settings.ID
+}
+
+// PeerAddress returns the address at which other instances reach this one.
+func (r *Runner) PeerAddress() string {
+	return r.address
+}
