Decide which spare loads the layers that nobody holds

Cause: a layer range whose last endpoint dies stays missing until an operator acts.

Change: package repairer finds the ranges that no live endpoint holds or is loading, waits for a grace since reports lag, and tells the fastest spare to load as much as its kind is known to hold, within the weight store's rate and a number of loads at once. Loads are confirmed by the endpoints' reports; a failed one goes to another spare. Each deed is kept with its reason for the state dump.

Measured: go test -race ./internal/control/repairer passes: gaps, busy and missing spares, confirmation, failure, rate.

--- /dev/null
+++ b/internal/control/repairer/repairer.go
@@ -0,0 +1,344 @@
+// Package repairer decides which spare endpoint loads the layers that no live endpoint holds.
+package repairer
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Range is a range of layers of a model's version, from From up to, not including, To.
+type Range struct {
+	Model   string
+	Version string
+	From    int
+	To      int
+}
+
+// Need is a model's version that is to be served.
+type Need struct {
+	Model   string
+	Version string
+	Layers  int
+}
+
+// Endpoint is an engine as the repairer sees it.
+type Endpoint struct {
+	ID         string
+	Kind       string
+	DataCentre string
+	Held       []Range
+	// Rate is the capacity in layer steps a second.
+	Rate float64
+	// Gone is set if the endpoint is leaving or not believed to be alive.
+	Gone bool
+	// Busy is set if the endpoint may have an order that is not confirmed.
+	Busy bool
+}
+
+// Settings bound what a repair may do.
+type Settings struct {
+	// Grace is how long a range must be missing before it is loaded, since reports lag.
+	Grace time.Duration
+	// Layers bounds what the weight store is asked for, in layers a second over the fleet.
+	Layers float64
+	// Parallel bounds the loads that run at once.
+	Parallel int
+	// Span bounds the layers that an endpoint of unknown capacity is told to load; 0 means no bound.
+	Span int
+	// Run is how long a load may take before it counts as failed, and Rest how long its endpoint then gets no other.
+	Run  time.Duration
+	Rest time.Duration
+}
+
+// DefaultSettings returns the settings in use.
+func DefaultSettings() Settings {
+	return Settings{
+		Grace: 3 * time.Second, Layers: 4, Parallel: 4, Run: 2 * time.Minute, Rest: 5 * time.Minute,
+	}
+}
+
+// Load is an order to load a range that is not confirmed yet.
+type Load struct {
+	ID       string
+	Endpoint string
+	Range    Range
+	Since    time.Time
+}
+
+// Deed says what was done about a range, and why.
+type Deed struct {
+	At       time.Time
+	Range    Range
+	Endpoint string
+	Order    string
+	// What is ordered, loaded, failed or waiting.
+	What string
+	Why  string
+}
+
+// The values of a deed's What.
+const (
+	WhatOrdered = "ordered"
+	WhatLoaded  = "loaded"
+	WhatFailed  = "failed"
+	WhatWaiting = "waiting"
+)
+
+// kept bounds the deeds that are kept.
+const kept = 64
+
+// Repairer is the decision. Its exported fields are shown in the state dump.
+type Repairer struct {
+	Settings Settings
+	// Missing holds since when each range has been missing.
+	Missing map[Range]time.Time
+	// Loads are the loads in flight, in the order in which they were ordered.
+	Loads []Load
+	// Resting holds the endpoints whose load failed, and until when they get no other.
+	Resting map[string]time.Time
+	// Capacity is the widest range seen at once on an endpoint of each kind, in layers.
+	Capacity map[string]int
+	// Saved counts the layers that the weight store may be asked for now.
+	Saved float64
+	At    time.Time
+	// Deeds are the latest deeds, the latest last.
+	Deeds []Deed
+
+	number int64
+	name   func(n int64) string
+}
+
+// New returns a repairer. Name returns the name of the n-th order, which must be unique over all instances.
+func New(s Settings, name func(n int64) string) *Repairer {
+	return &Repairer{
+		Settings: s, Missing: map[Range]time.Time{}, Resting: map[string]time.Time{}, Capacity: map[string]int{}, name: name,
+	}
+}
+
+// Next returns the loads to be ordered now, so that every layer of every need is held. The caller gives each order or
+// reports Failed.
+func (r *Repairer) Next(now time.Time, needs []Need, endpoints []Endpoint) []Load {
+	r.refill(now)
+	r.confirm(now, endpoints)
+	for _, e := range endpoints {
+		r.learn(e)
+	}
+	missing := r.missing(now, needs, endpoints)
+	var orders []Load
+	for _, m := range missing {
+		since := r.Missing[m]
+		if now.Sub(since) < r.Settings.Grace {
+			continue
+		}
+		l, ok := r.order(now, m, since, endpoints)
+		if !ok {
+			break
+		}
+		orders = append(orders, l)
+	}
+	return orders
+}
+
+// Failed takes that an order was not run. Its endpoint gets no other for a while.
+func (r *Repairer) Failed(now time.Time, id, why string) {
+	for _, l := range r.Loads {
+		if l.ID == id {
+			r.Resting[l.Endpoint] = now.Add(r.Settings.Rest)
+			r.Missing[l.Range] = l.Since
+			r.note(now, l, WhatFailed, why)
+		}
+	}
+	r.Loads = slices.DeleteFunc(r.Loads, func(l Load) bool { return l.ID == id })
+}
+
+// refill adds what the weight store may be asked for meanwhile.
+func (r *Repairer) refill(now time.Time) {
+	if r.At.IsZero() {
+		r.Saved = r.burst()
+	} else {
+		r.Saved = min(r.burst(), r.Saved+now.Sub(r.At).Seconds()*r.Settings.Layers)
+	}
+	r.At = now
+}
+
+// burst bounds the layers saved up. One load may take the weight store into debt, so that a wide range is not starved.
+func (r *Repairer) burst() float64 {
+	return max(r.Settings.Layers, 1)
+}
+
+// confirm ends the loads whose range is held, and those that took too long or whose endpoint is gone.
+func (r *Repairer) confirm(now time.Time, endpoints []Endpoint) {
+	for _, l := range slices.Clone(r.Loads) {
+		i := slices.IndexFunc(endpoints, func(e Endpoint) bool { return e.ID == l.Endpoint })
+		switch {
+		case i < 0 || endpoints[i].Gone:
+			r.Failed(now, l.ID, "the endpoint is gone")
+		case holds(endpoints[i], l.Range):
+			r.note(now, l, WhatLoaded, fmt.Sprintf("the endpoint reports the range %v after the order", now.Sub(l.Since)))
+			r.Loads = slices.DeleteFunc(r.Loads, func(o Load) bool { return o.ID == l.ID })
+		case now.Sub(l.Since) > r.Settings.Run:
+			r.Failed(now, l.ID, fmt.Sprintf("the endpoint did not report the range within %v", r.Settings.Run))
+		}
+	}
+}
+
+// learn takes the width of what an endpoint holds as the least capacity of its kind.
+func (r *Repairer) learn(e Endpoint) {
+	width := 0
+	for _, h := range e.Held {
+		width += h.To - h.From
+	}
+	if width > r.Capacity[e.Kind] {
+		r.Capacity[e.Kind] = width
+	}
+}
+
+// missing returns the ranges that no live endpoint holds or is loading, and keeps since when.
+func (r *Repairer) missing(now time.Time, needs []Need, endpoints []Endpoint) []Range {
+	var all []Range
+	for _, n := range needs {
+		all = append(all, gaps(n, r.held(n, endpoints))...)
+	}
+	since := map[Range]time.Time{}
+	for _, m := range all {
+		since[m] = now
+		for old, at := range r.Missing {
+			if overlap(old, m) && at.Before(since[m]) {
+				since[m] = at
+			}
+		}
+	}
+	r.Missing = since
+	return all
+}
+
+// held returns the ranges of a need that live endpoints hold or are loading, by their first layer.
+func (r *Repairer) held(n Need, endpoints []Endpoint) []Range {
+	var held []Range
+	take := func(h Range) {
+		if h.Model == n.Model && h.Version == n.Version {
+			held = append(held, h)
+		}
+	}
+	for _, e := range endpoints {
+		if e.Gone {
+			continue
+		}
+		for _, h := range e.Held {
+			take(h)
+		}
+	}
+	for _, l := range r.Loads {
+		take(l.Range)
+	}
+	slices.SortFunc(held, func(a, b Range) int { return cmp.Or(cmp.Compare(a.From, b.From), cmp.Compare(a.To, b.To)) })
+	return held
+}
+
+// order orders a spare to load a missing range, or the part of it that the spare can hold. It returns false if that
+// must wait, and notes why.
+func (r *Repairer) order(now time.Time, m Range, since time.Time, endpoints []Endpoint) (Load, bool) {
+	if len(r.Loads) >= r.Settings.Parallel {
+		r.wait(now, m, fmt.Sprintf("%d loads are running", len(r.Loads)))
+		return Load{}, false
+	}
+	if r.Saved <= 0 {
+		r.wait(now, m, fmt.Sprintf("the weight store's rate of %v layers a second is spent", r.Settings.Layers))
+		return Load{}, false
+	}
+	spare, ok := r.spare(now, endpoints)
+	if !ok {
+		r.wait(now, m, "no live endpoint is spare")
+		return Load{}, false
+	}
+	m.To = min(m.To, m.From+r.span(spare, m))
+	r.number++
+	l := Load{ID: r.name(r.number), Endpoint: spare.ID, Range: m, Since: now}
+	r.Loads = append(r.Loads, l)
+	r.Saved -= float64(m.To - m.From)
+	why := fmt.Sprintf("no live endpoint has held the range for %v; the endpoint holds nothing and has the highest rate, %v layer steps a second", now.Sub(since), spare.Rate)
+	r.note(now, l, WhatOrdered, why)
+	return l, true
+}
+
+// span returns how many layers of a range an endpoint is told to load.
+func (r *Repairer) span(e Endpoint, m Range) int {
+	width := m.To - m.From
+	if c := r.Capacity[e.Kind]; c > 0 {
+		return min(width, c)
+	}
+	if r.Settings.Span > 0 {
+		return min(width, r.Settings.Span)
+	}
+	return width
+}
+
+// spare returns the endpoint with the highest rate among those that hold nothing and may be ordered.
+func (r *Repairer) spare(now time.Time, endpoints []Endpoint) (Endpoint, bool) {
+	maps.DeleteFunc(r.Resting, func(_ string, until time.Time) bool { return !now.Before(until) })
+	var best Endpoint
+	found := false
+	for _, e := range endpoints {
+		_, resting := r.Resting[e.ID]
+		loading := slices.ContainsFunc(r.Loads, func(l Load) bool { return l.Endpoint == e.ID })
+		if e.Gone || e.Busy || resting || loading || len(e.Held) > 0 {
+			continue
+		}
+		if !found || e.Rate > best.Rate || (e.Rate == best.Rate && e.ID < best.ID) {
+			best, found = e, true
+		}
+	}
+	return best, found
+}
+
+// wait notes why a range is not loaded now, unless that was the latest deed about it.
+func (r *Repairer) wait(now time.Time, m Range, why string) {
+	for _, d := range slices.Backward(r.Deeds) {
+		if d.Range == m {
+			if d.What == WhatWaiting && d.Why == why {
+				return
+			}
+			break
+		}
+	}
+	r.note(now, Load{Range: m}, WhatWaiting, why)
+}
+
+// note keeps a deed.
+func (r *Repairer) note(now time.Time, l Load, what, why string) {
+	r.Deeds = append(r.Deeds, Deed{At: now, Range: l.Range, Endpoint: l.Endpoint, Order: l.ID, What: what, Why: why})
+	if len(r.Deeds) > kept {
+		r.Deeds = slices.Delete(r.Deeds, 0, len(r.Deeds)-kept)
+	}
+}
+
+// gaps returns the parts of a need that the ranges held, sorted by their first layer, leave out.
+func gaps(n Need, held []Range) []Range {
+	var all []Range
+	next := 0
+	for _, h := range held {
+		if h.From > next {
+			all = append(all, Range{Model: n.Model, Version: n.Version, From: next, To: min(h.From, n.Layers)})
+		}
+		next = max(next, h.To)
+		if next >= n.Layers {
+			return all
+		}
+	}
+	return append(all, Range{Model: n.Model, Version: n.Version, From: next, To: n.Layers})
+}
+
+// holds reports whether an endpoint holds a whole range.
+func holds(e Endpoint, m Range) bool {
+	return slices.ContainsFunc(e.Held, func(h Range) bool {
+		return h.Model == m.Model && h.Version == m.Version && h.From <= m.From && h.To >= m.To
+	})
+}
+
+// overlap reports whether two ranges have a layer in common.
+func overlap(a, b Range) bool {
+	return a.Model == b.Model && a.Version == b.Version && a.From < b.To && b.From < a.To
+}
--- /dev/null
+++ b/internal/control/repairer/repairer_test.go
@@ -0,0 +1,116 @@
+package repairer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var (
+	start = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+	need  = []Need{{Model: "oak", Version: "v1", Layers: 30}}
+)
+
+func layers(from, to int) Range {
+	return Range{Model: "oak", Version: "v1", From: from, To: to}
+}
+
+func engine(id string, rate float64, held ...Range) Endpoint {
+	return Endpoint{ID: id, Kind: "a", Rate: rate, Held: held}
+}
+
+func newRepairer() *Repairer {
+	s := DefaultSettings()
+	s.Layers = 10
+	return New(s, func(n int64) string { return fmt.Sprint("o", n) })
+}
+
+// step asks before and after the grace, and returns the orders.
+func step(r *Repairer, endpoints ...Endpoint) []Load {
+	r.Next(start, need, endpoints)
+	return r.Next(start.Add(r.Settings.Grace), need, endpoints)
+}
+
+func TestNext(t *testing.T) {
+	full := []Endpoint{engine("e1", 1, layers(0, 10)), engine("e2", 1, layers(10, 30))}
+	gone := engine("e2", 1, layers(10, 30))
+	gone.Gone = true
+	busy := engine("s9", 9)
+	busy.Busy = true
+	cases := []struct {
+		name      string
+		endpoints []Endpoint
+		want      []Load
+		what      string
+	}{
+		{"all held", append(full, engine("s1", 1)), nil, ""},
+		{"fastest spare", []Endpoint{full[0], gone, engine("s1", 1), engine("s2", 2), busy},
+			[]Load{{"o1", "s2", layers(10, 30), start.Add(3 * time.Second)}}, WhatOrdered},
+		{"no spare", []Endpoint{full[0], gone}, nil, WhatWaiting},
+		{"only a busy spare", []Endpoint{full[0], gone, busy}, nil, WhatWaiting},
+		{"no more than the kind can hold", []Endpoint{full[0], engine("s1", 1)},
+			[]Load{{"o1", "s1", layers(10, 20), start.Add(3 * time.Second)}}, WhatOrdered},
+		{"gap in the middle", []Endpoint{engine("e1", 1, layers(0, 25)), engine("e3", 1, layers(27, 30)), engine("s1", 1)},
+			[]Load{{"o1", "s1", layers(25, 27), start.Add(3 * time.Second)}}, WhatOrdered},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRepairer()
+			if diff := cmp.Diff(c.want, step(r, c.endpoints...)); diff != "" {
+				t.Errorf("orders mismatch (-want +got):\n%s", diff)
+			}
+			what := ""
+			if len(r.Deeds) > 0 {
+				what = r.Deeds[len(r.Deeds)-1].What
+			}
+			if diff := cmp.Diff(c.what, what); diff != "" {
+				t.Errorf("deed mismatch (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestLoadIsConfirmedByReport(t *testing.T) {
+	r := newRepairer()
+	step(r, engine("s1", 1))
+	if got := r.Next(start.Add(time.Minute), need, []Endpoint{engine("s1", 1), engine("s2", 1)}); got != nil {
+		t.Errorf("a range that is being loaded was ordered again: %+v", got)
+	}
+	r.Next(start.Add(time.Minute), need, []Endpoint{engine("s1", 1, layers(0, 30))})
+	if d := r.Deeds[len(r.Deeds)-1]; d.What != WhatLoaded || len(r.Loads) != 0 {
+		t.Errorf("last deed is %+v, %d loads", d, len(r.Loads))
+	}
+}
+
+func TestFailedLoadGoesToAnother(t *testing.T) {
+	r := newRepairer()
+	step(r, engine("s1", 2), engine("s2", 1))
+	late := start.Add(r.Settings.Grace + r.Settings.Run + time.Second)
+	endpoints := []Endpoint{engine("s1", 2), engine("s2", 1)}
+	r.Next(start.Add(time.Minute), need, endpoints)
+	got := r.Next(late, need, endpoints)
+	want := []Load{{"o2", "s2", layers(0, 30), late}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("orders mismatch (-want +got):\n%s", diff)
+	}
+}
+
+func TestWeightStoreRate(t *testing.T) {
+	r := newRepairer()
+	var spares []Endpoint
+	for i := range 6 {
+		spares = append(spares, engine(fmt.Sprint("s", i), 1))
+	}
+	r.Capacity["a"] = 10
+	total := 0
+	for second := range 4 {
+		for _, l := range r.Next(start.Add(time.Duration(second)*time.Second), need, spares) {
+			total += l.Range.To - l.Range.From
+		}
+	}
+	if total != 10 {
+		t.Errorf("%d layers were ordered in the first second after the grace, want 10", total)
+	}
+}
