Carry out repairs under the region's lease

Cause: the decisions about leases and repairs had no plumbing to the table service and the engines.

Change: package orderer keeps the lease's row, looks at the inventory, writes the intent of each load before its order and gives the order only while the lease's window is open: a connection takes no byte after it. A load's intent names its range, so the next holder takes the load over and does not order it again.

Measured: go test -race ./internal/serving/orderer passes: a change of holder during a load leads to no second order and a higher number on the next; an engine that cannot be reached leaves no intent; no order without the table.

--- a/internal/control/leaser/leaser.go
+++ b/internal/control/leaser/leaser.go
@@ -56,6 +56,11 @@
 	ID       string `json:"id"`
 	Endpoint string `json:"endpoint"`
 	Order    string `json:"order"`
+	// Model, Version, From and To are the range of layers that the order is about.
+	Model   string `json:"model,omitempty"`
+	Version string `json:"version,omitempty"`
+	From    int    `json:"from,omitempty"`
+	To      int    `json:"to,omitempty"`
 }
 
 // Record is the value of a lease's row, as JSON. An empty holder means that the lease was given back.
@@ -232,6 +237,17 @@
 	l.Inherited = slices.DeleteFunc(l.Inherited, func(u Unconfirmed) bool { return u.Intent.ID == id })
 }
 
+// Abandon keeps the endpoint of an order of this instance, of which nothing was heard, from others for as long as the
+// order may start and run.
+func (l *Lease) Abandon(now time.Time, id string) {
+	for _, i := range l.Own {
+		if i.ID == id {
+			l.Inherited = append(l.Inherited, Unconfirmed{Intent: i, Until: now.Add(l.Terms.rest())})
+		}
+	}
+	l.Own = slices.DeleteFunc(l.Own, func(i Intent) bool { return i.ID == id })
+}
+
 // Release returns the write that gives the lease back. The unconfirmed intents stay in the row.
 func (l *Lease) Release() (Action, bool) {
 	l.Released = true
--- a/internal/control/repairer/repairer.go
+++ b/internal/control/repairer/repairer.go
@@ -104,8 +104,9 @@
 	// Saved counts the layers that the weight store may be asked for now.
 	Saved float64
 	At    time.Time
-	// Deeds are the latest deeds, the latest last.
+	// Deeds are the latest deeds, the latest last, and Count is the number of all.
 	Deeds []Deed
+	Count int
 
 	number int64
 	name   func(n int64) string
@@ -154,6 +155,34 @@
 	r.Loads = slices.DeleteFunc(r.Loads, func(l Load) bool { return l.ID == id })
 }
 
+// Adopt takes over a load that an earlier holder ordered, unless its end is known.
+func (r *Repairer) Adopt(l Load) {
+	known := slices.ContainsFunc(r.Loads, func(o Load) bool { return o.ID == l.ID })
+	ended := slices.ContainsFunc(r.Deeds, func(d Deed) bool {
+		return d.Order == l.ID && (d.What == WhatLoaded || d.What == WhatFailed)
+	})
+	if !known && !ended {
+		r.Loads = append(r.Loads, l)
+	}
+}
+
+// Forget drops the loads in flight, when another instance has taken over.
+func (r *Repairer) Forget() {
+	r.Loads = nil
+	clear(r.Resting)
+	clear(r.Missing)
+}
+
+// Loaded reports whether an endpoint was lately seen to hold what an order told it to load.
+func (r *Repairer) Loaded(id string) bool {
+	return slices.ContainsFunc(r.Deeds, func(d Deed) bool { return d.Order == id && d.What == WhatLoaded })
+}
+
+// Since returns the deeds after the first count, as far as they are kept.
+func (r *Repairer) Since(count int) []Deed {
+	return r.Deeds[max(0, len(r.Deeds)-(r.Count-count)):]
+}
+
 // refill adds what the weight store may be asked for meanwhile.
 func (r *Repairer) refill(now time.Time) {
 	if r.At.IsZero() {
@@ -310,6 +339,7 @@
 // note keeps a deed.
 func (r *Repairer) note(now time.Time, l Load, what, why string) {
 	r.Deeds = append(r.Deeds, Deed{At: now, Range: l.Range, Endpoint: l.Endpoint, Order: l.ID, What: what, Why: why})
+	r.Count++
 	if len(r.Deeds) > kept {
 		r.Deeds = slices.Delete(r.Deeds, 0, len(r.Deeds)-kept)
 	}
--- a/internal/serving/dispatcher/conn.go
+++ b/internal/serving/dispatcher/conn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -16,6 +17,8 @@
 	mu      sync.Mutex
 	written int64
 	sealed  bool
+	// until is the time after which no more bytes leave; zero means no bound.
+	until time.Time
 }
 
 // Write counts the bytes before they leave, so that the count is never too low.
@@ -30,13 +33,21 @@
 func (c *conn) enter(n int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.sealed {
+	if c.sealed || (!c.until.IsZero() && !time.Now().Before(c.until)) {
 		return false
 	}
 	c.written += int64(n)
 	return true
 }
 
+// limit sets the time after which no more bytes leave, and returns the number of those that have.
+func (c *conn) limit(until time.Time) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.until = until
+	return c.written
+}
+
 // count returns the number of bytes handed to the network.
 func (c *conn) count() int64 {
 	c.mu.Lock()
@@ -44,10 +55,14 @@
 	return c.written
 }
 
-// seal stops all further writes and reports whether nothing was written since the count was base.
+// seal stops all further writes and reports whether nothing was written since the count was base. Bytes that are still
+// queued in the host are dropped when the connection is closed.
 func (c *conn) seal(base int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sealed = true
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
 	return c.written == base
 }
--- a/internal/serving/dispatcher/sender.go
+++ b/internal/serving/dispatcher/sender.go
@@ -36,6 +36,8 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// Until is the time after which no more bytes of the message leave; zero means no bound.
+	Until time.Time
 }
 
 // Sender sends a message once. It never repeats one: net/http repeats by itself a request that failed on a reused
@@ -78,7 +80,7 @@
 // Send sends a message to an address (host and port) and returns what is known of it. The reply is set if a whole
 // answer came, whatever the outcome. The error explains an outcome without a reply.
 func (s *Sender) Send(ctx context.Context, address string, m Message) (classifier.Outcome, *claimer.Reply, error) {
-	trace := &trail{}
+	trace := &trail{until: m.Until}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: trace.got})
 	request, err := s.request(ctx, address, m)
 	if err != nil {
@@ -137,6 +139,7 @@
 	mu    sync.Mutex
 	hops  []hop
 	blind bool
+	until time.Time
 }
 
 // hop is a connection and its count of bytes before the request.
@@ -154,7 +157,7 @@
 		t.blind = true
 		return
 	}
-	t.hops = append(t.hops, hop{conn: c, base: c.count()})
+	t.hops = append(t.hops, hop{conn: c, base: c.limit(t.until)})
 }
 
 // outcome returns what is known of a request that failed: not sent only if no byte was written for it, which it makes
--- /dev/null
+++ b/internal/serving/orderer/orderer_test.go
@@ -0,0 +1,155 @@
+package orderer
+
+import (
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/heatherrock/heatherrock/internal/control/leaser"
+	"github.com/heatherrock/heatherrock/internal/control/repairer"
+	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	standin "github.com/heatherrock/heatherrock/internal/standin/tabler"
+)
+
+// engine is a model engine that takes orders. It loads only once the test says so.
+type engine struct {
+	server *httptest.Server
+	orders chan streamer.Order
+}
+
+func newEngine(t *testing.T) *engine {
+	e := &engine{orders: make(chan streamer.Order, 16)}
+	e.server = httptest.NewServer(e)
+	t.Cleanup(e.server.Close)
+	return e
+}
+
+func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var o streamer.Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || r.URL.Path != pathOrders {
+		http.Error(w, "no order", http.StatusBadRequest)
+		return
+	}
+	e.orders <- o
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// inventory is what both orderers know of the engines.
+type inventory struct {
+	mu        sync.Mutex
+	endpoints []Endpoint
+}
+
+func (i *inventory) Needs() []repairer.Need {
+	return []repairer.Need{{Model: "oak", Version: "v1", Layers: 20}}
+}
+
+func (i *inventory) Endpoints() []Endpoint {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return append([]Endpoint(nil), i.endpoints...)
+}
+
+func (i *inventory) hold(id string, from, to int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for n := range i.endpoints {
+		if i.endpoints[n].ID == id {
+			i.endpoints[n].Held = []repairer.Range{{Model: "oak", Version: "v1", From: from, To: to}}
+		}
+	}
+}
+
+// start starts an orderer whose times are short.
+func start(t *testing.T, self string, tb tabler.Table, i Inventory) *Orderer {
+	t.Helper()
+	terms := leaser.DefaultTerms()
+	terms.Renew, terms.Poll = 20*time.Millisecond, 10*time.Millisecond
+	settings := repairer.DefaultSettings()
+	settings.Grace = 0
+	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
+	o := New(self, "wales", tb, i, WithTerms(terms), WithSettings(settings), WithInterval(5*time.Millisecond), WithLogger(quiet))
+	o.Start()
+	t.Cleanup(o.Close)
+	return o
+}
+
+// wait waits until a condition of an orderer's state holds.
+func wait(o *Orderer, f func(s State) bool) {
+	for !f(o.State()) {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestRepairAndChangeOfHolder(t *testing.T) {
+	spare, other := newEngine(t), newEngine(t)
+	i := &inventory{endpoints: []Endpoint{
+		{Endpoint: repairer.Endpoint{ID: "e1", Kind: "a", Held: []repairer.Range{{Model: "oak", Version: "v1", To: 10}}}},
+		{Endpoint: repairer.Endpoint{ID: "e2", Kind: "a", Rate: 2}, Address: spare.server.Listener.Addr().String()},
+		{Endpoint: repairer.Endpoint{ID: "e3", Kind: "a", Rate: 1}, Address: other.server.Listener.Addr().String()},
+	}}
+	table := standin.New()
+	one := start(t, "one", table, i)
+	first := <-spare.orders
+	want := streamer.Order{ID: first.ID, Fence: 1, Order: streamer.OrderLoad, Held: streamer.Held{Model: "oak", Version: "v1", From: 10, To: 20}}
+	if diff := cmp.Diff(want, first); diff != "" {
+		t.Errorf("order mismatch (-want +got):\n%s", diff)
+	}
+	wait(one, func(s State) bool { return len(s.Unconfirmed) == 1 })
+
+	// The next holder knows of the load that runs and orders it from nobody.
+	two := start(t, "two", table, i)
+	one.Close()
+	wait(two, func(s State) bool { return s.Held && len(s.Loads) == 1 })
+	i.hold("e2", 10, 20)
+	wait(two, func(s State) bool { return len(s.Loads) == 0 && len(s.Unconfirmed) == 0 })
+	deeds := two.State().Deeds
+	if len(deeds) != 1 || deeds[0].What != repairer.WhatLoaded || deeds[0].Order != first.ID {
+		t.Errorf("deeds of the next holder are %+v", deeds)
+	}
+
+	// A later order carries the next holder's number.
+	i.hold("e1", 5, 10)
+	second := <-other.orders
+	if diff := cmp.Diff([]any{int64(2), 0, 5}, []any{second.Fence, second.Held.From, second.Held.To}); diff != "" {
+		t.Errorf("second order mismatch (-want +got):\n%s", diff)
+	}
+	if len(spare.orders) != 0 {
+		t.Error("the engine was ordered twice")
+	}
+}
+
+func TestUnreachableEngineGetsNoIntent(t *testing.T) {
+	gone := httptest.NewServer(http.NotFoundHandler())
+	address := gone.Listener.Addr().String()
+	gone.Close()
+	i := &inventory{endpoints: []Endpoint{{Endpoint: repairer.Endpoint{ID: "e1", Kind: "a"}, Address: address}}}
+	o := start(t, "one", standin.New(), i)
+	wait(o, func(s State) bool {
+		n := len(s.Deeds)
+		return n > 1 && s.Deeds[n-1].What == repairer.WhatWaiting && len(s.Unconfirmed) == 0
+	})
+	if d := o.State().Deeds[1]; d.What != repairer.WhatFailed || d.Endpoint != "e1" {
+		t.Errorf("second deed is %+v", d)
+	}
+}
+
+func TestTableDownMeansNoOrder(t *testing.T) {
+	e := newEngine(t)
+	i := &inventory{endpoints: []Endpoint{{Endpoint: repairer.Endpoint{ID: "e1"}, Address: e.server.Listener.Addr().String()}}}
+	o := start(t, "one", tabler.NewClient("http://127.0.0.1:1"), i)
+	for range 20 {
+		o.decide(i.Needs(), i.Endpoints())
+	}
+	if len(e.orders) != 0 || o.State().Held {
+		t.Error("an order was given without the lease")
+	}
+}
