Run each example's seven instances in a scenario

Cause: the examples were checked file by file, but nothing ran them together. Engines sent a ping only each second, which is longer than the Agency's instances wait on a silent stream.

Change: a test starts the stand-ins and the seven instances of each user from their files, brings the records into force, asks each instance for an answer and sends one hold or order to two instances. Engines ping each 200 ms, or as their kind says.

Measured: go test -race -run TestExamples ./cmd/standin passes: each instance gives the reference answer and the hold and the order run once.

--- a/cmd/standin/commands.go
+++ b/cmd/standin/commands.go
@@ -95,6 +95,7 @@
 	durations := map[*starter.Duration]*time.Duration{
 		&k.Layer:   flags.Duration("layer", 0, "time of a batch for a layer"),
 		&k.Prefill: flags.Duration("prefill", 0, "time for a layer and position of a new prefix"),
+		&k.Ping:    flags.Duration("ping", 0, "longest time without a line on a stream; 0 means 200ms"),
 		&k.Lag:     flags.Duration("lag", 0, "age of load reports and cache events"),
 		&k.Restart: flags.Duration("restart", 0, "time after which a crashed engine starts again; 0 means never"),
 	}
--- a/cmd/standin/examples_test.go
+++ b/cmd/standin/examples_test.go
@@ -103,7 +103,8 @@
 				counts[r.Kind]++
 			}
 			want := map[string]int{
-				recorder.KindModel: 1, recorder.KindService: 1, recorder.KindTeam: 10, recorder.KindEndpoint: 3, recorder.KindFleet: 1,
+				recorder.KindModel: 1, recorder.KindService: 1, recorder.KindTeam: 10,
+				recorder.KindEndpoint: 3, recorder.KindFleet: 1,
 			}
 			if diff := cmp.Diff(want, counts); diff != "" {
 				t.Errorf("records mismatch (-want +got):\n%s", diff)
@@ -127,7 +128,8 @@
 			stages, layers := mixed(s)
 			held := s.Fleet.Engines[0].Held[0]
 			q := streamer.Request{
-				Request: "r", Attempt: 1, Model: held.Model, Version: held.Version, Prompt: "a window sash", Limit: 8, Stages: stages,
+				Request: "r", Attempt: 1, Model: held.Model, Version: held.Version,
+				Prompt: "a window sash", Limit: 8, Stages: stages,
 			}
 			_, want := decoder.Answer(held.Model, held.Version, "", q.Prompt, layers, q.Limit)
 			if diff := cmp.Diff(want, stream(t, q)); diff != "" {
--- /dev/null
+++ b/cmd/standin/scenario_test.go
@@ -0,0 +1,187 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/heatherrock/heatherrock/internal/bench/stager"
+	"github.com/heatherrock/heatherrock/internal/control/accepter"
+	"github.com/heatherrock/heatherrock/internal/control/validator"
+	"github.com/heatherrock/heatherrock/internal/platform/lister"
+	"github.com/heatherrock/heatherrock/internal/serving/commander"
+	"github.com/heatherrock/heatherrock/internal/serving/configurer"
+	"github.com/heatherrock/heatherrock/internal/serving/runner"
+	"github.com/heatherrock/heatherrock/internal/standin/decoder"
+	"github.com/heatherrock/heatherrock/internal/standin/starter"
+)
+
+// site is the instances of a user before its stand-ins, all on free ports.
+type site struct {
+	user     string
+	standins *starter.Starter
+	nodes    []*runner.Runner
+}
+
+// newSite starts the stand-ins and the instances of a user.
+func newSite(t *testing.T, user string) *site {
+	t.Helper()
+	fleet := fleetOf(t, user)
+	fleet.Entries = nil
+	standins, err := starter.Start(fleet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(standins.Close)
+	s := &site{user: user, standins: standins}
+	files, err := filepath.Glob(path(user, "instances", "*.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, file := range files {
+		s.join(t, file)
+	}
+	return s
+}
+
+// join starts one instance with the settings of a file, but for the addresses.
+func (s *site) join(t *testing.T, file string) {
+	t.Helper()
+	settings, err := configurer.Parse([]string{
+		"-config", file,
+		"-callers.address", "127.0.0.1:0", "-operators.address", "127.0.0.1:0", "-peers.address", "127.0.0.1:0",
+		"-tables", s.standins.URL(starter.NameTables), "-objects", s.standins.URL(starter.NameObjects),
+		"-instances", s.standins.URL(starter.NameInstances), "-weights", s.standins.URL(starter.NameWeights),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := runner.New(settings, runner.Dial(settings), runner.WithLog(slog.New(slog.DiscardHandler)))
+	if err := r.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	s.nodes = append(s.nodes, r)
+	s.standins.List.Put(lister.Instance{
+		ID: settings.ID, Role: lister.RoleEntry, Address: r.PeerAddress(),
+		DataCentre: settings.DataCentre, Region: settings.Region,
+	})
+}
+
+// change sends a command to the first instance, as an operator.
+func (s *site) change(ctx context.Context, c accepter.Command) (accepter.Result, error) {
+	client := commander.NewClient("http://"+s.nodes[0].OperatorAddress(), s.user+"-operator")
+	var result accepter.Result
+	_, err := client.Do(ctx, http.MethodPost, "/changes", c, &result, http.StatusOK)
+	return result, err
+}
+
+// accept brings the user's records into force on every instance.
+func (s *site) accept(ctx context.Context, t *testing.T) {
+	t.Helper()
+	records, _ := validator.Parse("records.json", readFile(t, path(s.user, "records.json")))
+	submit := accepter.Command{ID: "submit-1", Action: accepter.ActionSubmit, Operator: "duty", Records: records}
+	submitted, err := s.change(ctx, submit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var accepted accepter.Result
+	tries := 0
+	wait := stager.Until(ctx, func() bool {
+		tries++
+		accepted, err = s.change(ctx, accepter.Command{
+			ID: fmt.Sprint("accept-", tries), Action: accepter.ActionAccept, Operator: "duty", Changes: submitted.Changes,
+		})
+		return err == nil
+	})
+	if wait != nil {
+		t.Fatal(err)
+	}
+	wait = stager.Until(ctx, func() bool {
+		for _, r := range s.nodes {
+			known := len(r.Router().State(time.Now()).Picker.Endpoints)
+			if r.View().Epoch < accepted.Epoch || known < len(s.standins.Engines) {
+				return false
+			}
+		}
+		return true
+	})
+	if wait != nil {
+		t.Fatal(wait)
+	}
+}
+
+// TestExamples runs the seven instances of each user before its stand-ins: its records come into force on all, each
+// instance streams a whole answer, and a hold or order that is sent to two instances is placed once.
+func TestExamples(t *testing.T) {
+	teams := map[string]string{"agency": "strathglen", "tregaron": "shops-south"}
+	effects := map[string]string{"agency": "/v1/services/stores/holds", "tregaron": "/v1/services/parts/orders"}
+	items := map[string]string{"agency": "seasoned-oak", "tregaron": "latch"}
+	for _, user := range users {
+		t.Run(user, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+			defer cancel()
+			s := newSite(t, user)
+			s.accept(ctx, t)
+			caller := stager.NewCaller(user + "-" + teams[user])
+			defer caller.Close()
+			s.answers(ctx, t, caller)
+			s.places(ctx, t, caller, effects[user], items[user])
+		})
+	}
+}
+
+// answers asks each instance for an answer and compares it with the reference.
+func (s *site) answers(ctx context.Context, t *testing.T, caller *stager.Caller) {
+	t.Helper()
+	held := s.standins.Fleet.Engines[0].Held[0]
+	layers := 2 * held.To
+	for i, r := range s.nodes {
+		prompt := fmt.Sprint("which part fits, number ", i)
+		_, want := decoder.Answer(held.Model, held.Version, "", prompt, layers, 12)
+		got, err := caller.Complete(ctx, r.CallerAddress(), held.Model, prompt, 12)
+		if diff := cmp.Diff(want, got.Text); diff != "" || err != nil || !got.Whole {
+			t.Errorf("%s: error %v, answer %+v; mismatch (-want +got):\n%s", r.ID(), err, got, diff)
+		}
+	}
+}
+
+// places sends one hold or order to two instances under one key and checks that it ran once.
+func (s *site) places(ctx context.Context, t *testing.T, caller *stager.Caller, effect, item string) {
+	t.Helper()
+	header := http.Header{"Idempotency-Key": {time.Now().UTC().Format("20060102") + "-1"}}
+	body, err := json.Marshal(map[string]any{"item": item, "quantity": 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var replies []string
+	for _, r := range s.nodes[:2] {
+		p, err := caller.Send(ctx, http.MethodPost, r.CallerAddress(), effect, header, body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var content bytes.Buffer
+		_, err = content.ReadFrom(p.Body)
+		p.Body.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		replies = append(replies, fmt.Sprint(p.StatusCode, " ", p.Header.Get("Heatherrock-Outcome"), " ", content.String()))
+	}
+	if diff := cmp.Diff(replies[0], replies[1]); diff != "" {
+		t.Errorf("the second reply differs (-first +second):\n%s", diff)
+	}
+	for _, ledger := range s.standins.Ledgers {
+		if placed := ledger.Placed(); len(placed) != 1 {
+			t.Errorf("placed %+v; replies %q", placed, replies)
+		}
+	}
+}
--- a/internal/standin/decoder/decoder.go
+++ b/internal/standin/decoder/decoder.go
@@ -22,7 +22,7 @@
 
 // The defaults of the options.
 const (
-	defaultPing  = time.Second
+	defaultPing  = 200 * time.Millisecond
 	defaultBatch = 16
 	defaultCache = 256
 	defaultRate  = 1e6
@@ -94,7 +94,7 @@
 // WithService sets the engine's times. Without it steps take no time.
 func WithService(s Service) Option { return func(d *Decoder) { d.service = s } }
 
-// WithPing sets the longest time without a line on a stream. It is 1 s if not set.
+// WithPing sets the longest time without a line on a stream. It is 200 ms if not set.
 func WithPing(interval time.Duration) Option { return func(d *Decoder) { d.ping = interval } }
 
 // WithLag sets how old a load report or cache event may be.
--- a/internal/standin/starter/fleet.go
+++ b/internal/standin/starter/fleet.go
@@ -68,6 +68,8 @@
 	Batch int `json:"batch,omitempty"`
 	// Cache bounds the cached prompt prefixes.
 	Cache int `json:"cache,omitempty"`
+	// Ping is the longest time without a line on a stream; 0 means that of the decoder.
+	Ping Duration `json:"ping,omitempty"`
 	// Lag is how old a load report or a cache event may be. One event in Gap is lost; 0 means none.
 	Lag Duration `json:"lag,omitempty"`
 	Gap int      `json:"gap,omitempty"`
--- a/internal/standin/starter/starter.go
+++ b/internal/standin/starter/starter.go
@@ -289,6 +289,9 @@
 	if kind.Fenced {
 		options = append(options, decoder.WithFence())
 	}
+	if kind.Ping > 0 {
+		options = append(options, decoder.WithPing(time.Duration(kind.Ping)))
+	}
 	if kind.Cache > 0 {
 		options = append(options, decoder.WithCache(kind.Cache))
 	}
