Forget ended requests in engines and name the silent stage

Cause: engines kept the caches of up to 4096 requests whether or not they had ended; and when a stage behind the second fell silent, nothing told which one.

Change: a step says if it is the last, so that each stage knows when an attempt ends and keeps the caches of the last 256 only. With a patience set, the engine before the last waits once as long, the one before it twice, and so on: the one that gives up first is next to the silent stage and names it.

Measured: go test -race ./cmd/standin ./internal/standin/... passes; an engine of each stage holds 256 of 266 ended requests, and one that runs stays.

--- a/cmd/standin/commands.go
+++ b/cmd/standin/commands.go
@@ -92,21 +92,20 @@
 		e.Adapters = append(e.Adapters, text)
 		return nil
 	})
-	durations := map[*starter.Duration]*time.Duration{
-		&k.Layer:   flags.Duration("layer", 0, "time of a batch for a layer"),
-		&k.Prefill: flags.Duration("prefill", 0, "time for a layer and position of a new prefix"),
-		&k.Ping:    flags.Duration("ping", 0, "longest time without a line on a stream; 0 means 200ms"),
-		&k.Lag:     flags.Duration("lag", 0, "age of load reports and cache events"),
-		&k.Restart: flags.Duration("restart", 0, "time after which a crashed engine starts again; 0 means never"),
+	duration := func(to *starter.Duration, name, help string) {
+		flags.DurationVar((*time.Duration)(to), name, 0, help)
 	}
+	duration(&k.Layer, "layer", "time of a batch for a layer")
+	duration(&k.Prefill, "prefill", "time for a layer and position of a new prefix")
+	duration(&k.Ping, "ping", "longest time without a line on a stream; 0 means 200ms")
+	duration(&k.Patience, "patience", "wait for the engine of the last stage; 0 means no bound")
+	duration(&k.Lag, "lag", "age of load reports and cache events")
+	duration(&k.Restart, "restart", "time after which a crashed engine starts again; 0 means never")
 	flags.IntVar(&k.Batch, "batch", 0, "steps that run together; 0 means 16")
 	flags.IntVar(&k.Gap, "gap", 0, "one cache event in so many is lost; 0 means none")
 	flags.BoolVar(&k.Fenced, "fenced", false, "refuse orders with an old fencing number")
 	flags.StringVar(&k.Poison, "poison", "", "marker of prompts that crash the engine")
 	err := parseFlags(flags, args)
-	for to, from := range durations {
-		*to = starter.Duration(*from)
-	}
 	e.Address = *address
 	f.Kinds = map[string]starter.Kind{e.Kind: k}
 	f.Engines = []starter.Engine{e}
--- a/internal/standin/decoder/decoder.go
+++ b/internal/standin/decoder/decoder.go
@@ -26,8 +26,9 @@
 	defaultBatch = 16
 	defaultCache = 256
 	defaultRate  = 1e6
-	// retained bounds the sessions and attempt numbers that an engine remembers.
+	// retained bounds the requests that an engine remembers, and cached those ended ones whose caches it keeps.
 	retained = 4096
+	cached   = 256
 	// maxBody bounds the body of a call, in bytes.
 	maxBody = 64 << 20
 )
@@ -53,6 +54,7 @@
 	crash    func()
 	link     func(address string, positions int) time.Duration
 	faults   *faulter.Faults
+	patience time.Duration
 	fetch    Fetch
 	drop     func(sequence int64) bool
 	router   *mux.Router
@@ -117,6 +119,11 @@
 	return func(d *Decoder) { d.link = link }
 }
 
+// WithPatience sets how long the engine of the last stage but one waits for that of the last; each one before it waits
+// as long again, so that the fault names the endpoint that is silent. Without it an engine waits until the caller
+// leaves.
+func WithPatience(patience time.Duration) Option { return func(d *Decoder) { d.patience = patience } }
+
 // WithWeights sets how weights are fetched for an order to load. Without it they are there at once.
 func WithWeights(fetch Fetch) Option { return func(d *Decoder) { d.fetch = fetch } }
 
--- a/internal/standin/decoder/decoder_test.go
+++ b/internal/standin/decoder/decoder_test.go
@@ -215,6 +215,49 @@
 	}
 }
 
+// TestSilentStage shows that the fault names the endpoint that is silent, also far behind the first stage.
+func TestSilentStage(t *testing.T) {
+	f := newFleet(t, WithPatience(50*time.Millisecond))
+	silent := faulter.NewFaults(1)
+	if err := silent.Set(faulter.Fault{Kind: faulter.Silent}); err != nil {
+		t.Fatal(err)
+	}
+	f.servers["c"] = httptest.NewServer(faulter.Wrap(silent, f.engines["c"]))
+	t.Cleanup(f.servers["c"].Close)
+	steps := collect(t, f.open(t, request(f, "a 0 4", "b 4 9", "c 9 12")))
+	ignore := cmpopts.IgnoreFields(streamer.Step{}, "Reason")
+	want := []streamer.Step{{Kind: streamer.KindFault, Request: "r", Attempt: 1, Endpoint: "c"}}
+	if diff := cmp.Diff(want, steps, ignore); diff != "" {
+		t.Errorf("steps mismatch (-want +got):\n%s", diff)
+	}
+}
+
+// TestRetention shows that ended requests do not pile up in an engine, whatever its stage, and running ones stay.
+func TestRetention(t *testing.T) {
+	f := newFleet(t)
+	running := sessionKey{Request: "running", Attempt: 1}
+	f.engines["c"].sessions.admit("running", 1)
+	f.engines["c"].sessions.open(running, Cache{})
+	for i := range cached + 10 {
+		q := request(f, "a 0 4", "b 4 9", "c 9 12")
+		q.Request, q.Limit = fmt.Sprint(i), 1
+		collect(t, f.open(t, q))
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		s := f.engines[id].sessions
+		want := cached
+		if s.find(running) != nil {
+			want++
+		}
+		if diff := cmp.Diff(want, len(s.stages)); diff != "" {
+			t.Errorf("%s: requests held mismatch (-want +got):\n%s", id, diff)
+		}
+	}
+	if f.engines["c"].sessions.find(running) == nil {
+		t.Error("a running request is forgotten")
+	}
+}
+
 func TestSkip(t *testing.T) {
 	faults := faulter.NewFaults(1)
 	if err := faults.Set(faulter.Fault{Call: CallStep, Kind: faulter.Skip, Skip: 4, Count: 1}); err != nil {
--- a/internal/standin/decoder/session.go
+++ b/internal/standin/decoder/session.go
@@ -70,11 +70,14 @@
 	cancelled chan struct{}
 }
 
-// sessions holds the latest attempt of each request. It forgets the oldest requests beyond a bound.
+// sessions holds the latest attempt of each request. It forgets the oldest requests beyond a bound, and the caches of
+// ended ones beyond a lower bound.
 type sessions struct {
 	attempts map[string]int
 	order    []string
 	stages   map[string]map[int]*session
+	// ended holds the requests whose latest attempt is over, the oldest first.
+	ended []sessionKey
 }
 
 func newSessions() *sessions {
@@ -117,14 +120,26 @@
 	return s.stages[k.Request][k.From]
 }
 
-// cancel ends an attempt. Its caches stay for a later attempt.
-func (s *sessions) cancel(request string, attempt int) {
+// end ends an attempt. Its caches stay for some time, for a later attempt.
+func (s *sessions) end(request string, attempt int) {
 	if s.attempts[request] != attempt {
 		return
 	}
+	fresh := false
 	for _, n := range s.stages[request] {
 		if !closed(n.cancelled) {
 			close(n.cancelled)
+			fresh = true
+		}
+	}
+	if fresh {
+		s.ended = append(s.ended, sessionKey{Request: request, Attempt: attempt})
+	}
+	for len(s.ended) > cached {
+		k := s.ended[0]
+		s.ended = s.ended[1:]
+		if s.attempts[k.Request] == k.Attempt {
+			delete(s.stages, k.Request)
 		}
 	}
 }
--- a/internal/standin/decoder/step.go
+++ b/internal/standin/decoder/step.go
@@ -24,6 +24,8 @@
 	// Position is the first position of Inputs, counted from 0 over the whole prefix.
 	Position int      `json:"position"`
 	Inputs   []uint64 `json:"inputs"`
+	// Last is set if no step of the attempt comes after this one.
+	Last bool `json:"last,omitempty"`
 }
 
 // Reply is the answer to a Step: the token that the last stage chose, and what was run for it, in order.
@@ -53,9 +55,19 @@
 	answer(w, d.runStep(r.Context(), s))
 }
 
-// runStep runs one step of this engine's stage and of all that come after it.
+// runStep runs one step of this engine's stage and of all that come after it. The attempt ends with its last token or
+// a fault.
 func (d *Decoder) runStep(ctx context.Context, s Step) Reply {
 	d.crashOn(s.Request.Prompt)
+	reply := d.runStages(ctx, s)
+	if s.Last || reply.Stop || reply.Reason != "" {
+		d.finish(s.Request)
+	}
+	return reply
+}
+
+// runStages runs this engine's stage of a step and passes the step on.
+func (d *Decoder) runStages(ctx context.Context, s Step) Reply {
 	g := s.Request.Stages[s.Index]
 	n, reason := d.enter(s, g)
 	if reason != "" {
@@ -164,6 +176,11 @@
 	if !pause(ctx, d.link(g.Address, len(s.Inputs))) {
 		return Reply{Endpoint: d.endpoint, Reason: "cancelled"}
 	}
+	if d.patience > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, d.patience*time.Duration(len(s.Request.Stages)-s.Index))
+		defer cancel()
+	}
 	reply, err := d.call(ctx, g.Address, s)
 	if err != nil {
 		return Reply{Endpoint: g.Endpoint, Reason: fault(err)}
--- a/internal/standin/decoder/stream.go
+++ b/internal/standin/decoder/stream.go
@@ -59,7 +59,7 @@
 func (d *Decoder) finish(q streamer.Request) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.sessions.cancel(q.Request, q.Attempt)
+	d.sessions.end(q.Request, q.Attempt)
 }
 
 func (d *Decoder) count(n int) {
@@ -92,6 +92,7 @@
 	inputs := prefix(s.request.Prompt, s.request.Delivered)
 	step := Step{Request: s.request, Inputs: inputs}
 	for token := len(s.request.Delivered); token < s.request.Limit; token++ {
+		step.Last = token+1 == s.request.Limit
 		reply, ok := s.await(ctx, step, token)
 		if !ok {
 			return
--- a/internal/standin/starter/fleet.go
+++ b/internal/standin/starter/fleet.go
@@ -70,6 +70,9 @@
 	Cache int `json:"cache,omitempty"`
 	// Ping is the longest time without a line on a stream; 0 means that of the decoder.
 	Ping Duration `json:"ping,omitempty"`
+	// Patience is how long an engine waits for that of the last stage, and twice for that before it, and so on; 0 means
+	// that it waits until the caller leaves.
+	Patience Duration `json:"patience,omitempty"`
 	// Lag is how old a load report or a cache event may be. One event in Gap is lost; 0 means none.
 	Lag Duration `json:"lag,omitempty"`
 	Gap int      `json:"gap,omitempty"`
--- a/internal/standin/starter/starter.go
+++ b/internal/standin/starter/starter.go
@@ -279,7 +279,7 @@
 	options := []decoder.Option{
 		decoder.WithEndpoint(e.ID), decoder.WithKind(e.Kind), decoder.WithHeld(e.Held...),
 		decoder.WithAdapters(e.Adapters...), decoder.WithPoison(kind.Poison), decoder.WithLag(time.Duration(kind.Lag)),
-		decoder.WithFaults(faults),
+		decoder.WithFaults(faults), decoder.WithPatience(time.Duration(kind.Patience)),
 		decoder.WithService(decoder.Service{
 			Layer: time.Duration(kind.Layer), Prefill: time.Duration(kind.Prefill), Batch: kind.Batch,
 		}),
