Begin the trial of a suspect only where no other suspect runs

Ruled out: the first strike, which every request of the batch gets and a trial clears. Change: a trial names all endpoints of its plan, and begins only if no reachable instance knows of one that overlaps; of two that begin at once the lower fingerprint goes first.

--- a/internal/bench/prover/poison.go
+++ b/internal/bench/prover/poison.go
@@ -17,6 +17,9 @@
 	poisonNodes = 7
 	// poisonResends is the number of times that the caller sends its request to each instance.
 	poisonResends = 3
+	// poisonCallers is the number of callers of other requests, and innocents the least number of their requests.
+	poisonCallers = 12
+	innocents     = 300
 	// restart is how long a crashed engine stays down.
 	restart = 500 * time.Millisecond
 	// crashTarget bounds the endpoints that one request may crash.
@@ -33,9 +36,13 @@
 		return result, err
 	}
 	defer s.Close()
-	load := startLoad(ctx, s.Live, 4, seed)
+	load := startLoad(ctx, s.Live, poisonCallers, seed)
 	refused, codes := resend(ctx, s)
+	err = stager.Until(ctx, func() bool { return load.sent.Load() >= innocents })
 	load.stop()
+	if err != nil {
+		return result, err
+	}
 	crashed := 0
 	for _, p := range s.Standins.Parts() {
 		crashed += p.Server.Crashes()
--- a/internal/routing/quarantiner/quarantiner.go
+++ b/internal/routing/quarantiner/quarantiner.go
@@ -2,6 +2,7 @@
 package quarantiner
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -32,8 +33,8 @@
 	Fingerprint Fingerprint `json:"fingerprint"`
 	// Endpoints lists the endpoints that crashed while they ran the request.
 	Endpoints []string `json:"endpoints"`
-	// Trial is the endpoint of the trial in progress, and Until the time at which the trial counts as lost.
-	Trial string    `json:"trial,omitempty"`
+	// Trial lists the endpoints of the trial in progress, and Until is the time at which the trial counts as lost.
+	Trial []string  `json:"trial,omitempty"`
 	Until time.Time `json:"until,omitzero"`
 	// Expires is when the case is forgotten.
 	Expires time.Time `json:"expires"`
@@ -79,27 +80,65 @@
 	if len(c.Endpoints) >= strikeLimit {
 		return Refuse
 	}
-	if c.Trial != "" && now.Before(c.Until) {
+	if c.onTrial(now) {
 		return Wait
 	}
 	return Trial
 }
 
-// Open begins a trial of a suspect at now on the endpoint given. It returns the case to publish.
-func (q *Quarantiner) Open(now time.Time, f Fingerprint, endpoint string) Case {
+// onTrial reports whether the case has a trial in progress at now.
+func (c Case) onTrial(now time.Time) bool {
+	return len(c.Trial) > 0 && now.Before(c.Until)
+}
+
+// Open begins a trial of a suspect at now on the endpoints given. It reports false, and begins none, if another
+// suspect's trial uses one of them: a crash would not tell which of the two to blame. The case is to be published.
+func (q *Quarantiner) Open(now time.Time, f Fingerprint, endpoints []string) (Case, bool) {
 	c := q.Cases[f]
-	c.Trial = endpoint
+	for _, busy := range q.Busy(now, f) {
+		if slices.Contains(endpoints, busy) {
+			return c, false
+		}
+	}
+	c.Trial = endpoints
 	c.Until = now.Add(q.Patience)
 	q.Cases[f] = c
+	return c, true
+}
+
+// Withdraw ends a trial that another instance objected to, without a finding. The case is to be published.
+func (q *Quarantiner) Withdraw(f Fingerprint) Case {
+	c := q.Cases[f]
+	c.Trial = nil
+	c.Until = time.Time{}
+	q.Cases[f] = c
 	return c
 }
 
+// Object takes in at now that another instance is about to begin a trial, and reports whether this instance knows of a
+// trial that goes before it: one that uses one of its endpoints, of a suspect with a lower fingerprint. Of two trials
+// that begin at once on different instances, at most one is begun.
+func (q *Quarantiner) Object(now time.Time, c Case) bool {
+	for g, own := range q.Cases {
+		if g < c.Fingerprint && own.onTrial(now) && overlap(own.Trial, c.Trial) {
+			return true
+		}
+	}
+	q.Merge(now, c)
+	return false
+}
+
+// overlap reports whether two lists share a name.
+func overlap(a, b []string) bool {
+	return slices.ContainsFunc(a, func(name string) bool { return slices.Contains(b, name) })
+}
+
 // Busy returns the endpoints on which other suspects than f are on trial at now, ordered by name.
 func (q *Quarantiner) Busy(now time.Time, f Fingerprint) []string {
 	var busy []string
 	for g, c := range q.Cases {
-		if g != f && c.Trial != "" && now.Before(c.Until) {
-			busy = append(busy, c.Trial)
+		if g != f && c.onTrial(now) {
+			busy = append(busy, c.Trial...)
 		}
 	}
 	sort.Strings(busy)
@@ -113,11 +152,11 @@
 	if !ok || !now.Before(c.Expires) {
 		c = Case{Fingerprint: f}
 	}
-	if len(c.Endpoints) > 0 && c.Trial != endpoint {
+	if len(c.Endpoints) > 0 && !slices.Contains(c.Trial, endpoint) {
 		return c
 	}
 	c.Endpoints = union(c.Endpoints, []string{endpoint})
-	c.Trial = ""
+	c.Trial = nil
 	c.Until = time.Time{}
 	c.Expires = now.Add(q.Term)
 	q.Cases[f] = c
--- a/internal/routing/quarantiner/quarantiner_test.go
+++ b/internal/routing/quarantiner/quarantiner_test.go
@@ -21,20 +21,20 @@
 		{"one crash", func(q *Quarantiner) { q.Crash(start, poison, "a") }, 0, Trial},
 		{"a trial in progress", func(q *Quarantiner) {
 			q.Crash(start, poison, "a")
-			q.Open(start, poison, "b")
+			q.Open(start, poison, []string{"b"})
 		}, 0, Wait},
 		{"a trial that was lost", func(q *Quarantiner) {
 			q.Crash(start, poison, "a")
-			q.Open(start, poison, "b")
+			q.Open(start, poison, []string{"b"})
 		}, time.Minute, Trial},
 		{"crash on trial", func(q *Quarantiner) {
 			q.Crash(start, poison, "a")
-			q.Open(start, poison, "b")
+			q.Open(start, poison, []string{"b"})
 			q.Crash(start, poison, "b")
 		}, 0, Refuse},
 		{"crash of a shared endpoint while on trial elsewhere", func(q *Quarantiner) {
 			q.Crash(start, poison, "a")
-			q.Open(start, poison, "b")
+			q.Open(start, poison, []string{"b"})
 			q.Crash(start, poison, "c")
 		}, 0, Wait},
 		{"the same crash seen twice", func(q *Quarantiner) {
@@ -43,12 +43,12 @@
 		}, 0, Trial},
 		{"cleared by its trial", func(q *Quarantiner) {
 			q.Crash(start, poison, "a")
-			q.Open(start, poison, "b")
+			q.Open(start, poison, []string{"b"})
 			q.Clear(start, poison)
 		}, 0, Allow},
 		{"another request's crashes", func(q *Quarantiner) {
 			q.Crash(start, innocent, "a")
-			q.Open(start, innocent, "b")
+			q.Open(start, innocent, []string{"b"})
 			q.Crash(start, innocent, "b")
 		}, 0, Allow},
 		{"term over", func(q *Quarantiner) {
@@ -81,15 +81,65 @@
 	q := New()
 	q.Crash(start, 1, "a")
 	q.Crash(start, 2, "a")
-	q.Open(start, 1, "b")
+	q.Open(start, 1, []string{"b"})
 	if diff := cmp.Diff([]string{"b"}, q.Busy(start, 2)); diff != "" {
 		t.Errorf("Busy mismatch (-want +got):\n%s", diff)
 	}
 	if diff := cmp.Diff([]string(nil), q.Busy(start, 1)); diff != "" {
 		t.Errorf("Busy mismatch (-want +got):\n%s", diff)
 	}
+	_, ok := q.Open(start, 2, []string{"b", "c"})
+	if diff := cmp.Diff(false, ok); diff != "" {
+		t.Errorf("Open mismatch (-want +got):\n%s", diff)
+	}
+	q.Withdraw(1)
+	_, ok = q.Open(start, 2, []string{"b", "c"})
+	if diff := cmp.Diff(true, ok); diff != "" {
+		t.Errorf("Open mismatch (-want +got):\n%s", diff)
+	}
 	q.Expire(start.Add(time.Hour))
 	if diff := cmp.Diff(map[Fingerprint]Case{}, q.Cases); diff != "" {
 		t.Errorf("Cases mismatch (-want +got):\n%s", diff)
 	}
 }
+
+// TestTrialsOverInstances begins trials of two suspects on two instances at once, in every order of the messages, and
+// checks that at most one uses a shared endpoint.
+func TestTrialsOverInstances(t *testing.T) {
+	endpoints := []string{"a", "b"}
+	cases := []struct {
+		name    string
+		order   []int
+		started []bool
+	}{
+		{"the lower claims first", []int{0, 1, 2, 3}, []bool{true, false}},
+		{"both claim before either tells", []int{0, 2, 1, 3}, []bool{true, false}},
+		{"the higher tells before the lower claims", []int{2, 3, 0, 1}, []bool{false, true}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			instances := []*Quarantiner{New(), New()}
+			claims := make([]Case, 2)
+			started := make([]bool, 2)
+			for i, q := range instances {
+				q.Crash(start, 1, "x")
+				q.Crash(start, 2, "x")
+				claims[i].Fingerprint = Fingerprint(i + 1)
+			}
+			for _, step := range c.order {
+				i := step / 2
+				if step%2 == 0 {
+					claims[i], started[i] = instances[i].Open(start, Fingerprint(i+1), endpoints)
+					continue
+				}
+				if started[i] && instances[1-i].Object(start, claims[i]) {
+					started[i] = false
+					instances[i].Withdraw(Fingerprint(i + 1))
+				}
+			}
+			if diff := cmp.Diff(c.started, started); diff != "" {
+				t.Errorf("started mismatch (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/serving/generator/generator.go
+++ b/internal/serving/generator/generator.go
@@ -114,8 +114,8 @@
 type Guard interface {
 	// Check says how a request may run.
 	Check(now time.Time, f quarantiner.Fingerprint) quarantiner.Ruling
-	// Open begins a trial.
-	Open(now time.Time, f quarantiner.Fingerprint, endpoint string)
+	// Open begins a trial on endpoints and reports whether it may begin now.
+	Open(now time.Time, f quarantiner.Fingerprint, endpoints []string) bool
 	// Busy returns the endpoints of other trials.
 	Busy(now time.Time, f quarantiner.Fingerprint) []string
 	// Crash tells that an endpoint crashed while it ran the request. It returns once the other instances were told, as
@@ -310,12 +310,21 @@
 		avoid = append(a.guard.Busy(now, a.job.Fingerprint), avoid...)
 	}
 	route := a.router.Route(now, a.job, Ask{Avoid: avoid, Delivered: len(a.tracker.Delivered), Last: a.tracker.Plan})
-	if a.trial && route.OK {
-		a.guard.Open(now, a.job.Fingerprint, route.Plan.Stages[0].Endpoint)
+	if a.trial && route.OK && !a.guard.Open(now, a.job.Fingerprint, endpoints(route.Plan)) {
+		return Route{After: trialWait, Reason: "another request is on trial"}, FailureNone
 	}
 	return route, FailureNone
 }
 
+// endpoints returns the endpoints of a plan.
+func endpoints(p planner.Plan) []string {
+	var list []string
+	for _, s := range p.Stages {
+		list = append(list, s.Endpoint)
+	}
+	return list
+}
+
 // trialWait is how long to wait while the same request is on trial.
 const trialWait = 100 * time.Millisecond
 
--- a/internal/serving/generator/generator_test.go
+++ b/internal/serving/generator/generator_test.go
@@ -142,7 +142,7 @@
 }
 
 func (b *bench) Check(_ time.Time, f quarantiner.Fingerprint) quarantiner.Ruling { return b.rulings[f] }
-func (b *bench) Open(time.Time, quarantiner.Fingerprint, string)                 {}
+func (b *bench) Open(time.Time, quarantiner.Fingerprint, []string) bool          { return true }
 func (b *bench) Busy(time.Time, quarantiner.Fingerprint) []string                { return nil }
 func (b *bench) Clear(time.Time, quarantiner.Fingerprint)                        {}
 func (b *bench) Crash(_ time.Time, _ quarantiner.Fingerprint, endpoint string) {
--- a/internal/serving/isolator/isolator.go
+++ b/internal/serving/isolator/isolator.go
@@ -16,6 +16,8 @@
 type Publisher interface {
 	Publish(key string, value []byte, ttl time.Duration)
 	Urgent(key string, value []byte, ttl time.Duration)
+	// Ask tells every reachable instance of a trial that is about to begin, and reports whether one objects.
+	Ask(value []byte) bool
 }
 
 // Isolator guards the quarantine of one instance for use by many goroutines.
@@ -40,13 +42,37 @@
 	return i.quarantine.Check(now, f)
 }
 
-// Open begins a trial on an endpoint at now, and tells the other instances.
-func (i *Isolator) Open(now time.Time, f quarantiner.Fingerprint, endpoint string) {
+// Open begins a trial on endpoints at now and reports whether it may begin: no reachable instance knows of a trial of
+// another suspect on one of them that goes first.
+func (i *Isolator) Open(now time.Time, f quarantiner.Fingerprint, endpoints []string) bool {
 	i.mu.Lock()
-	c := i.quarantine.Open(now, f, endpoint)
+	c, ok := i.quarantine.Open(now, f, endpoints)
 	i.mu.Unlock()
-	i.log.Info("suspect on trial", "fingerprint", key(f), "endpoint", endpoint)
+	if !ok {
+		return false
+	}
+	if i.publisher.Ask(encode(c)) {
+		i.mu.Lock()
+		c = i.quarantine.Withdraw(f)
+		i.mu.Unlock()
+		i.publisher.Urgent(key(f), encode(c), c.Expires.Sub(now))
+		return false
+	}
+	i.log.Info("suspect on trial", "fingerprint", key(f), "endpoints", endpoints)
 	i.publisher.Publish(key(f), encode(c), c.Expires.Sub(now))
+	return true
+}
+
+// Object takes in at now a trial that another instance is about to begin, and reports whether this one objects. It
+// returns an error if the case cannot be read.
+func (i *Isolator) Object(now time.Time, value []byte) (bool, error) {
+	var c quarantiner.Case
+	if err := json.Unmarshal(value, &c); err != nil {
+		return false, err
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.quarantine.Object(now, c), nil
 }
 
 // Busy returns the endpoints of the trials of other suspects at now.
--- a/internal/serving/isolator/isolator_test.go
+++ b/internal/serving/isolator/isolator_test.go
@@ -29,6 +29,14 @@
 	w.Publish(key, value, ttl)
 }
 
+func (w *wire) Ask(value []byte) bool {
+	objects, err := w.to.Object(start, value)
+	if err != nil {
+		panic(err)
+	}
+	return objects
+}
+
 // TestOtherInstanceRefuses follows one request and its resends over two instances.
 func TestOtherInstanceRefuses(t *testing.T) {
 	log := slog.New(slog.DiscardHandler)
@@ -44,7 +52,7 @@
 	}{
 		{"nothing known", func() {}, quarantiner.Allow},
 		{"crash on the first instance", func() { a.Crash(start, poison, "x") }, quarantiner.Trial},
-		{"trial on the first instance", func() { a.Open(start, poison, "y") }, quarantiner.Wait},
+		{"trial on the first instance", func() { a.Open(start, poison, []string{"y"}) }, quarantiner.Wait},
 		{"crash on trial", func() { a.Crash(start, poison, "y") }, quarantiner.Refuse},
 		{"clearance that comes late", func() { a.Clear(start, poison) }, quarantiner.Refuse},
 	}
--- a/internal/serving/runner/peers.go
+++ b/internal/serving/runner/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/control/gossiper"
@@ -43,6 +44,27 @@
 	return n.runner.isolator.Take(n.runner.clock(), value)
 }
 
+// Trial takes in a trial that a peer is about to begin, and answers whether this instance objects.
+func (n *notices) Trial(value []byte, objects *bool) error {
+	var err error
+	*objects, err = n.runner.isolator.Object(n.runner.clock(), value)
+	return err
+}
+
+// Ask tells every reachable instance of a trial that is about to begin, and reports whether one objects.
+func (n *notices) Ask(value []byte) bool {
+	var objections atomic.Int64
+	n.tell(func(ctx context.Context, p gossiper.Peer) error {
+		var objects bool
+		err := n.runner.exchange.Call(ctx, p, "Notices.Trial", value, &objects)
+		if err == nil && objects {
+			objections.Add(1)
+		}
+		return err
+	})
+	return objections.Load() > 0
+}
+
 // Publish shares a case of the quarantine with the other instances in time.
 func (n *notices) Publish(key string, value []byte, ttl time.Duration) {
 	n.runner.exchange.Publish(gossiper.TopicQuarantine, key, value, ttl)
@@ -51,13 +73,20 @@
 // Urgent shares a case of the quarantine and returns once each reachable instance has it, or a bound has passed.
 func (n *notices) Urgent(key string, value []byte, ttl time.Duration) {
 	n.Publish(key, value, ttl)
+	n.tell(func(ctx context.Context, p gossiper.Peer) error {
+		return n.runner.exchange.Call(ctx, p, "Notices.Case", value, &exchanger.Nothing{})
+	})
+}
+
+// tell calls every peer at once and returns when all have answered or a bound has passed.
+func (n *notices) tell(call func(ctx context.Context, p gossiper.Peer) error) {
 	ctx, cancel := context.WithTimeout(context.Background(), urgentTimeout)
 	defer cancel()
 	var wait sync.WaitGroup
 	for _, p := range n.runner.exchange.Peers() {
 		wait.Go(func() {
-			if err := n.runner.exchange.Call(ctx, p, "Notices.Case", value, &exchanger.Nothing{}); err != nil {
-				n.runner.log.Warn("peer not told of a crash", "peer", p.ID, "error", err)
+			if err := call(ctx, p); err != nil {
+				n.runner.log.Warn("peer not told of a crash or a trial", "peer", p.ID, "error", err)
 			}
 		})
 	}
