Count what runs on every engine and scan rows in order

Cause: only the engine of the first stage counted a request as running, so the load reports of the others were too low. A cancel that came before the first step of its attempt was lost. A scan sorted the whole table.

Change: each engine counts the requests that had a step of late, and an attempt that has ended does not begin. The table keeps its keys in order.

--- a/internal/standin/decoder/decoder.go
+++ b/internal/standin/decoder/decoder.go
@@ -29,6 +29,9 @@
 	// retained bounds the requests that an engine remembers, and cached those ended ones whose caches it keeps.
 	retained = 4096
 	cached   = 256
+	// idle is the time without a step after which a request no longer counts as running: an engine is not told when
+	// the one before it dies.
+	idle = 5 * time.Second
 	// maxBody bounds the body of a call, in bytes.
 	maxBody = 64 << 20
 )
@@ -70,7 +73,6 @@
 	adapters []string
 	role     string
 	leaving  bool
-	running  int
 	report   streamer.Load
 	sessions *sessions
 	caches   map[string]Cache
--- a/internal/standin/decoder/decoder_test.go
+++ b/internal/standin/decoder/decoder_test.go
@@ -302,8 +302,8 @@
 			q := request(f, "e 0 12")
 			q.Request = way
 			r := f.open(t, q)
-			if _, err := bufio.NewReader(r.Body).ReadBytes('\n'); err != nil {
-				t.Fatal(err)
+			for f.engines["e"].Load().Running == 0 {
+				time.Sleep(time.Millisecond)
 			}
 			if way == "delete" {
 				u := "http://" + q.Stages[0].Address + "/engine/streams/delete/1"
@@ -314,6 +314,10 @@
 				if _, err := http.DefaultClient.Do(d); err != nil {
 					t.Fatal(err)
 				}
+				steps := collect(t, r)
+				if len(steps) != 1 || steps[0].Reason != "cancelled" {
+					t.Errorf("steps %+v after a cancel", steps)
+				}
 			} else {
 				r.Body.Close()
 			}
--- a/internal/standin/decoder/load.go
+++ b/internal/standin/decoder/load.go
@@ -15,16 +15,17 @@
 	waiting := d.batcher.waiting()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := d.clock()
 	return streamer.Load{
 		Endpoint: d.endpoint,
 		Kind:     d.kind,
 		Held:     slices.Clone(d.held),
 		Adapters: slices.Clone(d.adapters),
-		Running:  d.running,
+		Running:  d.sessions.running(now.Add(-idle)),
 		Waiting:  waiting,
 		Rate:     d.service.rate(),
 		Leaving:  d.leaving,
-		Stamp:    d.clock().UnixMilli(),
+		Stamp:    now.UnixMilli(),
 	}
 }
 
--- a/internal/standin/decoder/session.go
+++ b/internal/standin/decoder/session.go
@@ -1,6 +1,10 @@
 package decoder
 
-import "github.com/heatherrock/heatherrock/internal/platform/streamer"
+import (
+	"time"
+
+	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+)
 
 // Cache is the KV cache of one stage of one request: the state of each layer after each position, and what the last
 // layer put out for each.
@@ -76,12 +80,19 @@
 	attempts map[string]int
 	order    []string
 	stages   map[string]map[int]*session
+	// live holds the time of the last step of each request that runs.
+	live map[string]time.Time
+	// over holds the latest attempt of each request that has ended.
+	over map[string]int
 	// ended holds the requests whose latest attempt is over, the oldest first.
 	ended []sessionKey
 }
 
 func newSessions() *sessions {
-	return &sessions{attempts: map[string]int{}, stages: map[string]map[int]*session{}}
+	return &sessions{
+		attempts: map[string]int{}, stages: map[string]map[int]*session{}, live: map[string]time.Time{},
+		over: map[string]int{},
+	}
 }
 
 // admit notes an attempt and reports whether it is as new as the newest that is known.
@@ -93,15 +104,31 @@
 	if !ok {
 		s.order = append(s.order, request)
 	}
+	if attempt > known {
+		s.end(request, known)
+	}
 	s.attempts[request] = attempt
 	for len(s.order) > retained {
 		delete(s.attempts, s.order[0])
 		delete(s.stages, s.order[0])
+		delete(s.live, s.order[0])
+		delete(s.over, s.order[0])
 		s.order = s.order[1:]
 	}
 	return true
 }
 
+// running counts the requests that had a step since a time.
+func (s *sessions) running(since time.Time) int {
+	n := 0
+	for _, last := range s.live {
+		if !last.Before(since) {
+			n++
+		}
+	}
+	return n
+}
+
 // open begins a stage of an attempt. The stage of an earlier attempt in the same place ends.
 func (s *sessions) open(k sessionKey, cache Cache) *session {
 	n := &session{cache: cache, cancelled: make(chan struct{})}
@@ -125,6 +152,8 @@
 	if s.attempts[request] != attempt {
 		return
 	}
+	delete(s.live, request)
+	s.over[request] = attempt
 	fresh := false
 	for _, n := range s.stages[request] {
 		if !closed(n.cancelled) {
--- a/internal/standin/decoder/step.go
+++ b/internal/standin/decoder/step.go
@@ -100,12 +100,16 @@
 	if !d.sessions.admit(q.Request, q.Attempt) {
 		return nil, "stale attempt"
 	}
+	if over, ok := d.sessions.over[q.Request]; ok && over >= q.Attempt {
+		return nil, "cancelled"
+	}
 	k := sessionKey{q.Request, q.Attempt, g.From}
 	if s.Position > 0 {
 		n := d.sessions.find(k)
 		if n == nil || len(n.cache.Inputs) != s.Position {
 			return nil, "unknown position"
 		}
+		d.sessions.live[q.Request] = d.clock()
 		return n, ""
 	}
 	if !d.holds(q, g) {
@@ -114,6 +118,7 @@
 	if len(s.Inputs) == 0 {
 		return nil, "no input"
 	}
+	d.sessions.live[q.Request] = d.clock()
 	return d.sessions.open(k, d.recall(q, g, s.Inputs)), ""
 }
 
--- a/internal/standin/decoder/stream.go
+++ b/internal/standin/decoder/stream.go
@@ -28,8 +28,6 @@
 		return
 	}
 	d.crashOn(q.Prompt)
-	d.count(1)
-	defer d.count(-1)
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	w.Header().Set("Content-Type", "application/x-ndjson")
@@ -62,12 +60,6 @@
 	d.sessions.end(q.Request, q.Attempt)
 }
 
-func (d *Decoder) count(n int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.running += n
-}
-
 // cancelStream ends an attempt. It answers the same whether or not the attempt was known.
 func (d *Decoder) cancelStream(w http.ResponseWriter, r *http.Request) {
 	attempt, err := strconv.Atoi(mux.Vars(r)["attempt"])
--- a/internal/standin/tabler/table.go
+++ b/internal/standin/tabler/table.go
@@ -4,7 +4,7 @@
 import (
 	"context"
 	"net/http"
-	"sort"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -34,8 +34,10 @@
 	writes *rate.Limiter
 	reads  *rate.Limiter
 
-	mu      sync.Mutex
-	rows    map[rowKey]tabler.Row
+	mu   sync.Mutex
+	rows map[rowKey]tabler.Row
+	// keys holds the keys of each table in order.
+	keys    map[string][]string
 	version int64
 	late    []lateWrite
 	usage   Usage
@@ -88,7 +90,7 @@
 
 // New returns an empty table service.
 func New(options ...Option) *Table {
-	t := &Table{clock: time.Now, rows: map[rowKey]tabler.Row{}}
+	t := &Table{clock: time.Now, rows: map[rowKey]tabler.Row{}, keys: map[string][]string{}}
 	for _, o := range options {
 		o(t)
 	}
@@ -118,13 +120,17 @@
 	t.land(t.clock())
 	t.usage.Reads++
 	rows := []tabler.Row{}
-	for k, row := range t.rows {
-		if k.table == table && strings.HasPrefix(k.key, prefix) && k.key > after {
-			rows = append(rows, copied(row))
+	keys := t.keys[table]
+	first, _ := slices.BinarySearch(keys, max(prefix, after))
+	for _, key := range keys[first:] {
+		if len(rows) >= min(limit, maxScan) || !strings.HasPrefix(key, prefix) {
+			break
+		}
+		if key > after {
+			rows = append(rows, copied(t.rows[rowKey{table, key}]))
 		}
 	}
-	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
-	return rows[:min(len(rows), max(0, limit), maxScan)], nil
+	return rows, nil
 }
 
 // Commit applies a transaction. The error explains an outcome other than Completed.
@@ -220,10 +226,18 @@
 func (t *Table) write(w tabler.Write) int64 {
 	t.usage.Writes++
 	k := rowKey{w.Table, w.Key}
+	keys := t.keys[w.Table]
+	place, found := slices.BinarySearch(keys, w.Key)
 	if w.Delete {
 		delete(t.rows, k)
+		if found {
+			t.keys[w.Table] = slices.Delete(keys, place, place+1)
+		}
 		return 0
 	}
+	if !found {
+		t.keys[w.Table] = slices.Insert(keys, place, w.Key)
+	}
 	t.version++
 	t.rows[k] = copied(tabler.Row{Table: w.Table, Key: w.Key, Value: w.Value, Version: t.version})
 	return t.version
