Check TLS files, bound the object store's calls and use plainer names

Cause: an unreadable certificate showed only when a listener was opened. The object store had no rates. Some names of the fault control and the engines needed explaining.

Change: reading the settings tries the TLS files and names the setting at fault. The object store takes rates. Faults are injected and count their hits; engines have a timeout. The example scenario does not depend on the machine's speed.

--- a/cmd/standin/commands.go
+++ b/cmd/standin/commands.go
@@ -52,6 +52,8 @@
 func readObjects(flags *flag.FlagSet, args []string) (starter.Fleet, error) {
 	f := starter.Fleet{Objects: &starter.Objects{}}
 	address := common(flags, &f)
+	flags.Float64Var(&f.Objects.Writes, "writes", 0, "writes a second; 0 means no bound")
+	flags.Float64Var(&f.Objects.Reads, "reads", 0, "reads a second; 0 means no bound")
 	err := parseFlags(flags, args)
 	f.Objects.Address = *address
 	return f, err
@@ -98,7 +100,7 @@
 	duration(&k.Layer, "layer", "time of a batch for a layer")
 	duration(&k.Prefill, "prefill", "time for a layer and position of a new prefix")
 	duration(&k.Ping, "ping", "longest time without a line on a stream; 0 means 200ms")
-	duration(&k.Patience, "patience", "wait for the engine of the last stage; 0 means no bound")
+	duration(&k.Timeout, "timeout", "wait for the engine of the last stage; 0 means no bound")
 	duration(&k.Lag, "lag", "age of load reports and cache events")
 	duration(&k.Restart, "restart", "time after which a crashed engine starts again; 0 means never")
 	flags.IntVar(&k.Batch, "batch", 0, "steps that run together; 0 means 16")
--- a/cmd/standin/examples_test.go
+++ b/cmd/standin/examples_test.go
@@ -36,7 +36,7 @@
 	return content
 }
 
-// fleetOf returns the stand-ins of a user on free ports.
+// fleetOf returns the stand-ins of a user on free ports, whose engines wait for each other on a busy machine too.
 func fleetOf(t *testing.T, user string) starter.Fleet {
 	t.Helper()
 	f, err := starter.Read(readFile(t, path(user, "standins.json")))
@@ -44,6 +44,10 @@
 		t.Fatal(err)
 	}
 	f.Control, f.Tables.Address, f.Objects.Address, f.Instances.Address, f.Weights.Address = "", "", "", "", ""
+	for name, k := range f.Kinds {
+		k.Timeout = 0
+		f.Kinds[name] = k
+	}
 	for i := range f.Engines {
 		f.Engines[i].Address = ""
 	}
--- a/cmd/standin/scenario_test.go
+++ b/cmd/standin/scenario_test.go
@@ -52,7 +52,8 @@
 	return s
 }
 
-// join starts one instance with the settings of a file, but for the addresses.
+// join starts one instance with the settings of a file, but for the addresses and the wait for a step, which a busy
+// machine must not end.
 func (s *site) join(t *testing.T, file string) {
 	t.Helper()
 	settings, err := configurer.Parse([]string{
@@ -60,6 +61,7 @@
 		"-callers.address", "127.0.0.1:0", "-operators.address", "127.0.0.1:0", "-peers.address", "127.0.0.1:0",
 		"-tables", s.standins.URL(starter.NameTables), "-objects", s.standins.URL(starter.NameObjects),
 		"-instances", s.standins.URL(starter.NameInstances), "-weights", s.standins.URL(starter.NameWeights),
+		"-times.progress", "1m",
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/serving/configurer/configurer_test.go
+++ b/internal/serving/configurer/configurer_test.go
@@ -1,8 +1,14 @@
 package configurer
 
 import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
 	"errors"
 	"flag"
+	"math/big"
 	"os"
 	"path/filepath"
 	"strings"
@@ -147,6 +153,56 @@
 	}
 }
 
+func TestParseFiles(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, content string) string {
+		file := filepath.Join(dir, name)
+		if err := os.WriteFile(file, []byte(content), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return file
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(1)}
+	certificate, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert := write("cert.pem", string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: certificate})))
+	secret := write("key.pem", string(pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: private})))
+	text := write("text.pem", "not a certificate")
+	absent := filepath.Join(dir, "absent.pem")
+	cases := []struct{ name, cert, key, ca, want string }{
+		{"right", cert, secret, cert, ""},
+		{"no certificate", absent, secret, "", "peers.cert: open " + absent + ": no such file or directory"},
+		{"no key", cert, absent, "", "peers.key: open " + absent + ": no such file or directory"},
+		{"not a certificate", text, secret, "", "peers.cert: " + text + " with " + secret +
+			": tls: failed to find any PEM data in certificate input"},
+		{"no authority", cert, secret, text, "peers.ca: " + text + " holds no certificate in PEM"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := Parse([]string{
+				"-id", "a", "-datacentre", "b", "-region", "c", "-peers.cert", c.cert, "-peers.key", c.key, "-peers.ca", c.ca,
+			})
+			got := ""
+			if err != nil {
+				got = err.Error()
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("error mismatch (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 func TestHelp(t *testing.T) {
 	page, err := os.ReadFile("../../../docs/SETTINGS.md")
 	if err != nil {
--- a/internal/serving/configurer/parser.go
+++ b/internal/serving/configurer/parser.go
@@ -89,17 +89,20 @@
 			problems = append(problems, Problem{Name: n.Name, Text: err.Error()})
 		}
 	}
-	problems = append(problems, related(s)...)
+	problems = append(problems, ordered(relations(s))...)
+	if len(problems) == 0 {
+		problems = ordered(files(s))
+	}
 	if len(problems) > 0 {
 		return Settings{}, problems
 	}
 	return s, nil
 }
 
-// related returns what is wrong between settings, ordered by name.
-func related(s Settings) Problems {
+// ordered returns faults by the name of a setting as problems, in the order of the names.
+func ordered(faults map[string]string) Problems {
 	var problems Problems
-	for name, text := range relations(s) {
+	for name, text := range faults {
 		problems = append(problems, Problem{Name: name, Text: text})
 	}
 	sort.Slice(problems, func(i, j int) bool { return problems[i].Name < problems[j].Name })
--- a/internal/serving/configurer/table.go
+++ b/internal/serving/configurer/table.go
@@ -54,7 +54,8 @@
 	table = append(table, listener("callers", ":8080", "callers", callers)...)
 	table = append(table, listener("operators", ":8081", "operators", operators)...)
 	table = append(table, listener("peers", ":8082", "other instances", peers)...)
-	table = append(table, text("peers.advertise", "", unitAddress, func(s *Settings) *string { return &s.Advertise }, isOptionalAddress,
+	advertise := func(s *Settings) *string { return &s.Advertise }
+	table = append(table, text("peers.advertise", "", unitAddress, advertise, isOptionalAddress,
 		"Address at which other instances reach the peers' listener. Empty means the listener's own."))
 	table = append(table, services()...)
 	table = append(table, limits()...)
--- a/internal/standin/decoder/decoder.go
+++ b/internal/standin/decoder/decoder.go
@@ -57,7 +57,7 @@
 	crash    func()
 	link     func(address string, positions int) time.Duration
 	faults   *faulter.Faults
-	patience time.Duration
+	timeout  time.Duration
 	fetch    Fetch
 	drop     func(sequence int64) bool
 	router   *mux.Router
@@ -121,15 +121,15 @@
 	return func(d *Decoder) { d.link = link }
 }
 
-// WithPatience sets how long the engine of the last stage but one waits for that of the last; each one before it waits
+// WithTimeout sets how long the engine of the last stage but one waits for that of the last; each one before it waits
 // as long again, so that the fault names the endpoint that is silent. Without it an engine waits until the caller
 // leaves.
-func WithPatience(patience time.Duration) Option { return func(d *Decoder) { d.patience = patience } }
+func WithTimeout(timeout time.Duration) Option { return func(d *Decoder) { d.timeout = timeout } }
 
 // WithWeights sets how weights are fetched for an order to load. Without it they are there at once.
 func WithWeights(fetch Fetch) Option { return func(d *Decoder) { d.fetch = fetch } }
 
-// WithFaults sets the faults of the kind Skip, which strike the steps of this engine's stage.
+// WithFaults sets the faults of the kind Skip, which hit the steps of this engine's stage.
 func WithFaults(f *faulter.Faults) Option { return func(d *Decoder) { d.faults = f } }
 
 // WithGaps sets which cache events are lost.
@@ -225,11 +225,11 @@
 }
 
 func (d *Decoder) isDown() bool {
-	return closed(d.fallen())
+	return closed(d.crashed())
 }
 
-// fallen returns a channel that is closed when the engine crashes.
-func (d *Decoder) fallen() <-chan struct{} {
+// crashed returns a channel that is closed when the engine crashes.
+func (d *Decoder) crashed() <-chan struct{} {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.down
--- a/internal/standin/decoder/decoder_test.go
+++ b/internal/standin/decoder/decoder_test.go
@@ -217,7 +217,7 @@
 
 // TestSilentStage shows that the fault names the endpoint that is silent, also far behind the first stage.
 func TestSilentStage(t *testing.T) {
-	f := newFleet(t, WithPatience(50*time.Millisecond))
+	f := newFleet(t, WithTimeout(50*time.Millisecond))
 	silent := faulter.NewFaults(1)
 	if err := silent.Set(faulter.Fault{Kind: faulter.Silent}); err != nil {
 		t.Fatal(err)
--- a/internal/standin/decoder/step.go
+++ b/internal/standin/decoder/step.go
@@ -165,7 +165,7 @@
 	if s.Position == 0 {
 		cost.positions -= d.prefixes.touch(d.clock(), s.Request, g, len(fresh))
 	}
-	if !d.batcher.wait(ctx, n.cancelled, d.fallen(), cost) {
+	if !d.batcher.wait(ctx, n.cancelled, d.crashed(), cost) {
 		return nil, "cancelled"
 	}
 	d.mu.Lock()
@@ -181,9 +181,9 @@
 	if !pause(ctx, d.link(g.Address, len(s.Inputs))) {
 		return Reply{Endpoint: d.endpoint, Reason: "cancelled"}
 	}
-	if d.patience > 0 {
+	if d.timeout > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, d.patience*time.Duration(len(s.Request.Stages)-s.Index))
+		ctx, cancel = context.WithTimeout(ctx, d.timeout*time.Duration(len(s.Request.Stages)-s.Index))
 		defer cancel()
 	}
 	reply, err := d.call(ctx, g.Address, s)
--- a/internal/standin/decoder/stream.go
+++ b/internal/standin/decoder/stream.go
@@ -117,7 +117,7 @@
 	go h.run(ctx)
 	ticker := time.NewTicker(s.decoder.ping)
 	defer ticker.Stop()
-	down := s.decoder.fallen()
+	down := s.decoder.crashed()
 	for {
 		select {
 		case reply, ok := <-h.replies:
--- a/internal/standin/faulter/faulter_test.go
+++ b/internal/standin/faulter/faulter_test.go
@@ -118,7 +118,7 @@
 			s := httptest.NewServer(Wrap(faults, next))
 			defer s.Close()
 			silent := func(l *call) bool {
-				return faults.List()[0].Struck > 0 && next.ended.Load() == int64(c.fault.After) &&
+				return faults.List()[0].Hits > 0 && next.ended.Load() == int64(c.fault.After) &&
 					l.read.Load() >= int64(2*c.fault.After)
 			}
 			var got []string
@@ -182,15 +182,15 @@
 	if err := faults.Set(Fault{Kind: Silent, Open: true}); err != nil {
 		t.Fatal(err)
 	}
-	struck := func(*call) bool { return faults.List()[0].Struck > 0 }
-	got = append(got, (&call{client: old, url: url, quit: struck}).get(t), (&call{client: fresh, url: url}).get(t))
+	hit := func(*call) bool { return faults.List()[0].Hits > 0 }
+	got = append(got, (&call{client: old, url: url, quit: hit}).get(t), (&call{client: fresh, url: url}).get(t))
 	if diff := cmp.Diff([]string{"012", "silent", "012"}, got); diff != "" {
 		t.Errorf("answers mismatch (-want +got):\n%s", diff)
 	}
 }
 
 func TestChance(t *testing.T) {
-	struck := func(seed uint64) []bool {
+	hit := func(seed uint64) []bool {
 		faults := NewFaults(seed)
 		if err := faults.Set(Fault{Kind: Refuse, Chance: 0.5}); err != nil {
 			t.Fatal(err)
@@ -202,10 +202,10 @@
 		}
 		return list
 	}
-	if diff := cmp.Diff(struck(1), struck(1)); diff != "" {
+	if diff := cmp.Diff(hit(1), hit(1)); diff != "" {
 		t.Errorf("one seed gives two histories:\n%s", diff)
 	}
-	if cmp.Equal(struck(1), struck(2)) {
+	if cmp.Equal(hit(1), hit(2)) {
 		t.Error("two seeds give one history")
 	}
 }
@@ -223,8 +223,8 @@
 		{"POST", `{"kind": "explode"}`, 400, "unknown kind of fault \"explode\"\n"},
 		{"POST", `{"kind": "lose", "chance": 2}`, 400, "fault of \"\": a number is out of range\n"},
 		{"POST", `{`, 400, "unexpected EOF\n"},
-		{"GET", "", 200, `[{"call":"GET /x","kind":"refuse","count":2,"struck":0},` +
-			`{"call":"","kind":"delay","delay":5,"struck":0},{"call":"","kind":"lose","struck":0}]` + "\n"},
+		{"GET", "", 200, `[{"call":"GET /x","kind":"refuse","count":2,"hits":0},` +
+			`{"call":"","kind":"delay","delay":5,"hits":0},{"call":"","kind":"lose","hits":0}]` + "\n"},
 		{"DELETE", "", 204, ""},
 		{"GET", "", 200, "[]\n"},
 		{"PUT", "", 405, ""},
--- a/internal/standin/faulter/faults.go
+++ b/internal/standin/faulter/faults.go
@@ -44,20 +44,20 @@
 type Fault struct {
 	Call string `json:"call"`
 	Kind Kind   `json:"kind"`
-	// Count bounds how often the fault strikes. 0 means no bound.
+	// Count bounds how often the fault hits. 0 means no bound.
 	Count int `json:"count,omitempty"`
 	// Skip is the number of matching calls that the fault lets pass first.
 	Skip int `json:"skip,omitempty"`
-	// Chance is the probability that the fault strikes a matching call. 0 means always.
+	// Chance is the probability that the fault hits a matching call. 0 means always.
 	Chance float64 `json:"chance,omitempty"`
 	// Delay is a time in milliseconds, for Delay and Late.
 	Delay int64 `json:"delay,omitempty"`
-	// After is the number of lines of a stream that are sent before the fault strikes. 0 means before the call runs.
+	// After is the number of lines of a stream that are sent before the fault hits. 0 means before the call runs.
 	After int `json:"after,omitempty"`
 	// Open restricts the fault to connections that were open when it was set.
 	Open bool `json:"open,omitempty"`
-	// Struck counts how often the fault struck.
-	Struck int `json:"struck"`
+	// Hits counts how often the fault hit.
+	Hits int `json:"hits"`
 
 	set time.Time
 }
@@ -130,7 +130,7 @@
 	return list
 }
 
-// Take returns the first fault of the given kinds that strikes a call. Without kinds, any kind may strike. A nil set
+// Take returns the first fault of the given kinds that hits a call. Without kinds, any kind may hit. A nil set
 // has no faults.
 func (f *Faults) Take(call string, kinds ...Kind) (Fault, bool) {
 	return f.take(call, time.Time{}, kinds...)
@@ -150,16 +150,16 @@
 		if n.Open && opened.After(n.set) {
 			continue
 		}
-		if f.strikes(n) {
+		if f.hits(n) {
 			return *n, true
 		}
 	}
 	return Fault{}, false
 }
 
-// strikes decides whether a fault strikes a matching call, and counts it.
-func (f *Faults) strikes(n *Fault) bool {
-	if n.Count > 0 && n.Struck >= n.Count {
+// hits decides whether a fault hits a matching call, and counts it.
+func (f *Faults) hits(n *Fault) bool {
+	if n.Count > 0 && n.Hits >= n.Count {
 		return false
 	}
 	if n.Skip > 0 {
@@ -169,14 +169,14 @@
 	if n.Chance > 0 && (f.random == nil || f.random.Float64() >= n.Chance) {
 		return false
 	}
-	n.Struck++
+	n.Hits++
 	return true
 }
 
-// Strike carries out, for a call in memory, the fault that strikes before the call runs, and returns it. The error is
+// Inject carries out, for a call in memory, the fault that hits before the call runs, and returns it. The error is
 // set if the call must not run: the fault failed it, or the context ended during a delay or silence. A call that came
-// through Wrap is struck only by the kinds that Wrap leaves to the stand-in.
-func (f *Faults) Strike(ctx context.Context, call string) (Fault, error) {
+// through Wrap is hit only by the kinds that Wrap leaves to the stand-in.
+func (f *Faults) Inject(ctx context.Context, call string) (Fault, error) {
 	var left []Kind
 	if ctx.Value(wrappedKey{}) != nil {
 		left = []Kind{Late, Skip}
@@ -199,7 +199,7 @@
 	return n, nil
 }
 
-// Failure returns the error of a call that the fault struck.
+// Failure returns the error of a call that the fault hit.
 func (f Fault) Failure() error {
 	return merry.Errorf("fault: %s", f.Kind, merry.WithHTTPCode(http.StatusServiceUnavailable))
 }
--- a/internal/standin/faulter/server.go
+++ b/internal/standin/faulter/server.go
@@ -136,8 +136,8 @@
 	<-done
 }
 
-// Fell crashes the stand-in. Without a Server it cuts every call until Rise.
-func (f *Faults) Fell() {
+// Crash crashes the stand-in. Without a Server it cuts every call until Restore.
+func (f *Faults) Crash() {
 	f.mu.Lock()
 	crash := f.crash
 	f.down = crash == nil
@@ -147,8 +147,8 @@
 	}
 }
 
-// Rise ends a crash of a stand-in without a Server.
-func (f *Faults) Rise() {
+// Restore ends a crash of a stand-in without a Server.
+func (f *Faults) Restore() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.down = false
--- a/internal/standin/faulter/wrapper.go
+++ b/internal/standin/faulter/wrapper.go
@@ -33,7 +33,7 @@
 	return context.WithValue(ctx, openedKey{}, time.Now())
 }
 
-// Wrap returns a handler that serves Path and lets the faults strike the calls of another handler.
+// Wrap returns a handler that serves Path and lets the faults hit the calls of another handler.
 func Wrap(f *Faults, next http.Handler) http.Handler {
 	return &wrapper{f, next}
 }
@@ -43,7 +43,7 @@
 	next   http.Handler
 }
 
-// ServeHTTP runs a call with the fault that strikes it, if any.
+// ServeHTTP runs a call with the fault that hits it, if any.
 func (p *wrapper) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if p.faults.isDown() {
 		panic(http.ErrAbortHandler)
@@ -65,7 +65,7 @@
 	}
 }
 
-// serve runs a call with a fault that strikes before it runs or in place of its answer.
+// serve runs a call with a fault that hits before it runs or in place of its answer.
 func (p *wrapper) serve(w http.ResponseWriter, r *http.Request, f Fault) {
 	switch f.Kind {
 	case Refuse:
@@ -74,7 +74,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		_ = json.NewEncoder(w).Encode(refusal{"refused by a fault"})
 	case Crash:
-		p.faults.Fell()
+		p.faults.Crash()
 		panic(http.ErrAbortHandler)
 	case Delay:
 		if pause(r.Context(), f.Wait()) {
@@ -105,7 +105,7 @@
 	p.next.ServeHTTP(w, r)
 }
 
-// serveLines runs a call with a fault that strikes after some lines of its answer.
+// serveLines runs a call with a fault that hits after some lines of its answer.
 func (p *wrapper) serveLines(w http.ResponseWriter, r *http.Request, f Fault) {
 	l := &lines{ResponseWriter: w, faults: p.faults, fault: f, context: r.Context()}
 	p.next.ServeHTTP(l, r)
@@ -126,7 +126,7 @@
 	muted   bool
 }
 
-// Write sends one line, unless the fault strikes it.
+// Write sends one line, unless the fault hits it.
 func (l *lines) Write(b []byte) (int, error) {
 	l.sent++
 	if l.sent != l.fault.After+1 {
@@ -137,7 +137,7 @@
 	}
 	switch l.fault.Kind {
 	case Crash:
-		l.faults.Fell()
+		l.faults.Crash()
 		panic(http.ErrAbortHandler)
 	case Lose, Refuse:
 		panic(http.ErrAbortHandler)
--- a/internal/standin/fetcher/store.go
+++ b/internal/standin/fetcher/store.go
@@ -51,7 +51,7 @@
 	return func(s *Store) { s.limit = rate.NewLimiter(rate.Limit(bytes), chunk) }
 }
 
-// WithFaults sets the faults that strike the calls.
+// WithFaults sets the faults that hit the calls.
 func WithFaults(f *faulter.Faults) Option { return func(s *Store) { s.faults = f } }
 
 // New returns a weight store.
@@ -76,7 +76,7 @@
 
 // Fetch returns the size of the weights in bytes after the time that the rate makes it take.
 func (s *Store) Fetch(ctx context.Context, name string) (int64, error) {
-	f, err := s.faults.Strike(ctx, CallFetch+name)
+	f, err := s.faults.Inject(ctx, CallFetch+name)
 	if err == nil && f.Kind == faulter.Lose {
 		err = f.Failure()
 	}
@@ -121,7 +121,7 @@
 
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
 	name := mux.Vars(r)["name"]
-	if _, err := s.faults.Strike(r.Context(), CallFetch+name); err != nil {
+	if _, err := s.faults.Inject(r.Context(), CallFetch+name); err != nil {
 		caller.Refuse(w.Header())
 		http.Error(w, err.Error(), merry.HTTPCode(err))
 		return
--- a/internal/standin/lister/list.go
+++ b/internal/standin/lister/list.go
@@ -47,7 +47,7 @@
 // WithClock sets the clock. It is time.Now if not set.
 func WithClock(clock func() time.Time) Option { return func(l *List) { l.clock = clock } }
 
-// WithFaults sets the faults that strike the calls.
+// WithFaults sets the faults that hit the calls.
 func WithFaults(f *faulter.Faults) Option { return func(l *List) { l.faults = f } }
 
 // New returns a list that has always held the instances given.
@@ -99,7 +99,7 @@
 
 // List returns the instances as they were before the lag.
 func (l *List) List(ctx context.Context) ([]lister.Instance, error) {
-	f, err := l.faults.Strike(ctx, CallList)
+	f, err := l.faults.Inject(ctx, CallList)
 	if err == nil && f.Kind == faulter.Lose {
 		err = f.Failure()
 	}
--- a/internal/standin/starter/fleet.go
+++ b/internal/standin/starter/fleet.go
@@ -40,9 +40,11 @@
 	Reads   float64 `json:"reads,omitempty"`
 }
 
-// Objects describes the object store.
+// Objects describes the object store. Writes and Reads bound its calls a second; 0 means no bound.
 type Objects struct {
-	Address string `json:"address,omitempty"`
+	Address string  `json:"address,omitempty"`
+	Writes  float64 `json:"writes,omitempty"`
+	Reads   float64 `json:"reads,omitempty"`
 }
 
 // List describes the instance list. Lag is how late a change shows.
@@ -70,9 +72,9 @@
 	Cache int `json:"cache,omitempty"`
 	// Ping is the longest time without a line on a stream; 0 means that of the decoder.
 	Ping Duration `json:"ping,omitempty"`
-	// Patience is how long an engine waits for that of the last stage, and twice for that before it, and so on; 0 means
+	// Timeout is how long an engine waits for that of the last stage, and twice for that before it, and so on; 0 means
 	// that it waits until the caller leaves.
-	Patience Duration `json:"patience,omitempty"`
+	Timeout Duration `json:"timeout,omitempty"`
 	// Lag is how old a load report or a cache event may be. One event in Gap is lost; 0 means none.
 	Lag Duration `json:"lag,omitempty"`
 	Gap int      `json:"gap,omitempty"`
--- a/internal/standin/starter/starter.go
+++ b/internal/standin/starter/starter.go
@@ -182,11 +182,13 @@
 }
 
 func (s *Starter) startObjects() error {
-	if s.Fleet.Objects == nil {
+	c := s.Fleet.Objects
+	if c == nil {
 		return nil
 	}
 	faults := s.faults()
-	return s.serve(NameObjects, s.Fleet.Objects.Address, storer.New(faults).Handler(), faults)
+	store := storer.New(faults, storer.WithRates(c.Writes, c.Reads))
+	return s.serve(NameObjects, c.Address, store.Handler(), faults)
 }
 
 func (s *Starter) startWeights() error {
@@ -279,7 +281,7 @@
 	options := []decoder.Option{
 		decoder.WithEndpoint(e.ID), decoder.WithKind(e.Kind), decoder.WithHeld(e.Held...),
 		decoder.WithAdapters(e.Adapters...), decoder.WithPoison(kind.Poison), decoder.WithLag(time.Duration(kind.Lag)),
-		decoder.WithFaults(faults), decoder.WithPatience(time.Duration(kind.Patience)),
+		decoder.WithFaults(faults), decoder.WithTimeout(time.Duration(kind.Timeout)),
 		decoder.WithService(decoder.Service{
 			Layer: time.Duration(kind.Layer), Prefill: time.Duration(kind.Prefill), Batch: kind.Batch,
 		}),
--- a/internal/standin/storer/store.go
+++ b/internal/standin/storer/store.go
@@ -10,6 +10,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/gorilla/mux"
+	"golang.org/x/time/rate"
 
 	"github.com/heatherrock/heatherrock/internal/platform/caller"
 	"github.com/heatherrock/heatherrock/internal/platform/storer"
@@ -28,6 +29,8 @@
 // Store is an object store in memory.
 type Store struct {
 	faults *faulter.Faults
+	writes *rate.Limiter
+	reads  *rate.Limiter
 
 	mu      sync.Mutex
 	objects map[string][]byte
@@ -35,17 +38,46 @@
 
 var _ storer.Store = (*Store)(nil)
 
-// New returns an empty object store that the faults strike. Without faults, they are nil.
-func New(faults *faulter.Faults) *Store {
-	return &Store{faults: faults, objects: map[string][]byte{}}
+// Option sets one property of a Store.
+type Option func(*Store)
+
+// WithRates bounds the writes and the reads a second. Without it, or with 0, there is no bound.
+func WithRates(writes, reads float64) Option {
+	return func(s *Store) {
+		s.writes = limiter(writes)
+		s.reads = limiter(reads)
+	}
+}
+
+// limiter returns a limiter with a burst of one second.
+func limiter(bound float64) *rate.Limiter {
+	if bound <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(bound), int(max(1, bound)))
+}
+
+// errLimited is the error of a call over the rate.
+var errLimited = merry.New("rate of the object store is spent", merry.WithHTTPCode(http.StatusTooManyRequests))
+
+// New returns an empty object store that the faults hit. Without faults, they are nil.
+func New(faults *faulter.Faults, options ...Option) *Store {
+	s := &Store{faults: faults, objects: map[string][]byte{}, writes: limiter(0), reads: limiter(0)}
+	for _, o := range options {
+		o(s)
+	}
+	return s
 }
 
 // Put stores an object under a name. After an error the object may be stored or not.
 func (s *Store) Put(ctx context.Context, name string, body []byte) error {
-	f, err := s.faults.Strike(ctx, CallPut+name)
+	f, err := s.faults.Inject(ctx, CallPut+name)
 	if err != nil {
 		return err
 	}
+	if !s.writes.Allow() {
+		return errLimited
+	}
 	s.mu.Lock()
 	s.objects[name] = append([]byte{}, body...)
 	s.mu.Unlock()
@@ -57,13 +89,16 @@
 
 // Get returns an object and whether it exists.
 func (s *Store) Get(ctx context.Context, name string) ([]byte, bool, error) {
-	f, err := s.faults.Strike(ctx, CallGet+name)
+	f, err := s.faults.Inject(ctx, CallGet+name)
 	if err == nil && f.Kind == faulter.Lose {
 		err = f.Failure()
 	}
 	if err != nil {
 		return nil, false, err
 	}
+	if !s.reads.Allow() {
+		return nil, false, errLimited
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	body, ok := s.objects[name]
--- a/internal/standin/storer/store_test.go
+++ b/internal/standin/storer/store_test.go
@@ -76,3 +76,20 @@
 		t.Error("an object with another content than its name gives no error")
 	}
 }
+
+func TestRates(t *testing.T) {
+	const never = 1e-9
+	for way, open := range ways {
+		t.Run(way, func(t *testing.T) {
+			s := open(t, New(nil, WithRates(never, never)), faulter.NewFaults(1))
+			var got []bool
+			for range 2 {
+				_, _, err := s.Get(t.Context(), "x")
+				got = append(got, s.Put(t.Context(), "x", nil) == nil, err == nil)
+			}
+			if diff := cmp.Diff([]bool{true, true, false, false}, got); diff != "" {
+				t.Errorf("calls that ran mismatch (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/standin/tabler/table.go
+++ b/internal/standin/tabler/table.go
@@ -69,7 +69,7 @@
 // WithClock sets the clock of rates and late writes. It is time.Now if not set.
 func WithClock(clock func() time.Time) Option { return func(t *Table) { t.clock = clock } }
 
-// WithFaults sets the faults that strike the calls.
+// WithFaults sets the faults that hit the calls.
 func WithFaults(f *faulter.Faults) Option { return func(t *Table) { t.faults = f } }
 
 // WithRates bounds the commits and the reads a second. Without it, or with 0, there is no bound.
@@ -135,7 +135,7 @@
 
 // Commit applies a transaction. The error explains an outcome other than Completed.
 func (t *Table) Commit(ctx context.Context, txn tabler.Txn) (tabler.Result, error) {
-	f, err := t.faults.Strike(ctx, CallCommit)
+	f, err := t.faults.Inject(ctx, CallCommit)
 	if err != nil {
 		return t.fail(f, txn), err
 	}
@@ -150,7 +150,7 @@
 	}
 }
 
-// fail returns the result of a commit that a fault struck before it ran. A late one is kept until it is due.
+// fail returns the result of a commit that a fault hit before it ran. A late one is kept until it is due.
 func (t *Table) fail(f faulter.Fault, txn tabler.Txn) tabler.Result {
 	if f.Kind == faulter.Refuse {
 		return tabler.Result{Outcome: classifier.Refused}
@@ -165,7 +165,7 @@
 
 // read carries out the faults and the rate of a read.
 func (t *Table) read(ctx context.Context, call string) error {
-	f, err := t.faults.Strike(ctx, call)
+	f, err := t.faults.Inject(ctx, call)
 	if err == nil && f.Kind == faulter.Lose {
 		err = f.Failure()
 	}
