Let the variables of the commands stand beside the settings

Cause: an operator's shell holds HEATHERROCK_ADDRESS and HEATHERROCK_TOKEN for the record commands, and an instance that was started in it refused them as unknown settings.

Change: reading the settings passes over the variables of the commands.

Measured: go test -race ./internal/serving/configurer passes with HEATHERROCK_TOKEN set.

--- a/internal/serving/configurer/configurer_test.go
+++ b/internal/serving/configurer/configurer_test.go
@@ -102,7 +102,7 @@
 	}
 	t.Setenv("HEATHERROCK_TIMES_LIST", "7s")
 	args := []string{"-config", file, "-id", "a-2"}
-	got, err := Parse(args, "HEATHERROCK_ID=a-3", "HEATHERROCK_REGION=south", "OTHER=1")
+	got, err := Parse(args, "HEATHERROCK_ID=a-3", "HEATHERROCK_REGION=south", "OTHER=1", "HEATHERROCK_TOKEN=x")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/serving/configurer/parser.go
+++ b/internal/serving/configurer/parser.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"io"
+	"slices"
 	"sort"
 	"strings"
 
@@ -12,6 +13,9 @@
 // fileFlag is the flag that names the file of settings.
 const fileFlag = "config"
 
+// others are the variables of the commands that talk to a running instance, which are no settings.
+var others = []string{prefix + "_ADDRESS", prefix + "_TOKEN", prefix + "_OPERATOR"}
+
 // Parse returns the settings that flags, environment variables and the file named by the flag config give, in that
 // order, and the defaults of the rest. Environ holds variables as NAME=VALUE, which go before those of the process;
 // one that begins like a setting and is none is at fault. The error is Problems if a setting is at fault, flag.ErrHelp
@@ -121,7 +125,7 @@
 	var problems Problems
 	for _, v := range environ {
 		name, value, _ := strings.Cut(v, "=")
-		if !strings.HasPrefix(name, prefix+"_") {
+		if !strings.HasPrefix(name, prefix+"_") || slices.Contains(others, name) {
 			continue
 		}
 		if flag, ok := names[name]; ok {
