--- a/internal/serving/configurer/parser.go
+++ b/internal/serving/configurer/parser.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"io"
+	"slices"
 	"sort"
 	"strings"
 
@@ -12,6 +13,9 @@
 // fileFlag is the flag that names the file of settings.
 const fileFlag = "config"
 
+// others are the variables of the commands that talk to a running instance, which are no settings.
+var others = []string{prefix + "_ADDRESS", prefix + "_TOKEN", prefix + "_OPERATOR"}
+
 // Parse returns the settings that flags, environment variables and the file named by the flag config give, in that
 // order, and the defaults of the rest. Environ holds variables as NAME=VALUE, which go before those of the process;
 // one that begins like a setting and is none is at fault. The error is Problems if a setting is at fault, flag.ErrHelp
@@ -89,17 +93,20 @@
 			problems = append(problems, Problem{Name: n.Name, Text: err.Error()})
 		}
 	}
-	problems = append(problems, related(s)...)
+	problems = append(problems, ordered(relations(s))...)
+	if len(problems) == 0 {
+		problems = ordered(files(s))
+	}
 	if len(problems) > 0 {
 		return Settings{}, problems
 	}
 	return s, nil
 }
 
-// related returns what is wrong between settings, ordered by name.
-func related(s Settings) Problems {
+// ordered returns faults by the name of a setting as problems, in the order of the names.
+func ordered(faults map[string]string) Problems {
 	var problems Problems
-	for name, text := range relations(s) {
+	for name, text := range faults {
 		problems = append(problems, Problem{Name: name, Text: text})
 	}
 	sort.Slice(problems, func(i, j int) bool { return problems[i].Name < problems[j].Name })
@@ -118,7 +125,7 @@
 	var problems Problems
 	for _, v := range environ {
 		name, value, _ := strings.Cut(v, "=")
-		if !strings.HasPrefix(name, prefix+"_") {
+		if !strings.HasPrefix(name, prefix+"_") || slices.Contains(others, name) {
 			continue
 		}
 		if flag, ok := names[name]; ok {
--- a/internal/standin/decoder/step.go
+++ b/internal/standin/decoder/step.go
@@ -100,12 +100,16 @@
 	if !d.sessions.admit(q.Request, q.Attempt) {
 		return nil, "stale attempt"
 	}
+	if over, ok := d.sessions.over[q.Request]; ok && over >= q.Attempt {
+		return nil, "cancelled"
+	}
 	k := sessionKey{q.Request, q.Attempt, g.From}
 	if s.Position > 0 {
 		n := d.sessions.find(k)
 		if n == nil || len(n.cache.Inputs) != s.Position {
 			return nil, "unknown position"
 		}
+		d.sessions.live[q.Request] = d.clock()
 		return n, ""
 	}
 	if !d.holds(q, g) {
@@ -114,6 +118,7 @@
 	if len(s.Inputs) == 0 {
 		return nil, "no input"
 	}
+	d.sessions.live[q.Request] = d.clock()
 	return d.sessions.open(k, d.recall(q, g, s.Inputs)), ""
 }
 
@@ -160,7 +165,7 @@
 	if s.Position == 0 {
 		cost.positions -= d.prefixes.touch(d.clock(), s.Request, g, len(fresh))
 	}
-	if !d.batcher.wait(ctx, n.cancelled, d.fallen(), cost) {
+	if !d.batcher.wait(ctx, n.cancelled, d.crashed(), cost) {
 		return nil, "cancelled"
 	}
 	d.mu.Lock()
@@ -176,9 +181,9 @@
 	if !pause(ctx, d.link(g.Address, len(s.Inputs))) {
 		return Reply{Endpoint: d.endpoint, Reason: "cancelled"}
 	}
-	if d.patience > 0 {
+	if d.timeout > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, d.patience*time.Duration(len(s.Request.Stages)-s.Index))
+		ctx, cancel = context.WithTimeout(ctx, d.timeout*time.Duration(len(s.Request.Stages)-s.Index))
 		defer cancel()
 	}
 	reply, err := d.call(ctx, g.Address, s)
