--- a/internal/control/accepter/resolve.go
+++ b/internal/control/accepter/resolve.go
@@ -68,8 +68,8 @@
 
 // refusal ends a mutation that had no effect and never will.
 func (m *Mutation) refusal() Step {
-	return m.end(Result{Outcome: classifier.Refused, Reason: "the store lost the answer; nothing was written, and the " +
-		"late write is blocked"})
+	reason := "nothing was written under this id, and a late write is blocked"
+	return m.end(Result{Outcome: classifier.Refused, Reason: reason})
 }
 
 // doubtful ends a mutation of which nothing is known yet.
