--- a/internal/bench/spreader/fleet.go
+++ b/internal/bench/spreader/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/heatherrock/heatherrock/internal/serving/committer"
 	"github.com/heatherrock/heatherrock/internal/serving/exchanger"
 	"github.com/heatherrock/heatherrock/internal/serving/poller"
+	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 	table "github.com/heatherrock/heatherrock/internal/standin/tabler"
 )
 
@@ -120,6 +121,7 @@
 type fleet struct {
 	instances []*instance
 	table     *table.Table
+	faults    *faulter.Faults
 	server    *http.Server
 	client    *tabler.Client
 	bytes     atomic.Int64
@@ -161,7 +163,8 @@
 
 // newFleet starts a fleet. The caller closes it.
 func newFleet(seed uint64) (*fleet, error) {
-	f := &fleet{table: table.New()}
+	f := &fleet{faults: faulter.NewFaults(seed)}
+	f.table = table.New(table.WithFaults(f.faults))
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
--- a/internal/control/accepter/mutation.go
+++ b/internal/control/accepter/mutation.go
@@ -223,7 +223,7 @@
 		return Step{}, true
 	}
 	m.Tries++
-	if m.Base.Epoch > head.Epoch && m.Tries < MaxTries {
+	if m.Tries < MaxTries {
 		return m.read(), false
 	}
 	reason := fmt.Sprintf("this instance is at epoch %d and the store at %d; try again", m.Base.Epoch, head.Epoch)
--- a/internal/serving/committer/committer.go
+++ b/internal/serving/committer/committer.go
@@ -3,7 +3,9 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/control/accepter"
@@ -13,6 +15,9 @@
 	"github.com/heatherrock/heatherrock/internal/serving/poller"
 )
 
+// readsAtOnce bounds the reads of one step that are under way at the same time.
+const readsAtOnce = 16
+
 // Source is the configuration of the instance that carries the change out.
 type Source interface {
 	Base() recorder.Snapshot
@@ -106,23 +111,33 @@
 	}
 }
 
-// read answers a step with keys.
+// read answers a step with keys. It reads them side by side, so that a slow store costs one round trip.
 func (c *Committer) read(ctx context.Context, step accepter.Step) accepter.Read {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
+	rows := make([]tabler.Row, len(step.Keys))
+	found := make([]bool, len(step.Keys))
+	failures := make([]error, len(step.Keys)+1)
 	r := accepter.Read{Rows: map[string]tabler.Row{}}
-	for _, key := range step.Keys {
-		row, found, err := c.table.Get(ctx, accepter.Table, key)
-		if err != nil {
-			return accepter.Read{Err: err}
-		}
-		if found {
-			r.Rows[key] = row
-		}
-	}
+	var wait sync.WaitGroup
+	places := make(chan struct{}, readsAtOnce)
 	if len(step.Keys) > 1 {
-		r.Deltas, r.Err = poller.Deltas(ctx, c.table, step.After)
+		wait.Go(func() { r.Deltas, failures[len(step.Keys)] = poller.Deltas(ctx, c.table, step.After) })
+	}
+	for i, key := range step.Keys {
+		places <- struct{}{}
+		wait.Go(func() {
+			defer func() { <-places }()
+			rows[i], found[i], failures[i] = c.table.Get(ctx, accepter.Table, key)
+		})
+	}
+	wait.Wait()
+	for i, key := range step.Keys {
+		if found[i] {
+			r.Rows[key] = rows[i]
+		}
 	}
+	r.Err = errors.Join(failures...)
 	return r
 }
 
--- /dev/null
+++ b/internal/serving/committer/committer_test.go
@@ -0,0 +1,136 @@
+package committer
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+
+	"github.com/heatherrock/heatherrock/internal/control/accepter"
+	"github.com/heatherrock/heatherrock/internal/control/recorder"
+	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
+	"github.com/heatherrock/heatherrock/internal/standin/faulter"
+	"github.com/heatherrock/heatherrock/internal/standin/tabler"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// source is an instance that learns what it commits.
+type source struct {
+	mu   sync.Mutex
+	base recorder.Snapshot
+	told []int64
+}
+
+func (s *source) Base() recorder.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.base
+}
+
+func (s *source) Live(context.Context) []accepter.Instance { return nil }
+func (s *source) Compact(context.Context) error            { return nil }
+
+func (s *source) Learn(d recorder.Delta) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.told = append(s.told, d.Epoch)
+	if next, err := s.base.Advance(d); err == nil {
+		s.base = next
+	}
+}
+
+// team returns a command that submits a team of its own.
+func team(t *testing.T, i int) accepter.Command {
+	t.Helper()
+	body := recorder.Team{Credential: fmt.Sprintf("%064x", i+1), Share: 1}
+	r, err := recorder.NewRecord(recorder.KindTeam, fmt.Sprint("t", i), body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return accepter.Command{ID: fmt.Sprint("s", i), Action: accepter.ActionSubmit, Operator: "ann", Records: []recorder.Record{r}}
+}
+
+// TestOperatorsSideBySide lets operators change different records at once. Each change is done, and each raises the
+// epoch by one.
+func TestOperatorsSideBySide(t *testing.T) {
+	const operators = 6
+	table := tabler.New()
+	s := &source{}
+	c := New(table, s)
+	ctx := context.Background()
+	outcomes := make([]classifier.Outcome, operators)
+	var wait sync.WaitGroup
+	for i := range operators {
+		submit := team(t, i)
+		wait.Go(func() {
+			submitted := c.Do(ctx, submit)
+			accepted := c.Do(ctx, accepter.Command{ID: fmt.Sprint("a", i), Action: accepter.ActionAccept, Operator: "ann",
+				Changes: submitted.Changes})
+			outcomes[i] = accepted.Outcome
+		})
+	}
+	wait.Wait()
+	for i, outcome := range outcomes {
+		if diff := cmp.Diff(classifier.Completed, outcome); diff != "" {
+			t.Errorf("operator %d: %s", i, diff)
+		}
+	}
+	row, _, err := table.Get(ctx, accepter.Table, accepter.HeadKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	head, err := accepter.Decode[accepter.Head](row)
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := map[int64]bool{}
+	for _, epoch := range s.told {
+		seen[epoch] = true
+	}
+	if diff := cmp.Diff([]int64{operators, operators}, []int64{head.Epoch, int64(len(seen))}); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestFaults carries one submit out under each fault of the store.
+func TestFaults(t *testing.T) {
+	cases := []struct {
+		name    string
+		fault   faulter.Fault
+		outcome classifier.Outcome
+	}{
+		{"answer lost", faulter.Fault{Call: tabler.CallCommit, Kind: faulter.Lose, Count: 1}, classifier.Completed},
+		{"late", faulter.Fault{Call: tabler.CallCommit, Kind: faulter.Late, Delay: 3_600_000, Count: 1}, classifier.Refused},
+		{"commit without an answer", faulter.Fault{Call: tabler.CallCommit, Kind: faulter.Silent, Count: 1}, classifier.Refused},
+		{"refused", faulter.Fault{Call: tabler.CallCommit, Kind: faulter.Refuse}, classifier.Refused},
+		{"reads fail", faulter.Fault{Call: tabler.CallGet, Kind: faulter.Crash}, classifier.NotSent},
+		{"commits fail for good", faulter.Fault{Call: tabler.CallCommit, Kind: faulter.Crash}, classifier.Unknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			faults := faulter.NewFaults(1)
+			if err := faults.Set(c.fault); err != nil {
+				t.Fatal(err)
+			}
+			table := tabler.New(tabler.WithFaults(faults))
+			committer := New(table, &source{}, WithTimeout(20*time.Millisecond), WithPause(time.Millisecond))
+			got := committer.Do(context.Background(), team(t, 0))
+			if diff := cmp.Diff(c.outcome, got.Outcome); diff != "" {
+				t.Error(diff, got.Reason)
+			}
+			faults.Clear()
+			table.Land()
+			_, found, err := table.Get(context.Background(), accepter.Table, accepter.EntryKey(recorder.Ref{Kind: "team", Name: "t0"}))
+			if err != nil || found != (got.Outcome == classifier.Completed) {
+				t.Errorf("told %s, and the record is there: %v (%v)", got.Known, found, err)
+			}
+		})
+	}
+}
