--- a/internal/control/accepter/mutation.go
+++ b/internal/control/accepter/mutation.go
@@ -105,6 +105,8 @@
 	Conflicts []Conflict        `json:"conflicts,omitempty"`
 	Diffs     []recorder.Diff   `json:"diffs,omitempty"`
 	Reason    string            `json:"reason,omitempty"`
+	// Blocked is set if the id can never take effect. The change can be made under another id.
+	Blocked bool `json:"blocked,omitempty"`
 	// Delta is set if this mutation raised the epoch.
 	Delta *recorder.Delta `json:"-"`
 }
--- a/internal/control/accepter/resolve.go
+++ b/internal/control/accepter/resolve.go
@@ -69,7 +69,7 @@
 // refusal ends a mutation that had no effect and never will.
 func (m *Mutation) refusal() Step {
 	reason := "nothing was written under this id, and a late write is blocked"
-	return m.end(Result{Outcome: classifier.Refused, Reason: reason})
+	return m.end(Result{Outcome: classifier.Refused, Blocked: true, Reason: reason})
 }
 
 // doubtful ends a mutation of which nothing is known yet.
--- a/internal/serving/commander/records.go
+++ b/internal/serving/commander/records.go
@@ -30,8 +30,8 @@
 }
 
 // answers lists the statuses of an answer to a change.
-var answers = []int{http.StatusOK, http.StatusUnprocessableEntity, http.StatusConflict, http.StatusServiceUnavailable,
-	http.StatusGatewayTimeout}
+var answers = []int{http.StatusOK, http.StatusUnprocessableEntity, http.StatusConflict, http.StatusGone,
+	http.StatusServiceUnavailable, http.StatusGatewayTimeout}
 
 // submit checks and stores the records of files.
 func submit(ctx context.Context, c *Call) int {
--- a/internal/serving/operator/operator.go
+++ b/internal/serving/operator/operator.go
@@ -172,6 +172,8 @@
 	case len(result.Conflicts) > 0:
 		status = http.StatusConflict
 	case c.Action == accepter.ActionResolve:
+	case result.Blocked:
+		status = http.StatusGone
 	default:
 		status = http.StatusServiceUnavailable
 		w.Header().Set("Retry-After", retryAfter)
--- a/internal/serving/operator/operator_test.go
+++ b/internal/serving/operator/operator_test.go
@@ -63,6 +63,7 @@
 		{"done", "secret", good, accepter.Result{Outcome: classifier.Completed}, 200, 1, "completed"},
 		{"unknown", "secret", good, accepter.Result{Outcome: classifier.Unknown}, 504, 1, "unknown"},
 		{"store away", "secret", good, accepter.Result{Outcome: classifier.NotSent}, 503, 1, "not-run"},
+		{"blocked id", "secret", good, accepter.Result{Outcome: classifier.Refused, Blocked: true}, 410, 1, "not-run"},
 		{"fault", "secret", good, accepter.Result{Outcome: classifier.Refused, Faults: []validator.Fault{{}}}, 422, 1, "not-run"},
 		{"conflict", "secret", good, accepter.Result{Outcome: classifier.Refused, Conflicts: []accepter.Conflict{{}}}, 409, 1,
 			"not-run"},
