--- a/internal/control/accepter/mutation.go
+++ b/internal/control/accepter/mutation.go
@@ -105,6 +105,8 @@
 	Conflicts []Conflict        `json:"conflicts,omitempty"`
 	Diffs     []recorder.Diff   `json:"diffs,omitempty"`
 	Reason    string            `json:"reason,omitempty"`
+	// Blocked is set if the id can never take effect. The change can be made under another id.
+	Blocked bool `json:"blocked,omitempty"`
 	// Delta is set if this mutation raised the epoch.
 	Delta *recorder.Delta `json:"-"`
 }
@@ -223,7 +225,7 @@
 		return Step{}, true
 	}
 	m.Tries++
-	if m.Base.Epoch > head.Epoch && m.Tries < MaxTries {
+	if m.Tries < MaxTries {
 		return m.read(), false
 	}
 	reason := fmt.Sprintf("this instance is at epoch %d and the store at %d; try again", m.Base.Epoch, head.Epoch)
