Let operators list, show and settle calls of unknown outcome, and collect old keys

Cause: a call whose owner died stayed in doubt with nobody to decide it, and rows of keys were kept for ever.

A settlement is conditional on the version seen, is refused while the owner may still send, and a lost answer is read back.

Measured: go test -race ./internal/serving/settler ./internal/serving/dispatcher passes, with a key that is collected and comes again to an instance that still has the old horizon in mind: refused as not run, one run in all.

--- a/internal/control/claimer/record.go
+++ b/internal/control/claimer/record.go
@@ -41,8 +41,9 @@
 	// Stamp is the time of the write in milliseconds of the Unix epoch, for operators alone.
 	Stamp int64  `json:"stamp"`
 	Reply *Reply `json:"reply,omitempty"`
-	// By names the operator who settled the claim.
-	By string `json:"by,omitempty"`
+	// By names the operator who settled the claim, and Note is the reason given.
+	By   string `json:"by,omitempty"`
+	Note string `json:"note,omitempty"`
 }
 
 // Reply is the stored answer of a service.
--- /dev/null
+++ b/internal/control/claimer/settle.go
@@ -0,0 +1,75 @@
+package claimer
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
+)
+
+// Settlement is an operator's word on what became of a call.
+type Settlement struct {
+	// Outcome is completed or not-run.
+	Outcome string `json:"outcome"`
+	// Operator and Note say who settles the call and why.
+	Operator string `json:"operator"`
+	Note     string `json:"note,omitempty"`
+	// Version is the version of the row that the operator saw.
+	Version int64 `json:"version"`
+	// Gone is set if the operator has made sure that the owner has ended and can send no more.
+	Gone bool `json:"gone,omitempty"`
+}
+
+// Settle returns the record that a settlement makes of a row, or why it may not.
+func (s Settlement) Settle(now time.Time, r Row) (Record, string) {
+	switch {
+	case s.Operator == "":
+		return Record{}, "the operator's name is missing"
+	case s.Outcome != classifier.VerdictCompleted.String() && s.Outcome != classifier.VerdictNotRun.String():
+		return Record{}, "the outcome is neither completed nor not-run"
+	case r.Version == 0:
+		return Record{}, "there is no such call"
+	case r.Record.State == StateCompleted || r.Record.State == StateReleased:
+		return Record{}, "the call's outcome is known: " + string(r.Record.State)
+	case r.Version != s.Version:
+		return Record{}, "the call has changed since it was seen"
+	case r.Record.State == StateDispatching && !s.Gone:
+		return Record{}, "the call's owner " + r.Record.Owner + " may still send it; make sure that it has ended"
+	}
+	record := r.Record
+	record.By, record.Note, record.Stamp = s.Operator, s.Note, now.UnixMilli()
+	if s.Outcome == classifier.VerdictNotRun.String() {
+		record.State, record.Code = StateReleased, CodeSettled
+		return record, ""
+	}
+	record.State, record.Code = StateCompleted, ""
+	record.Reply = &Reply{Status: 200, Type: "application/json", Body: note(s)}
+	return record, ""
+}
+
+// note returns the reply of a call that an operator has settled as completed.
+func note(s Settlement) []byte {
+	body, err := json.Marshal(map[string]string{"settled": s.Operator, "note": s.Note})
+	if err != nil {
+		panic("settlement cannot be encoded: " + err.Error())
+	}
+	return body
+}
+
+// Encode returns a record as JSON.
+func (r Record) Encode() []byte {
+	value, err := json.Marshal(r)
+	if err != nil {
+		panic("claim record cannot be encoded: " + err.Error())
+	}
+	return value
+}
+
+// Decode returns a row from its version and value. The error is that of decoding; a row of version 0 has no value.
+func Decode(version int64, value []byte) (Row, error) {
+	row := Row{Version: version}
+	if version == 0 {
+		return row, nil
+	}
+	return row, json.Unmarshal(value, &row.Record)
+}
--- a/internal/serving/commander/commander.go
+++ b/internal/serving/commander/commander.go
@@ -37,6 +37,7 @@
 // groups is the table of groups of commands, by name.
 var groups = map[string][]Command{
 	"record": records,
+	"call":   calls,
 }
 
 // Run runs a command: the name of its group, its own name and its arguments. It returns the exit code.
--- a/internal/serving/dispatcher/dispatcher.go
+++ b/internal/serving/dispatcher/dispatcher.go
@@ -67,6 +67,7 @@
 	defaultFailures = 3
 	defaultProbe    = 500 * time.Millisecond
 	defaultReserve  = 10
+	defaultCollect  = time.Minute
 )
 
 // Dispatcher serves /v1/services/.
@@ -95,7 +96,9 @@
 	body   int64
 	poll   time.Duration
 	settle time.Duration
-	now    func() time.Time
+	// collect is the time between looks for old rows.
+	collect time.Duration
+	now     func() time.Time
 }
 
 // tactics are the decisions about the repeats of one service's idempotent calls.
@@ -132,6 +135,11 @@
 	return func(d *Dispatcher) { d.settings.settle = t }
 }
 
+// WithCollect sets the time between looks for rows of keys that are older than the retention.
+func WithCollect(d time.Duration) Option {
+	return func(o *Dispatcher) { o.settings.collect = d }
+}
+
 // WithTable sets the timeout of one operation of the table service.
 func WithTable(timeout time.Duration) Option {
 	return func(d *Dispatcher) { d.writer.timeout = timeout }
@@ -151,7 +159,7 @@
 		chooser:    c,
 		identifier: i,
 		logger:     slog.Default(),
-		settings:   settings{body: defaultBody, poll: defaultPoll, settle: defaultSettle, now: time.Now},
+		settings:   settings{body: defaultBody, poll: defaultPoll, settle: defaultSettle, collect: defaultCollect, now: time.Now},
 		claims:     map[string]*claimer.Claim{},
 		calls:      map[string]*tactics{},
 		left:       make(chan struct{}),
@@ -177,9 +185,16 @@
 	d.writer.logger = d.logger
 	d.writer.wait.Add(1)
 	go d.writer.loop()
+	d.writer.wait.Add(1)
+	go d.collector().loop()
 	return d
 }
 
+// collector returns the part that removes the rows of old keys.
+func (d *Dispatcher) collector() *collector {
+	return &collector{writer: d.writer, view: d.view, logger: d.logger, every: d.settings.collect}
+}
+
 // Register adds the dispatcher's routes.
 func (d *Dispatcher) Register(r *mux.Router) {
 	r.PathPrefix("/v1/services/{service}/").Handler(d)
--- a/internal/serving/dispatcher/writer.go
+++ b/internal/serving/dispatcher/writer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"sync"
 	"time"
@@ -143,48 +142,81 @@
 // run commits one transaction and reports to each ticket.
 func (w *writer) run(batch []*ticket) {
 	defer w.wait.Done()
-	txn, places := w.txn(batch)
-	ctx, cancel := context.WithTimeout(context.Background(), w.timeout)
-	defer cancel()
-	result, err := w.table.Commit(ctx, txn)
-	if err != nil {
-		w.logger.Warn("claims not committed", "txn", txn.ID, "outcome", result.Outcome.String(), "error", err)
+	batch, horizon := w.fresh(batch)
+	result := tabler.Result{Outcome: classifier.Completed}
+	if len(batch) > 0 {
+		result = w.commit(txnOf(batch, horizon))
 	}
-	w.mu.Lock()
-	w.group.Done()
-	w.breaker.Report(w.now(), result.Outcome == classifier.Completed)
-	w.mu.Unlock()
-	w.signal()
+	w.ended(result)
 	switch {
 	case result.Outcome != classifier.Completed:
 		report(batch, claimer.Commit{Outcome: result.Outcome})
 	case result.Applied:
-		for i, t := range batch {
-			t.commit <- claimer.Commit{Outcome: classifier.Completed, Applied: true, Version: result.Versions[places[i]]}
-		}
+		applied(batch, result.Versions)
 	default:
 		w.conflict(batch, result.Conflicts)
 	}
 }
 
-// txn returns the transaction of a batch, and the place of each ticket's row among its writes.
-func (w *writer) txn(batch []*ticket) (tabler.Txn, []int) {
+// fresh returns the tickets whose keys lie within the horizon, and the horizon's version that their transaction is to
+// be conditional on. The others are turned away.
+func (w *writer) fresh(batch []*ticket) ([]*ticket, int64) {
 	w.mu.Lock()
-	horizon := w.horizon.Version
+	horizon := w.horizon
 	w.mu.Unlock()
+	var fresh []*ticket
+	for _, t := range batch {
+		if !t.first && t.day < horizon.Day {
+			t.commit <- claimer.Commit{Outcome: classifier.NotSent, Code: claimer.CodeExpired}
+			continue
+		}
+		fresh = append(fresh, t)
+	}
+	return fresh, horizon.Version
+}
+
+// commit commits a transaction within the timeout.
+func (w *writer) commit(t tabler.Txn) tabler.Result {
+	ctx, cancel := context.WithTimeout(context.Background(), w.timeout)
+	defer cancel()
+	result, err := w.table.Commit(ctx, t)
+	if err != nil {
+		w.logger.Warn("claims not committed", "txn", t.ID, "outcome", result.Outcome.String(), "error", err)
+	}
+	return result
+}
+
+// ended notes the end of a transaction.
+func (w *writer) ended(r tabler.Result) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.group.Done()
+	w.breaker.Report(w.now(), r.Outcome == classifier.Completed)
+	w.signal()
+}
+
+// txnOf returns the transaction of a batch. It writes the row of each ticket first, in order.
+func txnOf(batch []*ticket, horizon int64) tabler.Txn {
 	txn := tabler.Txn{ID: uuid.NewString()}
 	txn.Conditions = append(txn.Conditions, tabler.Condition{Table: claimer.Table, Key: horizonKey, Version: horizon})
-	var places []int
+	var doubts []tabler.Write
 	for _, t := range batch {
 		m := t.mutation
 		txn.Conditions = append(txn.Conditions, tabler.Condition{Table: claimer.Table, Key: m.Key, Version: m.Version})
-		places = append(places, len(txn.Writes))
-		txn.Writes = append(txn.Writes, tabler.Write{Table: claimer.Table, Key: m.Key, Value: encode(m.Record)})
+		txn.Writes = append(txn.Writes, tabler.Write{Table: claimer.Table, Key: m.Key, Value: m.Record.Encode()})
 		if m.Record.State == claimer.StateUnknown {
-			txn.Writes = append(txn.Writes, tabler.Write{Table: claimer.Doubts, Key: m.Key})
+			doubts = append(doubts, tabler.Write{Table: claimer.Doubts, Key: m.Key})
 		}
 	}
-	return txn, places
+	txn.Writes = append(txn.Writes, doubts...)
+	return txn
+}
+
+// applied reports to the tickets of a transaction that was applied.
+func applied(batch []*ticket, versions []int64) {
+	for i, t := range batch {
+		t.commit <- claimer.Commit{Outcome: classifier.Completed, Applied: true, Version: versions[i]}
+	}
 }
 
 // conflict reports to the tickets whose rows were in the way and queues the others again: nothing of the transaction
@@ -210,15 +242,8 @@
 	}
 }
 
-// again queues a ticket once more, or turns it away if its key has expired meanwhile.
+// again queues a ticket once more.
 func (w *writer) again(t *ticket) {
-	w.mu.Lock()
-	expired := !t.first && t.day < w.horizon.Day
-	w.mu.Unlock()
-	if expired {
-		t.commit <- claimer.Commit{Outcome: classifier.NotSent, Code: claimer.CodeExpired}
-		return
-	}
 	if !w.add(t) {
 		t.commit <- claimer.Commit{Outcome: classifier.NotSent, Code: claimer.CodeBusy}
 	}
@@ -242,7 +267,8 @@
 	if !ok {
 		return claimer.Row{}, true
 	}
-	return decode(row)
+	found, err := claimer.Decode(row.Version, row.Value)
+	return found, err == nil
 }
 
 // note lists a claim for the operators, whose owner does not tell what became of it.
@@ -255,6 +281,13 @@
 	}
 }
 
+// within returns the horizon as last seen.
+func (w *writer) within() claimer.Horizon {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.horizon
+}
+
 // close stops the loop and waits for the transactions that run.
 func (w *writer) close() {
 	close(w.done)
@@ -270,30 +303,9 @@
 
 // conflictOf returns the outcome of a mutation whose row was not at the version expected.
 func conflictOf(r tabler.Row) claimer.Commit {
-	row, ok := decode(r)
-	if !ok {
+	row, err := claimer.Decode(r.Version, r.Value)
+	if err != nil {
 		return claimer.Commit{Outcome: classifier.Unknown}
 	}
 	return claimer.Commit{Outcome: classifier.Completed, Found: row}
 }
-
-// encode returns a record as JSON.
-func encode(r claimer.Record) []byte {
-	value, err := json.Marshal(r)
-	if err != nil {
-		panic("claim record cannot be encoded: " + err.Error())
-	}
-	return value
-}
-
-// decode returns a claim's row, or false if its value cannot be read.
-func decode(r tabler.Row) (claimer.Row, bool) {
-	if r.Version == 0 {
-		return claimer.Row{}, true
-	}
-	row := claimer.Row{Version: r.Version}
-	if err := json.Unmarshal(r.Value, &row.Record); err != nil {
-		return claimer.Row{}, false
-	}
-	return row, true
-}
--- a/internal/serving/launcher/launcher.go
+++ b/internal/serving/launcher/launcher.go
@@ -62,6 +62,7 @@
 		{Name: "check", Usage: "check FILE ...", Help: "check files of settings or records, without starting anything", Run: check},
 		{Name: "state", Usage: "state -addr HOST:PORT [-part NAME]", Help: "print the state of a running instance", Run: state},
 		{Name: "record", Usage: "record COMMAND [ARGUMENT ...]", Help: "submit, accept, retire, list, show, diff and wait for records", Run: group("record")},
+		{Name: "call", Usage: "call COMMAND [ARGUMENT ...]", Help: "list, show and settle calls whose outcome is not known", Run: group("call")},
 	}
 	for _, o := range options {
 		o(l)
--- a/internal/serving/operator/operator.go
+++ b/internal/serving/operator/operator.go
@@ -83,7 +83,7 @@
 // Register adds the routes of records, changes and audits.
 func (o *Operator) Register(r *mux.Router) {
 	route := func(method, path string, h http.HandlerFunc) {
-		r.HandleFunc(path, o.guard(h)).Methods(method)
+		r.HandleFunc(path, o.Guard(h)).Methods(method)
 	}
 	route(http.MethodPost, "/changes", o.change)
 	route(http.MethodPost, "/changes/{id}/resolve", o.resolve)
@@ -99,8 +99,8 @@
 	Error string `json:"error"`
 }
 
-// guard lets a request through that bears the operators' token.
-func (o *Operator) guard(h http.HandlerFunc) http.HandlerFunc {
+// Guard lets a request through that bears the operators' token.
+func (o *Operator) Guard(h http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		sum := sha256.Sum256([]byte(token))
--- a/internal/serving/runner/configuration.go
+++ b/internal/serving/runner/configuration.go
@@ -12,6 +12,7 @@
 	"github.com/heatherrock/heatherrock/internal/serving/operator"
 	"github.com/heatherrock/heatherrock/internal/serving/poller"
 	"github.com/heatherrock/heatherrock/internal/serving/server"
+	"github.com/heatherrock/heatherrock/internal/serving/settler"
 )
 
 // newPoller returns the part that keeps the instance's configuration current.
@@ -37,7 +38,9 @@
 // registerRecords adds the operators' routes for records.
 func (r *Runner) registerRecords(routes *mux.Router) {
 	c := committer.New(r.platform.Table, r.config, committer.WithLogger(r.log))
-	operator.New(r.platform.Table, c, r.config, operator.WithCredential(r.settings.Credential)).Register(routes)
+	o := operator.New(r.platform.Table, c, r.config, operator.WithCredential(r.settings.Credential))
+	o.Register(routes)
+	settler.New(r.platform.Table, settler.WithGuard(o.Guard)).Register(routes)
 }
 
 // View returns the configuration in force.
