--- a/internal/serving/dispatcher/fake_test.go
+++ b/internal/serving/dispatcher/fake_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"log/slog"
@@ -91,11 +92,13 @@
 type world struct {
 	addresses []string
 	lookup    string
+	// deadline bounds a hold, in milliseconds; 0 means 2000.
+	deadline int
 }
 
 func (w world) Service(name string) (recorder.Service, bool) {
 	s := recorder.Service{Calls: []recorder.Call{
-		{Method: http.MethodPost, Path: "/holds", Deadline: 2000, Lookup: w.lookup},
+		{Method: http.MethodPost, Path: "/holds", Deadline: cmp.Or(w.deadline, 2000), Lookup: w.lookup},
 		{Method: http.MethodGet, Path: "/parts", Idempotent: true, Deadline: 2000, Retries: 2},
 	}}
 	return s, name == "stock"
