--- a/internal/control/claimer/key.go
+++ b/internal/control/claimer/key.go
@@ -21,9 +21,11 @@
 	CodeFuture  = "key_future"
 )
 
-// dayLayout is the layout of a day.
+// dayLayout is the layout of a day, and layouts are those that a key may begin with.
 const dayLayout = "20060102"
 
+var layouts = []string{dayLayout, time.DateOnly}
+
 // keyPattern is the set of keys that can be a part of a row's key, a header and a path.
 var keyPattern = regexp.MustCompile(`^[A-Za-z0-9._:-]+$`)
 
@@ -36,7 +38,7 @@
 }
 
 // ParseKey returns the key in a text, or the code of what is wrong with it. A key is dated: it is a version 7 UUID
-// (RFC 9562, section 5.7) or begins with a day as in 20261231-order-17.
+// (RFC 9562, section 5.7) or begins with a day as in 20261231-order-17 or 2026-12-31-order-17.
 func ParseKey(text string) (Key, string) {
 	if text == "" {
 		return Key{}, CodeMissing
@@ -47,14 +49,21 @@
 	if id, err := uuid.Parse(text); err == nil && id.Version() == 7 {
 		return Key{Text: id.String(), Day: dayOf(id)}, ""
 	}
-	if len(text) < len(dayLayout)+2 || text[len(dayLayout)] != '-' {
-		return Key{}, CodeUndated
+	for _, layout := range layouts {
+		if day, ok := leading(text, layout); ok {
+			return Key{Text: text, Day: day}, ""
+		}
 	}
-	day := text[:len(dayLayout)]
-	if _, err := time.Parse(dayLayout, day); err != nil {
-		return Key{}, CodeUndated
+	return Key{}, CodeUndated
+}
+
+// leading returns the day that a text begins with in a layout, if a dash and more follow.
+func leading(text, layout string) (string, bool) {
+	if len(text) < len(layout)+2 || text[len(layout)] != '-' {
+		return "", false
 	}
-	return Key{Text: text, Day: day}, ""
+	day, err := time.Parse(layout, text[:len(layout)])
+	return day.Format(dayLayout), err == nil
 }
 
 // dayOf returns the day of a version 7 UUID, whose first 48 bits count milliseconds of the Unix epoch.
--- a/internal/control/claimer/key_test.go
+++ b/internal/control/claimer/key_test.go
@@ -19,6 +19,8 @@
 		{"20261231-", Key{}, CodeUndated},
 		{"20261231-a/b", Key{}, CodeUndated},
 		{"20261231-order-17", Key{Text: "20261231-order-17", Day: "20261231"}, ""},
+		{"2026-12-31-order-17", Key{Text: "2026-12-31-order-17", Day: "20261231"}, ""},
+		{"2026-12-32-order-17", Key{}, CodeUndated},
 		{"0193a5f0-7c00-7abc-8def-0123456789ab", Key{Text: "0193a5f0-7c00-7abc-8def-0123456789ab", Day: "20241208"}, ""},
 		{"0193A5F0-7C00-7ABC-8DEF-0123456789AB", Key{Text: "0193a5f0-7c00-7abc-8def-0123456789ab", Day: "20241208"}, ""},
 		{"c2d7f1b2-7c00-4abc-8def-0123456789ab", Key{}, CodeUndated},
