--- a/internal/standin/starter/fleet.go
+++ b/internal/standin/starter/fleet.go
@@ -76,8 +76,6 @@
 	// Lag is how old a load report or a cache event may be. One event in Gap is lost; 0 means none.
 	Lag Duration `json:"lag,omitempty"`
 	Gap int      `json:"gap,omitempty"`
-	// Ping is the longest time without a line on a stream. 0 means the engine's own.
-	Ping Duration `json:"ping,omitempty"`
 	// Fenced is set if the engines refuse orders with an old fencing number.
 	Fenced bool `json:"fenced,omitempty"`
 	// Poison is a marker: a prompt that contains it crashes the engines that run it. An engine that crashed starts
