Run the repair loop in each instance

Cause: nothing started the repairs, so a layer range without a live endpoint stayed missing.

Measured: go test -race -run Spare ./internal/serving/runner passes in 4.6 s: two instances, the only engine of a range taken away; one order to the spare, one load, and answers whole again.

--- /dev/null
+++ b/internal/serving/orderer/registry.go
@@ -0,0 +1,106 @@
+package orderer
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/heatherrock/heatherrock/internal/control/recorder"
+	"github.com/heatherrock/heatherrock/internal/control/repairer"
+	"github.com/heatherrock/heatherrock/internal/routing/picker"
+	"github.com/heatherrock/heatherrock/internal/routing/planner"
+)
+
+// Router takes in what is known of engines.
+type Router interface {
+	Observe(now time.Time, e planner.Endpoint, r picker.Report)
+	Leave(now time.Time, id string)
+	Remove(now time.Time, id string)
+}
+
+// Registry keeps the engines of a region for the repairs, and passes on what it learns to a Router.
+type Registry struct {
+	next   Router
+	region string
+	view   func() recorder.View
+	now    func() time.Time
+	// stale is the age of the last report from which an engine counts as gone.
+	stale time.Duration
+
+	mu      sync.Mutex
+	engines map[string]engineState
+}
+
+// engineState is what was last learned of an engine.
+type engineState struct {
+	endpoint planner.Endpoint
+	leaving  bool
+	at       time.Time
+}
+
+// NewRegistry returns a registry of a region's engines. An engine that was not heard of for stale counts as gone.
+func NewRegistry(region string, stale time.Duration, view func() recorder.View, now func() time.Time, next Router) *Registry {
+	return &Registry{next: next, region: region, view: view, now: now, stale: stale, engines: map[string]engineState{}}
+}
+
+// Observe takes in an engine's report.
+func (g *Registry) Observe(now time.Time, e planner.Endpoint, r picker.Report) {
+	g.mu.Lock()
+	if e.Region == g.region {
+		g.engines[e.ID] = engineState{endpoint: e, at: now}
+	}
+	g.mu.Unlock()
+	g.next.Observe(now, e, r)
+}
+
+// Leave takes in that an engine is leaving.
+func (g *Registry) Leave(now time.Time, id string) {
+	g.mu.Lock()
+	if e, ok := g.engines[id]; ok {
+		e.leaving = true
+		g.engines[id] = e
+	}
+	g.mu.Unlock()
+	g.next.Leave(now, id)
+}
+
+// Remove forgets an engine.
+func (g *Registry) Remove(now time.Time, id string) {
+	g.mu.Lock()
+	delete(g.engines, id)
+	g.mu.Unlock()
+	g.next.Remove(now, id)
+}
+
+// Needs returns the versions of models in force that get traffic, by name.
+func (g *Registry) Needs() []repairer.Need {
+	models := g.view().Models
+	var needs []repairer.Need
+	for _, name := range slices.Sorted(maps.Keys(models)) {
+		for _, v := range models[name].Versions {
+			if v.Share > 0 {
+				needs = append(needs, repairer.Need{Model: name, Version: v.Name, Layers: models[name].Layers})
+			}
+		}
+	}
+	return needs
+}
+
+// Endpoints returns the engines of the region, by name.
+func (g *Registry) Endpoints() []Endpoint {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var all []Endpoint
+	for _, id := range slices.Sorted(maps.Keys(g.engines)) {
+		s := g.engines[id]
+		e := Endpoint{Address: s.endpoint.Address}
+		e.ID, e.Kind, e.DataCentre, e.Rate = id, s.endpoint.Kind, s.endpoint.DataCentre, s.endpoint.Rate
+		e.Gone = s.leaving || g.now().Sub(s.at) > g.stale
+		for _, h := range s.endpoint.Held {
+			e.Held = append(e.Held, repairer.Range(h))
+		}
+		all = append(all, e)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/serving/runner/repairs_test.go
@@ -0,0 +1,93 @@
+package runner
+
+import (
+	"log/slog"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/heatherrock/heatherrock/internal/control/repairer"
+	"github.com/heatherrock/heatherrock/internal/platform/lister"
+	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/standin/decoder"
+	"github.com/heatherrock/heatherrock/internal/standin/faulter"
+	standin "github.com/heatherrock/heatherrock/internal/standin/lister"
+	"github.com/heatherrock/heatherrock/internal/standin/storer"
+	"github.com/heatherrock/heatherrock/internal/standin/tabler"
+)
+
+// TestSpareLoadsWhatIsLost takes away the only engine of a range, beside one that holds nothing, before two instances.
+// The spare is told to load the range once, and answers are whole again.
+func TestSpareLoadsWhatIsLost(t *testing.T) {
+	list := standin.New(nil)
+	platform := Platform{Table: tabler.New(), Objects: storer.New(faulter.NewFaults(1)), List: list}
+	engines := map[string]*decoder.Decoder{}
+	servers := map[string]*httptest.Server{}
+	for i, id := range []string{"e0", "e1", "e2", "spare"} {
+		options := []decoder.Option{decoder.WithEndpoint(id), decoder.WithKind("large")}
+		if id != "spare" {
+			held := streamer.Held{Model: "oak", Version: "v1", From: i * layers / 3, To: (i + 1) * layers / 3}
+			options = append(options, decoder.WithHeld(held))
+		}
+		engines[id] = decoder.New(options...)
+		servers[id] = httptest.NewServer(engines[id])
+		t.Cleanup(servers[id].Close)
+		t.Cleanup(engines[id].Close)
+		list.Put(lister.Instance{ID: id, Role: lister.RoleEngine, Address: servers[id].Listener.Addr().String(),
+			DataCentre: "scot-central-a", Region: "scot-central", Kind: "large"})
+	}
+	var instances []*Runner
+	for _, id := range []string{"entry-1", "entry-2"} {
+		s := settings()
+		s.ID = id
+		r := New(s, platform, WithLog(slog.New(slog.DiscardHandler)))
+		if err := r.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(r.Close)
+		instances = append(instances, r)
+	}
+	for _, r := range instances {
+		for len(r.Router().State(time.Now()).Picker.Endpoints) < len(engines) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	accept(t, instances[0], records(t))
+	_, want := decoder.Answer("oak", "v1", "", "user: a sill\n", layers, 20)
+	whole := func() bool {
+		text, err := stream(client(instances[0], token), "a sill", func() {})
+		return err == nil && text == want
+	}
+	for !whole() {
+		time.Sleep(10 * time.Millisecond)
+	}
+
+	list.Remove("e1")
+	servers["e1"].CloseClientConnections()
+	servers["e1"].Config.Close()
+	for !whole() || len(deeds(instances)) < 2 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	lost := repairer.Range{Model: "oak", Version: "v1", From: layers / 3, To: 2 * layers / 3}
+	var got []string
+	for _, d := range deeds(instances) {
+		if d.Range != lost || d.Endpoint != "spare" || d.Why == "" {
+			t.Errorf("deed is %+v", d)
+		}
+		got = append(got, d.What)
+	}
+	if diff := cmp.Diff([]string{repairer.WhatOrdered, repairer.WhatLoaded}, got); diff != "" {
+		t.Errorf("deeds mismatch (-want +got):\n%s", diff)
+	}
+}
+
+// deeds returns what the instances did about missing ranges.
+func deeds(instances []*Runner) []repairer.Deed {
+	var all []repairer.Deed
+	for _, r := range instances {
+		all = append(all, r.orders.State().Deeds...)
+	}
+	return all
+}
--- a/internal/serving/runner/runner.go
+++ b/internal/serving/runner/runner.go
@@ -31,6 +31,7 @@
 	"github.com/heatherrock/heatherrock/internal/serving/isolator"
 	"github.com/heatherrock/heatherrock/internal/serving/meter"
 	"github.com/heatherrock/heatherrock/internal/serving/observer"
+	"github.com/heatherrock/heatherrock/internal/serving/orderer"
 	"github.com/heatherrock/heatherrock/internal/serving/poller"
 	"github.com/heatherrock/heatherrock/internal/serving/router"
 	"github.com/heatherrock/heatherrock/internal/serving/server"
@@ -69,6 +70,7 @@
 	dumper    *dumper.Dumper
 	config    *poller.Poller
 	observer  *observer.Observer
+	orders    *orderer.Orderer
 	callers   *front
 	operators *front
 }
@@ -128,7 +130,7 @@
 	r.exchange.Start(listeners[2])
 	r.config.Start()
 	if r.platform.List != nil {
-		r.observer = observer.New(r.platform.List, r.engines, r.router, r.services, r.settings.Times.List,
+		r.observer = observer.New(r.platform.List, r.engines, r.startRepairs(), r.services, r.settings.Times.List,
 			r.settings.Times.Report, r.clock, r.log)
 		r.observer.Start()
 	}
@@ -313,6 +315,7 @@
 	r.calls.Close()
 	if r.observer != nil {
 		r.observer.Close()
+		r.orders.Close()
 	}
 	r.config.Close()
 	r.exchange.Close()
