End every trial, also one that finds nothing

Change: such a trial is withdrawn at once on all reachable instances. A table covers each way a trial ends.

--- a/internal/serving/generator/attempt.go
+++ b/internal/serving/generator/attempt.go
@@ -96,8 +96,8 @@
 	a.ended = a.clock()
 	a.attempts = append(a.attempts, t)
 	a.router.Ended(a.ended, a.job, t)
-	if t.Ending == EndingComplete && a.trial {
-		a.guard.Clear(a.ended, a.job.Fingerprint)
+	if a.trial {
+		a.found(t)
 	}
 	if t.Ending != EndingComplete && !t.Outcome.NotRun() {
 		c := &canceller{engines: a.engines, address: plan.Stages[0].Address, request: a.job.Request, attempt: t.Number}
@@ -108,6 +108,17 @@
 	return t
 }
 
+// found tells what a trial found. A crash is told by learn.
+func (a *answer) found(t Attempt) {
+	switch t.Ending {
+	case EndingComplete:
+		a.guard.Clear(a.ended, a.job.Fingerprint)
+	case EndingCrashed:
+	default:
+		a.guard.Withdraw(a.ended, a.job.Fingerprint)
+	}
+}
+
 // stream opens the attempt's stream and takes its steps until the attempt has ended.
 func (a *answer) stream(ctx context.Context, t *Attempt) {
 	o := &opener{engines: a.engines, request: a.request(), opened: make(chan opening), done: make(chan struct{})}
--- a/internal/serving/generator/generator.go
+++ b/internal/serving/generator/generator.go
@@ -116,6 +116,8 @@
 	Check(now time.Time, f quarantiner.Fingerprint) quarantiner.Ruling
 	// Open begins a trial on endpoints and reports whether it may begin now.
 	Open(now time.Time, f quarantiner.Fingerprint, endpoints []string) bool
+	// Withdraw ends a trial that found nothing.
+	Withdraw(now time.Time, f quarantiner.Fingerprint)
 	// Busy returns the endpoints of other trials.
 	Busy(now time.Time, f quarantiner.Fingerprint) []string
 	// Crash tells that an endpoint crashed while it ran the request. It returns once the other instances were told, as
--- a/internal/serving/generator/generator_test.go
+++ b/internal/serving/generator/generator_test.go
@@ -83,8 +83,10 @@
 	servers map[string]*httptest.Server
 	rulings map[quarantiner.Fingerprint]quarantiner.Ruling
 	crashes []string
-	endings []Ending
-	retries int
+	// findings are the ends of trials without a crash.
+	findings []string
+	endings  []Ending
+	retries  int
 }
 
 func newBench(t *testing.T) *bench {
@@ -143,8 +145,9 @@
 
 func (b *bench) Check(_ time.Time, f quarantiner.Fingerprint) quarantiner.Ruling { return b.rulings[f] }
 func (b *bench) Open(time.Time, quarantiner.Fingerprint, []string) bool          { return true }
+func (b *bench) Withdraw(time.Time, quarantiner.Fingerprint)                     {}
 func (b *bench) Busy(time.Time, quarantiner.Fingerprint) []string                { return nil }
-func (b *bench) Clear(time.Time, quarantiner.Fingerprint)                        {}
+func (b *bench) Clear(time.Time, quarantiner.Fingerprint)                        { b.findings = append(b.findings, "cleared") }
 func (b *bench) Crash(_ time.Time, _ quarantiner.Fingerprint, endpoint string) {
 	b.crashes = append(b.crashes, endpoint)
 }
@@ -349,3 +352,43 @@
 		})
 	}
 }
+
+// TestTrialEnds checks that every trial ends with a finding or is withdrawn, so that it never blocks other suspects.
+func TestTrialEnds(t *testing.T) {
+	cases := []struct {
+		name     string
+		prepare  func(b *bench)
+		sink     error
+		findings []string
+		crashes  []string
+	}{
+		{name: "complete", findings: []string{"cleared"}},
+		{name: "the caller leaves", sink: context.Canceled, findings: []string{"withdrawn"}},
+		{name: "an endpoint that cannot be reached", prepare: func(b *bench) {
+			b.retries = 0
+			b.servers["a"].Close()
+		}, findings: []string{"withdrawn"}},
+		{name: "a crash", prepare: func(b *bench) {
+			b.retries = 0
+			b.engines["c"].Crash()
+		}, crashes: []string{"c"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			b.rulings = map[quarantiner.Fingerprint]quarantiner.Ruling{0: quarantiner.Trial}
+			if c.prepare != nil {
+				c.prepare(b)
+			}
+			client := streamer.NewClient()
+			defer client.Close()
+			New(b, b, client).Run(context.Background(), job(prompt), func(string) error { return c.sink })
+			if diff := cmp.Diff(c.findings, b.findings); diff != "" {
+				t.Errorf("findings mismatch (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(c.crashes, b.crashes); diff != "" {
+				t.Errorf("crashes mismatch (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/serving/isolator/isolator.go
+++ b/internal/serving/isolator/isolator.go
@@ -52,10 +52,7 @@
 		return false
 	}
 	if i.publisher.Ask(encode(c)) {
-		i.mu.Lock()
-		c = i.quarantine.Withdraw(f)
-		i.mu.Unlock()
-		i.publisher.Urgent(key(f), encode(c), c.Expires.Sub(now))
+		i.Withdraw(now, f)
 		return false
 	}
 	i.log.Info("suspect on trial", "fingerprint", key(f), "endpoints", endpoints)
@@ -63,6 +60,14 @@
 	return true
 }
 
+// Withdraw ends a trial at now that found nothing, so that others may use its endpoints.
+func (i *Isolator) Withdraw(now time.Time, f quarantiner.Fingerprint) {
+	i.mu.Lock()
+	c := i.quarantine.Withdraw(f)
+	i.mu.Unlock()
+	i.publisher.Urgent(key(f), encode(c), c.Expires.Sub(now))
+}
+
 // Object takes in at now a trial that another instance is about to begin, and reports whether this one objects. It
 // returns an error if the case cannot be read.
 func (i *Isolator) Object(now time.Time, value []byte) (bool, error) {
