--- /dev/null
+++ b/internal/control/assigner/assigner.go
@@ -0,0 +1,129 @@
+// Package assigner decides which instances watch which endpoints, which endpoints an instance routes to, and when a
+// load has changed enough to be told to others.
+package assigner
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Node is an instance or endpoint with its place.
+type Node struct {
+	ID         string
+	DataCentre string
+	Region     string
+}
+
+// Duty is an endpoint that an instance watches. Rank 0 is the first watcher, which tells the others; the next stand
+// by.
+type Duty struct {
+	Endpoint string
+	Rank     int
+}
+
+// score is one candidate of a rendezvous.
+type score struct {
+	id     string
+	weight uint64
+}
+
+// Watchers returns the instances that watch an endpoint, the first watcher first: count of them by rendezvous hashing
+// among the instances of its data centre, or of its region, or of all, whichever is the first that has any. The
+// hashing is that of Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit Rates" (1998): when an instance
+// goes, only its own endpoints move.
+func Watchers(endpoint Node, instances []Node, count int) []string {
+	near := nearest(endpoint, instances)
+	scores := make([]score, 0, len(near))
+	for _, n := range near {
+		scores = append(scores, score{n.ID, weight(endpoint.ID, n.ID)})
+	}
+	return best(scores, count)
+}
+
+// Duties returns the endpoints that an instance watches among the endpoints given, in their order.
+func Duties(self string, endpoints, instances []Node, count int) []Duty {
+	var out []Duty
+	for _, e := range endpoints {
+		if rank := slices.Index(Watchers(e, instances, count), self); rank >= 0 {
+			out = append(out, Duty{e.ID, rank})
+		}
+	}
+	return out
+}
+
+// Subset returns the count endpoints that an instance routes to, in the order of their IDs. Endpoints of its data
+// centre come first, then of its region, then all others; within these each instance has its own order, so that the
+// instances together use all endpoints evenly. All are returned if there are no more than count.
+func Subset(self Node, endpoints []Node, count int) []string {
+	ordered := slices.Clone(endpoints)
+	weights := map[string]uint64{}
+	for _, e := range endpoints {
+		weights[e.ID] = weight(e.ID, self.ID)
+	}
+	slices.SortFunc(ordered, func(a, b Node) int {
+		return cmp.Or(
+			cmp.Compare(distance(self, a), distance(self, b)),
+			cmp.Compare(weights[b.ID], weights[a.ID]),
+			strings.Compare(a.ID, b.ID),
+		)
+	})
+	var out []string
+	for _, e := range ordered[:min(count, len(ordered))] {
+		out = append(out, e.ID)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// nearest returns the instances of the endpoint's data centre, else of its region, else all.
+func nearest(endpoint Node, instances []Node) []Node {
+	for reach := range 3 {
+		var out []Node
+		for _, n := range instances {
+			if distance(endpoint, n) <= reach {
+				out = append(out, n)
+			}
+		}
+		if len(out) > 0 {
+			return out
+		}
+	}
+	return nil
+}
+
+// distance returns 0 within a data centre, 1 within a region and 2 between regions.
+func distance(a, b Node) int {
+	switch {
+	case a.Region != b.Region:
+		return 2
+	case a.DataCentre != b.DataCentre:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// weight returns the rendezvous weight of a pair.
+func weight(endpoint, instance string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(endpoint)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(instance)
+	return d.Sum64()
+}
+
+// best returns the IDs of the count highest scores, the highest first.
+func best(scores []score, count int) []string {
+	slices.SortFunc(scores, func(a, b score) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), strings.Compare(a.id, b.id))
+	})
+	var out []string
+	for _, s := range scores[:min(count, len(scores))] {
+		out = append(out, s.id)
+	}
+	return out
+}
