--- a/internal/bench/runner/runner.go
+++ b/internal/bench/runner/runner.go
@@ -1,9 +1,18 @@
 // Package runner holds the table of experiments and runs them by name.
 package runner
 
-import "github.com/heatherrock/heatherrock/internal/bench/reporter"
+import (
+	"github.com/heatherrock/heatherrock/internal/bench/claimer"
+	"github.com/heatherrock/heatherrock/internal/bench/prover"
+	"github.com/heatherrock/heatherrock/internal/bench/reporter"
+	"github.com/heatherrock/heatherrock/internal/bench/spreader"
+)
 
 // Experiments is the table of experiments, in the order in which they are listed.
 func Experiments() []reporter.Experiment {
-	return nil
+	var all []reporter.Experiment
+	all = append(all, claimer.Experiments()...)
+	all = append(all, spreader.Experiments()...)
+	all = append(all, prover.Experiments()...)
+	return all
 }
