Let an unbroken live listing end a mark of the list

Cause: An instance that saw the absence of a restarted endpoint too late could keep it marked for good.

Change: A mark of the list also ends once the list has shown the endpoint as live for longer than its lag without a break; any new sign of leaving starts that time again.

--- a/internal/control/departer/departer.go
+++ b/internal/control/departer/departer.go
@@ -24,11 +24,13 @@
 	At time.Time
 	// Absent is since when the list has not shown the endpoint. It is zero while it does.
 	Absent time.Time
+	// Live is since when the list has shown the endpoint as live, uninterrupted. It is zero while it does not.
+	Live time.Time
 }
 
 // Departer holds the endpoints that are leaving. An endpoint marked stays so for its incarnation, whatever live signs
-// arrive late: only its own newer report ends a mark of its own report, and only an absence from the list that is
-// longer than the list's lag ends a mark of the list.
+// arrive late: only its own newer report ends a mark of its own report. A mark of the list ends once the list has shown
+// the endpoint as absent, or as live, without interruption for longer than its lag.
 type Departer struct {
 	Marks map[Key]Mark
 	// Lag is the longest time by which the list is behind.
@@ -50,33 +52,42 @@
 	case !ok:
 		d.Marks[k] = Mark{Source: source, At: at}
 		return true
-	case m.Source == SourceReport && (source == SourceList || at.After(m.At)):
-		m.Source, m.At = source, at
+	case source == SourceList:
+		d.Marks[k] = Mark{Source: source, At: at}
+	case m.Source == SourceReport && at.After(m.At):
+		m.At = at
 		d.Marks[k] = m
 	}
 	return false
 }
 
-// Listed takes in that the list shows an endpoint, as leaving or not. It reports whether the endpoint is live again:
-// that is so after an absence that nothing interrupted for longer than the lag.
-func (d *Departer) Listed(now time.Time, k Key, leaving bool) bool {
+// Listed takes in that the list shows an endpoint as live. It reports whether the endpoint is live again.
+func (d *Departer) Listed(now time.Time, k Key) bool {
 	m, ok := d.Marks[k]
 	if !ok {
 		return false
 	}
-	if !leaving && !m.Absent.IsZero() && now.Sub(m.Absent) > d.Lag {
+	if d.lasted(now, m.Absent) || d.lasted(now, m.Live) {
 		delete(d.Marks, k)
 		return true
 	}
 	m.Absent = time.Time{}
+	if m.Live.IsZero() {
+		m.Live = now
+	}
 	d.Marks[k] = m
 	return false
 }
 
+// lasted reports whether what the list has shown since a time cannot be its lag.
+func (d *Departer) lasted(now, since time.Time) bool {
+	return !since.IsZero() && now.Sub(since) > d.Lag
+}
+
 // Missing takes in that the list does not show an endpoint.
 func (d *Departer) Missing(now time.Time, k Key) {
 	if m, ok := d.Marks[k]; ok && m.Absent.IsZero() {
-		m.Absent = now
+		m.Absent, m.Live = now, time.Time{}
 		d.Marks[k] = m
 	}
 }
