Watch the endpoints that are this instance's duty and share their loads

Cause: Each instance polled each endpoint, which at 390 instances and 5,100 servers is two million polls a round; and an instance learnt that an endpoint leaves only from its own list and polls.

--- a/internal/control/gossiper/entry.go
+++ b/internal/control/gossiper/entry.go
@@ -12,6 +12,8 @@
 	TopicEndpoint = "endpoint"
 	// TopicLoad carries an endpoint's quantised load.
 	TopicLoad = "load"
+	// TopicListed carries endpoints that the platform's list shows anew.
+	TopicListed = "listed"
 	// TopicLeaving names an endpoint that is leaving.
 	TopicLeaving = "leaving"
 	// TopicQuarantine carries fingerprints of requests that crashed an endpoint.
--- /dev/null
+++ b/internal/serving/watcher/duties.go
@@ -0,0 +1,236 @@
+package watcher
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/heatherrock/heatherrock/internal/control/assigner"
+	"github.com/heatherrock/heatherrock/internal/control/departer"
+	"github.com/heatherrock/heatherrock/internal/platform/lister"
+	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/routing/picker"
+	"github.com/heatherrock/heatherrock/internal/routing/planner"
+)
+
+const (
+	// standbyFactor is how much less often than the first watcher the others read a load.
+	standbyFactor = 4
+	// unheardFactor is after how many report intervals an endpoint of which no peer tells is watched here.
+	unheardFactor = 4
+)
+
+// loopDuties keeps to the endpoints that this instance has to watch, and hands on what peers tell of the others, until
+// done is closed.
+func (w *Watcher) loopDuties() {
+	defer w.wait.Done()
+	ticker := time.NewTicker(w.options.report)
+	defer ticker.Stop()
+	var before duties
+	for {
+		before = w.assign(w.options.clock(), before)
+		select {
+		case <-w.done:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// duties are what an assignment was worked out from, and its result: ranks by endpoint.
+type duties struct {
+	endpoints []assigner.Node
+	instances []assigner.Node
+	ranks     map[string]int
+}
+
+// assign starts and ends watches by the duties of this instance, and hands on what peers tell. It works the duties out
+// anew if endpoints or instances have changed.
+func (w *Watcher) assign(now time.Time, before duties) duties {
+	instances := w.nodes()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	d := duties{endpoints: w.region(), instances: instances, ranks: before.ranks}
+	w.regional = len(d.endpoints)
+	if !slices.Equal(d.endpoints, before.endpoints) || !slices.Equal(d.instances, before.instances) {
+		d.ranks = w.ranks(d)
+	}
+	for _, n := range d.endpoints {
+		w.follow(now, w.endpoints[n.ID], d.ranks)
+	}
+	return d
+}
+
+// nodes returns the live instances, this one included, in the order of their IDs.
+func (w *Watcher) nodes() []assigner.Node {
+	out := []assigner.Node{w.self}
+	for _, p := range w.exchange.Peers() {
+		out = append(out, place(p))
+	}
+	slices.SortFunc(out, func(a, b assigner.Node) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// region returns the engines of the own region, or all if it has none, in the order of their IDs. The lock is held.
+func (w *Watcher) region() []assigner.Node {
+	var own, all []assigner.Node
+	for _, id := range w.ids() {
+		e := w.endpoints[id]
+		if e.instance.Role != lister.RoleEngine {
+			continue
+		}
+		all = append(all, e.node())
+		if e.instance.Region == w.self.Region {
+			own = append(own, e.node())
+		}
+	}
+	if len(own) == 0 {
+		return all
+	}
+	return own
+}
+
+// ranks returns the ranks of the endpoints that this instance watches.
+func (w *Watcher) ranks(d duties) map[string]int {
+	out := map[string]int{}
+	if len(d.endpoints) <= w.options.direct {
+		for _, e := range d.endpoints {
+			out[e.ID] = 0
+		}
+		return out
+	}
+	for _, duty := range assigner.Duties(w.self.ID, d.endpoints, d.instances, w.options.watchers) {
+		out[duty.Endpoint] = duty.Rank
+	}
+	return out
+}
+
+// follow watches an endpoint if that is a duty or no peer tells of it, and else hands on what a peer told.
+func (w *Watcher) follow(now time.Time, e *endpoint, ranks map[string]int) {
+	rank, duty := ranks[e.instance.ID]
+	unheard := !w.told[e.instance.ID].whole() && now.Sub(e.found) > unheardFactor*w.options.report
+	switch {
+	case duty:
+		w.start(e, rank)
+	case unheard:
+		w.start(e, standbyRank)
+	default:
+		w.stop(e)
+		w.pass(now, e, now.Add(-w.options.report))
+	}
+}
+
+// standbyRank is the rank at which an endpoint is watched that is no duty.
+const standbyRank = 1
+
+// start begins to watch an endpoint at a rank.
+func (w *Watcher) start(e *endpoint, rank int) {
+	if e.watch != nil && e.watch.rank == rank || w.closed {
+		return
+	}
+	w.stop(e)
+	e.watch = &watch{watcher: w, endpoint: e, rank: rank, address: e.instance.Address, done: make(chan struct{})}
+	w.wait.Add(1)
+	go e.watch.loop()
+}
+
+// stop ends the watch of an endpoint, and what was shared from it.
+func (w *Watcher) stop(e *endpoint) {
+	if e.watch == nil {
+		return
+	}
+	close(e.watch.done)
+	e.watch = nil
+	w.unshare(e)
+}
+
+// watch reads the load of one engine.
+type watch struct {
+	watcher  *Watcher
+	endpoint *endpoint
+	rank     int
+	address  string
+	done     chan struct{}
+}
+
+// loop reads the load until the watch or the watcher ends.
+func (v *watch) loop() {
+	defer v.watcher.wait.Done()
+	every := v.watcher.options.report
+	if v.rank > 0 {
+		every *= standbyFactor
+	}
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		v.read()
+		select {
+		case <-v.done:
+			return
+		case <-v.watcher.done:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// read reads the load once.
+func (v *watch) read() {
+	ctx, cancel := context.WithTimeout(context.Background(), v.watcher.options.timeout)
+	defer cancel()
+	l, err := v.watcher.engines.Load(ctx, v.address)
+	if err != nil {
+		v.watcher.options.logger.Debug("load not read", "address", v.address, "error", err)
+		return
+	}
+	v.take(v.watcher.options.clock(), l)
+}
+
+// take takes a load in, unless the watch has ended meanwhile.
+func (v *watch) take(now time.Time, l streamer.Load) {
+	w := v.watcher
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if v.endpoint.watch != v {
+		return
+	}
+	stamp := time.UnixMilli(l.Stamp)
+	w.observe(now, v.endpoint, describe(v.endpoint.instance, l), picker.Report{
+		Running: l.Running, Waiting: l.Waiting, Rate: l.Rate, At: stamp,
+	})
+	if l.Leaving {
+		w.leave(now, v.endpoint, departer.SourceReport, stamp)
+		return
+	}
+	if w.departer.Reported(v.endpoint.key(), stamp) {
+		w.revive(now, v.endpoint)
+	}
+	if v.rank == 0 {
+		w.share(now, v.endpoint, l)
+	}
+}
+
+// observe hands an endpoint's report on, and that it is leaving if that is so: a router may have learnt of it only now.
+func (w *Watcher) observe(now time.Time, e *endpoint, p planner.Endpoint, r picker.Report) {
+	w.router.Observe(now, p, r)
+	if w.departer.Leaving(e.key()) {
+		w.router.Leave(now, e.instance.ID)
+	}
+}
+
+// describe returns an endpoint as routers see it.
+func describe(i lister.Instance, l streamer.Load) planner.Endpoint {
+	p := planner.Endpoint{
+		ID: i.ID, Address: i.Address, Kind: l.Kind, DataCentre: i.DataCentre, Region: i.Region,
+		Adapters: l.Adapters, Rate: l.Rate,
+	}
+	for _, h := range l.Held {
+		p.Held = append(p.Held, planner.Held(h))
+	}
+	return p
+}
