--- a/internal/serving/generator/generator_test.go
+++ b/internal/serving/generator/generator_test.go
@@ -145,9 +145,11 @@
 
 func (b *bench) Check(_ time.Time, f quarantiner.Fingerprint) quarantiner.Ruling { return b.rulings[f] }
 func (b *bench) Open(time.Time, quarantiner.Fingerprint, []string) bool          { return true }
-func (b *bench) Withdraw(time.Time, quarantiner.Fingerprint)                     {}
-func (b *bench) Busy(time.Time, quarantiner.Fingerprint) []string                { return nil }
-func (b *bench) Clear(time.Time, quarantiner.Fingerprint)                        { b.findings = append(b.findings, "cleared") }
+func (b *bench) Withdraw(time.Time, quarantiner.Fingerprint) {
+	b.findings = append(b.findings, "withdrawn")
+}
+func (b *bench) Busy(time.Time, quarantiner.Fingerprint) []string { return nil }
+func (b *bench) Clear(time.Time, quarantiner.Fingerprint)         { b.findings = append(b.findings, "cleared") }
 func (b *bench) Crash(_ time.Time, _ quarantiner.Fingerprint, endpoint string) {
 	b.crashes = append(b.crashes, endpoint)
 }
