Let the watcher keep the picture of the endpoints

Cause: the observer polled every engine from every instance, which does not fit the planned size, and only the list told it that an endpoint leaves. Change: the watcher, with its duties, shared loads and signs of leaving from every source, takes its place; the observer is gone. Measured: the runner's and the stage's tests pass with the race detector.

--- a/internal/serving/runner/peers.go
+++ b/internal/serving/runner/peers.go
@@ -10,6 +10,7 @@
 	"github.com/heatherrock/heatherrock/internal/control/gossiper"
 	"github.com/heatherrock/heatherrock/internal/routing/limiter"
 	"github.com/heatherrock/heatherrock/internal/serving/exchanger"
+	"github.com/heatherrock/heatherrock/internal/serving/watcher"
 )
 
 const (
@@ -22,7 +23,6 @@
 // newExchange returns the instance's part in the exchange.
 func (r *Runner) newExchange() *exchanger.Exchanger {
 	s := r.settings
-	self := gossiper.Peer{ID: s.ID, Address: r.address, DataCentre: s.DataCentre, Region: s.Region}
 	options := []exchanger.Option{
 		exchanger.WithInterval(s.Times.Gossip),
 		exchanger.WithLogger(r.log),
@@ -31,7 +31,22 @@
 	if r.platform.List != nil {
 		options = append(options, exchanger.WithLister(r.platform.List, s.Times.List))
 	}
-	return exchanger.New(self, options...)
+	return exchanger.New(r.self(), options...)
+}
+
+// self returns the instance as its peers know it.
+func (r *Runner) self() gossiper.Peer {
+	s := r.settings
+	return gossiper.Peer{ID: s.ID, Address: r.address, DataCentre: s.DataCentre, Region: s.Region}
+}
+
+// newWatcher returns the part that keeps the picture of the endpoints that a router has.
+func (r *Runner) newWatcher(router watcher.Router) *watcher.Watcher {
+	return watcher.New(r.self(), r.platform.List, r.engines, router, r.services, r.exchange,
+		watcher.WithIntervals(r.settings.Times.List, r.settings.Times.Report),
+		watcher.WithClock(r.clock),
+		watcher.WithLogger(r.log),
+	)
 }
 
 // notices are what instances tell each other at once. Its methods are called by peers.
--- a/internal/serving/runner/runner.go
+++ b/internal/serving/runner/runner.go
@@ -30,11 +30,11 @@
 	"github.com/heatherrock/heatherrock/internal/serving/generator"
 	"github.com/heatherrock/heatherrock/internal/serving/isolator"
 	"github.com/heatherrock/heatherrock/internal/serving/meter"
-	"github.com/heatherrock/heatherrock/internal/serving/observer"
 	"github.com/heatherrock/heatherrock/internal/serving/orderer"
 	"github.com/heatherrock/heatherrock/internal/serving/poller"
 	"github.com/heatherrock/heatherrock/internal/serving/router"
 	"github.com/heatherrock/heatherrock/internal/serving/server"
+	"github.com/heatherrock/heatherrock/internal/serving/watcher"
 )
 
 // Platform is the platform's services.
@@ -69,7 +69,7 @@
 	meter     *meter.Meter
 	dumper    *dumper.Dumper
 	config    *poller.Poller
-	observer  *observer.Observer
+	watcher   *watcher.Watcher
 	orders    *orderer.Orderer
 	callers   *front
 	operators *front
@@ -130,9 +130,9 @@
 	r.exchange.Start(listeners[2])
 	r.config.Start()
 	if r.platform.List != nil {
-		r.observer = observer.New(r.platform.List, r.engines, r.startRepairs(), r.services, r.settings.Times.List,
-			r.settings.Times.Report, r.clock, r.log)
-		r.observer.Start()
+		r.watcher = r.newWatcher(r.startRepairs())
+		r.watcher.Start()
+		r.dumper.Add("endpoints", func(now time.Time) any { return r.watcher.State(now) })
 	}
 	r.wait.Add(4)
 	go r.callers.run(&r.wait)
@@ -313,8 +313,8 @@
 	r.operators.close()
 	r.admitter.Close()
 	r.calls.Close()
-	if r.observer != nil {
-		r.observer.Close()
+	if r.watcher != nil {
+		r.watcher.Close()
 		r.orders.Close()
 	}
 	r.config.Close()
