Ask only the instances that are behind, and play the planned fleet

Cause: a wait asked every instance ten times a second, which at 390 instances is 3,900 calls a second, and there was no figure for the spread at that size.

Change: a wait asks those that were behind, at growing intervals; the experiment epoch plays 390 instances in virtual time.

--- a/internal/bench/spreader/spreader.go
+++ b/internal/bench/spreader/spreader.go
@@ -65,6 +65,7 @@
 		return result, err
 	}
 	report(result, found)
+	reportPlanned(result, seed)
 	for _, stale := range []time.Duration{5 * time.Second, follower.DefaultStale, 5 * time.Minute} {
 		c := cutOff(stale)
 		name := fmt.Sprintf("%.0f", stale.Seconds())
--- a/internal/serving/operator/operator.go
+++ b/internal/serving/operator/operator.go
@@ -38,7 +38,8 @@
 // Source is the configuration of this instance.
 type Source interface {
 	Base() recorder.Snapshot
-	Forces(ctx context.Context) []poller.Force
+	// Forces asks live instances for their epochs: those with the ids given, or all if none is given.
+	Forces(ctx context.Context, ids []string) []poller.Force
 }
 
 // Operator answers for records.
@@ -62,7 +63,8 @@
 // WithTimeout bounds each read of the store.
 func WithTimeout(d time.Duration) Option { return func(o *Operator) { o.timeout = d } }
 
-// WithInterval sets the time between looks at the instances while a wait goes on.
+// WithInterval sets the time between the first two looks at the instances while a wait goes on. It doubles from look to
+// look, up to a second.
 func WithInterval(d time.Duration) Option { return func(o *Operator) { o.interval = d } }
 
 // New returns an Operator.
--- a/internal/serving/operator/operator_test.go
+++ b/internal/serving/operator/operator_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/gorilla/mux"
@@ -37,7 +38,7 @@
 	return recorder.Snapshot{Epoch: 7, Records: []recorder.Record{{Kind: "team", Name: "joiners", Revision: 3}}}
 }
 
-func (f *fake) Forces(context.Context) []poller.Force { return f.forces }
+func (f *fake) Forces(context.Context, []string) []poller.Force { return f.forces }
 
 // call sends a request to an operator and returns the answer.
 func call(f *fake, faults *faulter.Faults, method, path, token, body string) *httptest.ResponseRecorder {
@@ -120,3 +121,32 @@
 		}
 	}
 }
+
+// catching is a source whose instances catch up one look after another.
+type catching struct {
+	fake
+	looks [][]string
+}
+
+func (c *catching) Forces(_ context.Context, ids []string) []poller.Force {
+	c.looks = append(c.looks, ids)
+	if len(c.looks) == 3 {
+		return []poller.Force{{ID: "b", Epoch: 7}}
+	}
+	if len(c.looks) == 2 {
+		return []poller.Force{{ID: "b", Error: "no answer"}}
+	}
+	return []poller.Force{{ID: "a", Epoch: 7}, {ID: "b", Epoch: 6}}
+}
+
+func TestWaitAsksThoseBehind(t *testing.T) {
+	c := &catching{}
+	r := mux.NewRouter()
+	New(tabler.New(), c, c, WithInterval(time.Millisecond)).Register(r)
+	w := httptest.NewRecorder()
+	r.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/epochs/7/wait?timeout=60000", nil))
+	want := [][]string{nil, {"b"}, {"b"}}
+	if diff := cmp.Diff(want, c.looks); diff != "" || w.Code != http.StatusOK {
+		t.Error(w.Code, w.Body, diff)
+	}
+}
--- a/internal/serving/operator/reads.go
+++ b/internal/serving/operator/reads.go
@@ -20,6 +20,7 @@
 const (
 	scanLimit = 200
 	maxWait   = 5 * time.Minute
+	maxPause  = time.Second
 )
 
 // List is the answer to a list of records. From is store, or instance if the store did not answer: then only what this
@@ -243,13 +244,14 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), min(time.Duration(millis)*time.Millisecond, maxWait))
 	defer cancel()
-	for {
-		out := o.behind(r.Context(), epoch)
+	out := Waited{Epoch: epoch}
+	for pause := o.interval; ; pause = min(2*pause, maxPause) {
+		o.look(r.Context(), &out)
 		if len(out.Behind) == 0 {
 			answer(w, http.StatusOK, out)
 			return
 		}
-		timer := time.NewTimer(o.interval)
+		timer := time.NewTimer(pause)
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
@@ -260,14 +262,20 @@
 	}
 }
 
-// behind asks every live instance once.
-func (o *Operator) behind(ctx context.Context, epoch int64) Waited {
-	forces := o.source.Forces(ctx)
-	out := Waited{Epoch: epoch, Instances: len(forces)}
+// look asks the instances that were behind at the look before, or all of them at the first look.
+func (o *Operator) look(ctx context.Context, out *Waited) {
+	var ids []string
+	for _, f := range out.Behind {
+		ids = append(ids, f.ID)
+	}
+	forces := o.source.Forces(ctx, ids)
+	if len(ids) == 0 {
+		out.Instances = len(forces)
+	}
+	out.Behind = nil
 	for _, f := range forces {
-		if f.Error != "" || f.Epoch < epoch {
+		if f.Error != "" || f.Epoch < out.Epoch {
 			out.Behind = append(out.Behind, f)
 		}
 	}
-	return out
 }
--- a/internal/serving/poller/peers.go
+++ b/internal/serving/poller/peers.go
@@ -282,28 +282,41 @@
 	Error string `json:"error,omitempty"`
 }
 
-// Forces asks every live instance for the epoch that it has in force.
-func (p *Poller) Forces(ctx context.Context) []Force {
-	peers := p.members(ctx)
-	out := make([]Force, len(peers)+1)
-	out[len(peers)] = Force{ID: p.id, Epoch: p.status().Epoch}
+// Forces asks live instances for the epochs that they have in force: those with the ids given, or all of them if none
+// is given.
+func (p *Poller) Forces(ctx context.Context, ids []string) []Force {
+	var peers []gossiper.Peer
+	var out []Force
+	asked := func(id string) bool { return len(ids) == 0 || slices.Contains(ids, id) }
+	for _, peer := range p.members(ctx) {
+		if asked(peer.ID) {
+			peers = append(peers, peer)
+			out = append(out, Force{ID: peer.ID})
+		}
+	}
 	var wait sync.WaitGroup
 	places := make(chan struct{}, askAtOnce)
 	for i, peer := range peers {
 		places <- struct{}{}
 		wait.Go(func() {
 			defer func() { <-places }()
-			var s Status
-			out[i] = Force{ID: peer.ID}
-			if err := p.call(ctx, peer, "Records.Status", Nothing{}, &s); err != nil {
-				out[i].Error = err.Error()
-				return
-			}
-			out[i].Epoch = s.Epoch
-			p.heard(peer, s)
+			out[i] = p.askForce(ctx, peer)
 		})
 	}
 	wait.Wait()
+	if asked(p.id) {
+		out = append(out, Force{ID: p.id, Epoch: p.status().Epoch})
+	}
 	slices.SortFunc(out, func(a, b Force) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
+
+// askForce asks one peer for the epoch that it has in force.
+func (p *Poller) askForce(ctx context.Context, peer gossiper.Peer) Force {
+	var s Status
+	if err := p.call(ctx, peer, "Records.Status", Nothing{}, &s); err != nil {
+		return Force{ID: peer.ID, Error: err.Error()}
+	}
+	p.heard(peer, s)
+	return Force{ID: peer.ID, Epoch: s.Epoch}
+}
--- a/internal/serving/poller/poller.go
+++ b/internal/serving/poller/poller.go
@@ -23,6 +23,9 @@
 // keep is the number of deltas that an instance holds for peers that are behind.
 const keep = 256
 
+// DefaultFanout is the number of peers that a new delta is passed on to at once.
+const DefaultFanout = 3
+
 // Exchange is the exchange between instances.
 type Exchange interface {
 	Publish(topic, key string, value []byte, ttl time.Duration)
@@ -102,7 +105,7 @@
 	o := options{
 		interval: time.Second,
 		timeout:  time.Second,
-		fanout:   3,
+		fanout:   DefaultFanout,
 		clock:    time.Now,
 		logger:   slog.New(slog.DiscardHandler),
 		scope:    tally.NoopScope,
