--- a/cmd/standin/examples_test.go
+++ b/cmd/standin/examples_test.go
@@ -36,7 +36,7 @@
 	return content
 }
 
-// fleetOf returns the stand-ins of a user on free ports.
+// fleetOf returns the stand-ins of a user on free ports, whose engines wait for each other on a busy machine too.
 func fleetOf(t *testing.T, user string) starter.Fleet {
 	t.Helper()
 	f, err := starter.Read(readFile(t, path(user, "standins.json")))
@@ -44,6 +44,10 @@
 		t.Fatal(err)
 	}
 	f.Control, f.Tables.Address, f.Objects.Address, f.Instances.Address, f.Weights.Address = "", "", "", "", ""
+	for name, k := range f.Kinds {
+		k.Timeout = 0
+		f.Kinds[name] = k
+	}
 	for i := range f.Engines {
 		f.Engines[i].Address = ""
 	}
@@ -103,7 +107,8 @@
 				counts[r.Kind]++
 			}
 			want := map[string]int{
-				recorder.KindModel: 1, recorder.KindService: 1, recorder.KindTeam: 10, recorder.KindEndpoint: 3, recorder.KindFleet: 1,
+				recorder.KindModel: 1, recorder.KindService: 1, recorder.KindTeam: 10,
+				recorder.KindEndpoint: 3, recorder.KindFleet: 1,
 			}
 			if diff := cmp.Diff(want, counts); diff != "" {
 				t.Errorf("records mismatch (-want +got):\n%s", diff)
@@ -127,7 +132,8 @@
 			stages, layers := mixed(s)
 			held := s.Fleet.Engines[0].Held[0]
 			q := streamer.Request{
-				Request: "r", Attempt: 1, Model: held.Model, Version: held.Version, Prompt: "a window sash", Limit: 8, Stages: stages,
+				Request: "r", Attempt: 1, Model: held.Model, Version: held.Version,
+				Prompt: "a window sash", Limit: 8, Stages: stages,
 			}
 			_, want := decoder.Answer(held.Model, held.Version, "", q.Prompt, layers, q.Limit)
 			if diff := cmp.Diff(want, stream(t, q)); diff != "" {
--- a/internal/serving/generator/generator.go
+++ b/internal/serving/generator/generator.go
@@ -114,8 +114,10 @@
 type Guard interface {
 	// Check says how a request may run.
 	Check(now time.Time, f quarantiner.Fingerprint) quarantiner.Ruling
-	// Open begins a trial.
-	Open(now time.Time, f quarantiner.Fingerprint, endpoint string)
+	// Open begins a trial on endpoints and reports whether it may begin now.
+	Open(now time.Time, f quarantiner.Fingerprint, endpoints []string) bool
+	// Withdraw ends a trial that found nothing.
+	Withdraw(now time.Time, f quarantiner.Fingerprint)
 	// Busy returns the endpoints of other trials.
 	Busy(now time.Time, f quarantiner.Fingerprint) []string
 	// Crash tells that an endpoint crashed while it ran the request. It returns once the other instances were told, as
@@ -169,6 +171,7 @@
 	engines Engines
 	clock   func() time.Time
 	log     *slog.Logger
+	afresh  bool
 }
 
 // Option changes a Generator under construction.
@@ -184,6 +187,11 @@
 	return func(g *Generator) { g.log = l }
 }
 
+// WithoutImports makes each attempt run the whole prefix again, also on stages that have the request's KV cache.
+func WithoutImports() Option {
+	return func(g *Generator) { g.afresh = true }
+}
+
 // New returns a generator.
 func New(r Router, q Guard, e Engines, options ...Option) *Generator {
 	g := &Generator{router: r, guard: q, engines: e, clock: time.Now, log: slog.Default()}
@@ -304,12 +312,21 @@
 		avoid = append(a.guard.Busy(now, a.job.Fingerprint), avoid...)
 	}
 	route := a.router.Route(now, a.job, Ask{Avoid: avoid, Delivered: len(a.tracker.Delivered), Last: a.tracker.Plan})
-	if a.trial && route.OK {
-		a.guard.Open(now, a.job.Fingerprint, route.Plan.Stages[0].Endpoint)
+	if a.trial && route.OK && !a.guard.Open(now, a.job.Fingerprint, endpoints(route.Plan)) {
+		return Route{After: trialWait, Reason: "another request is on trial"}, FailureNone
 	}
 	return route, FailureNone
 }
 
+// endpoints returns the endpoints of a plan.
+func endpoints(p planner.Plan) []string {
+	var list []string
+	for _, s := range p.Stages {
+		list = append(list, s.Endpoint)
+	}
+	return list
+}
+
 // trialWait is how long to wait while the same request is on trial.
 const trialWait = 100 * time.Millisecond
 
--- a/internal/serving/runner/runner.go
+++ b/internal/serving/runner/runner.go
@@ -31,6 +31,7 @@
 	"github.com/heatherrock/heatherrock/internal/serving/isolator"
 	"github.com/heatherrock/heatherrock/internal/serving/meter"
 	"github.com/heatherrock/heatherrock/internal/serving/observer"
+	"github.com/heatherrock/heatherrock/internal/serving/orderer"
 	"github.com/heatherrock/heatherrock/internal/serving/poller"
 	"github.com/heatherrock/heatherrock/internal/serving/router"
 	"github.com/heatherrock/heatherrock/internal/serving/server"
@@ -56,6 +57,7 @@
 	done    chan struct{}
 	wait    sync.WaitGroup
 
+	generator []generator.Option
 	phase     phase
 	engines   *streamer.Client
 	router    *router.Router
@@ -68,6 +70,7 @@
 	dumper    *dumper.Dumper
 	config    *poller.Poller
 	observer  *observer.Observer
+	orders    *orderer.Orderer
 	callers   *front
 	operators *front
 }
@@ -81,6 +84,11 @@
 // WithLog sets the log.
 func WithLog(l *slog.Logger) Option { return func(r *Runner) { r.log = l } }
 
+// WithGenerator adds options of the part that runs answers.
+func WithGenerator(options ...generator.Option) Option {
+	return func(r *Runner) { r.generator = append(r.generator, options...) }
+}
+
 // New returns an instance that is not yet started.
 func New(s configurer.Settings, p Platform, options ...Option) *Runner {
 	r := &Runner{
@@ -122,7 +130,7 @@
 	r.exchange.Start(listeners[2])
 	r.config.Start()
 	if r.platform.List != nil {
-		r.observer = observer.New(r.platform.List, r.engines, r.router, r.services, r.settings.Times.List,
+		r.observer = observer.New(r.platform.List, r.engines, r.startRepairs(), r.services, r.settings.Times.List,
 			r.settings.Times.Report, r.clock, r.log)
 		r.observer.Start()
 	}
@@ -193,7 +201,8 @@
 // callerRoutes returns the callers' interface.
 func (r *Runner) callerRoutes() http.Handler {
 	routes := mux.NewRouter()
-	g := generator.New(r.router, r.isolator, r.engines, generator.WithClock(r.clock), generator.WithLog(r.log))
+	options := append([]generator.Option{generator.WithClock(r.clock), generator.WithLog(r.log)}, r.generator...)
+	g := generator.New(r.router, r.isolator, r.engines, options...)
 	s := server.New(r, r, r.admitter, g,
 		server.WithClock(r.clock),
 		server.WithLog(r.log),
@@ -306,6 +315,7 @@
 	r.calls.Close()
 	if r.observer != nil {
 		r.observer.Close()
+		r.orders.Close()
 	}
 	r.config.Close()
 	r.exchange.Close()
--- a/internal/standin/decoder/decoder.go
+++ b/internal/standin/decoder/decoder.go
@@ -22,12 +22,16 @@
 
 // The defaults of the options.
 const (
-	defaultPing  = time.Second
+	defaultPing  = 200 * time.Millisecond
 	defaultBatch = 16
 	defaultCache = 256
 	defaultRate  = 1e6
-	// retained bounds the sessions and attempt numbers that an engine remembers.
+	// retained bounds the requests that an engine remembers, and cached those ended ones whose caches it keeps.
 	retained = 4096
+	cached   = 256
+	// idle is the time without a step after which a request no longer counts as running: an engine is not told when
+	// the one before it dies.
+	idle = 5 * time.Second
 	// maxBody bounds the body of a call, in bytes.
 	maxBody = 64 << 20
 )
@@ -53,6 +57,7 @@
 	crash    func()
 	link     func(address string, positions int) time.Duration
 	faults   *faulter.Faults
+	timeout  time.Duration
 	fetch    Fetch
 	drop     func(sequence int64) bool
 	router   *mux.Router
@@ -68,7 +73,6 @@
 	adapters []string
 	role     string
 	leaving  bool
-	running  int
 	report   streamer.Load
 	sessions *sessions
 	caches   map[string]Cache
@@ -94,7 +98,7 @@
 // WithService sets the engine's times. Without it steps take no time.
 func WithService(s Service) Option { return func(d *Decoder) { d.service = s } }
 
-// WithPing sets the longest time without a line on a stream. It is 1 s if not set.
+// WithPing sets the longest time without a line on a stream. It is 200 ms if not set.
 func WithPing(interval time.Duration) Option { return func(d *Decoder) { d.ping = interval } }
 
 // WithLag sets how old a load report or cache event may be.
@@ -117,10 +121,15 @@
 	return func(d *Decoder) { d.link = link }
 }
 
+// WithTimeout sets how long the engine of the last stage but one waits for that of the last; each one before it waits
+// as long again, so that the fault names the endpoint that is silent. Without it an engine waits until the caller
+// leaves.
+func WithTimeout(timeout time.Duration) Option { return func(d *Decoder) { d.timeout = timeout } }
+
 // WithWeights sets how weights are fetched for an order to load. Without it they are there at once.
 func WithWeights(fetch Fetch) Option { return func(d *Decoder) { d.fetch = fetch } }
 
-// WithFaults sets the faults of the kind Skip, which strike the steps of this engine's stage.
+// WithFaults sets the faults of the kind Skip, which hit the steps of this engine's stage.
 func WithFaults(f *faulter.Faults) Option { return func(d *Decoder) { d.faults = f } }
 
 // WithGaps sets which cache events are lost.
@@ -216,11 +225,11 @@
 }
 
 func (d *Decoder) isDown() bool {
-	return closed(d.fallen())
+	return closed(d.crashed())
 }
 
-// fallen returns a channel that is closed when the engine crashes.
-func (d *Decoder) fallen() <-chan struct{} {
+// crashed returns a channel that is closed when the engine crashes.
+func (d *Decoder) crashed() <-chan struct{} {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.down
--- a/internal/standin/decoder/decoder_test.go
+++ b/internal/standin/decoder/decoder_test.go
@@ -215,6 +215,49 @@
 	}
 }
 
+// TestSilentStage shows that the fault names the endpoint that is silent, also far behind the first stage.
+func TestSilentStage(t *testing.T) {
+	f := newFleet(t, WithTimeout(50*time.Millisecond))
+	silent := faulter.NewFaults(1)
+	if err := silent.Set(faulter.Fault{Kind: faulter.Silent}); err != nil {
+		t.Fatal(err)
+	}
+	f.servers["c"] = httptest.NewServer(faulter.Wrap(silent, f.engines["c"]))
+	t.Cleanup(f.servers["c"].Close)
+	steps := collect(t, f.open(t, request(f, "a 0 4", "b 4 9", "c 9 12")))
+	ignore := cmpopts.IgnoreFields(streamer.Step{}, "Reason")
+	want := []streamer.Step{{Kind: streamer.KindFault, Request: "r", Attempt: 1, Endpoint: "c"}}
+	if diff := cmp.Diff(want, steps, ignore); diff != "" {
+		t.Errorf("steps mismatch (-want +got):\n%s", diff)
+	}
+}
+
+// TestRetention shows that ended requests do not pile up in an engine, whatever its stage, and running ones stay.
+func TestRetention(t *testing.T) {
+	f := newFleet(t)
+	running := sessionKey{Request: "running", Attempt: 1}
+	f.engines["c"].sessions.admit("running", 1)
+	f.engines["c"].sessions.open(running, Cache{})
+	for i := range cached + 10 {
+		q := request(f, "a 0 4", "b 4 9", "c 9 12")
+		q.Request, q.Limit = fmt.Sprint(i), 1
+		collect(t, f.open(t, q))
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		s := f.engines[id].sessions
+		want := cached
+		if s.find(running) != nil {
+			want++
+		}
+		if diff := cmp.Diff(want, len(s.stages)); diff != "" {
+			t.Errorf("%s: requests held mismatch (-want +got):\n%s", id, diff)
+		}
+	}
+	if f.engines["c"].sessions.find(running) == nil {
+		t.Error("a running request is forgotten")
+	}
+}
+
 func TestSkip(t *testing.T) {
 	faults := faulter.NewFaults(1)
 	if err := faults.Set(faulter.Fault{Call: CallStep, Kind: faulter.Skip, Skip: 4, Count: 1}); err != nil {
@@ -259,8 +302,8 @@
 			q := request(f, "e 0 12")
 			q.Request = way
 			r := f.open(t, q)
-			if _, err := bufio.NewReader(r.Body).ReadBytes('\n'); err != nil {
-				t.Fatal(err)
+			for f.engines["e"].Load().Running == 0 {
+				time.Sleep(time.Millisecond)
 			}
 			if way == "delete" {
 				u := "http://" + q.Stages[0].Address + "/engine/streams/delete/1"
@@ -271,6 +314,10 @@
 				if _, err := http.DefaultClient.Do(d); err != nil {
 					t.Fatal(err)
 				}
+				steps := collect(t, r)
+				if len(steps) != 1 || steps[0].Reason != "cancelled" {
+					t.Errorf("steps %+v after a cancel", steps)
+				}
 			} else {
 				r.Body.Close()
 			}
--- a/internal/standin/decoder/step.go
+++ b/internal/standin/decoder/step.go
@@ -24,6 +24,8 @@
 	// Position is the first position of Inputs, counted from 0 over the whole prefix.
 	Position int      `json:"position"`
 	Inputs   []uint64 `json:"inputs"`
+	// Last is set if no step of the attempt comes after this one.
+	Last bool `json:"last,omitempty"`
 }
 
 // Reply is the answer to a Step: the token that the last stage chose, and what was run for it, in order.
@@ -53,9 +55,19 @@
 	answer(w, d.runStep(r.Context(), s))
 }
 
-// runStep runs one step of this engine's stage and of all that come after it.
+// runStep runs one step of this engine's stage and of all that come after it. The attempt ends with its last token or
+// a fault.
 func (d *Decoder) runStep(ctx context.Context, s Step) Reply {
 	d.crashOn(s.Request.Prompt)
+	reply := d.runStages(ctx, s)
+	if s.Last || reply.Stop || reply.Reason != "" {
+		d.finish(s.Request)
+	}
+	return reply
+}
+
+// runStages runs this engine's stage of a step and passes the step on.
+func (d *Decoder) runStages(ctx context.Context, s Step) Reply {
 	g := s.Request.Stages[s.Index]
 	n, reason := d.enter(s, g)
 	if reason != "" {
@@ -88,12 +100,16 @@
 	if !d.sessions.admit(q.Request, q.Attempt) {
 		return nil, "stale attempt"
 	}
+	if over, ok := d.sessions.over[q.Request]; ok && over >= q.Attempt {
+		return nil, "cancelled"
+	}
 	k := sessionKey{q.Request, q.Attempt, g.From}
 	if s.Position > 0 {
 		n := d.sessions.find(k)
 		if n == nil || len(n.cache.Inputs) != s.Position {
 			return nil, "unknown position"
 		}
+		d.sessions.live[q.Request] = d.clock()
 		return n, ""
 	}
 	if !d.holds(q, g) {
@@ -102,6 +118,7 @@
 	if len(s.Inputs) == 0 {
 		return nil, "no input"
 	}
+	d.sessions.live[q.Request] = d.clock()
 	return d.sessions.open(k, d.recall(q, g, s.Inputs)), ""
 }
 
@@ -148,7 +165,7 @@
 	if s.Position == 0 {
 		cost.positions -= d.prefixes.touch(d.clock(), s.Request, g, len(fresh))
 	}
-	if !d.batcher.wait(ctx, n.cancelled, d.fallen(), cost) {
+	if !d.batcher.wait(ctx, n.cancelled, d.crashed(), cost) {
 		return nil, "cancelled"
 	}
 	d.mu.Lock()
@@ -164,6 +181,11 @@
 	if !pause(ctx, d.link(g.Address, len(s.Inputs))) {
 		return Reply{Endpoint: d.endpoint, Reason: "cancelled"}
 	}
+	if d.timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, d.timeout*time.Duration(len(s.Request.Stages)-s.Index))
+		defer cancel()
+	}
 	reply, err := d.call(ctx, g.Address, s)
 	if err != nil {
 		return Reply{Endpoint: g.Endpoint, Reason: fault(err)}
--- a/internal/standin/decoder/stream.go
+++ b/internal/standin/decoder/stream.go
@@ -28,8 +28,6 @@
 		return
 	}
 	d.crashOn(q.Prompt)
-	d.count(1)
-	defer d.count(-1)
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	w.Header().Set("Content-Type", "application/x-ndjson")
@@ -59,13 +57,7 @@
 func (d *Decoder) finish(q streamer.Request) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.sessions.cancel(q.Request, q.Attempt)
-}
-
-func (d *Decoder) count(n int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.running += n
+	d.sessions.end(q.Request, q.Attempt)
 }
 
 // cancelStream ends an attempt. It answers the same whether or not the attempt was known.
@@ -92,6 +84,7 @@
 	inputs := prefix(s.request.Prompt, s.request.Delivered)
 	step := Step{Request: s.request, Inputs: inputs}
 	for token := len(s.request.Delivered); token < s.request.Limit; token++ {
+		step.Last = token+1 == s.request.Limit
 		reply, ok := s.await(ctx, step, token)
 		if !ok {
 			return
@@ -124,7 +117,7 @@
 	go h.run(ctx)
 	ticker := time.NewTicker(s.decoder.ping)
 	defer ticker.Stop()
-	down := s.decoder.fallen()
+	down := s.decoder.crashed()
 	for {
 		select {
 		case reply, ok := <-h.replies:
--- a/internal/standin/faulter/server.go
+++ b/internal/standin/faulter/server.go
@@ -22,6 +22,7 @@
 	address string
 	server  *http.Server
 	closed  bool
+	crashes int
 	// done is closed once the listener of the latest server is.
 	done chan struct{}
 }
@@ -96,6 +97,13 @@
 	return s.server != nil
 }
 
+// Crashes counts the crashes of a server that ran.
+func (s *Server) Crashes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashes
+}
+
 // Crash cuts all connections and refuses new ones until Restore.
 func (s *Server) Crash() {
 	s.stop(s.onCrash)
@@ -114,6 +122,9 @@
 	s.mu.Lock()
 	server, done := s.server, s.done
 	s.server = nil
+	if server != nil && !s.closed {
+		s.crashes++
+	}
 	s.mu.Unlock()
 	if server == nil {
 		return
@@ -125,8 +136,8 @@
 	<-done
 }
 
-// Fell crashes the stand-in. Without a Server it cuts every call until Rise.
-func (f *Faults) Fell() {
+// Crash crashes the stand-in. Without a Server it cuts every call until Restore.
+func (f *Faults) Crash() {
 	f.mu.Lock()
 	crash := f.crash
 	f.down = crash == nil
@@ -136,8 +147,8 @@
 	}
 }
 
-// Rise ends a crash of a stand-in without a Server.
-func (f *Faults) Rise() {
+// Restore ends a crash of a stand-in without a Server.
+func (f *Faults) Restore() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.down = false
