--- a/internal/control/claimer/claim.go
+++ b/internal/control/claimer/claim.go
@@ -15,6 +15,7 @@
 	CodeLate    = "deadline_passed"
 	CodeReused  = "key_reused"
 	CodeRefused = "service_refused"
+	CodeUnsent  = "service_unreachable"
 	CodeSettled = "settled_by_operator"
 	CodeUnknown = "outcome_unknown"
 	CodeRunning = "still_running"
@@ -196,7 +197,9 @@
 	switch {
 	case o == classifier.Completed:
 		return c.settle(now, StateCompleted, r, "")
-	case o.NotRun():
+	case o == classifier.NotSent:
+		return c.settle(now, StateReleased, nil, CodeUnsent)
+	case o == classifier.Refused:
 		return c.settle(now, StateReleased, nil, CodeRefused)
 	case c.Call.Lookup:
 		c.Phase = PhaseAsk
--- a/internal/serving/commander/calls.go
+++ b/internal/serving/commander/calls.go
@@ -16,15 +16,19 @@
 
 // calls is the table of the commands for calls of plain services.
 var calls = []Command{
-	{"list", "", "list the calls whose outcome is not known", listCalls},
+	{"list", "[DAY]", "list the calls whose outcome is not known: those that were asked for, or all of a day's keys", listCalls},
 	{"show", "DAY/TEAM/KEY", "show a call", showCall},
 	{"settle", "DAY/TEAM/KEY@VERSION completed|not-run [gone]", "say what became of a call; gone if its owner has ended", settleCall},
 }
 
 // listCalls prints the calls whose outcome is not known.
 func listCalls(ctx context.Context, c *Call) int {
+	path := "/calls"
+	if len(c.Args) > 0 {
+		path += "/" + url.PathEscape(c.Args[0])
+	}
 	var entries []settler.Entry
-	if _, err := c.Client.Do(ctx, http.MethodGet, "/calls", nil, &entries, http.StatusOK); err != nil {
+	if _, err := c.Client.Do(ctx, http.MethodGet, path, nil, &entries, http.StatusOK); err != nil {
 		return c.fail("%v", err)
 	}
 	if c.JSON {
--- a/internal/serving/dispatcher/answer.go
+++ b/internal/serving/dispatcher/answer.go
@@ -57,6 +57,7 @@
 	claimer.CodeTable:   {http.StatusServiceUnavailable, "the table service cannot be reached"},
 	claimer.CodeLate:    {http.StatusServiceUnavailable, "the call could not be sent in time"},
 	claimer.CodeRefused: {http.StatusServiceUnavailable, "the service refused the call before running it"},
+	claimer.CodeUnsent:  {http.StatusServiceUnavailable, "no endpoint of the service could be reached"},
 	claimer.CodeSettled: {http.StatusConflict, "an operator has settled the call as not run"},
 	claimer.CodeUnknown: {http.StatusGatewayTimeout, "the call may have run"},
 	claimer.CodeRunning: {http.StatusGatewayTimeout, "the call is running or its owner is gone"},
--- a/internal/serving/dispatcher/dispatcher.go
+++ b/internal/serving/dispatcher/dispatcher.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/gorilla/mux"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/heatherrock/heatherrock/internal/control/claimer"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
@@ -78,6 +79,7 @@
 	identifier Identifier
 	quarantine Quarantine
 	logger     *slog.Logger
+	metrics    tally.Scope
 	sender     *Sender
 	writer     *writer
 	settings   settings
@@ -125,6 +127,11 @@
 	return func(d *Dispatcher) { d.quarantine = q }
 }
 
+// WithMetrics sets where answers are counted.
+func WithMetrics(s tally.Scope) Option {
+	return func(d *Dispatcher) { d.metrics = s }
+}
+
 // WithBody bounds the body of a call, in bytes.
 func WithBody(n int64) Option {
 	return func(d *Dispatcher) { d.settings.body = n }
@@ -159,6 +166,7 @@
 		chooser:    c,
 		identifier: i,
 		logger:     slog.Default(),
+		metrics:    tally.NoopScope,
 		settings:   settings{body: defaultBody, poll: defaultPoll, settle: defaultSettle, collect: defaultCollect, now: time.Now},
 		claims:     map[string]*claimer.Claim{},
 		calls:      map[string]*tactics{},
@@ -225,3 +233,13 @@
 		d.sender.Close()
 	})
 }
+
+// closed reports whether Close was called.
+func (d *Dispatcher) closed() bool {
+	select {
+	case <-d.writer.done:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/serving/dispatcher/holder.go
+++ b/internal/serving/dispatcher/holder.go
@@ -75,10 +75,22 @@
 		if action.Step == claimer.StepDone {
 			return
 		}
+		if h.dispatcher.closed() {
+			h.abandon()
+			return
+		}
 		action = h.perform(action)
 	}
 }
 
+// abandon ends the claim as if its instance had died.
+func (h *holder) abandon() {
+	select {
+	case h.answer <- claimer.Answer{Verdict: classifier.VerdictUnknown, Code: claimer.CodeRunning, Retry: true}:
+	default:
+	}
+}
+
 // step takes one step of the decision under the lock that the state dump reads with.
 func (h *holder) step(f func(now time.Time) claimer.Action) claimer.Action {
 	h.dispatcher.mu.Lock()
@@ -125,7 +137,8 @@
 		a.Reply = h.reply
 	}
 	h.answer <- a
-	if a.Code == claimer.CodeRunning {
+	open := a.Code == claimer.CodeRunning || a.Code == claimer.CodeUnknown
+	if open && h.claim.Result == nil {
 		h.dispatcher.writer.note(h.claim.Call.Row())
 	}
 }
--- a/internal/serving/dispatcher/state.go
+++ b/internal/serving/dispatcher/state.go
@@ -69,6 +69,7 @@
 
 // count counts an answer.
 func (d *Dispatcher) count(a claimer.Answer) {
+	d.metrics.Tagged(map[string]string{"outcome": a.Verdict.String(), "code": a.Code}).Counter("calls").Inc(1)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch a.Verdict {
--- a/internal/serving/runner/runner.go
+++ b/internal/serving/runner/runner.go
@@ -177,7 +177,7 @@
 		admitter.WithQueue(s.Limits.Queue))
 	r.services = newServices(r.clock)
 	r.calls = dispatcher.New(r.owner, r.platform.Table, r, r.services, r, dispatcher.WithLogger(r.log),
-		dispatcher.WithBody(s.Limits.Body))
+		dispatcher.WithBody(s.Limits.Body), dispatcher.WithMetrics(r.meter.Scope()))
 	r.register()
 	r.dumper = dumper.New(dumper.WithClock(r.clock), dumper.WithReady(r.ready))
 	r.dumper.Add("router", func(now time.Time) any { return r.router.State(now) })
--- a/internal/serving/settler/settler.go
+++ b/internal/serving/settler/settler.go
@@ -36,6 +36,11 @@
 	Record  claimer.Record `json:"record"`
 }
 
+// known reports whether the call's outcome is known, or there is no call.
+func (e Entry) known() bool {
+	return e.Record.State != claimer.StateUnknown && e.Record.State != claimer.StateDispatching
+}
+
 // Settler answers for calls.
 type Settler struct {
 	table   tabler.Table
@@ -70,22 +75,36 @@
 // Register adds the routes.
 func (s *Settler) Register(r *mux.Router) {
 	r.HandleFunc("/calls", s.guard(s.list)).Methods(http.MethodGet)
+	r.HandleFunc("/calls/{day}", s.guard(s.listDay)).Methods(http.MethodGet)
 	r.HandleFunc("/calls/{day}/{team}/{key}", s.guard(s.show)).Methods(http.MethodGet)
 	r.HandleFunc("/calls/{day}/{team}/{key}/settle", s.guard(s.settle)).Methods(http.MethodPost)
 }
 
-// list answers the calls whose outcome is not known, the oldest key first.
+// list answers the calls whose outcome is not known and somebody asked for, the oldest key first.
 func (s *Settler) list(w http.ResponseWriter, r *http.Request) {
+	s.gather(w, r, claimer.Doubts, "", s.open)
+}
+
+// listDay answers all calls of a day's keys whose outcome is not known. It reads every row of the day.
+func (s *Settler) listDay(w http.ResponseWriter, r *http.Request) {
+	s.gather(w, r, claimer.Table, mux.Vars(r)["day"]+"/", func(_ context.Context, row tabler.Row) (Entry, bool, error) {
+		entry, err := entryOf(row)
+		return entry, !entry.known(), err
+	})
+}
+
+// gather answers the entries that pick makes of a table's rows.
+func (s *Settler) gather(w http.ResponseWriter, r *http.Request, table, prefix string, pick func(context.Context, tabler.Row) (Entry, bool, error)) {
 	entries := []Entry{}
 	after := ""
 	for len(entries) < most {
-		rows, err := s.scan(r.Context(), after)
+		rows, err := s.scan(r.Context(), table, prefix, after)
 		if err != nil {
 			problem(w, http.StatusServiceUnavailable, "the table service cannot be read: "+err.Error())
 			return
 		}
 		for _, row := range rows {
-			entry, open, err := s.open(r.Context(), row)
+			entry, open, err := pick(r.Context(), row)
 			if err != nil {
 				problem(w, http.StatusServiceUnavailable, "the call "+row.Key+" cannot be read: "+err.Error())
 				return
@@ -102,11 +121,11 @@
 	answer(w, http.StatusOK, entries)
 }
 
-// scan reads the next rows of the list of doubts.
-func (s *Settler) scan(ctx context.Context, after string) ([]tabler.Row, error) {
+// scan reads the next rows of a table.
+func (s *Settler) scan(ctx context.Context, table, prefix, after string) ([]tabler.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
-	return s.table.Scan(ctx, claimer.Doubts, "", after, page)
+	return s.table.Scan(ctx, table, prefix, after, page)
 }
 
 // open reads a call in the list of doubts and reports whether its outcome is still not known. If it is known, the call
@@ -116,8 +135,7 @@
 	if err != nil {
 		return Entry{}, false, err
 	}
-	state := entry.Record.State
-	if state == claimer.StateUnknown || state == claimer.StateDispatching {
+	if !entry.known() {
 		return entry, true, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
@@ -139,8 +157,13 @@
 	if err != nil || !found {
 		return Entry{Call: key}, err
 	}
+	return entryOf(row)
+}
+
+// entryOf returns the call in a row of the table of claims.
+func entryOf(row tabler.Row) (Entry, error) {
 	decoded, err := claimer.Decode(row.Version, row.Value)
-	return Entry{Call: key, Version: decoded.Version, Record: decoded.Record}, err
+	return Entry{Call: row.Key, Version: decoded.Version, Record: decoded.Record}, err
 }
 
 // show answers one call, whatever its state.
--- a/internal/serving/settler/settler_test.go
+++ b/internal/serving/settler/settler_test.go
@@ -76,6 +76,16 @@
 	}
 }
 
+func TestListOfADay(t *testing.T) {
+	s, _ := desk(t)
+	var entries, other []Entry
+	do(t, s, http.MethodGet, "/calls/20261204", "", &entries)
+	do(t, s, http.MethodGet, "/calls/20261205", "", &other)
+	if len(entries) != 1 || entries[0].Call != open || len(other) != 0 {
+		t.Errorf("open calls are %+v and %+v", entries, other)
+	}
+}
+
 func TestSettle(t *testing.T) {
 	const word = `{"outcome":"not-run","operator":"ann","version":1}`
 	cases := []struct {
