--- a/internal/standin/decoder/decoder_test.go
+++ b/internal/standin/decoder/decoder_test.go
@@ -217,7 +217,7 @@
 
 // TestSilentStage shows that the fault names the endpoint that is silent, also far behind the first stage.
 func TestSilentStage(t *testing.T) {
-	f := newFleet(t, WithPatience(50*time.Millisecond))
+	f := newFleet(t, WithTimeout(50*time.Millisecond))
 	silent := faulter.NewFaults(1)
 	if err := silent.Set(faulter.Fault{Kind: faulter.Silent}); err != nil {
 		t.Fatal(err)
@@ -302,8 +302,8 @@
 			q := request(f, "e 0 12")
 			q.Request = way
 			r := f.open(t, q)
-			if _, err := bufio.NewReader(r.Body).ReadBytes('\n'); err != nil {
-				t.Fatal(err)
+			for f.engines["e"].Load().Running == 0 {
+				time.Sleep(time.Millisecond)
 			}
 			if way == "delete" {
 				u := "http://" + q.Stages[0].Address + "/engine/streams/delete/1"
@@ -314,6 +314,10 @@
 				if _, err := http.DefaultClient.Do(d); err != nil {
 					t.Fatal(err)
 				}
+				steps := collect(t, r)
+				if len(steps) != 1 || steps[0].Reason != "cancelled" {
+					t.Errorf("steps %+v after a cancel", steps)
+				}
 			} else {
 				r.Body.Close()
 			}
