--- a/internal/serving/dispatcher/answer.go
+++ b/internal/serving/dispatcher/answer.go
@@ -28,6 +28,10 @@
 	CodeAttempt   = "attempt_invalid"
 	CodeEndpoints = "no_endpoint"
 	CodeFailed    = "service_failed"
+	// CodeQuarantined is that of a lookup which has crashed what ran it, and CodeTrial that of one of which another copy
+	// runs to find out.
+	CodeQuarantined = "request_quarantined"
+	CodeTrial       = "request_on_trial"
 )
 
 // retryAfter is the value of Retry-After, in seconds, where the same call may work soon.
@@ -48,6 +52,8 @@
 	CodeAttempt:         {http.StatusBadRequest, "the attempt is not a number from 1"},
 	CodeEndpoints:       {http.StatusServiceUnavailable, "no endpoint of the service is live"},
 	CodeFailed:          {http.StatusBadGateway, "the service gave no whole answer"},
+	CodeQuarantined:     {http.StatusUnprocessableEntity, "the request has crashed the endpoints that ran it"},
+	CodeTrial:           {http.StatusServiceUnavailable, "the same request may have crashed an endpoint and is being tried"},
 	claimer.CodeMissing: {http.StatusBadRequest, "the call may not be repeated and needs an Idempotency-Key"},
 	claimer.CodeUndated: {http.StatusBadRequest, "the key is neither a version 7 UUID nor begins with a day and a dash"},
 	claimer.CodeFuture:  {http.StatusBadRequest, "the key's day lies ahead"},
--- a/internal/serving/dispatcher/dispatcher.go
+++ b/internal/serving/dispatcher/dispatcher.go
@@ -16,6 +16,7 @@
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/dispatch/retrier"
 	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/routing/quarantiner"
 )
 
 // Endpoint is one server of a plain service.
@@ -49,12 +50,35 @@
 	Team(r *http.Request) string
 }
 
-// Quarantine knows the requests that crash what runs them.
+// Quarantine knows the lookups that crash what runs them.
 type Quarantine interface {
-	// Suspect reports whether the request with a fingerprint must not be repeated.
-	Suspect(print string) bool
+	// Check says how a request may run.
+	Check(now time.Time, f quarantiner.Fingerprint) quarantiner.Ruling
+	// Open begins a trial of a suspect on endpoints, and reports whether it may begin.
+	Open(now time.Time, f quarantiner.Fingerprint, endpoints []string) bool
+	// Crash tells that an endpoint broke off while it ran a request.
+	Crash(now time.Time, f quarantiner.Fingerprint, endpoint string)
+	// Clear tells that a suspect ran.
+	Clear(now time.Time, f quarantiner.Fingerprint)
 }
 
+// unguarded holds no request suspect.
+type unguarded struct{}
+
+// Check allows every request.
+func (unguarded) Check(time.Time, quarantiner.Fingerprint) quarantiner.Ruling {
+	return quarantiner.Allow
+}
+
+// Open allows every trial.
+func (unguarded) Open(time.Time, quarantiner.Fingerprint, []string) bool { return true }
+
+// Crash does nothing.
+func (unguarded) Crash(time.Time, quarantiner.Fingerprint, string) {}
+
+// Clear does nothing.
+func (unguarded) Clear(time.Time, quarantiner.Fingerprint) {}
+
 // Defaults of the options.
 const (
 	defaultTimeout  = time.Second
@@ -167,6 +191,7 @@
 		identifier: i,
 		logger:     slog.Default(),
 		metrics:    tally.NoopScope,
+		quarantine: unguarded{},
 		settings:   settings{body: defaultBody, poll: defaultPoll, settle: defaultSettle, collect: defaultCollect, now: time.Now},
 		claims:     map[string]*claimer.Claim{},
 		calls:      map[string]*tactics{},
--- a/internal/serving/dispatcher/lookup.go
+++ b/internal/serving/dispatcher/lookup.go
@@ -5,28 +5,30 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/heatherrock/heatherrock/internal/control/claimer"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 	"github.com/heatherrock/heatherrock/internal/dispatch/retrier"
+	"github.com/heatherrock/heatherrock/internal/routing/quarantiner"
 )
 
 // result is the outcome of one attempt of an idempotent call.
 type result struct {
-	outcome classifier.Outcome
-	reply   *claimer.Reply
-	latency time.Duration
+	endpoint string
+	outcome  classifier.Outcome
+	reply    *claimer.Reply
+	latency  time.Duration
 }
 
 // lookup runs an idempotent call: again after a failure within the budget, and beside a slow attempt where that pays.
 func (d *Dispatcher) lookup(ctx context.Context, v visit) claimer.Answer {
 	ctx, cancel := context.WithDeadline(ctx, v.begun.Add(v.deadline()))
 	defer cancel()
-	endpoints := d.chooser.Choose(v.service)
-	if len(endpoints) == 0 {
-		return claimer.Answer{Verdict: classifier.VerdictNotRun, Code: CodeEndpoints, Retry: true}
+	l := &lookup{
+		dispatcher: d, visit: v, endpoints: d.chooser.Choose(v.service), results: make(chan result, v.call.Retries+2),
+		fingerprint: quarantiner.Fingerprint(xxhash.Sum64String(v.team + "\x00" + v.print)),
 	}
-	sole := d.quarantine != nil && d.quarantine.Suspect(v.print)
-	l := &lookup{dispatcher: d, visit: v, endpoints: endpoints, sole: sole, results: make(chan result, v.call.Retries+2)}
 	d.earn(v.service)
 	answer := l.run(ctx)
 	d.count(answer)
@@ -35,11 +37,12 @@
 
 // lookup is an idempotent call in flight.
 type lookup struct {
-	dispatcher *Dispatcher
-	visit      visit
-	endpoints  []Endpoint
-	// sole is set if the call must not be repeated.
-	sole     bool
+	dispatcher  *Dispatcher
+	visit       visit
+	endpoints   []Endpoint
+	fingerprint quarantiner.Fingerprint
+	// suspect is set once the call may have crashed an endpoint, here or elsewhere.
+	suspect  bool
 	results  chan result
 	started  int
 	running  int
@@ -50,12 +53,18 @@
 
 // run starts attempts until one completes, or none may be started.
 func (l *lookup) run(ctx context.Context) claimer.Answer {
+	if len(l.endpoints) == 0 {
+		return claimer.Answer{Verdict: classifier.VerdictNotRun, Code: CodeEndpoints, Retry: true}
+	}
+	if code := l.judge(); code != "" {
+		return claimer.Answer{Verdict: classifier.VerdictNotRun, Code: code, Retry: code == CodeTrial}
+	}
 	l.start(ctx)
 	hedge := l.hedge()
 	for l.running > 0 {
 		select {
 		case r := <-l.results:
-			if l.take(r) {
+			if l.take(ctx, r) {
 				return claimer.Answer{Verdict: classifier.VerdictCompleted, Reply: r.reply}
 			}
 			if l.running == 0 && l.again(ctx) {
@@ -63,7 +72,7 @@
 			}
 		case <-hedge:
 			hedge = nil
-			if l.again(ctx) {
+			if !l.suspect && l.again(ctx) {
 				l.start(ctx)
 			}
 		case <-ctx.Done():
@@ -74,9 +83,33 @@
 	return l.failed()
 }
 
+// next returns the endpoint of the next attempt.
+func (l *lookup) next() Endpoint {
+	return l.endpoints[l.started%len(l.endpoints)]
+}
+
+// judge returns the code of why the next attempt must not run, or "". A suspect runs on trial, one endpoint at a time.
+func (l *lookup) judge() string {
+	q, now := l.dispatcher.quarantine, l.dispatcher.settings.now()
+	switch q.Check(now, l.fingerprint) {
+	case quarantiner.Allow:
+		return ""
+	case quarantiner.Refuse:
+		return CodeQuarantined
+	case quarantiner.Wait:
+		return CodeTrial
+	default:
+		l.suspect = true
+		if !q.Open(now, l.fingerprint, []string{l.next().ID}) {
+			return CodeTrial
+		}
+		return ""
+	}
+}
+
 // start begins one attempt at the next endpoint.
 func (l *lookup) start(ctx context.Context) {
-	e := l.endpoints[l.started%len(l.endpoints)]
+	e := l.next()
 	l.started++
 	l.running++
 	go l.attempt(ctx, e)
@@ -86,17 +119,28 @@
 func (l *lookup) attempt(ctx context.Context, e Endpoint) {
 	begun := l.dispatcher.settings.now()
 	outcome, reply := l.dispatcher.try(ctx, e, l.visit.message)
-	l.results <- result{outcome: outcome, reply: reply, latency: l.dispatcher.settings.now().Sub(begun)}
+	latency := l.dispatcher.settings.now().Sub(begun)
+	l.results <- result{endpoint: e.ID, outcome: outcome, reply: reply, latency: latency}
 }
 
-// take notes a result and reports whether it completes the call.
-func (l *lookup) take(r result) bool {
+// take notes a result and reports whether it completes the call. An endpoint that breaks off without an answer may have
+// crashed.
+func (l *lookup) take(ctx context.Context, r result) bool {
 	l.running--
 	l.outcomes = append(l.outcomes, r.outcome)
+	d := l.dispatcher
+	if r.reply != nil && l.suspect {
+		d.quarantine.Clear(d.settings.now(), l.fingerprint)
+		l.suspect = false
+	}
 	if r.outcome == classifier.Completed {
-		l.dispatcher.observe(l.visit.service, r.latency)
+		d.observe(l.visit.service, r.latency)
 		return true
 	}
+	if r.outcome == classifier.Unknown && r.reply == nil && ctx.Err() == nil {
+		d.quarantine.Crash(d.settings.now(), l.fingerprint, r.endpoint)
+		l.suspect = true
+	}
 	if r.reply != nil {
 		l.last = r.reply
 	}
@@ -105,7 +149,7 @@
 
 // again reports whether one more attempt may be started.
 func (l *lookup) again(ctx context.Context) bool {
-	if l.sole || ctx.Err() != nil || l.started > l.visit.call.Retries {
+	if ctx.Err() != nil || l.started > l.visit.call.Retries || (l.suspect && l.judge() != "") {
 		return false
 	}
 	return l.dispatcher.spend(l.visit.service)
@@ -113,7 +157,7 @@
 
 // hedge returns a channel that fires when a second attempt beside the first pays, or nil.
 func (l *lookup) hedge() <-chan time.Time {
-	if l.sole || len(l.endpoints) < 2 {
+	if l.suspect || len(l.endpoints) < 2 {
 		return nil
 	}
 	delay, pays := l.dispatcher.delay(l.visit.service)
--- a/internal/serving/dispatcher/lookup_test.go
+++ b/internal/serving/dispatcher/lookup_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net/http"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,35 +12,65 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/heatherrock/heatherrock/internal/dispatch/retrier"
+	"github.com/heatherrock/heatherrock/internal/routing/quarantiner"
 )
 
-// everything holds every request suspect.
-type everything struct{}
+// ward is a quarantine for use by many goroutines.
+type ward struct {
+	mu sync.Mutex
+	q  *quarantiner.Quarantiner
+}
+
+func (w *ward) Check(now time.Time, f quarantiner.Fingerprint) quarantiner.Ruling {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.q.Check(now, f)
+}
 
-func (everything) Suspect(string) bool { return true }
+func (w *ward) Open(now time.Time, f quarantiner.Fingerprint, endpoints []string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_, ok := w.q.Open(now, f, endpoints)
+	return ok
+}
 
-func TestSuspectRequestIsSentOnce(t *testing.T) {
+func (w *ward) Crash(now time.Time, f quarantiner.Fingerprint, endpoint string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.q.Crash(now, f, endpoint)
+}
+
+func (w *ward) Clear(now time.Time, f quarantiner.Fingerprint) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.q.Clear(now, f)
+}
+
+// TestLookupThatCrashesEndpoints sends a lookup that breaks off what runs it, and sends it again to another instance.
+func TestLookupThatCrashesEndpoints(t *testing.T) {
 	var seen atomic.Int64
-	breaks := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
-		seen.Add(1)
-		panic(http.ErrAbortHandler)
-	})
-	w := world{addresses: []string{serviceOf(t, breaks), serviceOf(t, breaks)}}
-	_, plain := entry(t, "one", newTable(), w)
-	_, wary := entry(t, "two", newTable(), w, WithQuarantine(everything{}))
-	want := told{504, "unknown", CodeFailed, ""}
-	counts := []int64{3, 1}
-	for i, s := range []func() told{
-		func() told { return call(t, plain, http.MethodGet, "/v1/services/stock/parts/oak", "") },
-		func() told { return call(t, wary, http.MethodGet, "/v1/services/stock/parts/oak", "") },
-	} {
-		seen.Store(0)
-		if diff := cmp.Diff(want, s()); diff != "" {
-			t.Errorf("answer mismatch (-want +got):\n%s", diff)
-		}
-		if diff := cmp.Diff(counts[i], seen.Load()); diff != "" {
-			t.Errorf("attempts mismatch (-want +got):\n%s", diff)
+	breaks := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/poison") {
+			seen.Add(1)
+			panic(http.ErrAbortHandler)
 		}
+		io.WriteString(w, "oak")
+	})
+	w := world{addresses: []string{serviceOf(t, breaks), serviceOf(t, breaks), serviceOf(t, breaks)}}
+	shared := &ward{q: quarantiner.New()}
+	var got []told
+	for _, owner := range []string{"one", "two"} {
+		_, s := entry(t, owner, newTable(), w, WithQuarantine(shared))
+		got = append(got, call(t, s, http.MethodGet, "/v1/services/stock/parts/poison", ""))
+		got = append(got, call(t, s, http.MethodGet, "/v1/services/stock/parts/oak", ""))
+	}
+	well := told{200, "completed", "", "oak"}
+	want := []told{{504, "unknown", CodeFailed, ""}, well, {422, "not-run", CodeQuarantined, ""}, well}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("answers mismatch (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(int64(2), seen.Load()); diff != "" {
+		t.Errorf("crashes mismatch (-want +got):\n%s", diff)
 	}
 }
 
--- a/internal/serving/runner/runner.go
+++ b/internal/serving/runner/runner.go
@@ -177,7 +177,8 @@
 		admitter.WithQueue(s.Limits.Queue))
 	r.services = newServices(r.clock)
 	r.calls = dispatcher.New(r.owner, r.platform.Table, r, r.services, r, dispatcher.WithLogger(r.log),
-		dispatcher.WithBody(s.Limits.Body), dispatcher.WithMetrics(r.meter.Scope()))
+		dispatcher.WithBody(s.Limits.Body), dispatcher.WithMetrics(r.meter.Scope()),
+		dispatcher.WithQuarantine(r.isolator))
 	r.register()
 	r.dumper = dumper.New(dumper.WithClock(r.clock), dumper.WithReady(r.ready))
 	r.dumper.Add("router", func(now time.Time) any { return r.router.State(now) })
