--- a/internal/bench/runner/runner.go
+++ b/internal/bench/runner/runner.go
@@ -2,11 +2,19 @@
 package runner
 
 import (
+	"github.com/heatherrock/heatherrock/internal/bench/claimer"
+	"github.com/heatherrock/heatherrock/internal/bench/prover"
 	"github.com/heatherrock/heatherrock/internal/bench/reporter"
 	"github.com/heatherrock/heatherrock/internal/bench/router"
+	"github.com/heatherrock/heatherrock/internal/bench/spreader"
 )
 
 // Experiments is the table of experiments, in the order in which they are listed.
 func Experiments() []reporter.Experiment {
-	return append([]reporter.Experiment{}, router.Experiments()...)
+	var all []reporter.Experiment
+	all = append(all, router.Experiments()...)
+	all = append(all, prover.Experiments()...)
+	all = append(all, claimer.Experiments()...)
+	all = append(all, spreader.Experiments()...)
+	return all
 }
