Boost teams within their share in the engines, and give up attempts without progress

Cause: in the fair experiment the small teams' prompts waited behind the large team's in the engines; in the link experiment answers that were stuck on the slow link were never begun anew and told the detector nothing.

--- a/internal/bench/router/engine.go
+++ b/internal/bench/router/engine.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/routing/planner"
@@ -32,16 +33,17 @@
 
 // job is the work of one stage: a token's, or a whole prompt's.
 type job struct {
-	steps float64
-	done  func()
+	steps    float64
+	priority int
+	done     func()
 }
 
 // add queues a job.
 func (e *engine) add(j *job, prompt bool) {
 	if prompt {
-		e.prompts = append(e.prompts, j)
+		e.prompts = insert(e.prompts, j)
 	} else {
-		e.tokens = append(e.tokens, j)
+		e.tokens = insert(e.tokens, j)
 	}
 	if !e.busy {
 		e.busy = true
@@ -49,6 +51,15 @@
 	}
 }
 
+// insert puts a job behind those of its priority.
+func insert(queue []*job, j *job) []*job {
+	at := len(queue)
+	for at > 0 && queue[at-1].priority < j.priority {
+		at--
+	}
+	return slices.Insert(queue, at, j)
+}
+
 // batch runs one batch and, after it, the next.
 func (e *engine) batch() {
 	if len(e.tokens) == 0 && len(e.prompts) == 0 {
--- a/internal/bench/router/fair.go
+++ b/internal/bench/router/fair.go
@@ -23,18 +23,20 @@
 // against the same without it.
 func fair(seed uint64) (reporter.Result, error) {
 	result := reporter.NewResult("fair", seed)
-	alone := fairTrial(seed, 1)
-	crowded := fairTrial(seed, fairTimes)
+	alone, _ := fairTrial(seed, 1)
+	crowded, throughput := fairTrial(seed, fairTimes)
 	result.SetTarget("ratio", quantile(crowded.first, 95)/quantile(alone.first, 95), "ratio", fairTarget)
 	result.SetTarget("whole", quantile(crowded.whole, 95)/quantile(alone.whole, 95), "ratio", fairTarget)
 	result.Set("alone", quantile(alone.first, 95), "ms")
 	result.Set("crowded", quantile(crowded.first, 95), "ms")
 	result.Set("refused", crowded.refused, "ratio")
+	result.Set("throughput", throughput, "ratio")
 	return result, nil
 }
 
-// fairTrial returns the small teams' times while the first team offers a multiple of its share.
-func fairTrial(seed uint64, times float64) latencies {
+// fairTrial returns the small teams' times while the first team offers a multiple of its share, and the throughput of
+// all as a share of the bound.
+func fairTrial(seed uint64, times float64) (latencies, float64) {
 	bound := newFleet(newClock()).bound()
 	var loads []load
 	var small []string
@@ -49,5 +51,5 @@
 	}
 	t := newTrial(seed, newGraphPolicy, loads)
 	t.clock.run(warm + fairTime)
-	return t.latency(warm, warm+fairTime-settle, small...)
+	return t.latency(warm, warm+fairTime-settle, small...), t.throughput(warm, warm+fairTime) / bound
 }
--- a/internal/bench/router/fleet.go
+++ b/internal/bench/router/fleet.go
@@ -108,7 +108,10 @@
 		observe(e.endpoint, picker.Report{Rate: e.endpoint.Rate, At: f.clock.now})
 		offset := time.Duration(r.Int64N(int64(reportEvery)))
 		f.clock.every(offset, reportEvery, func() {
-			report := picker.Report{Running: e.running, Rate: e.endpoint.Rate, At: f.clock.now}
+			waiting := len(e.prompts)
+			report := picker.Report{
+				Running: e.running - waiting, Waiting: waiting, Rate: e.endpoint.Rate, At: f.clock.now,
+			}
 			f.clock.after(reportLag, func() { observe(e.endpoint, report) })
 		})
 	}
@@ -126,11 +129,14 @@
 
 // stream is one answer under way.
 type stream struct {
-	fleet  *fleet
-	plan   planner.Plan
-	prompt float64
-	left   int
-	first  bool
+	fleet    *fleet
+	plan     planner.Plan
+	prompt   float64
+	priority int
+	left     int
+	first    bool
+	// cancelled is set once the attempt is given up: what is still under way is dropped.
+	cancelled bool
 	// token is called at each token, with the work in tokens that it stands for, and end after the last.
 	token func(work float64)
 	end   func()
@@ -147,13 +153,16 @@
 
 // step runs one stage, then the next, then the next token.
 func (s *stream) step(at int) {
+	if s.cancelled {
+		return
+	}
 	stage := s.plan.Stages[at]
 	e := s.fleet.byID[stage.Endpoint]
 	tokens := 1.0
 	if s.first {
 		tokens += s.prompt * promptCost
 	}
-	e.add(&job{steps: float64(stage.To-stage.From) * tokens, done: func() {
+	e.add(&job{steps: float64(stage.To-stage.From) * tokens, priority: s.priority, done: func() {
 		if at+1 < len(s.plan.Stages) {
 			next := s.fleet.byID[s.plan.Stages[at+1].Endpoint]
 			s.fleet.cross(e.endpoint.DataCentre, next.endpoint.DataCentre, tokens, func() { s.step(at + 1) })
@@ -166,6 +175,9 @@
 // finish delivers a token and begins the next. The next token's number goes back to the first stage: it is small, so
 // it takes the link's delay and none of its capacity.
 func (s *stream) finish(last *engine, tokens float64) {
+	if s.cancelled {
+		return
+	}
 	s.first = false
 	s.left--
 	s.token(tokens)
@@ -174,8 +186,19 @@
 		s.fleet.cross(last.endpoint.DataCentre, first.endpoint.DataCentre, 0, func() { s.step(0) })
 		return
 	}
+	s.leave()
+	s.end()
+}
+
+// cancel gives the attempt up.
+func (s *stream) cancel() {
+	s.cancelled = true
+	s.leave()
+}
+
+// leave takes the stream off its engines.
+func (s *stream) leave() {
 	for _, stage := range s.plan.Stages {
 		s.fleet.byID[stage.Endpoint].running--
 	}
-	s.end()
 }
--- a/internal/bench/router/trial.go
+++ b/internal/bench/router/trial.go
@@ -71,6 +71,7 @@
 	queue   *queuer.Queue
 	random  *rand.Rand
 	waiting map[string]*request
+	active  []*attempt
 }
 
 // request is one request on an instance.
@@ -79,6 +80,8 @@
 	answer *answer
 	prompt int
 	tokens int
+	// delivered counts the tokens that the caller has.
+	delivered int
 }
 
 // newTrial returns a trial of a policy under loads.
@@ -93,6 +96,7 @@
 		t.instances = append(t.instances, i)
 		t.fleet.report(t.random, func(e planner.Endpoint, r picker.Report) { i.policy.observe(c.now, e, r) })
 		c.every(retryEvery, retryEvery, i.retry)
+		c.every(watchEvery, watchEvery, i.watch)
 	}
 	for _, l := range loads {
 		t.arrive(l)
@@ -181,38 +185,6 @@
 	}
 }
 
-// begin runs a request over a plan.
-func (i *instance) begin(r *request, plan planner.Plan) {
-	t := i.trial
-	i.policy.begin(t.clock.now, plan)
-	began, marked := time.Time{}, time.Time{}
-	count := 0
-	s := &stream{fleet: t.fleet, plan: plan, prompt: float64(r.prompt), left: r.tokens}
-	s.token = func(work float64) {
-		now := t.clock.now
-		t.work(work)
-		r.answer.token(now)
-		count++
-		if count == 1 {
-			began, marked = now, now
-			return
-		}
-		if (count-1)%progressTokens == 0 {
-			i.policy.progress(now, plan, now.Sub(marked)/progressTokens)
-			marked = now
-		}
-	}
-	s.end = func() {
-		now := t.clock.now
-		r.answer.ended = true
-		result := picker.Result{Tokens: count, Between: now.Sub(began) / time.Duration(max(1, count-1))}
-		i.policy.end(now, plan, result)
-		i.queue.Settle(now, r.item, r.item.Tokens-answerTokens+count)
-		i.dispatch()
-	}
-	s.begin()
-}
-
 // token notes a token.
 func (a *answer) token(now time.Time) {
 	if a.first.IsZero() {
--- a/internal/routing/picker/chooser.go
+++ b/internal/routing/picker/chooser.go
@@ -38,6 +38,8 @@
 const (
 	// walks bounds the draws for each path that is wanted, as a draw may end where no endpoint is usable.
 	walks = 3
+	// promptWeight is the cost of a prompt that waits, in steps of one token.
+	promptWeight = 4
 	// prefixGain is the part of a stage's cost that a fully cached prompt saves.
 	prefixGain = 0.5
 	// lowPart and highPart are the parts of the pace that bound requests below and above priority 0.
@@ -240,7 +242,20 @@
 
 // cost returns the cost of a stage in seconds.
 func (c *chooser) cost(a planner.Arc, l *load) float64 {
-	return c.busy(a, l) * (1 - prefixGain*l.cached(c.now, c.query.Prefixes))
+	saved := prefixGain * l.cached(c.now, c.query.Prefixes)
+	return (c.busy(a, l) + c.backlog(a, l)) * (1 - saved)
+}
+
+// backlog returns the cost, in seconds, of the requests whose prompts wait at an endpoint: those of its last report
+// and the own ones that were started since.
+func (c *chooser) backlog(a planner.Arc, l *load) float64 {
+	waiting := l.report.Waiting
+	for _, change := range l.changes {
+		if change.delta > 0 && change.at.After(l.report.At) {
+			waiting++
+		}
+	}
+	return float64(waiting*c.graph.Width(a)) * promptWeight / c.rate(l)
 }
 
 // extend adds a stage to a path, and the link to it.
--- a/internal/routing/picker/link.go
+++ b/internal/routing/picker/link.go
@@ -13,8 +13,9 @@
 }
 
 const (
-	// linkGrain is the time that a step over a link is expected to take at least, when times are compared.
-	linkGrain = time.Millisecond
+	// linkGrain is the time that a step over a link is taken to need at least, when times are compared. It is of the order
+	// of an endpoint's, so that a link's part of an error is seen as fast as an endpoint's.
+	linkGrain = 10 * time.Millisecond
 	// linkDelay is the time that a step takes between data centres of which no link is known.
 	linkDelay = time.Millisecond
 )
--- a/internal/routing/queuer/level.go
+++ b/internal/routing/queuer/level.go
@@ -66,6 +66,10 @@
 	best.finish += i.charge
 	l.forget(name)
 	i.Slack = l.slack(now, i, bestWithin)
+	i.Boost = 0
+	if bestWithin {
+		i.Boost = withinBoost
+	}
 	l.usage.add(name, i.Share, i.charge)
 	return i, true
 }
--- a/internal/routing/queuer/queuer.go
+++ b/internal/routing/queuer/queuer.go
@@ -26,6 +26,9 @@
 	// team within its share, so that it need not wait for those over theirs, and below 1 for a team over its share while
 	// others are within theirs, so that what the others run on is not slowed down.
 	Slack float64
+	// Boost is set by Pop: what is to be added to the item's priority in the engines. It is 1 for a team within its share
+	// beside others, so that its prompt does not wait behind theirs.
+	Boost int
 	// charge is the advance of the team's tag when the item is popped.
 	charge float64
 }
@@ -78,7 +81,9 @@
 	// withinSlack, evenSlack and overSlack are the values of an item's Slack.
 	withinSlack = 1.25
 	evenSlack   = 1
-	overSlack   = 0.4
+	overSlack   = 0.5
+	// withinBoost is the value of Boost of a team within its share.
+	withinBoost = 1
 	// withinTime is how long a team within its share holds back those over theirs.
 	withinTime = time.Second
 )
