Find the slow part of a path and clear those beside it

Cause: after one link had slowed down a hundredfold, a dozen sound endpoints were blamed for it, got no work, and so stayed blamed. Change: the comparer corrects in proportion to what a part is known to take, bounds an estimate by the time of a whole step, and lets it fade.

--- a/internal/routing/detector/comparer.go
+++ b/internal/routing/detector/comparer.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -23,9 +24,11 @@
 }
 
 // comparer finds the parts that are slow from the times of whole steps, each of which passes several parts. It
-// solves for a factor for each part by normalised least mean squares (Widrow and Hoff; for one equation at a time it
-// is Kaczmarz's projection), and compares a part with the median of all, so that a load or a model error which all
-// share finds nobody slow.
+// solves for a factor for each part by proportionate normalised least mean squares (Duttweiler, Proportionate
+// Normalized Least-Mean-Squares Adaptation in Echo Cancelers, 2000): a part that is known to be slow takes more of an
+// error than those beside it. A part cannot have taken longer than a whole step, which clears one that shared its steps
+// with a slow one. A part is compared with the median of all, so that a load or a model error which all share finds
+// nobody slow, and an estimate fades to the median, so that a part that gets no work is tried again.
 type comparer struct {
 	factors map[string]*factor
 	median  float64
@@ -57,6 +60,10 @@
 	// minFactor and maxFactor bound an estimate.
 	minFactor = 0.1
 	maxFactor = 300
+	// maxRatio bounds how many times longer than predicted a step counts.
+	maxRatio = 5
+	// fadeTime is the time over which an estimate without samples fades to 1/e of its distance from the median.
+	fadeTime = 5 * time.Second
 	// forgetAfter is how long a part is held to be slow without a sample.
 	forgetAfter = 30 * time.Second
 )
@@ -71,16 +78,23 @@
 	predicted, square := 0.0, 0.0
 	for _, p := range parts {
 		x := p.Expected.Seconds()
-		predicted += c.factor(p.Name).value * x
-		square += x * x
+		if x <= 0 {
+			continue
+		}
+		part := c.fade(now, p.Name) * x
+		predicted += part
+		square += part * part
 	}
-	if square == 0 || took <= 0 {
+	if square == 0 || took <= 0 || len(parts) == 0 {
 		return
 	}
-	step := compareGain * (took.Seconds() - predicted) / square
+	measured := min(took.Seconds(), maxRatio*predicted)
+	step := compareGain * (measured - predicted) / square
 	for _, p := range parts {
 		f := c.factor(p.Name)
-		f.value = min(max(f.value+step*p.Expected.Seconds(), minFactor), maxFactor)
+		x := p.Expected.Seconds()
+		value := f.value + step*x*f.value*f.value
+		f.value = min(max(value, minFactor), maxFactor, max(took.Seconds()/x, minFactor))
 		f.samples++
 		f.seen = now
 	}
@@ -90,6 +104,17 @@
 	}
 }
 
+// fade lets a part's estimate fade towards the median since its last sample, and returns it.
+func (c *comparer) fade(now time.Time, name string) float64 {
+	f := c.factor(name)
+	if passed := now.Sub(f.seen); passed > 0 && !f.seen.IsZero() {
+		keep := math.Exp(-passed.Seconds() / fadeTime.Seconds())
+		f.value = c.median + (f.value-c.median)*keep
+	}
+	f.seen = now
+	return f.value
+}
+
 // judge computes the median and marks the parts that are slow.
 func (c *comparer) judge(now time.Time) {
 	var values []float64
@@ -134,7 +159,9 @@
 	if f == nil || !f.slow || now.Sub(f.seen) > forgetAfter {
 		return 1
 	}
-	return min(1, max(minShare, c.median/f.value))
+	keep := math.Exp(-now.Sub(f.seen).Seconds() / fadeTime.Seconds())
+	value := c.median + (f.value-c.median)*keep
+	return min(1, max(minShare, c.median/value))
 }
 
 // remove forgets a part.
--- a/internal/routing/detector/detector_test.go
+++ b/internal/routing/detector/detector_test.go
@@ -147,3 +147,33 @@
 		})
 	}
 }
+
+// TestClear checks that a part which was blamed beside a slow one is cleared by a sound step, and that blame fades
+// without samples.
+func TestClear(t *testing.T) {
+	d := New()
+	sound := func(now time.Time, name string) {
+		d.Compare(now, []Part{{Name: name, Expected: 10 * time.Millisecond}}, 10*time.Millisecond)
+	}
+	for range 2 * compareEvery {
+		sound(begin, "a")
+		sound(begin, "b")
+		sound(begin, "c")
+	}
+	pair := []Part{{Name: "a", Expected: 10 * time.Millisecond}, {Name: "d", Expected: 10 * time.Millisecond}}
+	for range compareEvery {
+		d.Compare(begin, pair, 200*time.Millisecond)
+		d.Compare(begin, pair, 200*time.Millisecond)
+		sound(begin, "c")
+	}
+	slow := func(now time.Time, name string) bool { return d.Share(now, name) < 1 }
+	got := []bool{slow(begin, "a"), slow(begin, "d"), slow(begin, "c")}
+	for range compareEvery {
+		sound(begin, "a")
+	}
+	got = append(got, slow(begin, "a"), slow(begin, "d"))
+	got = append(got, slow(begin.Add(forgetAfter+time.Second), "d"))
+	if diff := cmp.Diff([]bool{true, true, false, false, true, false}, got); diff != "" {
+		t.Errorf("slow mismatch (-want +got):\n%s", diff)
+	}
+}
