--- a/internal/routing/picker/chooser.go
+++ b/internal/routing/picker/chooser.go
@@ -227,8 +227,12 @@
 }
 
 // crowd returns how busy an endpoint is as far as the bound goes. An instance that has less than its part of the
-// bound there is not held back by what others have: they are, until it has its part.
+// bound there is not held back by what others have: they are, until it has its part. A request with less than the usual
+// slack has no such claim.
 func (c *chooser) crowd(a planner.Arc, l *load) float64 {
+	if c.query.Slack > 0 && c.query.Slack < 1 {
+		return c.busy(a, l)
+	}
 	own := float64((l.steps+c.graph.Width(a))*c.picker.peers) / c.rate(l)
 	return min(c.busy(a, l), own)
 }
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -108,9 +108,9 @@
 
 const (
 	// defaultChoices is the number of paths that are drawn and compared.
-	defaultChoices = 3
+	defaultChoices = 2
 	// defaultPace is the longest time in which an endpoint may run one step of each of its requests.
-	defaultPace = 50 * time.Millisecond
+	defaultPace = 55 * time.Millisecond
 	// defaultRamp is the time over which a new or returned endpoint comes to its full weight.
 	defaultRamp = 5 * time.Second
 	// defaultImbalance is how far above the mean of its class an endpoint with a cached prefix may be loaded.
