--- a/internal/bench/reporter/reporter_test.go
+++ b/internal/bench/reporter/reporter_test.go
@@ -30,7 +30,7 @@
 	before.Set("gone", 1, "s")
 	before.SetTarget("share", 0.5, "ratio", 0.95)
 	after.SetTarget("share", 0.75, "ratio", 0.95)
-	after.Set("new", 2, "s")
+	after.Set("new", 31500.25, "s")
 	var b strings.Builder
 	if err := after.WriteText(&b); err != nil {
 		t.Fatal(err)
@@ -40,12 +40,12 @@
 	}
 	want := `flow, seed 2
 figure  value  unit   target
-new     2      s      -
+new     31500  s      -
 share   0.75   ratio  0.95
 flow, seeds 1 and 2
 figure  before  after  change  unit   target
 gone    1       -      -       s      -
-new     -       2      -       s      -
+new     -       31500  -       s      -
 share   0.5     0.75   +50.0%  ratio  0.95
 `
 	if diff := cmp.Diff(want, b.String()); diff != "" {
--- a/internal/bench/reporter/writer.go
+++ b/internal/bench/reporter/writer.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"text/tabwriter"
@@ -72,11 +73,17 @@
 	return table.Flush()
 }
 
-// number returns a value with four digits.
+// number returns a value with four digits, or all of those before the point.
 func number(value float64) string {
+	if math.Abs(value) >= wholeFrom {
+		return strconv.FormatFloat(value, 'f', 0, 64)
+	}
 	return strconv.FormatFloat(value, 'g', 4, 64)
 }
 
+// wholeFrom is the size from which a value is written as a whole number.
+const wholeFrom = 1000
+
 // target returns the target of a figure, or a dash.
 func (f Figure) target() string {
 	if f.Target == nil {
