--- a/internal/bench/prover/drain.go
+++ b/internal/bench/prover/drain.go
@@ -33,7 +33,6 @@
 
 	mu    sync.Mutex
 	ready []*runner.Runner
-	known []*runner.Runner
 }
 
 // newBalancer returns a balancer that has looked once.
--- a/internal/routing/picker/picker_test.go
+++ b/internal/routing/picker/picker_test.go
@@ -163,7 +163,7 @@
 	p.Start(begin.Add(time.Second), plan, 10)
 	p.Start(begin.Add(2*time.Second), plan, 10)
 	var got []float64
-	see := func() { got = append(got, p.State(begin.Add(3*time.Second)).Endpoints[0].Running) }
+	see := func() { got = append(got, p.State(begin.Add(3 * time.Second)).Endpoints[0].Running) }
 	see()
 	p.Observe(begin.Add(3*time.Second), e, Report{Running: 9, At: begin.Add(1500 * time.Millisecond)})
 	see()
