Pass a new delta on to eight peers at once

Cause: with three pushes an instance of seven was missed now and then and waited for the next round or read.

Change: the instance that committed passes the delta on to up to eight peers, the others to three as before.

--- a/internal/bench/spreader/spreader.go
+++ b/internal/bench/spreader/spreader.go
@@ -66,7 +66,7 @@
 	}
 	report(result, found)
 	reportPlanned(result, seed)
-	for _, stale := range []time.Duration{5 * time.Second, follower.DefaultStale, 5 * time.Minute} {
+	for _, stale := range []time.Duration{5 * time.Second, follower.DefaultStale, 5 * time.Minute, time.Hour} {
 		c := cutOff(stale)
 		name := fmt.Sprintf("%.0f", stale.Seconds())
 		result.Set("cutoff_old_"+name, c.Old, "s")
--- a/internal/serving/poller/peers.go
+++ b/internal/serving/poller/peers.go
@@ -25,6 +25,9 @@
 // deltaLife is how long a delta stays in the exchange.
 const deltaLife = 30 * time.Second
 
+// firstFanout is the number of peers that the instance which committed a delta passes it on to at once.
+const firstFanout = 8
+
 // askAtOnce bounds the peers that are called at the same time.
 const askAtOnce = 16
 
@@ -57,7 +60,7 @@
 
 // Learn takes a delta in and answers the epoch in force.
 func (r *Records) Learn(delta recorder.Delta, reply *Status) error {
-	r.p.pass(r.p.advance(delta), delta)
+	r.p.pass(r.p.advance(delta), delta, r.p.options.fanout)
 	*reply = r.p.status()
 	return nil
 }
@@ -96,7 +99,7 @@
 	if err == nil {
 		p.exchange.Publish(gossiper.TopicHead, fmt.Sprintf(deltaKey, delta.Epoch), value, deltaLife)
 	}
-	p.pass(d, delta)
+	p.pass(d, delta, max(firstFanout, p.options.fanout))
 }
 
 // hear takes in what a peer shares: a delta.
@@ -110,12 +113,12 @@
 }
 
 // pass passes a delta that was new here on to some peers, and asks for a round if something is missing.
-func (p *Poller) pass(d follower.Decision, delta recorder.Delta) {
+func (p *Poller) pass(d follower.Decision, delta recorder.Delta, fanout int) {
 	p.signal(d)
 	if !d.Learned {
 		return
 	}
-	peers := p.choose(p.options.fanout)
+	peers := p.choose(fanout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
