Note instances that do not say what they read

Cause: an instance that was gone but still listed held up every accept of a model, whose schema is above the first; and a peer that claimed an epoch which does not exist made every instance count as behind.

Change: such an instance is asked, and named in a note if it does not answer; one that answers and cannot read is refused by name as before. The store's head puts a peer's claim right.

--- a/internal/control/accepter/plan.go
+++ b/internal/control/accepter/plan.go
@@ -140,7 +140,9 @@
 		p.result.Diffs = append(p.result.Diffs, recorder.Compare(in, after)...)
 	}
 	if len(refused.Faults)+len(refused.Conflicts) == 0 {
-		refused.Faults = append(validator.Check(m.Base, delta.Put, delta.Drop), m.unread(delta.Put)...)
+		faults, notes := m.unread(delta.Put)
+		refused.Faults = append(validator.Check(m.Base, delta.Put, delta.Drop), faults...)
+		p.result.Notes = notes
 	}
 	if len(refused.Faults)+len(refused.Conflicts) > 0 {
 		refused.Outcome = classifier.Refused
@@ -204,24 +206,24 @@
 	return record, nil
 }
 
-// unread returns a fault for each live instance that cannot read a record. An instance of which nothing is known reads
-// the first schema version of each kind.
-func (m *Mutation) unread(put []recorder.Record) []validator.Fault {
-	var faults []validator.Fault
+// unread returns a fault for each live instance that cannot read a record, and a note for each that has not said what
+// it reads: it may be gone, and if it is not, it keeps the last configuration that it can read and is not ready.
+func (m *Mutation) unread(put []recorder.Record) (faults, notes []validator.Fault) {
 	for _, record := range put {
 		for _, instance := range m.Instances {
-			reads := max(1, instance.Reads[record.Kind])
-			if record.Schema <= reads {
-				continue
+			reads := instance.Reads[record.Kind]
+			found := validator.Fault{Record: record.Ref().String(), Path: "schema"}
+			switch {
+			case instance.Reads == nil && record.Schema > 1:
+				found.Reason = fmt.Sprintf("is %d; instance %s has not said what it reads", record.Schema, instance.ID)
+				notes = append(notes, found)
+			case instance.Reads != nil && record.Schema > reads:
+				found.Reason = fmt.Sprintf("is %d; instance %s reads up to %d", record.Schema, instance.ID, reads)
+				faults = append(faults, found)
 			}
-			reason := fmt.Sprintf("is %d; instance %s reads up to %d", record.Schema, instance.ID, reads)
-			if instance.Reads == nil {
-				reason = fmt.Sprintf("is %d; instance %s has not said what it reads", record.Schema, instance.ID)
-			}
-			faults = append(faults, validator.Fault{Record: record.Ref().String(), Path: "schema", Reason: reason})
 		}
 	}
-	return faults
+	return faults, notes
 }
 
 // close adds the audit to the plan, or ends a dry run.
--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -204,11 +204,11 @@
 	return d
 }
 
-// Head takes in the store's head, read at now.
+// Head takes in the store's head, read at now. The store is the truth: a higher epoch that a peer claimed is forgotten.
 func (f *Follower) Head(now time.Time, epoch int64) Decision {
 	defer f.settle(now)
 	f.Read = now
-	f.Highest = max(f.Highest, epoch)
+	f.Highest = max(f.Known.Epoch, epoch)
 	return f.fetch(Decision{})
 }
 
--- a/internal/serving/committer/committer.go
+++ b/internal/serving/committer/committer.go
@@ -72,7 +72,11 @@
 func (c *Committer) Do(ctx context.Context, command accepter.Command) accepter.Result {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.bound)
 	defer cancel()
-	m := accepter.NewMutation(command, c.source.Base(), c.source.Live(ctx))
+	var live []accepter.Instance
+	if command.Action == accepter.ActionAccept {
+		live = c.source.Live(ctx)
+	}
+	m := accepter.NewMutation(command, c.source.Base(), live)
 	step := m.Begin(time.Now())
 	for step.Result == nil {
 		step = c.next(ctx, m, step)
--- a/internal/serving/poller/peers.go
+++ b/internal/serving/poller/peers.go
@@ -41,6 +41,8 @@
 	ID      string
 	Epoch   int64
 	Vouches bool
+	// Reads holds the highest schema version that the instance reads of each kind.
+	Reads map[string]int
 }
 
 // Missing is what follows an epoch: the deltas, or the whole snapshot if they are no longer held.
@@ -75,7 +77,7 @@
 func (p *Poller) status() Status {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return Status{ID: p.id, Epoch: p.follower.Force, Vouches: p.follower.Vouches()}
+	return Status{ID: p.id, Epoch: p.follower.Force, Vouches: p.follower.Vouches(), Reads: p.follower.Reader.Highest}
 }
 
 // since returns what follows an epoch.
@@ -227,7 +229,7 @@
 }
 
 // Live returns the live instances and the schema versions that each says it reads: this one, its peers and, if there
-// is a list, those that the platform lists.
+// is a list, those that the platform lists. An instance that has shared nothing is asked.
 func (p *Poller) Live(ctx context.Context) []accepter.Instance {
 	reads := map[string]map[string]int{}
 	for _, e := range p.exchange.Entries(gossiper.TopicHead) {
@@ -236,10 +238,22 @@
 			reads[e.Owner] = highest
 		}
 	}
-	reads[p.id] = p.follower.Reader.Highest
-	live := []accepter.Instance{{ID: p.id, Reads: reads[p.id]}}
-	for _, peer := range p.members(ctx) {
-		live = append(live, accepter.Instance{ID: peer.ID, Reads: reads[peer.ID]})
+	live := []accepter.Instance{{ID: p.id, Reads: p.follower.Reader.Highest}}
+	var wait sync.WaitGroup
+	peers := p.members(ctx)
+	answers := make([]Status, len(peers))
+	for i, peer := range peers {
+		if reads[peer.ID] == nil {
+			wait.Go(func() { _ = p.call(ctx, peer, "Records.Status", Nothing{}, &answers[i]) })
+		}
+	}
+	wait.Wait()
+	for i, peer := range peers {
+		instance := accepter.Instance{ID: peer.ID, Reads: reads[peer.ID]}
+		if instance.Reads == nil {
+			instance.Reads = answers[i].Reads
+		}
+		live = append(live, instance)
 	}
 	return live
 }
--- a/internal/serving/poller/round.go
+++ b/internal/serving/poller/round.go
@@ -160,12 +160,20 @@
 	if err := json.Unmarshal(body, &s); err != nil {
 		return merry.Prependf(err, "object %s", pointer.Object)
 	}
+	if object(s) != pointer.Object {
+		return merry.Prependf(recorder.ErrSum, "object %s", pointer.Object)
+	}
 	if d := p.apply(s); errors.Is(d.Err, follower.ErrOld) {
 		return d.Err
 	}
 	return nil
 }
 
+// object returns the name of a whole snapshot's object: its epoch and checksum.
+func object(s recorder.Snapshot) string {
+	return fmt.Sprintf("config/%d-%s", s.Epoch, s.Sum())
+}
+
 // Compact stores a whole snapshot of what is known, once every 64 epochs, and then drops the oldest part of the log.
 // The error is that of the store; the next call of the kind makes up for it.
 func (p *Poller) Compact(ctx context.Context) error {
@@ -183,7 +191,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, 10*p.options.timeout)
 	defer cancel()
-	pointer := accepter.Pointer{Epoch: s.Epoch, Object: fmt.Sprintf("config/%d-%s", s.Epoch, s.Sum())}
+	pointer := accepter.Pointer{Epoch: s.Epoch, Object: object(s)}
 	if err := p.objects.Put(ctx, pointer.Object, body); err != nil {
 		return err
 	}
