Let teams take turns at claims and bound the calls in flight

Cause: a large team's burst of holds could use up the budget of writes, so that a small team's hold was turned away. Calls in flight on an instance had no bound. The refusals made without reading the table did not say that they are silent on earlier sends.

Change: the claims that wait are written by turns of their teams, and a claim waits for turns only. Calls over the bound are refused as not run. The messages say what they cover. The collector removes 512 rows a second.

--- a/internal/control/claimer/group.go
+++ b/internal/control/claimer/group.go
@@ -11,6 +11,8 @@
 	Number int64
 	// Key is the row's key. Two entries of one row never share a transaction.
 	Key string
+	// Team is the team of the claim. The teams that wait take turns.
+	Team string
 	// Since is when the entry began to wait.
 	Since time.Time
 	// First is set for a result, which goes before claims and is never turned away.
@@ -32,9 +34,10 @@
 	Running  int
 }
 
-// Add takes an entry, or returns false if it would wait too long.
+// Add takes an entry, or returns false if it would wait too long. A team's entry waits for the turns of the others, and
+// not for all that a larger team has waiting.
 func (g *Group) Add(now time.Time, e Entry, b *Budget) bool {
-	if !e.First && g.wait(now, b) > g.Patience {
+	if !e.First && g.wait(now, e.Team, b) > g.Patience {
 		return false
 	}
 	g.Waiting = append(g.Waiting, e)
@@ -73,19 +76,37 @@
 	return oldest.Add(g.Delay)
 }
 
-// wait returns how long a new entry would wait for the budget.
-func (g *Group) wait(now time.Time, b *Budget) time.Duration {
+// wait returns how long a new entry of a team would wait for the budget.
+func (g *Group) wait(now time.Time, team string, b *Budget) time.Duration {
 	b.fill(now)
 	if b.Rate <= 0 {
 		return g.Patience + 1
 	}
-	behind := float64(len(g.Waiting)/g.Size+1) - b.Tokens
+	behind := float64(g.ahead(team)/g.Size+1) - b.Tokens
 	return time.Duration(max(behind, 0) / b.Rate * float64(time.Second))
 }
 
-// cut takes the next transaction's entries from those that wait: results, then claims, each in order of arrival.
+// ahead counts the entries that are written before a new one of a team.
+func (g *Group) ahead(team string) int {
+	waiting := map[string]int{}
+	ahead := 0
+	for _, e := range g.Waiting {
+		if e.First {
+			ahead++
+			continue
+		}
+		waiting[e.Team]++
+	}
+	turn := waiting[team] + 1
+	for _, n := range waiting {
+		ahead += min(n, turn)
+	}
+	return ahead
+}
+
+// cut takes the next transaction's entries from those that wait: results, then claims by the turns of their teams.
 func (g *Group) cut() []int64 {
-	slices.SortStableFunc(g.Waiting, func(a, b Entry) int { return rank(a) - rank(b) })
+	g.arrange()
 	var numbers []int64
 	var rest []Entry
 	taken := map[string]bool{}
@@ -101,10 +122,24 @@
 	return numbers
 }
 
-// rank orders entries: results go before claims.
-func rank(e Entry) int {
-	if e.First {
-		return 0
+// arrange orders what waits: results first, then each team's first claim, then each team's second one, and so on.
+func (g *Group) arrange() {
+	type place struct {
+		entry Entry
+		turn  int
+	}
+	turns := map[string]int{}
+	var places []place
+	for _, e := range g.Waiting {
+		turn := 0
+		if !e.First {
+			turns[e.Team]++
+			turn = turns[e.Team]
+		}
+		places = append(places, place{e, turn})
+	}
+	slices.SortStableFunc(places, func(a, b place) int { return a.turn - b.turn })
+	for i, p := range places {
+		g.Waiting[i] = p.entry
 	}
-	return 1
 }
--- a/internal/control/claimer/group_test.go
+++ b/internal/control/claimer/group_test.go
@@ -53,6 +53,29 @@
 	}
 }
 
+// TestSmallTeamIsNotHeldUp lets a large team fill the group: its claims are turned away, those of a small one are taken
+// and go with the next transaction.
+func TestSmallTeamIsNotHeldUp(t *testing.T) {
+	g := Group{Size: 2, Parallel: 1, Patience: time.Second}
+	b := Budget{}
+	b.Share(start, 7, 7)
+	number, large := int64(0), 0
+	add := func(team string) bool {
+		number++
+		return g.Add(start, Entry{Number: number, Key: string(rune('a' + number)), Team: team, Since: start}, &b)
+	}
+	for add("large") {
+		large++
+	}
+	if !add("small") || large == 0 {
+		t.Fatalf("the small team is turned away after %d claims of the large one", large)
+	}
+	got, _ := g.Next(start, &b)
+	if diff := cmp.Diff([]int64{1, number}, got); diff != "" {
+		t.Errorf("transaction mismatch (-want +got):\n%s", diff)
+	}
+}
+
 func TestBudgetIsSharedByTheFleet(t *testing.T) {
 	const seconds = 10
 	taken := 0
--- a/internal/serving/dispatcher/answer.go
+++ b/internal/serving/dispatcher/answer.go
@@ -28,6 +28,7 @@
 	CodeAttempt   = "attempt_invalid"
 	CodeEndpoints = "no_endpoint"
 	CodeFailed    = "service_failed"
+	CodeFull      = "too_many_calls"
 	// CodeQuarantined is that of a lookup which has crashed what ran it, and CodeTrial that of one of which another copy
 	// runs to find out.
 	CodeQuarantined = "request_quarantined"
@@ -51,16 +52,17 @@
 	CodeRead:            {http.StatusBadRequest, "the body could not be read"},
 	CodeAttempt:         {http.StatusBadRequest, "the attempt is not a number from 1"},
 	CodeEndpoints:       {http.StatusServiceUnavailable, "no endpoint of the service is live"},
+	CodeFull:            {http.StatusServiceUnavailable, "too many calls are in flight on this instance"},
 	CodeFailed:          {http.StatusBadGateway, "the service gave no whole answer"},
 	CodeQuarantined:     {http.StatusUnprocessableEntity, "the request has crashed the endpoints that ran it"},
 	CodeTrial:           {http.StatusServiceUnavailable, "the same request may have crashed an endpoint and is being tried"},
 	claimer.CodeMissing: {http.StatusBadRequest, "the call may not be repeated and needs an Idempotency-Key"},
 	claimer.CodeUndated: {http.StatusBadRequest, "the key is neither a version 7 UUID nor begins with a day and a dash"},
 	claimer.CodeFuture:  {http.StatusBadRequest, "the key's day lies ahead"},
-	claimer.CodeExpired: {http.StatusGone, "the key is older than keys are kept"},
+	claimer.CodeExpired: {http.StatusGone, "the key is older than keys are kept; nothing is said of earlier sends of it"},
 	claimer.CodeReused:  {http.StatusUnprocessableEntity, "the key was used for another call or body"},
-	claimer.CodeBusy:    {http.StatusServiceUnavailable, "the budget of writes to the table service is spent"},
-	claimer.CodeTable:   {http.StatusServiceUnavailable, "the table service cannot be reached"},
+	claimer.CodeBusy:    {http.StatusServiceUnavailable, "the budget of writes to the table service is spent; nothing is said of earlier sends of the key"},
+	claimer.CodeTable:   {http.StatusServiceUnavailable, "the table service cannot be reached; nothing is said of earlier sends of the key"},
 	claimer.CodeLate:    {http.StatusServiceUnavailable, "the call could not be sent in time"},
 	claimer.CodeRefused: {http.StatusServiceUnavailable, "the service refused the call before running it"},
 	claimer.CodeUnsent:  {http.StatusServiceUnavailable, "no endpoint of the service could be reached"},
--- a/internal/serving/dispatcher/collector.go
+++ b/internal/serving/dispatcher/collector.go
@@ -13,9 +13,9 @@
 )
 
 // collected is the number of rows that one transaction removes, and collectPause the time between two, so that claims
-// keep the writes of the table service.
+// keep the writes of the table service. Together they carry 44 million calls a day.
 const (
-	collected    = 128
+	collected    = 512
 	collectPause = time.Second
 )
 
--- a/internal/serving/dispatcher/dispatcher.go
+++ b/internal/serving/dispatcher/dispatcher.go
@@ -93,6 +93,7 @@
 	defaultProbe    = 500 * time.Millisecond
 	defaultReserve  = 10
 	defaultCollect  = time.Minute
+	defaultFlight   = 4096
 )
 
 // Dispatcher serves /v1/services/.
@@ -112,6 +113,8 @@
 	claims map[string]*claimer.Claim
 	calls  map[string]*tactics
 	counts Counts
+	// visits counts the requests of callers in flight.
+	visits int
 	// left is closed and replaced when a claim ends.
 	left  chan struct{}
 	close sync.Once
@@ -120,6 +123,7 @@
 // settings are what the options set.
 type settings struct {
 	body   int64
+	flight int
 	poll   time.Duration
 	settle time.Duration
 	// collect is the time between looks for old rows.
@@ -161,6 +165,11 @@
 	return func(d *Dispatcher) { d.settings.body = n }
 }
 
+// WithFlight bounds the callers' requests in flight.
+func WithFlight(n int) Option {
+	return func(d *Dispatcher) { d.settings.flight = n }
+}
+
 // WithSettle sets how long a call's result is tried to be written down.
 func WithSettle(t time.Duration) Option {
 	return func(d *Dispatcher) { d.settings.settle = t }
@@ -192,7 +201,7 @@
 		logger:     slog.Default(),
 		metrics:    tally.NoopScope,
 		quarantine: unguarded{},
-		settings:   settings{body: defaultBody, poll: defaultPoll, settle: defaultSettle, collect: defaultCollect, now: time.Now},
+		settings:   settings{body: defaultBody, flight: defaultFlight, poll: defaultPoll, settle: defaultSettle, collect: defaultCollect, now: time.Now},
 		claims:     map[string]*claimer.Claim{},
 		calls:      map[string]*tactics{},
 		left:       make(chan struct{}),
--- a/internal/serving/dispatcher/dispatcher_test.go
+++ b/internal/serving/dispatcher/dispatcher_test.go
@@ -157,6 +157,22 @@
 	}
 }
 
+func TestCallsInFlightAreBounded(t *testing.T) {
+	s := &stock{holds: map[string]int{}, begun: make(chan struct{}), gate: make(chan struct{})}
+	_, one := entry(t, "one", newTable(), world{addresses: []string{serviceOf(t, s)}}, WithFlight(1))
+	first := make(chan told, 1)
+	go func() {
+		first <- call(t, one, http.MethodPost, "/v1/services/stock/holds", "oak", HeaderKey, day+"-a")
+	}()
+	<-s.begun
+	second := call(t, one, http.MethodPost, "/v1/services/stock/holds", "oak", HeaderKey, day+"-b")
+	close(s.gate)
+	want := []told{{200, "completed", "", "held joiners:" + day + "-a"}, {503, "not-run", CodeFull, ""}}
+	if diff := cmp.Diff(want, []told{<-first, second}); diff != "" {
+		t.Errorf("answers mismatch (-want +got):\n%s", diff)
+	}
+}
+
 func TestHoldsAreGrouped(t *testing.T) {
 	const holds = 60
 	s := &stock{holds: map[string]int{}}
--- a/internal/serving/dispatcher/handler.go
+++ b/internal/serving/dispatcher/handler.go
@@ -34,6 +34,16 @@
 
 // ServeHTTP answers a call of a plain service.
 func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	attempt, ok := attemptOf(r)
+	if !ok {
+		respond(w, notRun(CodeAttempt))
+		return
+	}
+	if !d.admit() {
+		respond(w, claimer.Refuse(attempt, CodeFull))
+		return
+	}
+	defer d.depart()
 	v, code := d.visit(w, r)
 	if code != "" {
 		respond(w, notRun(code))
@@ -48,14 +58,27 @@
 		respond(w, notRun(code))
 		return
 	}
-	attempt, ok := attemptOf(r)
-	if !ok {
-		respond(w, notRun(CodeAttempt))
-		return
-	}
 	respond(w, d.hold(r.Context(), v, key, attempt))
 }
 
+// admit counts a request in, or returns false if too many are in flight.
+func (d *Dispatcher) admit() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.visits >= d.settings.flight {
+		return false
+	}
+	d.visits++
+	return true
+}
+
+// depart counts a request out.
+func (d *Dispatcher) depart() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.visits--
+}
+
 // visit reads a request, or returns the code of what is wrong with it.
 func (d *Dispatcher) visit(w http.ResponseWriter, r *http.Request) (visit, string) {
 	name := mux.Vars(r)["service"]
--- a/internal/serving/dispatcher/holder.go
+++ b/internal/serving/dispatcher/holder.go
@@ -104,7 +104,7 @@
 	w := h.dispatcher.writer
 	switch a.Step {
 	case claimer.StepCommit:
-		result := w.submit(a.Mutation, c.Call.Key.Day, c.Result != nil)
+		result := w.submit(a.Mutation, c.Call, c.Result != nil)
 		return h.step(func(now time.Time) claimer.Action { return c.Committed(now, result) })
 	case claimer.StepRead:
 		row, known := w.read(c.Call.Row())
--- a/internal/serving/dispatcher/sender.go
+++ b/internal/serving/dispatcher/sender.go
@@ -15,6 +15,7 @@
 
 	"github.com/heatherrock/heatherrock/internal/control/claimer"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
+	"github.com/heatherrock/heatherrock/internal/platform/caller"
 )
 
 // The limits of a Sender.
@@ -27,7 +28,7 @@
 )
 
 // HeaderOutcome is the header of answers that says whether the call ran.
-const HeaderOutcome = "Heatherrock-Outcome"
+const HeaderOutcome = caller.HeaderOutcome
 
 // Message is a call as it goes to one endpoint of a service.
 type Message struct {
--- a/internal/serving/dispatcher/writer.go
+++ b/internal/serving/dispatcher/writer.go
@@ -19,7 +19,7 @@
 // ticket is a mutation that waits for its outcome.
 type ticket struct {
 	mutation claimer.Mutation
-	day      string
+	call     claimer.Call
 	first    bool
 	since    time.Time
 	commit   chan claimer.Commit
@@ -66,9 +66,9 @@
 	w.budget.Share(w.now(), fleet, members)
 }
 
-// submit writes a mutation and returns its outcome. First is set for results, which are never turned away.
-func (w *writer) submit(m claimer.Mutation, day string, first bool) claimer.Commit {
-	t := &ticket{mutation: m, day: day, first: first, since: w.now(), commit: make(chan claimer.Commit, 1)}
+// submit writes a call's mutation and returns its outcome. First is set for results, which are never turned away.
+func (w *writer) submit(m claimer.Mutation, c claimer.Call, first bool) claimer.Commit {
+	t := &ticket{mutation: m, call: c, first: first, since: w.now(), commit: make(chan claimer.Commit, 1)}
 	if !w.add(t) {
 		return claimer.Commit{Outcome: classifier.NotSent, Code: claimer.CodeBusy}
 	}
@@ -85,7 +85,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.last++
-	entry := claimer.Entry{Number: w.last, Key: t.mutation.Key, Since: t.since, First: t.first}
+	entry := claimer.Entry{Number: w.last, Key: t.mutation.Key, Team: t.call.Team, Since: t.since, First: t.first}
 	if !w.group.Add(w.now(), entry, &w.budget) {
 		return false
 	}
@@ -166,7 +166,7 @@
 	w.mu.Unlock()
 	var fresh []*ticket
 	for _, t := range batch {
-		if !t.first && t.day < horizon.Day {
+		if !t.first && t.call.Key.Day < horizon.Day {
 			t.commit <- claimer.Commit{Outcome: classifier.NotSent, Code: claimer.CodeExpired}
 			continue
 		}
--- a/internal/serving/settler/settler.go
+++ b/internal/serving/settler/settler.go
@@ -13,6 +13,7 @@
 
 	"github.com/heatherrock/heatherrock/internal/control/claimer"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
+	"github.com/heatherrock/heatherrock/internal/platform/caller"
 	"github.com/heatherrock/heatherrock/internal/platform/tabler"
 )
 
@@ -26,7 +27,7 @@
 	// defaultTimeout bounds each operation of the table service.
 	defaultTimeout = 2 * time.Second
 	// headerOutcome says what became of a settlement.
-	headerOutcome = "Heatherrock-Outcome"
+	headerOutcome = caller.HeaderOutcome
 )
 
 // Entry is one call as operators see it.
