Measure holds over loopback

Cause: what claims cost in delay and processor time was known in virtual time alone, and the slope of the claim writer is needed for the planned size.

--- a/internal/bench/claimer/claims.go
+++ b/internal/bench/claimer/claims.go
@@ -36,6 +36,7 @@
 	return []reporter.Experiment{
 		{Name: "claims", Help: "holds under each pair of faults: duplicated, misreported, lost; store writes and delay", Run: runClaims},
 		{Name: "leases", Help: "orders to engines: run for two holders at once, time without a holder", Run: runLeases},
+		{Name: "holds", Help: "holds over loopback: delay, writes and processor time that claims add", Run: runHolds},
 	}
 }
 
