--- a/internal/serving/operator/operator.go
+++ b/internal/serving/operator/operator.go
@@ -38,7 +38,8 @@
 // Source is the configuration of this instance.
 type Source interface {
 	Base() recorder.Snapshot
-	Forces(ctx context.Context) []poller.Force
+	// Forces asks live instances for their epochs: those with the ids given, or all if none is given.
+	Forces(ctx context.Context, ids []string) []poller.Force
 }
 
 // Operator answers for records.
@@ -62,7 +63,8 @@
 // WithTimeout bounds each read of the store.
 func WithTimeout(d time.Duration) Option { return func(o *Operator) { o.timeout = d } }
 
-// WithInterval sets the time between looks at the instances while a wait goes on.
+// WithInterval sets the time between the first two looks at the instances while a wait goes on. It doubles from look to
+// look, up to a second.
 func WithInterval(d time.Duration) Option { return func(o *Operator) { o.interval = d } }
 
 // New returns an Operator.
@@ -83,7 +85,7 @@
 // Register adds the routes of records, changes and audits.
 func (o *Operator) Register(r *mux.Router) {
 	route := func(method, path string, h http.HandlerFunc) {
-		r.HandleFunc(path, o.guard(h)).Methods(method)
+		r.HandleFunc(path, o.Guard(h)).Methods(method)
 	}
 	route(http.MethodPost, "/changes", o.change)
 	route(http.MethodPost, "/changes/{id}/resolve", o.resolve)
@@ -99,8 +101,8 @@
 	Error string `json:"error"`
 }
 
-// guard lets a request through that bears the operators' token.
-func (o *Operator) guard(h http.HandlerFunc) http.HandlerFunc {
+// Guard lets a request through that bears the operators' token.
+func (o *Operator) Guard(h http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		sum := sha256.Sum256([]byte(token))
@@ -172,6 +174,8 @@
 	case len(result.Conflicts) > 0:
 		status = http.StatusConflict
 	case c.Action == accepter.ActionResolve:
+	case result.Blocked:
+		status = http.StatusGone
 	default:
 		status = http.StatusServiceUnavailable
 		w.Header().Set("Retry-After", retryAfter)
--- a/internal/serving/operator/reads.go
+++ b/internal/serving/operator/reads.go
@@ -20,6 +20,7 @@
 const (
 	scanLimit = 200
 	maxWait   = 5 * time.Minute
+	maxPause  = time.Second
 )
 
 // List is the answer to a list of records. From is store, or instance if the store did not answer: then only what this
@@ -106,9 +107,17 @@
 	return value, true, err
 }
 
-// audits lists the changes made, oldest first, after the id given.
+// audits lists the changes made, oldest first, after the id given and up to a limit.
 func (o *Operator) audits(w http.ResponseWriter, r *http.Request) {
-	rows, err := o.scan(r.Context(), accepter.AuditPrefix, accepter.AuditKey(r.URL.Query().Get("after")))
+	limit, err := number(r, "limit", scanLimit)
+	if err != nil || limit < 1 || limit > scanLimit {
+		problem(w, http.StatusBadRequest, fmt.Sprintf("limit: want 1 to %d", scanLimit))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), o.timeout)
+	defer cancel()
+	after := accepter.AuditKey(r.URL.Query().Get("after"))
+	rows, err := o.table.Scan(ctx, accepter.Table, accepter.AuditPrefix, after, int(limit))
 	if err != nil {
 		problem(w, http.StatusServiceUnavailable, "the store cannot be read: "+err.Error())
 		return
@@ -235,13 +244,14 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), min(time.Duration(millis)*time.Millisecond, maxWait))
 	defer cancel()
-	for {
-		out := o.behind(r.Context(), epoch)
+	out := Waited{Epoch: epoch}
+	for pause := o.interval; ; pause = min(2*pause, maxPause) {
+		o.look(r.Context(), &out)
 		if len(out.Behind) == 0 {
 			answer(w, http.StatusOK, out)
 			return
 		}
-		timer := time.NewTimer(o.interval)
+		timer := time.NewTimer(pause)
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
@@ -252,14 +262,20 @@
 	}
 }
 
-// behind asks every live instance once.
-func (o *Operator) behind(ctx context.Context, epoch int64) Waited {
-	forces := o.source.Forces(ctx)
-	out := Waited{Epoch: epoch, Instances: len(forces)}
+// look asks the instances that were behind at the look before, or all of them at the first look.
+func (o *Operator) look(ctx context.Context, out *Waited) {
+	var ids []string
+	for _, f := range out.Behind {
+		ids = append(ids, f.ID)
+	}
+	forces := o.source.Forces(ctx, ids)
+	if len(ids) == 0 {
+		out.Instances = len(forces)
+	}
+	out.Behind = nil
 	for _, f := range forces {
-		if f.Error != "" || f.Epoch < epoch {
+		if f.Error != "" || f.Epoch < out.Epoch {
 			out.Behind = append(out.Behind, f)
 		}
 	}
-	return out
 }
