--- a/internal/serving/watcher/duties.go
+++ b/internal/serving/watcher/duties.go
@@ -16,6 +16,8 @@
 const (
 	// standbyFactor is how much less often than the first watcher the others read a load.
 	standbyFactor = 4
+	// loadBytes is what a read of a load takes on the wire, both ways, in bytes.
+	loadBytes = 800
 	// unheardFactor is after how many report intervals an endpoint of which no peer tells is watched here.
 	unheardFactor = 4
 )
@@ -55,6 +57,7 @@
 	if !slices.Equal(d.endpoints, before.endpoints) || !slices.Equal(d.instances, before.instances) {
 		d.ranks = w.ranks(d)
 	}
+	w.reading = w.reads(d)
 	for _, n := range d.endpoints {
 		w.follow(now, w.endpoints[n.ID], d.ranks)
 	}
@@ -110,6 +113,21 @@
 	return out
 }
 
+// reads returns the reads of loads in the time in which a first watcher reads each of its endpoints once. It is 0 if
+// this instance watches all endpoints: then no allowance bounds the reads.
+func (w *Watcher) reads(d duties) int {
+	if len(d.endpoints) <= w.options.direct {
+		return 0
+	}
+	first := 0
+	for _, rank := range d.ranks {
+		if rank == 0 {
+			first++
+		}
+	}
+	return first + (len(d.ranks)-first)/standbyFactor
+}
+
 // follow watches an endpoint if that is a duty or no peer tells of it, and else hands on what a peer told.
 func (w *Watcher) follow(now time.Time, e *endpoint, ranks map[string]int) {
 	rank, duty := ranks[e.instance.ID]
@@ -161,24 +179,45 @@
 // loop reads the load until the watch or the watcher ends.
 func (v *watch) loop() {
 	defer v.watcher.wait.Done()
-	every := v.watcher.options.report
-	if v.rank > 0 {
-		every *= standbyFactor
-	}
-	ticker := time.NewTicker(every)
-	defer ticker.Stop()
 	for {
 		v.read()
+		timer := time.NewTimer(v.pause())
 		select {
 		case <-v.done:
+			timer.Stop()
 			return
 		case <-v.watcher.done:
+			timer.Stop()
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
 	}
 }
 
+// pause returns the time to the next read.
+func (v *watch) pause() time.Duration {
+	v.watcher.mu.Lock()
+	defer v.watcher.mu.Unlock()
+	return Pace(v.watcher.options.report, v.watcher.reading, v.watcher.options.allowance) * time.Duration(v.factor())
+}
+
+// factor returns how many times longer than the first watcher's the time between reads is.
+func (v *watch) factor() int {
+	if v.rank > 0 {
+		return standbyFactor
+	}
+	return 1
+}
+
+// Pace returns the time between a first watcher's reads of a load: the given least time, or longer for many endpoints so
+// that their reads stay within an allowance in bytes a second. An allowance of 0 is none.
+func Pace(least time.Duration, endpoints, allowance int) time.Duration {
+	if allowance <= 0 {
+		return least
+	}
+	return max(least, time.Duration(endpoints*loadBytes)*time.Second/time.Duration(allowance))
+}
+
 // read reads the load once.
 func (v *watch) read() {
 	ctx, cancel := context.WithTimeout(context.Background(), v.watcher.options.timeout)
--- a/internal/serving/watcher/options.go
+++ b/internal/serving/watcher/options.go
@@ -44,7 +44,8 @@
 	return func(o *options) { o.watchers, o.direct = count, direct }
 }
 
-// WithAllowance sets the bytes a second that reads of the list may take. A longer list is read less often.
+// WithAllowance sets the bytes a second that reads of the list and reads of loads may each take. A longer list, and the
+// loads of more endpoints, are read less often.
 func WithAllowance(bytes int) Option {
 	return func(o *options) { o.allowance = bytes }
 }
--- a/internal/serving/watcher/watcher.go
+++ b/internal/serving/watcher/watcher.go
@@ -65,6 +65,8 @@
 	// listed counts the entries of the last list, regional the engines among which the duties are divided.
 	listed   int
 	regional int
+	// reading counts the reads of loads that share the allowance.
+	reading int
 }
 
 // endpoint is what is known of one server.
--- a/internal/serving/watcher/watcher_test.go
+++ b/internal/serving/watcher/watcher_test.go
@@ -340,3 +340,22 @@
 		t.Error("an endpoint that is not listed is still used")
 	}
 }
+
+func TestPace(t *testing.T) {
+	cases := []struct {
+		name      string
+		endpoints int
+		allowance int
+		want      time.Duration
+	}{
+		{"few endpoints", 2, 4000, time.Second},
+		{"many endpoints", 50, 4000, 10 * time.Second},
+		{"all endpoints watched directly", 0, 4000, time.Second},
+		{"no allowance", 50, 0, time.Second},
+	}
+	for _, c := range cases {
+		if diff := cmp.Diff(c.want, Pace(time.Second, c.endpoints, c.allowance)); diff != "" {
+			t.Errorf("%s: mismatch (-want +got):\n%s", c.name, diff)
+		}
+	}
+}
