Measure what control costs a node and at the planned size

Cause: The planned size was a matter of opinion; budgets of 2.1% of a core, 256 MB and 20 KB a second need slopes.

--- /dev/null
+++ b/internal/bench/measurer/fleet.go
@@ -0,0 +1,184 @@
+package measurer
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/heatherrock/heatherrock/internal/control/assigner"
+	"github.com/heatherrock/heatherrock/internal/control/gossiper"
+)
+
+// messageBytes is what a message costs on the wire besides its content, in bytes: the headers of IP, TCP and TLS, an
+// acknowledgement, and the header of net/rpc.
+const messageBytes = 40 + 22 + 40 + 28
+
+// shape is a fleet's size. Its instances and endpoints are spread evenly over regions and data centres.
+type shape struct {
+	instances int
+	regions   int
+	centres   int
+	// endpoints counts the endpoints of the whole fleet.
+	endpoints int
+	// loads is the number of loads told a second for each endpoint, and changes that of fleet-wide entries of size
+	// bytes for the whole fleet.
+	loads   float64
+	changes float64
+	size    int
+}
+
+// fleet is a set of instances in one process, whose clock the measurement moves on. Messages are encoded and decoded as
+// on a connection that stays open.
+type fleet struct {
+	shape shape
+	now   time.Time
+	r     *rand.Rand
+	nodes []*gossiper.Gossiper
+	index map[string]*gossiper.Gossiper
+	wire  *wire
+	bytes int
+	calls int
+	// arrivals holds for each key when it was shared and when each instance had it.
+	arrivals map[string]*arrival
+}
+
+// arrival is the spread of one entry: when it was shared, and after what time the last instance had it.
+type arrival struct {
+	shared time.Time
+	last   time.Duration
+	count  int
+}
+
+// wire encodes and decodes messages.
+type wire struct {
+	buffer  bytes.Buffer
+	encoder *gob.Encoder
+	decoder *gob.Decoder
+}
+
+// newWire returns a wire over which the types have been sent.
+func newWire() *wire {
+	w := &wire{}
+	w.encoder, w.decoder = gob.NewEncoder(&w.buffer), gob.NewDecoder(&w.buffer)
+	w.pass(gossiper.Message{})
+	return w
+}
+
+// pass returns a message as the other end reads it, and its size in bytes.
+func (w *wire) pass(m gossiper.Message) (gossiper.Message, int) {
+	if err := w.encoder.Encode(m); err != nil {
+		panic(err)
+	}
+	size := w.buffer.Len()
+	var out gossiper.Message
+	if err := w.decoder.Decode(&out); err != nil {
+		panic(err)
+	}
+	return out, size
+}
+
+// newFleet returns a fleet whose instances know each other.
+func newFleet(seed uint64, s shape) *fleet {
+	f := &fleet{
+		shape: s, now: time.UnixMilli(1_700_000_000_000), r: rand.New(rand.NewPCG(seed, 7)),
+		index: map[string]*gossiper.Gossiper{}, wire: newWire(), arrivals: map[string]*arrival{},
+	}
+	var peers []gossiper.Peer
+	for i := range s.instances {
+		centre := i % s.centres
+		peers = append(peers, gossiper.Peer{
+			ID:         fmt.Sprintf("entry-%03d", i),
+			Address:    fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250),
+			DataCentre: fmt.Sprintf("centre-%d", centre),
+			Region:     fmt.Sprintf("region-%d", centre%s.regions),
+		})
+	}
+	for _, p := range peers {
+		g := gossiper.New(f.now, p)
+		g.Seed(peers)
+		f.nodes, f.index[p.ID] = append(f.nodes, g), g
+	}
+	return f
+}
+
+// run lets a number of rounds of a second each pass.
+func (f *fleet) run(rounds int) {
+	for range rounds {
+		for _, g := range f.nodes {
+			f.tell(g)
+			f.learn(g, g.Tick(f.now))
+			for _, p := range g.Pick(f.now, f.r) {
+				f.exchange(g, p)
+			}
+		}
+		f.now = f.now.Add(time.Second)
+	}
+}
+
+// tell shares what changes at an instance in a round: loads of its part of the endpoints, and fleet-wide entries.
+func (f *fleet) tell(g *gossiper.Gossiper) {
+	mine := float64(f.shape.endpoints) / float64(f.shape.instances)
+	for range f.draw(mine * f.shape.loads) {
+		key := fmt.Sprintf("%s-e%d", g.Self.ID, f.r.IntN(max(1, int(mine))))
+		load := assigner.Load{Running: f.r.IntN(64), Waiting: f.r.IntN(8), Rate: 4096}
+		g.Put(f.now, gossiper.TopicLoad, key, load.Quantised().Encode(), time.Minute)
+	}
+	for range f.draw(f.shape.changes / float64(f.shape.instances)) {
+		key := fmt.Sprint("c", len(f.arrivals))
+		g.Put(f.now, gossiper.TopicHead, key, make([]byte, f.shape.size), 2*time.Minute)
+		f.arrivals[key] = &arrival{shared: f.now}
+	}
+}
+
+// draw returns a whole number with the given mean.
+func (f *fleet) draw(mean float64) int {
+	whole := int(mean)
+	if f.r.Float64() < mean-float64(whole) {
+		whole++
+	}
+	return whole
+}
+
+// exchange carries an exchange of two instances out.
+func (f *fleet) exchange(g *gossiper.Gossiper, p gossiper.Peer) {
+	ends := [2]*gossiper.Gossiper{f.index[p.ID], g}
+	m := g.Open(f.now, p)
+	for turn := 0; !m.Empty(); turn++ {
+		read, size := f.wire.pass(m)
+		f.bytes += size + messageBytes
+		f.calls++
+		var entries []gossiper.Entry
+		m, entries = ends[turn%2].Handle(f.now, read)
+		f.learn(ends[turn%2], entries)
+	}
+}
+
+// learn notes the arrival of fleet-wide entries.
+func (f *fleet) learn(_ *gossiper.Gossiper, entries []gossiper.Entry) {
+	for _, e := range entries {
+		a := f.arrivals[e.Key]
+		if e.Topic != gossiper.TopicHead || e.Deleted || a == nil {
+			continue
+		}
+		a.count++
+		a.last = max(a.last, f.now.Sub(a.shared))
+	}
+}
+
+// spread returns the longest time in which an entry shared before a time reached all instances, and how many did not.
+func (f *fleet) spread(before time.Time) (time.Duration, int) {
+	var longest time.Duration
+	missing := 0
+	for _, a := range f.arrivals {
+		if !a.shared.Before(before) {
+			continue
+		}
+		longest = max(longest, a.last)
+		if a.count < len(f.nodes)-1 {
+			missing++
+		}
+	}
+	return longest, missing
+}
--- a/internal/bench/runner/runner.go
+++ b/internal/bench/runner/runner.go
@@ -3,6 +3,7 @@
 
 import (
 	"github.com/heatherrock/heatherrock/internal/bench/claimer"
+	"github.com/heatherrock/heatherrock/internal/bench/measurer"
 	"github.com/heatherrock/heatherrock/internal/bench/prover"
 	"github.com/heatherrock/heatherrock/internal/bench/reporter"
 	"github.com/heatherrock/heatherrock/internal/bench/router"
@@ -16,5 +17,6 @@
 	all = append(all, prover.Experiments()...)
 	all = append(all, claimer.Experiments()...)
 	all = append(all, spreader.Experiments()...)
+	all = append(all, measurer.Experiments()...)
 	return all
 }
