Wait longer for peers to learn of a crash

Cause: on a busy machine one run in the tests counted 3 endpoints crashed (target 2): peers that did not answer within 0.5 s were not told before the caller's resend reached them. Ruled out: a crash taken for a refusal, since the first stage is cut after the bytes left. Change: the wait is 2 s. It is paid only by a request under which an endpoint crashed, and only while a peer does not answer.

--- a/internal/serving/runner/peers.go
+++ b/internal/serving/runner/peers.go
@@ -15,7 +15,7 @@
 
 const (
 	// urgentTimeout bounds the wait for the other instances to learn of a crash.
-	urgentTimeout = 500 * time.Millisecond
+	urgentTimeout = 2 * time.Second
 	// countsKey is the key under which an instance shares its teams' counts.
 	countsKey = "counts"
 )
