--- a/internal/serving/poller/poller_test.go
+++ b/internal/serving/poller/poller_test.go
@@ -12,8 +12,10 @@
 	"go.uber.org/goleak"
 
 	"github.com/heatherrock/heatherrock/internal/control/accepter"
+	"github.com/heatherrock/heatherrock/internal/control/converter"
 	"github.com/heatherrock/heatherrock/internal/control/gossiper"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
+	"github.com/heatherrock/heatherrock/internal/platform/lister"
 	"github.com/heatherrock/heatherrock/internal/platform/tabler"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 	"github.com/heatherrock/heatherrock/internal/standin/storer"
@@ -27,6 +29,7 @@
 // alone is an exchange with one peer, which may be missing.
 type alone struct {
 	peer    *Poller
+	others  []gossiper.Peer
 	records *Records
 	entries []gossiper.Entry
 }
@@ -38,7 +41,7 @@
 func (a *alone) Entries(string) []gossiper.Entry        { return a.entries }
 func (a *alone) Peers() []gossiper.Peer {
 	if a.peer == nil {
-		return nil
+		return a.others
 	}
 	return []gossiper.Peer{{ID: a.peer.id}}
 }
@@ -49,6 +52,9 @@
 }
 
 func (a *alone) Call(_ context.Context, _ gossiper.Peer, method string, args, reply any) error {
+	if a.peer == nil {
+		return errors.New("no answer")
+	}
 	r := &Records{a.peer}
 	switch method {
 	case "Records.Status":
@@ -223,3 +229,35 @@
 	n.Close()
 	n.Close()
 }
+
+// list is the platform's list of instances.
+type list []lister.Instance
+
+func (l list) List(context.Context) ([]lister.Instance, error) { return l, nil }
+
+func TestLive(t *testing.T) {
+	p := newPlatform()
+	x := &alone{
+		others:  []gossiper.Peer{{ID: "peer"}, {ID: "going", Leaving: true}},
+		entries: []gossiper.Entry{{Owner: "peer", Key: readsKey, Value: []byte(`{"model":1}`)}},
+	}
+	listed := list{{ID: "self", Role: lister.RoleEntry}, {ID: "listed", Role: lister.RoleEntry}, {ID: "going", Role: lister.RoleEntry},
+		{ID: "gone", Role: lister.RoleEntry, Leaving: true}, {ID: "engine", Role: lister.RoleEngine}}
+	n, err := New("self", p.table, p.objects, x, WithLister(listed))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.Close)
+	want := []accepter.Instance{
+		{ID: "self", Reads: converter.NewReader().Highest},
+		{ID: "listed"},
+		{ID: "peer", Reads: map[string]int{"model": 1}},
+	}
+	if diff := cmp.Diff(want, n.Live(context.Background())); diff != "" {
+		t.Error(diff)
+	}
+	forces := []Force{{ID: "listed", Error: "no answer"}, {ID: "peer", Error: "no answer"}, {ID: "self"}}
+	if diff := cmp.Diff(forces, n.Forces(context.Background(), nil)); diff != "" {
+		t.Error(diff)
+	}
+}
