--- a/internal/serving/poller/peers.go
+++ b/internal/serving/poller/peers.go
@@ -25,6 +25,9 @@
 // deltaLife is how long a delta stays in the exchange.
 const deltaLife = 30 * time.Second
 
+// firstFanout is the number of peers that the instance which committed a delta passes it on to at once.
+const firstFanout = 8
+
 // askAtOnce bounds the peers that are called at the same time.
 const askAtOnce = 16
 
@@ -38,6 +41,8 @@
 	ID      string
 	Epoch   int64
 	Vouches bool
+	// Reads holds the highest schema version that the instance reads of each kind.
+	Reads map[string]int
 }
 
 // Missing is what follows an epoch: the deltas, or the whole snapshot if they are no longer held.
@@ -57,7 +62,7 @@
 
 // Learn takes a delta in and answers the epoch in force.
 func (r *Records) Learn(delta recorder.Delta, reply *Status) error {
-	r.p.pass(r.p.advance(delta), delta)
+	r.p.pass(r.p.advance(delta), delta, r.p.options.fanout)
 	*reply = r.p.status()
 	return nil
 }
@@ -72,7 +77,7 @@
 func (p *Poller) status() Status {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return Status{ID: p.id, Epoch: p.follower.Force, Vouches: p.follower.Vouches()}
+	return Status{ID: p.id, Epoch: p.follower.Force, Vouches: p.follower.Vouches(), Reads: p.follower.Reader.Highest}
 }
 
 // since returns what follows an epoch.
@@ -96,7 +101,7 @@
 	if err == nil {
 		p.exchange.Publish(gossiper.TopicHead, fmt.Sprintf(deltaKey, delta.Epoch), value, deltaLife)
 	}
-	p.pass(d, delta)
+	p.pass(d, delta, max(firstFanout, p.options.fanout))
 }
 
 // hear takes in what a peer shares: a delta.
@@ -110,12 +115,12 @@
 }
 
 // pass passes a delta that was new here on to some peers, and asks for a round if something is missing.
-func (p *Poller) pass(d follower.Decision, delta recorder.Delta) {
+func (p *Poller) pass(d follower.Decision, delta recorder.Delta, fanout int) {
 	p.signal(d)
 	if !d.Learned {
 		return
 	}
-	peers := p.choose(p.options.fanout)
+	peers := p.choose(fanout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -224,7 +229,7 @@
 }
 
 // Live returns the live instances and the schema versions that each says it reads: this one, its peers and, if there
-// is a list, those that the platform lists.
+// is a list, those that the platform lists. An instance that has shared nothing is asked.
 func (p *Poller) Live(ctx context.Context) []accepter.Instance {
 	reads := map[string]map[string]int{}
 	for _, e := range p.exchange.Entries(gossiper.TopicHead) {
@@ -233,10 +238,22 @@
 			reads[e.Owner] = highest
 		}
 	}
-	reads[p.id] = p.follower.Reader.Highest
-	live := []accepter.Instance{{ID: p.id, Reads: reads[p.id]}}
-	for _, peer := range p.members(ctx) {
-		live = append(live, accepter.Instance{ID: peer.ID, Reads: reads[peer.ID]})
+	live := []accepter.Instance{{ID: p.id, Reads: p.follower.Reader.Highest}}
+	var wait sync.WaitGroup
+	peers := p.members(ctx)
+	answers := make([]Status, len(peers))
+	for i, peer := range peers {
+		if reads[peer.ID] == nil {
+			wait.Go(func() { _ = p.call(ctx, peer, "Records.Status", Nothing{}, &answers[i]) })
+		}
+	}
+	wait.Wait()
+	for i, peer := range peers {
+		instance := accepter.Instance{ID: peer.ID, Reads: reads[peer.ID]}
+		if instance.Reads == nil {
+			instance.Reads = answers[i].Reads
+		}
+		live = append(live, instance)
 	}
 	return live
 }
