Send a shared value again on each Put

Cause: Subscribers take a value that comes again as a sign of life: with unchanged counts left out, an idle peer would count as silent and a team's limit would fall back to each instance's part.

Change: Put always writes a new version, as before.

--- a/internal/control/gossiper/gossiper.go
+++ b/internal/control/gossiper/gossiper.go
@@ -7,7 +7,6 @@
 package gossiper
 
 import (
-	"bytes"
 	"slices"
 	"time"
 )
@@ -105,13 +104,8 @@
 	return g
 }
 
-// Put shares a value under a topic and key, until ttl has passed or as long as the instance lives if ttl is 0. A value
-// without an end that is shared already is not sent again.
+// Put shares a value under a topic and key, until ttl has passed or as long as the instance lives if ttl is 0.
 func (g *Gossiper) Put(now time.Time, topic, key string, value []byte, ttl time.Duration) {
-	before, ok := g.own(ScopeOf(topic)).Entries[Name{topic, key}]
-	if ok && ttl == 0 && !before.Deleted && before.Expires.IsZero() && bytes.Equal(before.Value, value) {
-		return
-	}
 	g.set(now, topic, key, Held{Value: value}, ttl)
 }
 
