Add the teams' counts up at a home for each team in a large fleet

Change: From 33 instances on, an instance sends the counts that changed to each team's home in its region, which answers with the sum of the others; homes are chosen by rendezvous hashing and their turns spread over eight rounds. collector decides, tallier carries; smaller fleets share as before.

Measured: go test -race ./internal/routing/collector ./internal/serving/tallier ./internal/serving/runner passes (sums over late and repeated batches never shrink; another home takes over).

--- /dev/null
+++ b/internal/routing/collector/collector_test.go
@@ -0,0 +1,75 @@
+package collector
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/heatherrock/heatherrock/internal/routing/limiter"
+)
+
+// TestTake checks over any order of batches, late and repeated ones included, that an instance is told the sum of what
+// the others have told, and never less than before.
+func TestTake(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := New(time.Minute)
+		now := time.Unix(1000, 0)
+		highest := map[string]float64{}
+		told := map[string]float64{}
+		for range rapid.IntRange(1, 50).Draw(t, "batches") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "pause")) * time.Second)
+			owner := fmt.Sprint("n", rapid.IntRange(0, 3).Draw(t, "owner"))
+			count := float64(rapid.IntRange(0, 100).Draw(t, "count"))
+			if _, ok := c.Owners[owner]; !ok || now.Sub(c.Owners[owner].Heard) > c.Retention {
+				owner += fmt.Sprint("-", now.Unix())
+			}
+			got := c.Take(now, owner, limiter.Counts{"team": {Requests: count}})["team"].Requests
+			highest[owner] = max(highest[owner], count)
+			want := 0.0
+			for other, h := range highest {
+				if other != owner {
+					want += h
+				}
+			}
+			if got != want || got < told[owner] {
+				t.Fatalf("%s is told %v, want %v, before %v", owner, got, want, told[owner])
+			}
+			told[owner] = got
+		}
+	})
+}
+
+func TestBatches(t *testing.T) {
+	home := func(h string) func(string) string { return func(string) string { return h } }
+	own := limiter.Counts{"a": {Requests: 1}, "b": {Requests: 2}}
+	// next returns the first batch of as many rounds as there are slots.
+	next := func(s *Sender, own limiter.Counts, h string) limiter.Counts {
+		for range s.Slots {
+			if b := s.Batches(own, home(h))[h]; b != nil {
+				return b
+			}
+		}
+		return nil
+	}
+	s := NewSender(4)
+	if diff := cmp.Diff(own, next(s, own, "x")); diff != "" {
+		t.Errorf("first batch mismatch (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(own, next(s, own, "x")); diff != "" {
+		t.Errorf("batch without a confirmation mismatch (-want +got):\n%s", diff)
+	}
+	s.Confirm("x", own)
+	if diff := cmp.Diff(limiter.Counts(nil), next(s, own, "x")); diff != "" {
+		t.Errorf("batch without a change mismatch (-want +got):\n%s", diff)
+	}
+	changed := limiter.Counts{"a": {Requests: 1}, "b": {Requests: 3}}
+	if diff := cmp.Diff(limiter.Counts{"b": {Requests: 3}}, next(s, changed, "x")); diff != "" {
+		t.Errorf("batch after a change mismatch (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(changed, next(s, changed, "y")); diff != "" {
+		t.Errorf("batch to another home mismatch (-want +got):\n%s", diff)
+	}
+}
--- a/internal/serving/runner/peers.go
+++ b/internal/serving/runner/peers.go
@@ -10,6 +10,7 @@
 	"github.com/heatherrock/heatherrock/internal/control/gossiper"
 	"github.com/heatherrock/heatherrock/internal/routing/limiter"
 	"github.com/heatherrock/heatherrock/internal/serving/exchanger"
+	"github.com/heatherrock/heatherrock/internal/serving/tallier"
 	"github.com/heatherrock/heatherrock/internal/serving/watcher"
 )
 
@@ -132,11 +133,17 @@
 	})
 }
 
-// share shares the teams' counts, and takes in how many instances there are.
+// share shares the teams' counts, with all others or in a large fleet with the teams' homes, and takes in how many
+// instances there are.
 func (r *Runner) share(now time.Time) {
 	members := r.Members()
 	r.router.SetPeers(now, members)
 	r.admitter.Expect(members)
+	if members >= tallier.From {
+		r.exchange.Withdraw(gossiper.TopicLimit, countsKey)
+		r.tallier.Round(context.Background())
+		return
+	}
 	value, err := json.Marshal(r.admitter.Counts())
 	if err != nil {
 		panic(err) // Counts always have an encoding.
--- a/internal/serving/runner/runner.go
+++ b/internal/serving/runner/runner.go
@@ -34,6 +34,7 @@
 	"github.com/heatherrock/heatherrock/internal/serving/poller"
 	"github.com/heatherrock/heatherrock/internal/serving/router"
 	"github.com/heatherrock/heatherrock/internal/serving/server"
+	"github.com/heatherrock/heatherrock/internal/serving/tallier"
 	"github.com/heatherrock/heatherrock/internal/serving/watcher"
 )
 
@@ -70,6 +71,7 @@
 	dumper    *dumper.Dumper
 	config    *poller.Poller
 	watcher   *watcher.Watcher
+	tallier   *tallier.Tallier
 	orders    *orderer.Orderer
 	callers   *front
 	operators *front
@@ -196,6 +198,10 @@
 	if err := r.exchange.Register("Notices", &notices{r}); err != nil {
 		panic(err) // The methods have the form that net/rpc asks for.
 	}
+	r.tallier = tallier.New(r.owner, r.self(), r.exchange, r.admitter, r.clock, r.log)
+	if err := r.exchange.Register("Homes", &tallier.Homes{Tallier: r.tallier}); err != nil {
+		panic(err) // The methods have the form that net/rpc asks for.
+	}
 	r.subscribe()
 }
 
