Serve TLS on each listener and bound slow callers

Cause: the settings named TLS files, times.header, times.idle and times.reload that nothing used; a sender that stopped in its body and a reader that stopped held a request for good; /state asked for no credential; closing an instance twice panicked. With an IP number as address a peer's certificate was checked for its authority only. Change: each listener has its own material, read again while in use, both ends present certificates between instances, and a file that cannot be read is an error at start. New settings times.body and times.write bound a body and each part of an answer. The operators' credential guards /state. Close may be called twice. The exchange checks the IP number.

--- a/internal/serving/configurer/settings.go
+++ b/internal/serving/configurer/settings.go
@@ -71,6 +71,9 @@
 	// Header bounds the wait for the headers of a request, and Idle that for the next request on a connection.
 	Header time.Duration
 	Idle   time.Duration
+	// Body bounds the wait for the body of a request, and Write that for a caller to take a part of an answer.
+	Body  time.Duration
+	Write time.Duration
 	// Reload is the time between looks at the certificate files.
 	Reload time.Duration
 	// Notice is how long a leaving instance serves after it fails readiness, for the balancer to see it.
--- a/internal/serving/dumper/dumper.go
+++ b/internal/serving/dumper/dumper.go
@@ -20,6 +20,7 @@
 type Dumper struct {
 	clock func() time.Time
 	ready Ready
+	guard func(http.HandlerFunc) http.HandlerFunc
 
 	mu    sync.Mutex
 	parts map[string]Part
@@ -34,9 +35,16 @@
 // WithReady sets the check of readiness. Without it the process is always ready.
 func WithReady(r Ready) Option { return func(d *Dumper) { d.ready = r } }
 
+// WithGuard sets what lets operators in only to the state. Without it everybody is let in. Health and readiness are
+// open to all.
+func WithGuard(guard func(http.HandlerFunc) http.HandlerFunc) Option {
+	return func(d *Dumper) { d.guard = guard }
+}
+
 // New returns a dumper without parts.
 func New(options ...Option) *Dumper {
 	d := &Dumper{clock: time.Now, ready: func(time.Time) string { return "" }, parts: map[string]Part{}}
+	d.guard = func(h http.HandlerFunc) http.HandlerFunc { return h }
 	for _, o := range options {
 		o(d)
 	}
@@ -52,8 +60,8 @@
 
 // Register adds the routes of state, health and readiness.
 func (d *Dumper) Register(r *mux.Router) {
-	r.HandleFunc("/state", d.state).Methods(http.MethodGet)
-	r.HandleFunc("/state/{part}", d.state).Methods(http.MethodGet)
+	r.HandleFunc("/state", d.guard(d.state)).Methods(http.MethodGet)
+	r.HandleFunc("/state/{part}", d.guard(d.state)).Methods(http.MethodGet)
 	r.HandleFunc("/healthz", d.health).Methods(http.MethodGet)
 	r.HandleFunc("/readyz", d.readiness).Methods(http.MethodGet)
 }
--- a/internal/serving/exchanger/caller.go
+++ b/internal/serving/exchanger/caller.go
@@ -109,6 +109,13 @@
 	}
 	config = config.Clone()
 	config.ServerName = host
+	if verify := config.VerifyConnection; verify != nil {
+		// The state of a connection names the host only if it is not an IP number.
+		config.VerifyConnection = func(s tls.ConnectionState) error {
+			s.ServerName = host
+			return verify(s)
+		}
+	}
 	return config
 }
 
--- a/internal/serving/runner/configuration.go
+++ b/internal/serving/runner/configuration.go
@@ -35,12 +35,16 @@
 	return p
 }
 
-// registerRecords adds the operators' routes for records.
-func (r *Runner) registerRecords(routes *mux.Router) {
+// newOperator returns the part that answers operators for records.
+func (r *Runner) newOperator() *operator.Operator {
 	c := committer.New(r.platform.Table, r.config, committer.WithLogger(r.log))
-	o := operator.New(r.platform.Table, c, r.config, operator.WithCredential(r.settings.Credential))
-	o.Register(routes)
-	settler.New(r.platform.Table, settler.WithGuard(o.Guard)).Register(routes)
+	return operator.New(r.platform.Table, c, r.config, operator.WithCredential(r.settings.Credential))
+}
+
+// registerRecords adds the operators' routes for records and calls.
+func (r *Runner) registerRecords(routes *mux.Router) {
+	r.keeper.Register(routes)
+	settler.New(r.platform.Table, settler.WithGuard(r.keeper.Guard)).Register(routes)
 }
 
 // View returns the configuration in force.
--- a/internal/serving/runner/contract_test.go
+++ b/internal/serving/runner/contract_test.go
@@ -95,7 +95,13 @@
 // start starts an instance before three engines of different kinds that together hold the model.
 func start(t *testing.T) *Runner {
 	t.Helper()
-	r := New(settings(), Platform{Table: tabler.New(), Objects: storer.New(faulter.NewFaults(1))}, WithLog(slog.New(slog.DiscardHandler)))
+	return startWith(t, settings())
+}
+
+// startWith is start with settings of the test's own.
+func startWith(t *testing.T, s configurer.Settings) *Runner {
+	t.Helper()
+	r := New(s, Platform{Table: tabler.New(), Objects: storer.New(faulter.NewFaults(1))}, WithLog(slog.New(slog.DiscardHandler)))
 	if err := r.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/serving/runner/front.go
+++ b/internal/serving/runner/front.go
@@ -3,18 +3,13 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
-)
 
-const (
-	// headerTimeout bounds the time in which a caller sends a request's header.
-	headerTimeout = 10 * time.Second
-	// idleTimeout bounds the time for which a connection is kept without a request.
-	idleTimeout = 2 * time.Minute
+	"github.com/heatherrock/heatherrock/internal/serving/configurer"
 )
 
 // front is one HTTP listener and the requests in flight on it.
@@ -26,14 +21,16 @@
 	flight   atomic.Int64
 }
 
-// newFront returns a front on a listener. While the phase is leaving, each answer closes its connection.
-func newFront(l net.Listener, h http.Handler, header int, p *phase) *front {
-	f := &front{listener: l, handler: h, phase: p}
+// newFront returns a front on a listener with the limits of the settings. While the phase is leaving, each answer closes
+// its connection.
+func newFront(l net.Listener, h http.Handler, s configurer.Settings, p *phase, log *slog.Logger) *front {
+	f := &front{listener: l, handler: &pacer{handler: h, body: s.Times.Body, write: s.Times.Write}, phase: p}
 	f.server = &http.Server{
 		Handler:           f,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    header,
+		ReadHeaderTimeout: s.Times.Header,
+		IdleTimeout:       s.Times.Idle,
+		MaxHeaderBytes:    s.Limits.Header,
+		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	return f
 }
--- a/internal/serving/runner/peers.go
+++ b/internal/serving/runner/peers.go
@@ -31,6 +31,7 @@
 	if r.platform.List != nil {
 		options = append(options, exchanger.WithLister(r.platform.List, s.Times.List))
 	}
+	options = append(options, r.secrets.exchange()...)
 	return exchanger.New(self, options...)
 }
 
--- a/internal/serving/runner/runner.go
+++ b/internal/serving/runner/runner.go
@@ -31,6 +31,7 @@
 	"github.com/heatherrock/heatherrock/internal/serving/isolator"
 	"github.com/heatherrock/heatherrock/internal/serving/meter"
 	"github.com/heatherrock/heatherrock/internal/serving/observer"
+	"github.com/heatherrock/heatherrock/internal/serving/operator"
 	"github.com/heatherrock/heatherrock/internal/serving/orderer"
 	"github.com/heatherrock/heatherrock/internal/serving/poller"
 	"github.com/heatherrock/heatherrock/internal/serving/router"
@@ -55,10 +56,12 @@
 	// address is where other instances reach this one.
 	address string
 	done    chan struct{}
+	closing sync.Once
 	wait    sync.WaitGroup
 
 	generator []generator.Option
 	phase     phase
+	secrets   secrets
 	engines   *streamer.Client
 	router    *router.Router
 	isolator  *isolator.Isolator
@@ -69,6 +72,7 @@
 	meter     *meter.Meter
 	dumper    *dumper.Dumper
 	config    *poller.Poller
+	keeper    *operator.Operator
 	observer  *observer.Observer
 	orders    *orderer.Orderer
 	callers   *front
@@ -114,8 +118,13 @@
 	return hex.EncodeToString(b[:])
 }
 
-// Start opens the listeners and starts the parts. The error says which listener could not be opened.
+// Start opens the listeners and starts the parts. The error says which listener could not be opened, or which TLS file
+// could not be read.
 func (r *Runner) Start() error {
+	var err error
+	if r.secrets, err = newSecrets(r.settings, r.clock); err != nil {
+		return err
+	}
 	listeners, err := listenAll(r.settings.Callers, r.settings.Operators, r.settings.Peers)
 	if err != nil {
 		return err
@@ -125,8 +134,9 @@
 		r.address = r.settings.Advertise
 	}
 	r.build()
-	r.callers = newFront(listeners[0], r.callerRoutes(), r.settings.Limits.Header, &r.phase)
-	r.operators = newFront(listeners[1], r.operatorRoutes(), r.settings.Limits.Header, nil)
+	callers, operators := r.secrets.secure("callers", listeners[0]), r.secrets.secure("operators", listeners[1])
+	r.callers = newFront(callers, r.callerRoutes(), r.settings, &r.phase, r.log)
+	r.operators = newFront(operators, r.operatorRoutes(), r.settings, nil, r.log)
 	r.exchange.Start(listeners[2])
 	r.config.Start()
 	if r.platform.List != nil {
@@ -179,7 +189,8 @@
 	r.calls = dispatcher.New(r.owner, r.platform.Table, r, r.services, r, dispatcher.WithLogger(r.log),
 		dispatcher.WithBody(s.Limits.Body))
 	r.register()
-	r.dumper = dumper.New(dumper.WithClock(r.clock), dumper.WithReady(r.ready))
+	r.keeper = r.newOperator()
+	r.dumper = dumper.New(dumper.WithClock(r.clock), dumper.WithReady(r.ready), dumper.WithGuard(r.keeper.Guard))
 	r.dumper.Add("router", func(now time.Time) any { return r.router.State(now) })
 	r.dumper.Add("admitter", func(now time.Time) any { return r.admitter.State(now) })
 	r.dumper.Add("quarantine", func(time.Time) any { return r.isolator.State() })
@@ -187,6 +198,7 @@
 	r.dumper.Add("calls", func(time.Time) any { return r.calls.State() })
 	r.dumper.Add("records", r.config.State)
 	r.dumper.Add("peers", func(time.Time) any { return r.exchange.Dump() })
+	r.dumper.Add("certificates", func(time.Time) any { return r.secrets.state() })
 	r.dumper.Add("phase", func(time.Time) any { return r.phase.String() })
 }
 
@@ -241,17 +253,19 @@
 	return routes
 }
 
-// loopChecks looks at the health of endpoints until done is closed.
+// loopChecks looks at the health of endpoints and at the certificate files until done is closed.
 func (r *Runner) loopChecks() {
 	defer r.wait.Done()
 	t := time.NewTicker(checkInterval)
 	defer t.Stop()
+	certificates := r.secrets.state()
 	for {
 		select {
 		case <-r.done:
 			return
 		case <-t.C:
 			r.router.Check(r.clock())
+			certificates = r.logFailures(certificates)
 		}
 	}
 }
@@ -306,9 +320,17 @@
 	return cut
 }
 
-// Close ends the instance at once.
+// Close ends the instance at once. Closing it again, or one that did not start, does nothing.
 func (r *Runner) Close() {
+	r.closing.Do(r.close)
+}
+
+// close ends the parts.
+func (r *Runner) close() {
 	close(r.done)
+	if r.callers == nil {
+		return
+	}
 	r.callers.close()
 	r.operators.close()
 	r.admitter.Close()
--- a/internal/serving/server/parse.go
+++ b/internal/serving/server/parse.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 )
 
@@ -49,6 +50,9 @@
 	if errors.As(err, &large) {
 		return q, Refuse(CodeTooLarge, fmt.Sprintf("the body is over the limit of %d bytes", large.Limit))
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return q, Refuse(CodeSlow, "the body did not come in time")
+	}
 	if err != nil {
 		return q, Refuse(CodeInvalid, "the body could not be read")
 	}
--- a/internal/serving/server/problem.go
+++ b/internal/serving/server/problem.go
@@ -25,6 +25,7 @@
 	CodeInvalid     Code = "invalid_request"
 	CodeUnsupported Code = "unsupported_parameter"
 	CodeTooLarge    Code = "body_too_large"
+	CodeSlow        Code = "body_timeout"
 	CodeCredential  Code = "invalid_api_key"
 	CodeModel       Code = "model_not_found"
 	CodeService     Code = "service_not_found"
@@ -45,6 +46,7 @@
 	CodeInvalid:     http.StatusBadRequest,
 	CodeUnsupported: http.StatusBadRequest,
 	CodeTooLarge:    http.StatusRequestEntityTooLarge,
+	CodeSlow:        http.StatusRequestTimeout,
 	CodeCredential:  http.StatusUnauthorized,
 	CodeModel:       http.StatusNotFound,
 	CodeService:     http.StatusNotFound,
