Let one package each count processor time and write the stand-ins' answers

Cause: The processor time of the process was read in three packages of the bench, and the stand-ins had two copies each of a refusal, an answer as JSON and a wait that a context ends.

Change: internal/bench/counter reads the processor time, internal/standin/answerer writes answers and refusals, and faulter.Pause waits. A wait of no time now ends at once in the fault wrapper too, as it did in the engine.

Measured: go test ./internal/standin/... ./internal/bench/claimer: all pass, as before.

--- a/internal/bench/claimer/holds.go
+++ b/internal/bench/claimer/holds.go
@@ -9,12 +9,12 @@
 	"net/http"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/gorilla/mux"
 
+	"github.com/heatherrock/heatherrock/internal/bench/counter"
 	"github.com/heatherrock/heatherrock/internal/bench/reporter"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/platform/tabler"
@@ -123,14 +123,14 @@
 	transport := &http.Transport{MaxIdleConnsPerHost: loopCallers}
 	defer transport.CloseIdleConnections()
 	d.client = &http.Client{Transport: transport}
-	core, begun := spent(), time.Now()
+	core, begun := counter.Processor(), time.Now()
 	var wait sync.WaitGroup
 	for n := range loopCallers {
 		wait.Go(func() { d.loop(n) })
 	}
 	wait.Wait()
 	slices.Sort(d.delays)
-	return measured{delays: d.delays, failed: d.failed, core: spent() - core, took: time.Since(begun)}, d.err
+	return measured{delays: d.delays, failed: d.failed, core: counter.Processor() - core, took: time.Since(begun)}, d.err
 }
 
 // loop places the holds of one caller.
@@ -199,15 +199,6 @@
 	<-f.done
 }
 
-// spent returns the processor time of this process.
-func spent() time.Duration {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		panic("processor time cannot be read: " + err.Error())
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
 // single is a configuration of one service with one endpoint, at an address, and one team.
 type single string
 
--- a/internal/bench/measurer/fit.go
+++ b/internal/bench/measurer/fit.go
@@ -3,10 +3,10 @@
 import (
 	"math"
 	"runtime"
-	"syscall"
-	"time"
 
 	"gonum.org/v1/gonum/stat"
+
+	"github.com/heatherrock/heatherrock/internal/bench/counter"
 )
 
 // line is a linear fit of a cost over a size.
@@ -36,21 +36,12 @@
 	return max(0, l.Base) + l.Slope*size
 }
 
-// processor returns the processor time that the process has used.
-func processor() time.Duration {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		panic(err) // The call fails only on wrong arguments.
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
 // spent returns the processor time, in seconds, that f uses.
 func spent(f func()) float64 {
 	runtime.GC()
-	before := processor()
+	before := counter.Processor()
 	f()
-	return (processor() - before).Seconds()
+	return (counter.Processor() - before).Seconds()
 }
 
 // heap returns the bytes of live objects.
--- a/internal/bench/prover/overhead.go
+++ b/internal/bench/prover/overhead.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/heatherrock/heatherrock/internal/bench/counter"
 	"github.com/heatherrock/heatherrock/internal/bench/reporter"
 	"github.com/heatherrock/heatherrock/internal/bench/stager"
 	"github.com/heatherrock/heatherrock/internal/platform/streamer"
@@ -99,7 +99,7 @@
 	var mu sync.Mutex
 	var wait sync.WaitGroup
 	var failed error
-	begun := processorTime()
+	begun := counter.Processor()
 	for _, p := range prompts {
 		wait.Go(func() {
 			times, err := run(p)
@@ -115,7 +115,7 @@
 		})
 	}
 	wait.Wait()
-	s.cpu += processorTime() - begun
+	s.cpu += counter.Processor() - begun
 	return failed
 }
 
@@ -161,12 +161,3 @@
 		}
 	}
 }
-
-// processorTime returns the processor time that this process has used.
-func processorTime() time.Duration {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
--- a/internal/standin/decoder/decoder.go
+++ b/internal/standin/decoder/decoder.go
@@ -266,12 +266,6 @@
 	return json.Unmarshal(body, into)
 }
 
-// answer writes a body as JSON.
-func answer(w http.ResponseWriter, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(body)
-}
-
 func closed(c <-chan struct{}) bool {
 	select {
 	case <-c:
--- a/internal/standin/decoder/load.go
+++ b/internal/standin/decoder/load.go
@@ -8,6 +8,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/standin/answerer"
 )
 
 // Load returns the engine's load now.
@@ -46,7 +47,7 @@
 	}
 	report := d.report
 	d.mu.Unlock()
-	answer(w, report)
+	answerer.JSON(w, report)
 }
 
 // exportCache answers with the KV cache of a request's first stage in this engine, or of the stage that begins at the
@@ -60,7 +61,7 @@
 		d.refuse(w, http.StatusNotFound, "no such cache")
 		return
 	}
-	answer(w, c)
+	answerer.JSON(w, c)
 }
 
 // importCache keeps a KV cache under a name, for requests that name it.
--- a/internal/standin/decoder/order.go
+++ b/internal/standin/decoder/order.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/standin/answerer"
 )
 
 // RoleLeaving is the role of an engine that takes no new streams.
@@ -126,5 +127,5 @@
 
 // getOrders answers with the orders that were run.
 func (d *Decoder) getOrders(w http.ResponseWriter, _ *http.Request) {
-	answer(w, d.Orders())
+	answerer.JSON(w, d.Orders())
 }
--- a/internal/standin/decoder/prefixes.go
+++ b/internal/standin/decoder/prefixes.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/standin/answerer"
 )
 
 // blockSize is the number of prompt tokens in a block of the prefix cache.
@@ -127,5 +128,5 @@
 			kept = append(kept, e)
 		}
 	}
-	answer(w, kept)
+	answerer.JSON(w, kept)
 }
--- a/internal/standin/decoder/step.go
+++ b/internal/standin/decoder/step.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/standin/answerer"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 )
 
@@ -52,7 +53,7 @@
 		d.refuse(w, http.StatusBadRequest, "no such stage")
 		return
 	}
-	answer(w, d.runStep(r.Context(), s))
+	answerer.JSON(w, d.runStep(r.Context(), s))
 }
 
 // runStep runs one step of this engine's stage and of all that come after it. The attempt ends with its last token or
@@ -178,7 +179,7 @@
 // pass sends a step to the engine of the next stage and returns its reply.
 func (d *Decoder) pass(ctx context.Context, s Step) Reply {
 	g := s.Request.Stages[s.Index]
-	if !pause(ctx, d.link(g.Address, len(s.Inputs))) {
+	if !faulter.Pause(ctx, d.link(g.Address, len(s.Inputs))) {
 		return Reply{Endpoint: d.endpoint, Reason: "cancelled"}
 	}
 	if d.timeout > 0 {
@@ -233,21 +234,6 @@
 	return reply, err
 }
 
-// pause waits for a time and reports whether the context lasted.
-func pause(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func contains(list []string, name string) bool {
 	for _, n := range list {
 		if n == name {
--- a/internal/standin/faulter/faults.go
+++ b/internal/standin/faulter/faults.go
@@ -192,7 +192,7 @@
 		<-ctx.Done()
 		return n, ctx.Err()
 	case Delay:
-		if !pause(ctx, n.Wait()) {
+		if !Pause(ctx, n.Wait()) {
 			return n, ctx.Err()
 		}
 	}
--- /dev/null
+++ b/internal/standin/faulter/pause.go
@@ -0,0 +1,21 @@
+package faulter
+
+import (
+	"context"
+	"time"
+)
+
+// Pause waits for a time and reports whether the context lasted.
+func Pause(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/standin/faulter/wrapper.go
+++ b/internal/standin/faulter/wrapper.go
@@ -77,7 +77,7 @@
 		p.faults.Crash()
 		panic(http.ErrAbortHandler)
 	case Delay:
-		if pause(r.Context(), f.Wait()) {
+		if Pause(r.Context(), f.Wait()) {
 			p.next.ServeHTTP(w, r)
 		}
 	case Lose:
@@ -145,7 +145,7 @@
 		l.muted = true
 		return len(b), nil
 	case Delay:
-		pause(l.context, l.fault.Wait())
+		Pause(l.context, l.fault.Wait())
 	case Repeat:
 		if _, err := l.ResponseWriter.Write(b); err != nil {
 			return 0, err
@@ -173,15 +173,3 @@
 
 // Flush does nothing.
 func (d *discard) Flush() {}
-
-// pause waits and reports whether the context lasted.
-func pause(ctx context.Context, wait time.Duration) bool {
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/storer/store.go
+++ b/internal/standin/storer/store.go
@@ -12,8 +12,8 @@
 	"github.com/gorilla/mux"
 	"golang.org/x/time/rate"
 
-	"github.com/heatherrock/heatherrock/internal/platform/caller"
 	"github.com/heatherrock/heatherrock/internal/platform/storer"
+	"github.com/heatherrock/heatherrock/internal/standin/answerer"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 )
 
@@ -118,7 +118,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		name, err := url.PathUnescape(mux.Vars(r)["name"])
 		if err != nil {
-			refuse(w, merry.Wrap(err, merry.WithHTTPCode(http.StatusBadRequest)))
+			answerer.Refuse(w, merry.Wrap(err, merry.WithHTTPCode(http.StatusBadRequest)))
 			return
 		}
 		f(w, r, name)
@@ -128,11 +128,11 @@
 func (s *Store) put(w http.ResponseWriter, r *http.Request, name string) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObject))
 	if err != nil {
-		refuse(w, merry.Wrap(err, merry.WithHTTPCode(http.StatusBadRequest)))
+		answerer.Refuse(w, merry.Wrap(err, merry.WithHTTPCode(http.StatusBadRequest)))
 		return
 	}
 	if err := s.Put(r.Context(), name, body); err != nil {
-		refuse(w, err)
+		answerer.Refuse(w, err)
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
@@ -141,7 +141,7 @@
 func (s *Store) get(w http.ResponseWriter, r *http.Request, name string) {
 	body, ok, err := s.Get(r.Context(), name)
 	if err != nil {
-		refuse(w, err)
+		answerer.Refuse(w, err)
 		return
 	}
 	if !ok {
@@ -151,9 +151,3 @@
 	w.Header().Set("Content-Type", "application/octet-stream")
 	_, _ = w.Write(body)
 }
-
-// refuse answers that a call was not run.
-func refuse(w http.ResponseWriter, err error) {
-	caller.Refuse(w.Header())
-	http.Error(w, err.Error(), merry.HTTPCode(err))
-}
--- a/internal/standin/tabler/handler.go
+++ b/internal/standin/tabler/handler.go
@@ -10,8 +10,8 @@
 	"github.com/gorilla/mux"
 
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/platform/caller"
 	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/standin/answerer"
 )
 
 // maxBody bounds the body of a commit, in bytes.
@@ -34,63 +34,51 @@
 	query := r.URL.Query()
 	row, ok, err := t.Get(r.Context(), query.Get("table"), query.Get("key"))
 	if err != nil {
-		refuse(w, err)
+		answerer.Refuse(w, err)
 		return
 	}
 	if !ok {
 		http.NotFound(w, r)
 		return
 	}
-	answer(w, row)
+	answerer.JSON(w, row)
 }
 
 func (t *Table) getScan(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	limit, err := strconv.Atoi(query.Get("limit"))
 	if err != nil {
-		refuse(w, errLimit)
+		answerer.Refuse(w, errLimit)
 		return
 	}
 	rows, err := t.Scan(r.Context(), query.Get("table"), query.Get("prefix"), query.Get("after"), limit)
 	if err != nil {
-		refuse(w, err)
+		answerer.Refuse(w, err)
 		return
 	}
-	answer(w, rows)
+	answerer.JSON(w, rows)
 }
 
 func (t *Table) postCommit(w http.ResponseWriter, r *http.Request) {
 	var txn tabler.Txn
 	if err := json.NewDecoder(io.LimitReader(r.Body, maxBody)).Decode(&txn); err != nil {
-		refuse(w, merry.Wrap(err, merry.WithHTTPCode(http.StatusBadRequest)))
+		answerer.Refuse(w, merry.Wrap(err, merry.WithHTTPCode(http.StatusBadRequest)))
 		return
 	}
 	result, err := t.Commit(r.Context(), txn)
 	switch result.Outcome {
 	case classifier.Completed:
-		answer(w, tabler.Commit{Applied: result.Applied, Conflicts: result.Conflicts, Versions: result.Versions})
+		answerer.JSON(w, tabler.Commit{Applied: result.Applied, Conflicts: result.Conflicts, Versions: result.Versions})
 	case classifier.Refused:
-		refuse(w, err)
+		answerer.Refuse(w, err)
 	default:
 		panic(http.ErrAbortHandler)
 	}
 }
 
 func (t *Table) getUsage(w http.ResponseWriter, _ *http.Request) {
-	answer(w, t.Usage())
+	answerer.JSON(w, t.Usage())
 }
 
 // errLimit is the error of a scan without a limit.
 var errLimit = merry.New("limit is no number", merry.WithHTTPCode(http.StatusBadRequest))
-
-// refuse answers that a call was not run.
-func refuse(w http.ResponseWriter, err error) {
-	caller.Refuse(w.Header())
-	http.Error(w, err.Error(), merry.HTTPCode(err))
-}
-
-// answer writes a body as JSON.
-func answer(w http.ResponseWriter, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(body)
-}
