Tell instances that are only listed of a crash too

Cause: an instance told only the peers that it had heard from; in the first seconds of a fleet, or on a busy machine, some are known from the list alone, and a caller's resend to one of them crashed a third endpoint.

--- a/internal/serving/exchanger/exchanger.go
+++ b/internal/serving/exchanger/exchanger.go
@@ -119,6 +119,13 @@
 	return x.gossip.Peers(time.Now())
 }
 
+// Known returns all other instances that may answer, those known only from the platform's list included.
+func (x *Exchanger) Known() []gossiper.Peer {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.gossip.Known()
+}
+
 // Dump returns the state of the exchange.
 func (x *Exchanger) Dump() gossiper.Dump {
 	x.mu.Lock()
--- a/internal/serving/exchanger/snapshot.go
+++ b/internal/serving/exchanger/snapshot.go
@@ -21,7 +21,7 @@
 // Highest returns the configuration with the highest epoch that reachable peers vouch for, and how many peers
 // answered. The epoch is 0 if none vouches for any.
 func (x *Exchanger) Highest(ctx context.Context) (Vouched, int) {
-	votes := x.poll(ctx, x.candidates())
+	votes := x.poll(ctx, x.Known())
 	answered := len(votes)
 	slices.SortStableFunc(votes, func(a, b vote) int { return cmp.Compare(b.epoch, a.epoch) })
 	for _, v := range votes {
@@ -36,13 +36,6 @@
 	return Vouched{}, answered
 }
 
-// candidates returns all instances that may answer, those known only from the list included.
-func (x *Exchanger) candidates() []gossiper.Peer {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.gossip.Known()
-}
-
 // poll asks peers for the epochs that they vouch for.
 func (x *Exchanger) poll(ctx context.Context, peers []gossiper.Peer) []vote {
 	var mu sync.Mutex
--- a/internal/serving/runner/peers.go
+++ b/internal/serving/runner/peers.go
@@ -95,12 +95,12 @@
 	})
 }
 
-// tell calls every peer at once and returns when all have answered or a bound has passed.
+// tell calls every instance that is known, also one not yet heard from, at once and returns when all have answered or a bound has passed.
 func (n *notices) tell(call func(ctx context.Context, p gossiper.Peer) error) {
 	ctx, cancel := context.WithTimeout(context.Background(), urgentTimeout)
 	defer cancel()
 	var wait sync.WaitGroup
-	for _, p := range n.runner.exchange.Peers() {
+	for _, p := range n.runner.exchange.Known() {
 		wait.Go(func() {
 			if err := call(ctx, p); err != nil {
 				n.runner.log.Warn("peer not told of a crash or a trial", "peer", p.ID, "error", err)
