Let the records' limits act on routing and admission

Cause: nothing read the batch and progress of an endpoint record, the queue and retry budget of the fleet's, or a model's targets.

--- a/internal/routing/picker/chooser.go
+++ b/internal/routing/picker/chooser.go
@@ -221,8 +221,12 @@
 	return w
 }
 
-// busy returns the time, in seconds, in which an endpoint runs a step of each request it has, with this one.
+// busy returns the time, in seconds, in which an endpoint runs a step of each request it has, with this one. It is
+// fullBusy for an endpoint that runs as many as it may.
 func (c *chooser) busy(a planner.Arc, l *load) float64 {
+	if c.full(l) {
+		return math.Inf(1)
+	}
 	return c.picker.step(c.now, l, c.graph.Width(a), c.rate(l)).Seconds()
 }
 
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -90,6 +90,7 @@
 	refresh    time.Duration
 	stale      time.Duration
 	peers      int
+	batches    map[string]int
 	health     Health
 	loads      map[string]*load
 	links      map[way]*linkCost
--- a/internal/serving/admitter/admitter.go
+++ b/internal/serving/admitter/admitter.go
@@ -21,6 +21,7 @@
 type Admitter struct {
 	clock   func() time.Time
 	streams int
+	bound   int
 	done    chan struct{}
 
 	mu      sync.Mutex
@@ -40,9 +41,9 @@
 // WithStreams bounds the answers that run at once.
 func WithStreams(n int) Option { return func(a *Admitter) { a.streams = n } }
 
-// WithQueue bounds the answers that wait.
+// WithQueue bounds the answers that wait. The fleet's record may set a lower bound.
 func WithQueue(n int) Option {
-	return func(a *Admitter) { a.queue = queuer.New(queuer.WithLimit(n)) }
+	return func(a *Admitter) { a.bound = n }
 }
 
 // New returns an admitter. Close ends it.
@@ -50,8 +51,8 @@
 	a := &Admitter{
 		clock:   time.Now,
 		streams: 1024,
+		bound:   1024,
 		done:    make(chan struct{}),
-		queue:   queuer.New(),
 		limits:  limiter.New(),
 		epoch:   -1,
 		waiting: map[string]chan *server.Problem{},
@@ -59,6 +60,7 @@
 	for _, o := range options {
 		o(a)
 	}
+	a.queue = queuer.New(queuer.WithLimit(a.bound))
 	go a.loop()
 	return a
 }
@@ -142,6 +144,9 @@
 		limits[name] = limiter.Limit{Requests: t.Requests, Tokens: t.Tokens}
 	}
 	a.limits.SetLimits(now, limits)
+	if view.Fleet.Queue > 0 {
+		a.queue.SetLimit(now, min(a.bound, view.Fleet.Queue))
+	}
 }
 
 // start starts waiting requests while there is room.
--- a/internal/serving/router/router.go
+++ b/internal/serving/router/router.go
@@ -35,6 +35,7 @@
 	picker   *picker.Picker
 	detector *detector.Detector
 	budget   *limiter.Budget
+	epoch    int64
 	attempts map[string]*Attempt
 	counts   map[string]int
 }
--- a/internal/serving/runner/peers.go
+++ b/internal/serving/runner/peers.go
@@ -139,6 +139,7 @@
 func (r *Runner) share(now time.Time) {
 	members := r.Members()
 	r.router.SetPeers(now, members)
+	r.router.Configure(now, r.View())
 	r.admitter.Expect(members)
 	if members >= tallier.From {
 		r.exchange.Withdraw(gossiper.TopicLimit, countsKey)
--- a/internal/serving/server/server.go
+++ b/internal/serving/server/server.go
@@ -246,7 +246,7 @@
 		Prompt:      text,
 		Limit:       limit,
 		Deadline:    now.Add(s.timeout),
-		Limits:      s.limits,
+		Limits:      s.waits(view),
 		Fingerprint: fingerprint(team, q.Model, q.Adapter, text),
 		Prefixes:    s.prefixes(q.Model, version, q.Adapter, text),
 	}, nil
@@ -267,7 +267,7 @@
 		Model:    job.Model,
 		Priority: job.Priority,
 		Tokens:   estimate,
-		Deadline: job.Deadline,
+		Deadline: starting(view, job, began),
 	})
 	if p != nil {
 		s.refused(w, id, job.Team, p)
@@ -288,6 +288,30 @@
 	out.finish(result.Reason, usage{Prompt: result.Prompt, Completion: result.Tokens, Total: result.Prompt + result.Tokens})
 }
 
+// starting returns the latest time at which it is of use to begin an answer: after it, the first token would come later
+// than the model's target.
+func starting(view recorder.View, job generator.Job, began time.Time) time.Time {
+	first := time.Duration(view.Models[job.Model].First) * time.Millisecond
+	if first <= 0 || began.Add(first).After(job.Deadline) {
+		return job.Deadline
+	}
+	return began.Add(first)
+}
+
+// waits returns the deadlines of each attempt: those of the slowest kind of accelerator that a record names, or else
+// those of the settings.
+func (s *Server) waits(view recorder.View) tracker.Limits {
+	longest := time.Duration(0)
+	for _, e := range view.Endpoints {
+		longest = max(longest, time.Duration(e.Progress)*time.Millisecond)
+	}
+	if longest == 0 {
+		return s.limits
+	}
+	factor := s.limits.Stall.Seconds() / s.limits.Silence.Seconds()
+	return tracker.Limits{Silence: longest, Stall: time.Duration(factor * float64(longest))}
+}
+
 // reply returns the writer of an answer.
 func (s *Server) reply(w http.ResponseWriter, q request, job generator.Job, chat bool, began time.Time) *reply {
 	out := &reply{w: w, chat: chat, stream: q.Stream, usage: q.Options != nil && q.Options.Usage}
