Take a request from the queue once there is a place for it

Cause: the queue was passed at once while streams were below their bound, and a request that met busy endpoints was refused; a large team's burst reached the endpoints before a small team's requests, whatever its share. Change: the fair queue of a model is popped only when the picker has a place for the request, which is then reserved for its first attempt; the queue's slack and boost for teams within their share go along; one model's lack of places does not hold up another.

--- a/internal/serving/admitter/admitter.go
+++ b/internal/serving/admitter/admitter.go
@@ -1,9 +1,11 @@
-// Package admitter says when an answer may start: the teams' limits first, then the fair queue, then a bound on the
-// answers that run at once.
+// Package admitter says when an answer may start: the teams' limits first, then the fair queue of its model, from which
+// an answer is taken once there is a place for it on the endpoints.
 package admitter
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,25 +13,49 @@
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 	"github.com/heatherrock/heatherrock/internal/routing/limiter"
 	"github.com/heatherrock/heatherrock/internal/routing/queuer"
+	"github.com/heatherrock/heatherrock/internal/serving/generator"
 	"github.com/heatherrock/heatherrock/internal/serving/server"
 )
 
-// tick is the time between looks for waiting requests whose deadline has passed.
-const tick = 100 * time.Millisecond
+// tick is the time between looks at the requests that wait: for a place, or past their deadline.
+const tick = 20 * time.Millisecond
 
-// Admitter guards the queue and the limits of one instance. Its methods may be called from any goroutine.
+// Placer finds places for answers on the endpoints.
+type Placer interface {
+	// Reserve takes a place for the first attempt at a job, and reports false if all are taken.
+	Reserve(now time.Time, j generator.Job) bool
+	// Release gives back a place that no attempt has used.
+	Release(now time.Time, j generator.Job)
+}
+
+// waiter is a request that waits.
+type waiter struct {
+	job      generator.Job
+	admitted chan admission
+}
+
+// admission is the end of a wait.
+type admission struct {
+	item    queuer.Item
+	job     generator.Job
+	problem *server.Problem
+}
+
+// Admitter guards the queues and the limits of one instance. Its methods may be called from any goroutine.
 type Admitter struct {
 	clock   func() time.Time
+	placer  Placer
 	streams int
 	bound   int
 	done    chan struct{}
 
-	mu      sync.Mutex
-	queue   *queuer.Queue
+	mu sync.Mutex
+	// queues holds a queue for each model: one that has no place does not hold up another.
+	queues  map[string]*queuer.Queue
 	limits  *limiter.Limiter
 	epoch   int64
 	running int
-	waiting map[string]chan *server.Problem
+	waiting map[string]*waiter
 }
 
 // Option changes an Admitter under construction.
@@ -46,21 +72,22 @@
 	return func(a *Admitter) { a.bound = n }
 }
 
-// New returns an admitter. Close ends it.
-func New(options ...Option) *Admitter {
+// New returns an admitter over the places of a placer. Close ends it.
+func New(p Placer, options ...Option) *Admitter {
 	a := &Admitter{
 		clock:   time.Now,
+		placer:  p,
 		streams: 1024,
 		bound:   1024,
 		done:    make(chan struct{}),
 		limits:  limiter.New(),
 		epoch:   -1,
-		waiting: map[string]chan *server.Problem{},
+		waiting: map[string]*waiter{},
+		queues:  map[string]*queuer.Queue{},
 	}
 	for _, o := range options {
 		o(a)
 	}
-	a.queue = queuer.New(queuer.WithLimit(a.bound))
 	go a.loop()
 	return a
 }
@@ -70,54 +97,73 @@
 	close(a.done)
 }
 
-// Admit waits until an answer may start. It returns the function to call with the tokens used at its end, or why the
-// answer does not run.
-func (a *Admitter) Admit(ctx context.Context, view recorder.View, t server.Ticket) (func(tokens int), *server.Problem) {
-	item, admitted, p := a.enter(view, t)
+// Admit waits until an answer may start. It returns the job as it is to run and the function to call with the tokens
+// used at its end, or why the answer does not run.
+func (a *Admitter) Admit(ctx context.Context, view recorder.View, t server.Ticket) (server.Grant, *server.Problem) {
+	w, p := a.enter(view, t)
 	if p != nil {
-		return nil, p
+		return server.Grant{}, p
 	}
 	select {
-	case p := <-admitted:
-		if p != nil {
-			return nil, p
+	case v := <-w.admitted:
+		if v.problem != nil {
+			return server.Grant{}, v.problem
 		}
-		return func(tokens int) { a.leave(item, tokens) }, nil
+		return server.Grant{Job: v.job, Done: func(tokens int) { a.leave(v, tokens) }}, nil
 	case <-ctx.Done():
-		return nil, a.abandon(item, admitted)
+		return server.Grant{}, a.abandon(w)
 	}
 }
 
-// enter takes a request into the queue, within its team's limits.
-func (a *Admitter) enter(view recorder.View, t server.Ticket) (queuer.Item, chan *server.Problem, *server.Problem) {
+// enter takes a request into its model's queue, within its team's limits.
+func (a *Admitter) enter(view recorder.View, t server.Ticket) (*waiter, *server.Problem) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock()
 	a.configure(now, view)
-	team := view.Teams[t.Team]
-	item := queuer.Item{
-		ID:       t.Request,
-		Team:     t.Team,
-		Share:    float64(team.Share),
-		Priority: t.Priority,
-		Tokens:   t.Tokens,
-		Deadline: t.Deadline,
+	if d := a.limits.Admit(now, t.Job.Team, 1, t.Tokens); !d.Admitted {
+		return nil, refuse(server.CodeRate, "the team's limit is reached", d.RetryAfter)
 	}
-	if d := a.limits.Admit(now, t.Team, 1, t.Tokens); !d.Admitted {
-		return item, nil, refuse(server.CodeRate, "the team's limit is reached", d.RetryAfter)
-	}
-	d := a.queue.Push(now, item)
+	d := a.push(now, view, t)
 	if !d.Accepted {
-		a.limits.Settle(now, t.Team, -t.Tokens)
-		return item, nil, refused(d)
+		a.limits.Settle(now, t.Job.Team, -t.Tokens)
+		return nil, refused(d)
 	}
 	for _, s := range d.Shed {
-		a.answer(s.ID, refuse(server.CodeQueue, "the request gave way to others", time.Second))
+		a.answer(s.ID, admission{problem: refuse(server.CodeQueue, "the request gave way to others", time.Second)})
 	}
-	admitted := make(chan *server.Problem, 1)
-	a.waiting[t.Request] = admitted
+	w := &waiter{job: t.Job, admitted: make(chan admission, 1)}
+	a.waiting[t.Job.Request] = w
 	a.start(now)
-	return item, admitted, nil
+	return w, nil
+}
+
+// push puts a request into its model's queue.
+func (a *Admitter) push(now time.Time, view recorder.View, t server.Ticket) queuer.Decision {
+	q, ok := a.queues[t.Job.Model]
+	if !ok {
+		q = queuer.New(queuer.WithLimit(a.limit(view)))
+		a.queues[t.Job.Model] = q
+	}
+	if len(a.waiting) >= a.limit(view) && q.Len() < a.limit(view) {
+		return queuer.Decision{Reason: queuer.ReasonFull, RetryAfter: time.Second}
+	}
+	return q.Push(now, queuer.Item{
+		ID:       t.Job.Request,
+		Team:     t.Job.Team,
+		Share:    float64(view.Teams[t.Job.Team].Share),
+		Priority: t.Job.Priority,
+		Tokens:   t.Tokens,
+		Deadline: t.Deadline,
+	})
+}
+
+// limit returns the number of requests that may wait.
+func (a *Admitter) limit(view recorder.View) int {
+	if view.Fleet.Queue > 0 {
+		return min(a.bound, view.Fleet.Queue)
+	}
+	return a.bound
 }
 
 // refused returns the problem of a request that the queue did not take.
@@ -144,61 +190,74 @@
 		limits[name] = limiter.Limit{Requests: t.Requests, Tokens: t.Tokens}
 	}
 	a.limits.SetLimits(now, limits)
-	if view.Fleet.Queue > 0 {
-		a.queue.SetLimit(now, min(a.bound, view.Fleet.Queue))
+	for _, q := range a.queues {
+		q.SetLimit(now, a.limit(view))
 	}
 }
 
-// start starts waiting requests while there is room.
+// start starts the requests that have a place, model by model.
 func (a *Admitter) start(now time.Time) {
+	for _, model := range slices.Sorted(maps.Keys(a.queues)) {
+		a.startModel(now, a.queues[model])
+	}
+}
+
+// startModel starts requests of one model until one has no place.
+func (a *Admitter) startModel(now time.Time, q *queuer.Queue) {
 	for a.running < a.streams {
-		item, ok := a.queue.Pop(now)
+		item, ok := q.Pop(now)
 		if !ok {
 			return
 		}
+		job := a.waiting[item.ID].job
+		job.Priority += item.Boost
+		job.Slack = item.Slack
+		if !a.placer.Reserve(now, job) {
+			q.Return(now, item)
+			return
+		}
 		a.running++
-		a.answer(item.ID, nil)
+		a.answer(item.ID, admission{item: item, job: job})
 	}
 }
 
-// answer tells a waiting request that it may start, or why it does not run.
-func (a *Admitter) answer(id string, p *server.Problem) {
-	if admitted, ok := a.waiting[id]; ok {
+// answer ends the wait of a request.
+func (a *Admitter) answer(id string, v admission) {
+	if w, ok := a.waiting[id]; ok {
 		delete(a.waiting, id)
-		admitted <- p
+		w.admitted <- v
 	}
 }
 
 // leave takes in the end of an answer.
-func (a *Admitter) leave(item queuer.Item, tokens int) {
+func (a *Admitter) leave(v admission, tokens int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock()
 	a.running--
-	a.queue.Settle(now, item, tokens)
-	a.limits.Settle(now, item.Team, tokens-item.Tokens)
+	a.placer.Release(now, v.job)
+	a.queues[v.job.Model].Settle(now, v.item, tokens)
+	a.limits.Settle(now, v.item.Team, tokens-v.item.Tokens)
 	a.start(now)
 }
 
 // abandon takes a request out whose caller has left.
-func (a *Admitter) abandon(item queuer.Item, admitted chan *server.Problem) *server.Problem {
+func (a *Admitter) abandon(w *waiter) *server.Problem {
 	a.mu.Lock()
-	waited := a.queue.Remove(a.clock(), item.ID)
-	delete(a.waiting, item.ID)
+	a.queues[w.job.Model].Remove(a.clock(), w.job.Request)
+	delete(a.waiting, w.job.Request)
 	a.mu.Unlock()
-	if !waited {
-		select {
-		case p := <-admitted:
-			if p == nil {
-				a.leave(item, 0)
-			}
-		default:
+	select {
+	case v := <-w.admitted:
+		if v.problem == nil {
+			a.leave(v, 0)
 		}
+	default:
 	}
 	return refuse(server.CodeDeadline, "the caller has left", 0)
 }
 
-// loop answers waiting requests whose deadline has passed, until done is closed.
+// loop looks at the requests that wait until done is closed.
 func (a *Admitter) loop() {
 	t := time.NewTicker(tick)
 	defer t.Stop()
@@ -212,13 +271,17 @@
 	}
 }
 
-// expire answers the requests whose deadline has passed.
+// expire answers the requests whose deadline has passed, and starts those that have a place now.
 func (a *Admitter) expire() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, item := range a.queue.Expire(a.clock()) {
-		a.answer(item.ID, refuse(server.CodeDeadline, "the request's deadline passed", time.Second))
+	now := a.clock()
+	for _, q := range a.queues {
+		for _, item := range q.Expire(now) {
+			a.answer(item.ID, admission{problem: refuse(server.CodeDeadline, "no place came free in time", time.Second)})
+		}
 	}
+	a.start(now)
 }
 
 // Counts returns what this instance has admitted, to share with the others.
@@ -253,13 +316,18 @@
 type State struct {
 	Running int
 	Streams int
-	Queue   queuer.State
-	Counts  limiter.Counts
+	// Queues are the queues by model.
+	Queues map[string]queuer.State
+	Counts limiter.Counts
 }
 
 // State returns the admitter's state at now.
 func (a *Admitter) State(now time.Time) State {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return State{Running: a.running, Streams: a.streams, Queue: a.queue.State(now), Counts: a.limits.Counts(now)}
+	s := State{Running: a.running, Streams: a.streams, Queues: map[string]queuer.State{}, Counts: a.limits.Counts(now)}
+	for model, q := range a.queues {
+		s.Queues[model] = q.State(now)
+	}
+	return s
 }
--- a/internal/serving/admitter/admitter_test.go
+++ b/internal/serving/admitter/admitter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
+	"github.com/heatherrock/heatherrock/internal/serving/generator"
 	"github.com/heatherrock/heatherrock/internal/serving/server"
 )
 
@@ -24,7 +26,38 @@
 }
 
 func ticket(id, team string) server.Ticket {
-	return server.Ticket{Request: id, Team: team, Tokens: 10, Deadline: start.Add(time.Minute)}
+	return server.Ticket{
+		Job: generator.Job{Request: id, Team: team, Model: "oak"}, Tokens: 10, Deadline: start.Add(time.Minute),
+	}
+}
+
+// places is a number of places on the endpoints of model oak; other models have as many as they want.
+type places struct {
+	mu    sync.Mutex
+	free  int
+	taken []string
+}
+
+func (p *places) Reserve(_ time.Time, j generator.Job) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if j.Model != "oak" {
+		return true
+	}
+	if p.free == 0 {
+		return false
+	}
+	p.free--
+	p.taken = append(p.taken, j.Team)
+	return true
+}
+
+func (p *places) Release(_ time.Time, j generator.Job) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if j.Model == "oak" {
+		p.free++
+	}
 }
 
 // verdict is the code of a refusal, or nothing.
@@ -39,7 +72,7 @@
 func waiting(a *Admitter, n int) {
 	for {
 		a.mu.Lock()
-		length := a.queue.Len()
+		length := len(a.waiting)
 		a.mu.Unlock()
 		if length == n {
 			return
@@ -64,7 +97,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			a := New(WithStreams(2), WithQueue(2), WithClock(func() time.Time { return start }))
+			a := New(&places{free: 100}, WithStreams(2), WithQueue(2), WithClock(func() time.Time { return start }))
 			defer a.Close()
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
@@ -97,7 +130,7 @@
 
 // TestLeaveStartsNext checks that the end of an answer starts the next one, and that nothing is left behind.
 func TestLeaveStartsNext(t *testing.T) {
-	a := New(WithStreams(1), WithQueue(8), WithClock(func() time.Time { return start }))
+	a := New(&places{free: 100}, WithStreams(1), WithQueue(8), WithClock(func() time.Time { return start }))
 	defer a.Close()
 	first, p := a.Admit(context.Background(), view(), ticket("first", "large"))
 	if p != nil {
@@ -106,15 +139,15 @@
 	ended := make(chan server.Code)
 	for i := range 8 {
 		go func() {
-			done, p := a.Admit(context.Background(), view(), ticket(fmt.Sprint(i), "large"))
+			grant, p := a.Admit(context.Background(), view(), ticket(fmt.Sprint(i), "large"))
 			if p == nil {
-				done(10)
+				grant.Done(10)
 			}
 			ended <- verdict(p)
 		}()
 	}
 	waiting(a, 8)
-	first(10)
+	first.Done(10)
 	for range 8 {
 		if diff := cmp.Diff(server.Code(""), <-ended); diff != "" {
 			t.Errorf("code mismatch (-want +got):\n%s", diff)
@@ -125,3 +158,48 @@
 		t.Errorf("running mismatch (-want +got):\n%s", diff)
 	}
 }
+
+// TestQueueWaitsForPlaces lets a large team fill the queue while all places are taken, and checks that a small team is
+// served next to it once places come free, and that another model is not held up.
+func TestQueueWaitsForPlaces(t *testing.T) {
+	p := &places{free: 1}
+	a := New(p, WithStreams(100), WithQueue(100), WithClock(func() time.Time { return start }))
+	defer a.Close()
+	first, refusal := a.Admit(context.Background(), view(), ticket("first", "large"))
+	if refusal != nil {
+		t.Fatal(refusal.Message)
+	}
+	grants := make(chan server.Grant)
+	ask := func(id, team string) {
+		grant, refusal := a.Admit(context.Background(), view(), ticket(id, team))
+		if refusal != nil {
+			panic(refusal.Message)
+		}
+		grants <- grant
+	}
+	for i := range 6 {
+		go ask(fmt.Sprint(i), "large")
+		waiting(a, i+1)
+	}
+	go ask("small", "small")
+	waiting(a, 7)
+	other := ticket("other", "large")
+	other.Job.Model = "elm"
+	if _, refusal := a.Admit(context.Background(), view(), other); refusal != nil {
+		t.Errorf("another model was held up: %s", refusal.Message)
+	}
+	first.Done(10)
+	for range 7 {
+		grant := <-grants
+		grant.Done(10)
+	}
+	place := 0
+	for i, team := range p.taken {
+		if team == "small" {
+			place = i
+		}
+	}
+	if place == 0 || place > 2 {
+		t.Errorf("the small team was served at place %d of %v", place, p.taken)
+	}
+}
--- a/internal/serving/generator/generator.go
+++ b/internal/serving/generator/generator.go
@@ -27,7 +27,9 @@
 	Layers   int
 	Adapter  string
 	Priority int
-	Prompt   string
+	// Slack multiplies the bound on how busy an endpoint may be. Zero counts as one.
+	Slack  float64
+	Prompt string
 	// Limit bounds the answer, in tokens.
 	Limit int
 	// Deadline is when the caller no longer waits for the end of the answer.
--- a/internal/serving/router/router.go
+++ b/internal/serving/router/router.go
@@ -51,6 +51,8 @@
 	Last  time.Time
 	// Tokens counts the tokens that the attempt has delivered.
 	Tokens int
+	// Reserved is set until the attempt begins.
+	Reserved bool
 }
 
 // Option changes a Router under construction.
@@ -133,6 +135,10 @@
 func (r *Router) Route(now time.Time, j generator.Job, a generator.Ask) generator.Route {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if a.Last.Stages == nil && len(a.Avoid) == 0 && r.reserved(j) {
+		return generator.Route{Plan: r.attempts[j.Request].Plan, OK: true}
+	}
+	r.release(now, j)
 	q := r.query(j, a)
 	if plan, ok := r.picker.Repair(now, q, a.Last, r.random); ok {
 		r.counts["repair"]++
@@ -158,19 +164,66 @@
 		Avoid:      a.Avoid,
 		Priority:   j.Priority,
 		Tokens:     j.Limit - a.Delivered,
+		Slack:      j.Slack,
 	}
 }
 
-// Started takes in that an attempt began.
-func (r *Router) Started(now time.Time, j generator.Job, p planner.Plan) {
+// Reserve takes a place for the first attempt at a job, and reports false if all are taken. Where no set of endpoints
+// covers the model there is nothing to wait for, and the attempt itself says so.
+func (r *Router) Reserve(now time.Time, j generator.Job) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	plan, refusal := r.picker.Pick(now, r.query(j, generator.Ask{}), r.random)
+	if refusal.Reason == picker.ReasonBusy {
+		r.counts[refusal.Reason]++
+		return false
+	}
+	r.budget.Request(now)
+	if refusal.Refused() {
+		return true
+	}
+	r.begin(now, j, plan)
+	r.attempts[j.Request].Reserved = true
+	return true
+}
+
+// Release gives back a place that no attempt has used.
+func (r *Router) Release(now time.Time, j generator.Job) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, ok := r.attempts[j.Request]; !ok {
-		r.budget.Request(now)
+	r.release(now, j)
+}
+
+// reserved reports whether a job has a place that no attempt has used.
+func (r *Router) reserved(j generator.Job) bool {
+	a, ok := r.attempts[j.Request]
+	return ok && a.Reserved
+}
+
+// release gives back a place that no attempt has used. The lock is held.
+func (r *Router) release(now time.Time, j generator.Job) {
+	if !r.reserved(j) {
+		return
 	}
+	r.picker.Finish(now, r.attempts[j.Request].Plan, picker.Result{Failed: true})
+	delete(r.attempts, j.Request)
+}
+
+// begin takes in that an endpoint of each stage has one more request. The lock is held.
+func (r *Router) begin(now time.Time, j generator.Job, p planner.Plan) {
 	r.attempts[j.Request] = &Attempt{Request: j.Request, Team: j.Team, Plan: p, Began: now}
 	r.picker.Start(now, p, j.Limit)
 	r.picker.Used(now, p, j.Prefixes)
+}
+
+// Started takes in that an attempt began.
+func (r *Router) Started(now time.Time, j generator.Job, p planner.Plan) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.reserved(j) {
+		r.begin(now, j, p)
+	}
+	r.attempts[j.Request].Reserved = false
 	r.detector.Opened(now, j.Request, p.Stages[0].Endpoint)
 	r.detector.Await(now, j.Request)
 }
--- a/internal/serving/runner/runner.go
+++ b/internal/serving/runner/runner.go
@@ -185,7 +185,7 @@
 	d := detector.New(detector.WithProgress(s.Times.Progress))
 	r.router = router.New(s.DataCentre, d, []picker.Option{}, router.WithLog(r.log))
 	r.isolator = isolator.New(quarantiner.New(), &notices{r}, r.log)
-	r.admitter = admitter.New(admitter.WithClock(r.clock), admitter.WithStreams(s.Limits.Streams),
+	r.admitter = admitter.New(r.router, admitter.WithClock(r.clock), admitter.WithStreams(s.Limits.Streams),
 		admitter.WithQueue(s.Limits.Queue))
 	r.services = newServices(r.clock)
 	r.calls = dispatcher.New(r.owner, r.platform.Table, r, r.services, r, dispatcher.WithLogger(r.log),
--- a/internal/serving/server/server.go
+++ b/internal/serving/server/server.go
@@ -38,19 +38,25 @@
 
 // Ticket is what an answer asks of the fleet.
 type Ticket struct {
-	Request  string
-	Team     string
-	Model    string
-	Priority int
+	Job generator.Job
 	// Tokens estimates the tokens of prompt and answer together.
-	Tokens   int
+	Tokens int
+	// Deadline is the latest time at which it is of use to begin.
 	Deadline time.Time
 }
 
-// Admitter says when an answer may start. Admit returns a function to call with the tokens used at the answer's end,
-// or a problem.
+// Grant is leave to run an answer.
+type Grant struct {
+	// Job is the answer as it is to run.
+	Job generator.Job
+	// Done is to be called with the tokens used, at the answer's end.
+	Done func(tokens int)
+}
+
+// Admitter says when an answer may start.
 type Admitter interface {
-	Admit(ctx context.Context, view recorder.View, t Ticket) (func(tokens int), *Problem)
+	// Admit waits until the answer may start, or returns why it does not run.
+	Admit(ctx context.Context, view recorder.View, t Ticket) (Grant, *Problem)
 }
 
 // Gate says whether the instance admits requests at all.
@@ -261,21 +267,16 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, view recorder.View, q request, job generator.Job, chat bool, began time.Time) {
 	id := w.Header().Get(HeaderRequest)
 	estimate := len(strings.Fields(job.Prompt)) + job.Limit
-	done, p := s.admitter.Admit(r.Context(), view, Ticket{
-		Request:  job.Request,
-		Team:     job.Team,
-		Model:    job.Model,
-		Priority: job.Priority,
-		Tokens:   estimate,
-		Deadline: starting(view, job, began),
+	grant, p := s.admitter.Admit(r.Context(), view, Ticket{
+		Job: job, Tokens: estimate, Deadline: starting(view, job, began),
 	})
 	if p != nil {
 		s.refused(w, id, job.Team, p)
 		return
 	}
 	out := s.reply(w, q, job, chat, began)
-	result := s.runner.Run(r.Context(), job, out.token)
-	done(result.Prompt + result.Tokens)
+	result := s.runner.Run(r.Context(), grant.Job, out.token)
+	grant.Done(result.Prompt + result.Tokens)
 	took := s.clock().Sub(began)
 	s.ended(job.Team, job.Model, result, took)
 	s.log.Info("answer ended", "request", id, "team", job.Team, "model", job.Model, "version", job.Version,
