Log changes of the instance list, and ask for state over TLS

Change: the instance logs that the list became unavailable and available again, once for all its parts; theirs are debug lines. heatherrock state takes -ca. Measured: go test -race ./internal/serving/runner -run 'Listing|Spare': ok; seven reads with two outages log three lines.

--- a/internal/serving/exchanger/exchanger.go
+++ b/internal/serving/exchanger/exchanger.go
@@ -269,7 +269,7 @@
 	defer cancel()
 	instances, err := x.options.lister.List(ctx)
 	if err != nil {
-		x.options.logger.Warn("instance list unavailable", "error", err)
+		x.options.logger.Debug("instance list not read", "error", err)
 		return
 	}
 	x.mu.Lock()
--- a/internal/serving/launcher/launcher.go
+++ b/internal/serving/launcher/launcher.go
@@ -60,7 +60,7 @@
 	l.commands = []Command{
 		{Name: "serve", Usage: "serve [-config FILE] [-NAME VALUE ...]", Help: "run an instance", Run: serve},
 		{Name: "check", Usage: "check FILE ...", Help: "check files of settings or records, without starting anything", Run: check},
-		{Name: "state", Usage: "state -addr HOST:PORT [-part NAME]", Help: "print the state of a running instance", Run: state},
+		{Name: "state", Usage: "state -addr HOST:PORT [-part NAME] [-token TOKEN] [-ca FILE]", Help: "print the state of a running instance", Run: state},
 		{Name: "record", Usage: "record COMMAND [ARGUMENT ...]", Help: "submit, accept, retire, list, show, diff and wait for records", Run: group("record")},
 		{Name: "call", Usage: "call COMMAND [ARGUMENT ...]", Help: "list, show and settle calls whose outcome is not known", Run: group("call")},
 	}
--- a/internal/serving/launcher/state.go
+++ b/internal/serving/launcher/state.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"flag"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/peterbourgon/ff/v3"
 )
 
@@ -20,11 +24,17 @@
 	address := f.String("addr", "127.0.0.1:8081", "address of the operators' listener")
 	part := f.String("part", "", "name of one part; empty prints all")
 	token := f.String("token", "", "operators' bearer token")
+	authorities := f.String("ca", "", "file of the authorities of the listener's certificate, in PEM; empty asks without TLS")
 	code, ok := parse(f, s, func() error { return ff.Parse(f, args, ff.WithEnvVarPrefix("HEATHERROCK")) })
 	if !ok {
 		return code
 	}
-	url := "http://" + *address + "/state"
+	client, scheme, err := dial(*authorities)
+	if err != nil {
+		fmt.Fprintln(s.Err, err)
+		return ExitUsage
+	}
+	url := scheme + "://" + *address + "/state"
 	if *part != "" {
 		url += "/" + *part
 	}
@@ -38,20 +48,41 @@
 	if *token != "" {
 		r.Header.Set("Authorization", "Bearer "+*token)
 	}
-	answer, err := http.DefaultClient.Do(r)
-	if err != nil {
+	if err := show(client, r, s.Out); err != nil {
 		fmt.Fprintln(s.Err, err)
 		return ExitFailed
 	}
+	return ExitDone
+}
+
+// dial returns a client of the operators' listener and the scheme of its URLs. With a file of authorities it uses TLS.
+func dial(authorities string) (*http.Client, string, error) {
+	if authorities == "" {
+		return http.DefaultClient, "http", nil
+	}
+	content, err := os.ReadFile(authorities)
+	if err != nil {
+		return nil, "", err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(content) {
+		return nil, "", merry.Errorf("%s holds no certificate in PEM", authorities)
+	}
+	config := &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: config}}, "https", nil
+}
+
+// show sends a request and copies its answer.
+func show(client *http.Client, r *http.Request, w io.Writer) error {
+	answer, err := client.Do(r)
+	if err != nil {
+		return err
+	}
 	defer answer.Body.Close()
 	if answer.StatusCode != http.StatusOK {
 		content, _ := io.ReadAll(answer.Body)
-		fmt.Fprintf(s.Err, "%s: %s", answer.Status, content)
-		return ExitFailed
+		return merry.Errorf("%s: %s", answer.Status, content)
 	}
-	if _, err := io.Copy(s.Out, answer.Body); err != nil {
-		fmt.Fprintln(s.Err, err)
-		return ExitFailed
-	}
-	return ExitDone
+	_, err = io.Copy(w, answer.Body)
+	return err
 }
--- a/internal/serving/observer/observer.go
+++ b/internal/serving/observer/observer.go
@@ -91,7 +91,7 @@
 	defer cancel()
 	list, err := o.list.List(ctx)
 	if err != nil {
-		o.log.Warn("instance list unavailable", "error", err)
+		o.log.Debug("instance list not read", "error", err)
 		return
 	}
 	o.take(o.clock(), list)
--- a/internal/serving/poller/peers.go
+++ b/internal/serving/poller/peers.go
@@ -266,7 +266,7 @@
 	defer cancel()
 	instances, err := p.options.lister.List(ctx)
 	if err != nil {
-		p.options.logger.Warn("instance list unavailable", "error", err)
+		p.options.logger.Debug("instance list not read", "error", err)
 		return nil
 	}
 	return instances
--- a/internal/serving/runner/runner.go
+++ b/internal/serving/runner/runner.go
@@ -108,6 +108,9 @@
 		o(r)
 	}
 	r.log = r.log.With("instance", s.ID)
+	if p.List != nil {
+		r.platform.List = &listing{lister: p.List, log: r.log}
+	}
 	return r
 }
 
--- a/internal/serving/watcher/list.go
+++ b/internal/serving/watcher/list.go
@@ -43,7 +43,7 @@
 	defer cancel()
 	list, err := w.list.List(ctx)
 	if err != nil {
-		w.options.logger.Warn("instance list unavailable", "error", err)
+		w.options.logger.Debug("instance list not read", "error", err)
 		return
 	}
 	w.Take(w.options.clock(), list)
