--- a/internal/bench/stager/stager.go
+++ b/internal/bench/stager/stager.go
@@ -40,6 +40,7 @@
 	region     string
 	logger     *slog.Logger
 	options    []runner.Option
+	settings   []func(*configurer.Settings)
 	changes    []func(*starter.Fleet)
 	started    int
 }
@@ -65,6 +66,11 @@
 	return func(s *Stage) { s.options = append(s.options, options...) }
 }
 
+// WithSettings changes the settings of each instance that joins.
+func WithSettings(change func(*configurer.Settings)) Option {
+	return func(s *Stage) { s.settings = append(s.settings, change) }
+}
+
 // WithPlace sets the data centre and region of the instances.
 func WithPlace(datacentre, region string) Option {
 	return func(s *Stage) { s.datacentre, s.region = datacentre, region }
@@ -122,6 +128,9 @@
 		Limits:     s.limits,
 		Times:      s.times,
 	}
+	for _, change := range s.settings {
+		change(&settings)
+	}
 	r := runner.New(settings, runner.Dial(settings), append(s.options, runner.WithLog(s.logger))...)
 	if err := r.Start(); err != nil {
 		return nil, err
