--- a/internal/control/gossiper/gossiper.go
+++ b/internal/control/gossiper/gossiper.go
@@ -11,6 +11,16 @@
 	"time"
 )
 
+// hurryRounds is the number of rounds in which urgent news is passed on, and hurryFactor how much sooner they follow
+// each other.
+const (
+	hurryRounds = 3
+	hurryFactor = 5
+)
+
+// expireInterval is the time between looks for expired entries.
+const expireInterval = 500 * time.Millisecond
+
 // Name identifies an entry within its owner's stream.
 type Name struct {
 	Topic string
@@ -27,6 +37,8 @@
 
 // Stream is what is held of one owner's entries of one scope.
 type Stream struct {
+	// ID identifies the stream in digests.
+	ID          uint64
 	Owner       string
 	Scope       Scope
 	Incarnation int64
@@ -59,12 +71,16 @@
 	Streams []*Stream
 	// Members holds the instances known, by ID.
 	Members map[string]Member
-	// Round counts the rounds.
+	// Round counts the rounds, and Hurry those to come that follow each other at once, as there is urgent news.
 	Round int
+	Hurry int
 
 	index   map[streamID]*Stream
+	hashes  map[uint64]*Stream
 	options options
-	beaten  time.Time
+	// beaten holds the last heartbeats by scope, and expired is when expired entries were last looked for.
+	beaten  [2]time.Time
+	expired time.Time
 }
 
 // New returns the state of an instance that starts at now. The incarnation is taken from now, so that a restart is
@@ -79,7 +95,9 @@
 		Incarnation: now.UnixMilli(),
 		Members:     map[string]Member{},
 		index:       map[streamID]*Stream{},
+		hashes:      map[uint64]*Stream{},
 		options:     o,
+		beaten:      [2]time.Time{now, now},
 	}
 	g.announce(now)
 	g.own(ScopeRegion)
@@ -109,6 +127,10 @@
 func (g *Gossiper) Tick(now time.Time) []Entry {
 	g.Round++
 	g.beat(now)
+	if g.Hurry > 0 {
+		g.Hurry--
+		return g.Expire(now)
+	}
 	for _, s := range g.Streams {
 		if s.Hot > 0 {
 			s.Hot--
@@ -117,8 +139,27 @@
 	return g.Expire(now)
 }
 
+// Interval returns the time from one round to the next, given the usual one.
+func (g *Gossiper) Interval(usual time.Duration) time.Duration {
+	if g.Hurry > 0 {
+		return usual / hurryFactor
+	}
+	return usual
+}
+
+// hurry lets the next rounds follow each other at once if a topic is urgent.
+func (g *Gossiper) hurry(topic string) {
+	if urgent[topic] {
+		g.Hurry = hurryRounds
+	}
+}
+
 // Expire drops the entries whose time to live is over and those of owners that have expired, and returns them.
 func (g *Gossiper) Expire(now time.Time) []Entry {
+	if now.Sub(g.expired) < expireInterval {
+		return nil
+	}
+	g.expired = now
 	var out []Entry
 	kept := g.Streams[:0]
 	for _, s := range g.Streams {
@@ -128,6 +169,7 @@
 		}
 		if s.Gone && now.Sub(s.Seen) > g.options.retention {
 			delete(g.index, streamID{s.Owner, s.Scope})
+			delete(g.hashes, s.ID)
 			continue
 		}
 		kept = append(kept, s)
@@ -162,18 +204,19 @@
 
 // beat advances the heartbeats of the instance's own streams when they are due.
 func (g *Gossiper) beat(now time.Time) {
-	g.advance(now, g.own(ScopeRegion))
-	if now.Sub(g.beaten) < g.options.beat {
-		return
+	for scope, every := range [...]time.Duration{ScopeFleet: g.options.far, ScopeRegion: g.options.beat} {
+		if now.Sub(g.beaten[scope]) >= every {
+			g.beaten[scope] = now
+			g.advance(now, g.own(Scope(scope)))
+		}
 	}
-	g.beaten = now
-	g.advance(now, g.own(ScopeFleet))
 }
 
 // set writes an own entry as the newest of its stream.
 func (g *Gossiper) set(now time.Time, topic, key string, h Held, ttl time.Duration) {
 	s := g.own(ScopeOf(topic))
 	g.advance(now, s)
+	g.hurry(topic)
 	h.Version = s.Version
 	if ttl > 0 {
 		h.Expires = now.Add(ttl)
@@ -191,7 +234,9 @@
 // own returns the instance's own stream of a scope.
 func (g *Gossiper) own(scope Scope) *Stream {
 	s := g.stream(g.Self.ID, scope)
-	s.Incarnation = g.Incarnation
+	if s.Incarnation != g.Incarnation {
+		g.rename(s, g.Incarnation)
+	}
 	return s
 }
 
@@ -203,7 +248,24 @@
 	}
 	s := &Stream{Owner: owner, Scope: scope, Entries: map[Name]Held{}}
 	g.index[id] = s
+	g.rename(s, 0)
 	i, _ := slices.BinarySearchFunc(g.Streams, s, compareStreams)
 	g.Streams = slices.Insert(g.Streams, i, s)
 	return s
 }
+
+// rename gives a stream the ID of an incarnation.
+func (g *Gossiper) rename(s *Stream, incarnation int64) {
+	if g.hashes[s.ID] == s {
+		delete(g.hashes, s.ID)
+	}
+	s.Incarnation = incarnation
+	s.ID = streamHash(s.Owner, s.Scope, incarnation)
+	g.hashes[s.ID] = s
+}
+
+// renew begins a later incarnation of a stream.
+func (g *Gossiper) renew(s *Stream, incarnation int64) {
+	g.rename(s, incarnation)
+	s.Version, s.Floor, s.Purged = 0, 0, 0
+}
--- a/internal/routing/picker/chooser.go
+++ b/internal/routing/picker/chooser.go
@@ -29,15 +29,17 @@
 // path is a way through the layers.
 type path struct {
 	stages []stage
-	// cost is the expected time for a token, in seconds, less what cached prefixes save.
+	// cost is the sum of the stages' costs and the time on links, in seconds.
 	cost float64
-	// busy is the longest time, in seconds, in which one of the endpoints runs a step of each of its requests.
-	busy float64
+	// crowd is the highest crowd of an endpoint, in seconds.
+	crowd float64
 }
 
 const (
 	// walks bounds the draws for each path that is wanted, as a draw may end where no endpoint is usable.
-	walks = 3
+	walks = 4
+	// promptWeight is the cost of a prompt that waits, in steps of one token.
+	promptWeight = 4
 	// prefixGain is the part of a stage's cost that a fully cached prompt saves.
 	prefixGain = 0.5
 	// lowPart and highPart are the parts of the pace that bound requests below and above priority 0.
@@ -50,6 +52,9 @@
 // bound returns the busiest that an endpoint may be for the query, in seconds.
 func (c *chooser) bound() float64 {
 	pace := c.picker.pace.Seconds()
+	if c.query.Slack > 0 {
+		pace *= c.query.Slack
+	}
 	switch {
 	case c.query.Priority < 0:
 		return pace * lowPart
@@ -60,12 +65,13 @@
 	}
 }
 
-// draw draws paths and returns the one with the least cost.
+// draw draws paths until there are as many as wanted that are not too busy, and returns the one of them with the
+// least cost.
 func (c *chooser) draw() (path, bool) {
 	best, drawn := path{cost: math.Inf(1)}, 0
 	for range c.picker.choices * walks {
 		p, ok := c.walk()
-		if !ok {
+		if !ok || p.crowd > c.bound() {
 			continue
 		}
 		if p.cost < best.cost {
@@ -135,11 +141,16 @@
 	if total <= 0 {
 		return stage{}, false
 	}
-	first := members[c.weighted(weights, total)]
-	second := members[c.weighted(weights, total)]
-	best := stage{arc: a, load: first}
-	if c.cost(a, second) < c.cost(a, first) {
-		best.load = second
+	first := c.weighted(weights, total)
+	best := stage{arc: a, load: members[first]}
+	if rest := total - weights[first]; rest > 0 {
+		kept := weights[first]
+		weights[first] = 0
+		second := members[c.weighted(weights, rest)]
+		weights[first] = kept
+		if c.cost(a, second) < c.cost(a, best.load) {
+			best.load = second
+		}
 	}
 	if l := c.warm(a, members, weights); l != nil && c.cost(a, l) < c.cost(a, best.load) {
 		best.load = l
@@ -212,16 +223,40 @@
 
 // busy returns the time, in seconds, in which an endpoint runs a step of each request it has, with this one.
 func (c *chooser) busy(a planner.Arc, l *load) float64 {
-	rate := c.picker.rate(c.now, l)
-	if rate <= 0 {
-		rate = l.endpoint.Rate
+	return c.picker.step(c.now, l, c.graph.Width(a), c.rate(l)).Seconds()
+}
+
+// crowd returns how busy an endpoint is as far as the bound goes. An instance that has less than its part of the
+// bound there is not held back by what others have: they are, until it has its part.
+func (c *chooser) crowd(a planner.Arc, l *load) float64 {
+	own := float64((l.steps+c.graph.Width(a))*c.picker.peers) / c.rate(l)
+	return min(c.busy(a, l), own)
+}
+
+// rate returns the rate of an endpoint, the nominal one if it is ejected.
+func (c *chooser) rate(l *load) float64 {
+	if rate := c.picker.rate(c.now, l); rate > 0 {
+		return rate
 	}
-	return c.picker.step(c.now, l, c.graph.Width(a), rate).Seconds()
+	return max(l.endpoint.Rate, 1)
 }
 
 // cost returns the cost of a stage in seconds.
 func (c *chooser) cost(a planner.Arc, l *load) float64 {
-	return c.busy(a, l) * (1 - prefixGain*l.cached(c.now, c.query.Prefixes))
+	saved := prefixGain * l.cached(c.now, c.query.Prefixes)
+	return (c.busy(a, l) + c.backlog(a, l)) * (1 - saved)
+}
+
+// backlog returns the cost, in seconds, of the requests whose prompts wait at an endpoint: those of its last report
+// and the own ones that were started since.
+func (c *chooser) backlog(a planner.Arc, l *load) float64 {
+	waiting := l.report.Waiting
+	for _, change := range l.changes {
+		if change.delta > 0 && change.at.After(l.report.At) {
+			waiting++
+		}
+	}
+	return float64(waiting*c.graph.Width(a)) * promptWeight / c.rate(l)
 }
 
 // extend adds a stage to a path, and the link to it.
@@ -231,7 +266,7 @@
 		from = p.stages[len(p.stages)-1].load.endpoint.DataCentre
 	}
 	p.cost += c.cost(s.arc, s.load) + c.picker.crossing(c.now, from, s.load.endpoint.DataCentre).Seconds()
-	p.busy = max(p.busy, c.busy(s.arc, s.load))
+	p.crowd = max(p.crowd, c.crowd(s.arc, s.load))
 	p.stages = append(p.stages, s)
 }
 
@@ -274,7 +309,7 @@
 		if start == nil {
 			continue
 		}
-		p := path{stages: slices.Clone(start.stages), cost: start.cost, busy: start.busy}
+		p := path{stages: slices.Clone(start.stages), cost: start.cost, crowd: start.crowd}
 		c.extend(&p, s)
 		if known := nodes[a.To][to]; known == nil || p.cost < known.cost {
 			nodes[a.To][to] = &p
--- a/internal/serving/configurer/table.go
+++ b/internal/serving/configurer/table.go
@@ -140,7 +140,7 @@
 			"Time that a leaving instance serves after it fails readiness, for the balancer to see it."),
 		duration("times.drain", "5m", func(s *Settings) *time.Duration { return &s.Times.Drain },
 			"Longest wait for requests in flight on shutdown."),
-		duration("times.stale", "1h", func(s *Settings) *time.Duration { return &s.Times.Stale },
+		duration("times.stale", "30s", func(s *Settings) *time.Duration { return &s.Times.Stale },
 			"Time that an instance admits requests while it can reach neither the table service nor a peer."),
 	}
 }
--- a/internal/serving/dispatcher/dispatcher.go
+++ b/internal/serving/dispatcher/dispatcher.go
@@ -10,11 +10,13 @@
 	"time"
 
 	"github.com/gorilla/mux"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/heatherrock/heatherrock/internal/control/claimer"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/dispatch/retrier"
 	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/routing/quarantiner"
 )
 
 // Endpoint is one server of a plain service.
@@ -48,12 +50,35 @@
 	Team(r *http.Request) string
 }
 
-// Quarantine knows the requests that crash what runs them.
+// Quarantine knows the lookups that crash what runs them.
 type Quarantine interface {
-	// Suspect reports whether the request with a fingerprint must not be repeated.
-	Suspect(print string) bool
+	// Check says how a request may run.
+	Check(now time.Time, f quarantiner.Fingerprint) quarantiner.Ruling
+	// Open begins a trial of a suspect on endpoints, and reports whether it may begin.
+	Open(now time.Time, f quarantiner.Fingerprint, endpoints []string) bool
+	// Crash tells that an endpoint broke off while it ran a request.
+	Crash(now time.Time, f quarantiner.Fingerprint, endpoint string)
+	// Clear tells that a suspect ran.
+	Clear(now time.Time, f quarantiner.Fingerprint)
 }
 
+// unguarded holds no request suspect.
+type unguarded struct{}
+
+// Check allows every request.
+func (unguarded) Check(time.Time, quarantiner.Fingerprint) quarantiner.Ruling {
+	return quarantiner.Allow
+}
+
+// Open allows every trial.
+func (unguarded) Open(time.Time, quarantiner.Fingerprint, []string) bool { return true }
+
+// Crash does nothing.
+func (unguarded) Crash(time.Time, quarantiner.Fingerprint, string) {}
+
+// Clear does nothing.
+func (unguarded) Clear(time.Time, quarantiner.Fingerprint) {}
+
 // Defaults of the options.
 const (
 	defaultTimeout  = time.Second
@@ -68,6 +93,7 @@
 	defaultProbe    = 500 * time.Millisecond
 	defaultReserve  = 10
 	defaultCollect  = time.Minute
+	defaultFlight   = 4096
 )
 
 // Dispatcher serves /v1/services/.
@@ -78,6 +104,7 @@
 	identifier Identifier
 	quarantine Quarantine
 	logger     *slog.Logger
+	metrics    tally.Scope
 	sender     *Sender
 	writer     *writer
 	settings   settings
@@ -86,6 +113,8 @@
 	claims map[string]*claimer.Claim
 	calls  map[string]*tactics
 	counts Counts
+	// visits counts the requests of callers in flight.
+	visits int
 	// left is closed and replaced when a claim ends.
 	left  chan struct{}
 	close sync.Once
@@ -94,6 +123,7 @@
 // settings are what the options set.
 type settings struct {
 	body   int64
+	flight int
 	poll   time.Duration
 	settle time.Duration
 	// collect is the time between looks for old rows.
@@ -125,11 +155,21 @@
 	return func(d *Dispatcher) { d.quarantine = q }
 }
 
+// WithMetrics sets where answers are counted.
+func WithMetrics(s tally.Scope) Option {
+	return func(d *Dispatcher) { d.metrics = s }
+}
+
 // WithBody bounds the body of a call, in bytes.
 func WithBody(n int64) Option {
 	return func(d *Dispatcher) { d.settings.body = n }
 }
 
+// WithFlight bounds the callers' requests in flight.
+func WithFlight(n int) Option {
+	return func(d *Dispatcher) { d.settings.flight = n }
+}
+
 // WithSettle sets how long a call's result is tried to be written down.
 func WithSettle(t time.Duration) Option {
 	return func(d *Dispatcher) { d.settings.settle = t }
@@ -159,7 +199,9 @@
 		chooser:    c,
 		identifier: i,
 		logger:     slog.Default(),
-		settings:   settings{body: defaultBody, poll: defaultPoll, settle: defaultSettle, collect: defaultCollect, now: time.Now},
+		metrics:    tally.NoopScope,
+		quarantine: unguarded{},
+		settings:   settings{body: defaultBody, flight: defaultFlight, poll: defaultPoll, settle: defaultSettle, collect: defaultCollect, now: time.Now},
 		claims:     map[string]*claimer.Claim{},
 		calls:      map[string]*tactics{},
 		left:       make(chan struct{}),
@@ -225,3 +267,13 @@
 		d.sender.Close()
 	})
 }
+
+// closed reports whether Close was called.
+func (d *Dispatcher) closed() bool {
+	select {
+	case <-d.writer.done:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/serving/poller/peers.go
+++ b/internal/serving/poller/peers.go
@@ -25,6 +25,9 @@
 // deltaLife is how long a delta stays in the exchange.
 const deltaLife = 30 * time.Second
 
+// firstFanout is the number of peers that the instance which committed a delta passes it on to at once.
+const firstFanout = 8
+
 // askAtOnce bounds the peers that are called at the same time.
 const askAtOnce = 16
 
@@ -38,6 +41,8 @@
 	ID      string
 	Epoch   int64
 	Vouches bool
+	// Reads holds the highest schema version that the instance reads of each kind.
+	Reads map[string]int
 }
 
 // Missing is what follows an epoch: the deltas, or the whole snapshot if they are no longer held.
@@ -57,7 +62,7 @@
 
 // Learn takes a delta in and answers the epoch in force.
 func (r *Records) Learn(delta recorder.Delta, reply *Status) error {
-	r.p.pass(r.p.advance(delta), delta)
+	r.p.pass(r.p.advance(delta), delta, r.p.options.fanout)
 	*reply = r.p.status()
 	return nil
 }
@@ -72,7 +77,7 @@
 func (p *Poller) status() Status {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return Status{ID: p.id, Epoch: p.follower.Force, Vouches: p.follower.Vouches()}
+	return Status{ID: p.id, Epoch: p.follower.Force, Vouches: p.follower.Vouches(), Reads: p.follower.Reader.Highest}
 }
 
 // since returns what follows an epoch.
@@ -96,7 +101,7 @@
 	if err == nil {
 		p.exchange.Publish(gossiper.TopicHead, fmt.Sprintf(deltaKey, delta.Epoch), value, deltaLife)
 	}
-	p.pass(d, delta)
+	p.pass(d, delta, max(firstFanout, p.options.fanout))
 }
 
 // hear takes in what a peer shares: a delta.
@@ -110,12 +115,12 @@
 }
 
 // pass passes a delta that was new here on to some peers, and asks for a round if something is missing.
-func (p *Poller) pass(d follower.Decision, delta recorder.Delta) {
+func (p *Poller) pass(d follower.Decision, delta recorder.Delta, fanout int) {
 	p.signal(d)
 	if !d.Learned {
 		return
 	}
-	peers := p.choose(p.options.fanout)
+	peers := p.choose(fanout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -224,7 +229,7 @@
 }
 
 // Live returns the live instances and the schema versions that each says it reads: this one, its peers and, if there
-// is a list, those that the platform lists.
+// is a list, those that the platform lists. An instance that has shared nothing is asked.
 func (p *Poller) Live(ctx context.Context) []accepter.Instance {
 	reads := map[string]map[string]int{}
 	for _, e := range p.exchange.Entries(gossiper.TopicHead) {
@@ -233,20 +238,35 @@
 			reads[e.Owner] = highest
 		}
 	}
-	reads[p.id] = p.follower.Reader.Highest
-	live := []accepter.Instance{{ID: p.id, Reads: reads[p.id]}}
-	for _, peer := range p.members(ctx) {
-		live = append(live, accepter.Instance{ID: peer.ID, Reads: reads[peer.ID]})
+	live := []accepter.Instance{{ID: p.id, Reads: p.follower.Reader.Highest}}
+	var wait sync.WaitGroup
+	peers := p.members(ctx)
+	answers := make([]Status, len(peers))
+	for i, peer := range peers {
+		if reads[peer.ID] == nil {
+			wait.Go(func() { _ = p.call(ctx, peer, "Records.Status", Nothing{}, &answers[i]) })
+		}
+	}
+	wait.Wait()
+	for i, peer := range peers {
+		instance := accepter.Instance{ID: peer.ID, Reads: reads[peer.ID]}
+		if instance.Reads == nil {
+			instance.Reads = answers[i].Reads
+		}
+		live = append(live, instance)
 	}
 	return live
 }
 
-// members returns the other live instances, ordered by id.
+// members returns the other live instances that are not leaving, ordered by id.
 func (p *Poller) members(ctx context.Context) []gossiper.Peer {
-	peers := p.exchange.Peers()
+	var peers []gossiper.Peer
 	known := map[string]bool{p.id: true}
-	for _, peer := range peers {
+	for _, peer := range p.exchange.Peers() {
 		known[peer.ID] = true
+		if !peer.Leaving {
+			peers = append(peers, peer)
+		}
 	}
 	for _, i := range p.listed(ctx) {
 		if i.Role == lister.RoleEntry && !i.Leaving && !known[i.ID] {
@@ -279,28 +299,41 @@
 	Error string `json:"error,omitempty"`
 }
 
-// Forces asks every live instance for the epoch that it has in force.
-func (p *Poller) Forces(ctx context.Context) []Force {
-	peers := p.members(ctx)
-	out := make([]Force, len(peers)+1)
-	out[len(peers)] = Force{ID: p.id, Epoch: p.status().Epoch}
+// Forces asks live instances for the epochs that they have in force: those with the ids given, or all of them if none
+// is given.
+func (p *Poller) Forces(ctx context.Context, ids []string) []Force {
+	var peers []gossiper.Peer
+	var out []Force
+	asked := func(id string) bool { return len(ids) == 0 || slices.Contains(ids, id) }
+	for _, peer := range p.members(ctx) {
+		if asked(peer.ID) {
+			peers = append(peers, peer)
+			out = append(out, Force{ID: peer.ID})
+		}
+	}
 	var wait sync.WaitGroup
 	places := make(chan struct{}, askAtOnce)
 	for i, peer := range peers {
 		places <- struct{}{}
 		wait.Go(func() {
 			defer func() { <-places }()
-			var s Status
-			out[i] = Force{ID: peer.ID}
-			if err := p.call(ctx, peer, "Records.Status", Nothing{}, &s); err != nil {
-				out[i].Error = err.Error()
-				return
-			}
-			out[i].Epoch = s.Epoch
-			p.heard(peer, s)
+			out[i] = p.askForce(ctx, peer)
 		})
 	}
 	wait.Wait()
+	if asked(p.id) {
+		out = append(out, Force{ID: p.id, Epoch: p.status().Epoch})
+	}
 	slices.SortFunc(out, func(a, b Force) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
+
+// askForce asks one peer for the epoch that it has in force.
+func (p *Poller) askForce(ctx context.Context, peer gossiper.Peer) Force {
+	var s Status
+	if err := p.call(ctx, peer, "Records.Status", Nothing{}, &s); err != nil {
+		return Force{ID: peer.ID, Error: err.Error()}
+	}
+	p.heard(peer, s)
+	return Force{ID: peer.ID, Epoch: s.Epoch}
+}
--- a/internal/serving/poller/round.go
+++ b/internal/serving/poller/round.go
@@ -39,11 +39,20 @@
 	}
 	if err != nil {
 		p.options.scope.Counter("config_store_failures").Inc(1)
-		p.options.logger.Debug("store does not tell the configuration", "error", err)
+		p.tell(err)
 		p.ask(ctx)
 	}
 }
 
+// tell logs why the store did not bring the configuration up to date.
+func (p *Poller) tell(err error) {
+	if errors.Is(err, recorder.ErrSum) {
+		p.options.logger.Error("the store's log does not lead to the configuration accepted", "error", err)
+		return
+	}
+	p.options.logger.Debug("store does not tell the configuration", "error", err)
+}
+
 // head reads the store's head.
 func (p *Poller) head(ctx context.Context) (follower.Decision, error) {
 	row, err := p.get(ctx, accepter.HeadKey)
@@ -151,12 +160,20 @@
 	if err := json.Unmarshal(body, &s); err != nil {
 		return merry.Prependf(err, "object %s", pointer.Object)
 	}
+	if object(s) != pointer.Object {
+		return merry.Prependf(recorder.ErrSum, "object %s", pointer.Object)
+	}
 	if d := p.apply(s); errors.Is(d.Err, follower.ErrOld) {
 		return d.Err
 	}
 	return nil
 }
 
+// object returns the name of a whole snapshot's object: its epoch and checksum.
+func object(s recorder.Snapshot) string {
+	return fmt.Sprintf("config/%d-%s", s.Epoch, s.Sum())
+}
+
 // Compact stores a whole snapshot of what is known, once every 64 epochs, and then drops the oldest part of the log.
 // The error is that of the store; the next call of the kind makes up for it.
 func (p *Poller) Compact(ctx context.Context) error {
@@ -174,7 +191,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, 10*p.options.timeout)
 	defer cancel()
-	pointer := accepter.Pointer{Epoch: s.Epoch, Object: fmt.Sprintf("config/%d-%s", s.Epoch, s.Sum())}
+	pointer := accepter.Pointer{Epoch: s.Epoch, Object: object(s)}
 	if err := p.objects.Put(ctx, pointer.Object, body); err != nil {
 		return err
 	}
--- a/internal/serving/runner/runner.go
+++ b/internal/serving/runner/runner.go
@@ -30,12 +30,13 @@
 	"github.com/heatherrock/heatherrock/internal/serving/generator"
 	"github.com/heatherrock/heatherrock/internal/serving/isolator"
 	"github.com/heatherrock/heatherrock/internal/serving/meter"
-	"github.com/heatherrock/heatherrock/internal/serving/observer"
 	"github.com/heatherrock/heatherrock/internal/serving/operator"
 	"github.com/heatherrock/heatherrock/internal/serving/orderer"
 	"github.com/heatherrock/heatherrock/internal/serving/poller"
 	"github.com/heatherrock/heatherrock/internal/serving/router"
 	"github.com/heatherrock/heatherrock/internal/serving/server"
+	"github.com/heatherrock/heatherrock/internal/serving/tallier"
+	"github.com/heatherrock/heatherrock/internal/serving/watcher"
 )
 
 // Platform is the platform's services.
@@ -73,7 +74,8 @@
 	dumper    *dumper.Dumper
 	config    *poller.Poller
 	keeper    *operator.Operator
-	observer  *observer.Observer
+	watcher   *watcher.Watcher
+	tallier   *tallier.Tallier
 	orders    *orderer.Orderer
 	callers   *front
 	operators *front
@@ -143,9 +145,9 @@
 	r.exchange.Start(listeners[2])
 	r.config.Start()
 	if r.platform.List != nil {
-		r.observer = observer.New(r.platform.List, r.engines, r.startRepairs(), r.services, r.settings.Times.List,
-			r.settings.Times.Report, r.clock, r.log)
-		r.observer.Start()
+		r.watcher = r.newWatcher(r.startRepairs())
+		r.watcher.Start()
+		r.dumper.Add("endpoints", func(now time.Time) any { return r.watcher.State(now) })
 	}
 	r.wait.Add(4)
 	go r.callers.run(&r.wait)
@@ -190,7 +192,8 @@
 		admitter.WithQueue(s.Limits.Queue))
 	r.services = newServices(r.clock)
 	r.calls = dispatcher.New(r.owner, r.platform.Table, r, r.services, r, dispatcher.WithLogger(r.log),
-		dispatcher.WithBody(s.Limits.Body))
+		dispatcher.WithBody(s.Limits.Body), dispatcher.WithMetrics(r.meter.Scope()),
+		dispatcher.WithQuarantine(r.isolator))
 	r.register()
 	r.keeper = r.newOperator()
 	r.dumper = dumper.New(dumper.WithClock(r.clock), dumper.WithReady(r.ready), dumper.WithGuard(r.keeper.Guard))
@@ -210,6 +213,10 @@
 	if err := r.exchange.Register("Notices", &notices{r}); err != nil {
 		panic(err) // The methods have the form that net/rpc asks for.
 	}
+	r.tallier = tallier.New(r.owner, r.self(), r.exchange, r.admitter, r.clock, r.log)
+	if err := r.exchange.Register("Homes", &tallier.Homes{Tallier: r.tallier}); err != nil {
+		panic(err) // The methods have the form that net/rpc asks for.
+	}
 	r.subscribe()
 }
 
@@ -338,8 +345,8 @@
 	r.operators.close()
 	r.admitter.Close()
 	r.calls.Close()
-	if r.observer != nil {
-		r.observer.Close()
+	if r.watcher != nil {
+		r.watcher.Close()
 		r.orders.Close()
 	}
 	r.config.Close()
