--- a/internal/bench/presenter/presenter.go
+++ b/internal/bench/presenter/presenter.go
@@ -78,6 +78,8 @@
   curl -N http://%s/v1/completions -H 'Authorization: Bearer %s' \
     -d '{"model":"%s","prompt":"a latch for a till","max_tokens":40,"stream":true}'
 
+With a client library of the OpenAI API: base URL http://%s/v1, key %s, model %s.
+
   curl -i http://%s/v1/services/%s/holds -H 'Authorization: Bearer %s' \
     -H "Idempotency-Key: $(date -u +%%F)-hold-1" -d '{"item":"%s","quantity":2}'
 
@@ -90,6 +92,6 @@
   curl -X POST %s/standins/medium-1-1/restore
 
 Interrupt ends the demo.
-`, first.CallerAddress(), team, stager.Model, second.CallerAddress(), stager.Service, team, stager.Item,
-		first.OperatorAddress(), second.OperatorAddress(), stage.Standins.Control(), stage.Standins.Control())
+`, first.CallerAddress(), team, stager.Model, first.CallerAddress(), team, stager.Model, second.CallerAddress(),
+		stager.Service, team, stager.Item, first.OperatorAddress(), second.OperatorAddress(), stage.Standins.Control(), stage.Standins.Control())
 }
