--- a/internal/serving/configurer/table.go
+++ b/internal/serving/configurer/table.go
@@ -128,6 +128,10 @@
 			"Longest time from the arrival of a request to its end."),
 		duration("times.header", "5s", func(s *Settings) *time.Duration { return &s.Times.Header },
 			"Longest wait for the headers of a request."),
+		duration("times.body", "30s", func(s *Settings) *time.Duration { return &s.Times.Body },
+			"Longest wait for the body of a request."),
+		duration("times.write", "10s", func(s *Settings) *time.Duration { return &s.Times.Write },
+			"Longest wait for a caller to take a part of an answer."),
 		duration("times.idle", "2m", func(s *Settings) *time.Duration { return &s.Times.Idle },
 			"Longest wait for the next request on a connection."),
 		duration("times.reload", "10s", func(s *Settings) *time.Duration { return &s.Times.Reload },
@@ -136,7 +140,7 @@
 			"Time that a leaving instance serves after it fails readiness, for the balancer to see it."),
 		duration("times.drain", "5m", func(s *Settings) *time.Duration { return &s.Times.Drain },
 			"Longest wait for requests in flight on shutdown."),
-		duration("times.stale", "1h", func(s *Settings) *time.Duration { return &s.Times.Stale },
+		duration("times.stale", "30s", func(s *Settings) *time.Duration { return &s.Times.Stale },
 			"Time that an instance admits requests while it can reach neither the table service nor a peer."),
 	}
 }
--- a/internal/serving/server/server.go
+++ b/internal/serving/server/server.go
@@ -38,19 +38,25 @@
 
 // Ticket is what an answer asks of the fleet.
 type Ticket struct {
-	Request  string
-	Team     string
-	Model    string
-	Priority int
+	Job generator.Job
 	// Tokens estimates the tokens of prompt and answer together.
-	Tokens   int
+	Tokens int
+	// Deadline is the latest time at which it is of use to begin.
 	Deadline time.Time
 }
 
-// Admitter says when an answer may start. Admit returns a function to call with the tokens used at the answer's end,
-// or a problem.
+// Grant is leave to run an answer.
+type Grant struct {
+	// Job is the answer as it is to run.
+	Job generator.Job
+	// Done is to be called with the tokens used, at the answer's end.
+	Done func(tokens int)
+}
+
+// Admitter says when an answer may start.
 type Admitter interface {
-	Admit(ctx context.Context, view recorder.View, t Ticket) (func(tokens int), *Problem)
+	// Admit waits until the answer may start, or returns why it does not run.
+	Admit(ctx context.Context, view recorder.View, t Ticket) (Grant, *Problem)
 }
 
 // Gate says whether the instance admits requests at all.
@@ -246,7 +252,7 @@
 		Prompt:      text,
 		Limit:       limit,
 		Deadline:    now.Add(s.timeout),
-		Limits:      s.limits,
+		Limits:      s.waits(view),
 		Fingerprint: fingerprint(team, q.Model, q.Adapter, text),
 		Prefixes:    s.prefixes(q.Model, version, q.Adapter, text),
 	}, nil
@@ -261,21 +267,16 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, view recorder.View, q request, job generator.Job, chat bool, began time.Time) {
 	id := w.Header().Get(HeaderRequest)
 	estimate := len(strings.Fields(job.Prompt)) + job.Limit
-	done, p := s.admitter.Admit(r.Context(), view, Ticket{
-		Request:  job.Request,
-		Team:     job.Team,
-		Model:    job.Model,
-		Priority: job.Priority,
-		Tokens:   estimate,
-		Deadline: job.Deadline,
+	grant, p := s.admitter.Admit(r.Context(), view, Ticket{
+		Job: job, Tokens: estimate, Deadline: starting(view, job, began),
 	})
 	if p != nil {
 		s.refused(w, id, job.Team, p)
 		return
 	}
 	out := s.reply(w, q, job, chat, began)
-	result := s.runner.Run(r.Context(), job, out.token)
-	done(result.Prompt + result.Tokens)
+	result := s.runner.Run(r.Context(), grant.Job, out.token)
+	grant.Done(result.Prompt + result.Tokens)
 	took := s.clock().Sub(began)
 	s.ended(job.Team, job.Model, result, took)
 	s.log.Info("answer ended", "request", id, "team", job.Team, "model", job.Model, "version", job.Version,
@@ -288,6 +289,30 @@
 	out.finish(result.Reason, usage{Prompt: result.Prompt, Completion: result.Tokens, Total: result.Prompt + result.Tokens})
 }
 
+// starting returns the latest time at which it is of use to begin an answer: after it, the first token would come later
+// than the model's target.
+func starting(view recorder.View, job generator.Job, began time.Time) time.Time {
+	first := time.Duration(view.Models[job.Model].First) * time.Millisecond
+	if first <= 0 || began.Add(first).After(job.Deadline) {
+		return job.Deadline
+	}
+	return began.Add(first)
+}
+
+// waits returns the deadlines of each attempt: those of the slowest kind of accelerator that a record names, or else
+// those of the settings.
+func (s *Server) waits(view recorder.View) tracker.Limits {
+	longest := time.Duration(0)
+	for _, e := range view.Endpoints {
+		longest = max(longest, time.Duration(e.Progress)*time.Millisecond)
+	}
+	if longest == 0 {
+		return s.limits
+	}
+	factor := s.limits.Stall.Seconds() / s.limits.Silence.Seconds()
+	return tracker.Limits{Silence: longest, Stall: time.Duration(factor * float64(longest))}
+}
+
 // reply returns the writer of an answer.
 func (s *Server) reply(w http.ResponseWriter, q request, job generator.Job, chat bool, began time.Time) *reply {
 	out := &reply{w: w, chat: chat, stream: q.Stream, usage: q.Options != nil && q.Options.Usage}
--- a/internal/serving/watcher/duties.go
+++ b/internal/serving/watcher/duties.go
@@ -15,7 +15,9 @@
 
 const (
 	// standbyFactor is how much less often than the first watcher the others read a load.
-	standbyFactor = 4
+	standbyFactor = 8
+	// loadBytes is what a read of a load takes on the wire, both ways, in bytes.
+	loadBytes = 600
 	// unheardFactor is after how many report intervals an endpoint of which no peer tells is watched here.
 	unheardFactor = 4
 )
@@ -52,9 +54,14 @@
 	defer w.mu.Unlock()
 	d := duties{endpoints: w.region(), instances: instances, ranks: before.ranks}
 	w.regional = len(d.endpoints)
-	if !slices.Equal(d.endpoints, before.endpoints) || !slices.Equal(d.instances, before.instances) {
+	changed := !slices.Equal(d.endpoints, before.endpoints)
+	if changed || !slices.Equal(d.instances, before.instances) {
 		d.ranks = w.ranks(d)
 	}
+	if changed || now.Sub(w.chosen) >= chooseTime {
+		w.choose(now, d.endpoints)
+	}
+	w.reading = w.reads(d)
 	for _, n := range d.endpoints {
 		w.follow(now, w.endpoints[n.ID], d.ranks)
 	}
@@ -110,6 +117,21 @@
 	return out
 }
 
+// reads returns the reads of loads in the time in which a first watcher reads each of its endpoints once. It is 0 if
+// this instance watches all endpoints: then no allowance bounds the reads.
+func (w *Watcher) reads(d duties) int {
+	if len(d.endpoints) <= w.options.direct {
+		return 0
+	}
+	first := 0
+	for _, rank := range d.ranks {
+		if rank == 0 {
+			first++
+		}
+	}
+	return first + (len(d.ranks)-first)/standbyFactor
+}
+
 // follow watches an endpoint if that is a duty or no peer tells of it, and else hands on what a peer told.
 func (w *Watcher) follow(now time.Time, e *endpoint, ranks map[string]int) {
 	rank, duty := ranks[e.instance.ID]
@@ -134,7 +156,7 @@
 		return
 	}
 	w.stop(e)
-	e.watch = &watch{watcher: w, endpoint: e, rank: rank, address: e.instance.Address, done: make(chan struct{})}
+	e.watch = &watch{watcher: w, endpoint: e, rank: rank, id: e.instance.ID, address: e.instance.Address, done: make(chan struct{})}
 	w.wait.Add(1)
 	go e.watch.loop()
 }
@@ -154,31 +176,55 @@
 	watcher  *Watcher
 	endpoint *endpoint
 	rank     int
+	id       string
 	address  string
+	// sequence is that of the latest cache event read.
+	sequence int64
 	done     chan struct{}
 }
 
 // loop reads the load until the watch or the watcher ends.
 func (v *watch) loop() {
 	defer v.watcher.wait.Done()
-	every := v.watcher.options.report
-	if v.rank > 0 {
-		every *= standbyFactor
-	}
-	ticker := time.NewTicker(every)
-	defer ticker.Stop()
 	for {
 		v.read()
+		timer := time.NewTimer(v.pause())
 		select {
 		case <-v.done:
+			timer.Stop()
 			return
 		case <-v.watcher.done:
+			timer.Stop()
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
 	}
 }
 
+// pause returns the time to the next read.
+func (v *watch) pause() time.Duration {
+	v.watcher.mu.Lock()
+	defer v.watcher.mu.Unlock()
+	return Pace(v.watcher.options.report, v.watcher.reading, v.watcher.options.loadAllowance) * time.Duration(v.factor())
+}
+
+// factor returns how many times longer than the first watcher's the time between reads is.
+func (v *watch) factor() int {
+	if v.rank > 0 {
+		return standbyFactor
+	}
+	return 1
+}
+
+// Pace returns the time between a first watcher's reads of a load: the given least time, or longer for many endpoints so
+// that their reads stay within an allowance in bytes a second. An allowance of 0 is none.
+func Pace(least time.Duration, endpoints, allowance int) time.Duration {
+	if allowance <= 0 {
+		return least
+	}
+	return max(least, time.Duration(endpoints*loadBytes)*time.Second/time.Duration(allowance))
+}
+
 // read reads the load once.
 func (v *watch) read() {
 	ctx, cancel := context.WithTimeout(context.Background(), v.watcher.options.timeout)
@@ -189,6 +235,7 @@
 		return
 	}
 	v.take(v.watcher.options.clock(), l)
+	v.readEvents(ctx)
 }
 
 // take takes a load in, unless the watch has ended meanwhile.
@@ -215,8 +262,13 @@
 	}
 }
 
-// observe hands an endpoint's report on, and that it is leaving if that is so: a router may have learnt of it only now.
+// observe hands on the report of an endpoint that this instance routes to, and that it is leaving if that is so: a router
+// may have learnt of it only now.
 func (w *Watcher) observe(now time.Time, e *endpoint, p planner.Endpoint, r picker.Report) {
+	e.group = groupOf(p)
+	if !w.uses(e) {
+		return
+	}
 	w.router.Observe(now, p, r)
 	if w.departer.Leaving(e.key()) {
 		w.router.Leave(now, e.instance.ID)
