Build the weights of a pick only when a rate has changed

Cause: the weights were built four times a second whether or not anything changed; an endpoint that needs longer than the pace for one step got no request at all; a team over its share passed the bound of a kind's batch. Change: a graph is kept while rates and links stay within 2 percent; an endpoint with fewer than four requests is never crowded; the batch is looked at first.

--- a/internal/routing/picker/chooser.go
+++ b/internal/routing/picker/chooser.go
@@ -40,6 +40,8 @@
 	walks = 4
 	// promptWeight is the cost of a prompt that waits, in steps of one token.
 	promptWeight = 4
+	// fewRequests is the number of requests that an endpoint may have however slow it is.
+	fewRequests = 4
 	// prefixGain is the part of a stage's cost that a fully cached prompt saves.
 	prefixGain = 0.5
 	// lowPart and highPart are the parts of the pace that bound requests below and above priority 0.
@@ -232,14 +234,17 @@
 
 // crowd returns how busy an endpoint is as far as the bound goes. An instance that has less than its part of the
 // bound there is not held back by what others have: they are, until it has its part. A request with less than the usual
-// slack has no such claim.
+// slack has no such claim. An endpoint with few requests is not crowded.
 func (c *chooser) crowd(a planner.Arc, l *load) float64 {
-	if c.query.Slack > 0 && c.query.Slack < 1 {
-		return c.busy(a, l)
-	}
 	if c.full(l) {
 		return fullBusy
 	}
+	if c.picker.running(c.now, l) < fewRequests {
+		return 0
+	}
+	if c.query.Slack > 0 && c.query.Slack < 1 {
+		return c.busy(a, l)
+	}
 	own := float64((l.steps+c.graph.Width(a))*c.picker.peers) / c.rate(l)
 	return min(c.busy(a, l), own)
 }
--- a/internal/routing/picker/graph.go
+++ b/internal/routing/picker/graph.go
@@ -1,7 +1,9 @@
 package picker
 
 import (
+	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -24,6 +26,9 @@
 	members [][]*load
 	centres map[string]int
 	built   time.Time
+	// endpoints and links are what it was built from.
+	endpoints []planner.Endpoint
+	links     []planner.Link
 	// membership is the picker's count of changes of membership at the build.
 	membership int
 }
@@ -36,13 +41,40 @@
 	if g != nil && g.membership == p.membership && now.Sub(g.built) < p.refresh {
 		return g
 	}
-	g = p.build(now, key)
+	endpoints, links := p.usable(now), p.believed(now)
+	if g != nil && g.membership == p.membership && !moved(g.endpoints, endpoints) && !changed(g.links, links) {
+		g.built = now
+		return g
+	}
+	g = p.build(now, key, endpoints, links)
 	p.graphs[key] = g
 	return g
 }
 
-// build builds a layer graph from the endpoints that are not leaving, at the rates believed.
-func (p *Picker) build(now time.Time, key graphKey) *graph {
+// rateChange is the relative change of a rate below which the weights stay.
+const rateChange = 0.02
+
+// moved reports whether a rate of the same endpoints has changed.
+func moved(before, after []planner.Endpoint) bool {
+	return !slices.EqualFunc(before, after, func(b, a planner.Endpoint) bool {
+		return b.ID == a.ID && near(b.Rate, a.Rate)
+	})
+}
+
+// changed reports whether a link has changed.
+func changed(before, after []planner.Link) bool {
+	return !slices.EqualFunc(before, after, func(b, a planner.Link) bool {
+		return b.From == a.From && b.To == a.To && near(b.Rate, a.Rate)
+	})
+}
+
+// near reports whether two rates are about the same.
+func near(b, a float64) bool {
+	return math.Abs(a-b) <= rateChange*b
+}
+
+// usable returns the endpoints that are not leaving, at the rates believed, in order.
+func (p *Picker) usable(now time.Time) []planner.Endpoint {
 	var endpoints []planner.Endpoint
 	for _, id := range slices.Sorted(maps.Keys(p.loads)) {
 		l := p.loads[id]
@@ -53,9 +85,14 @@
 		e.Rate = max(p.weight(now, l), e.Rate*minWeight)
 		endpoints = append(endpoints, e)
 	}
+	return endpoints
+}
+
+// build builds a layer graph.
+func (p *Picker) build(now time.Time, key graphKey, endpoints []planner.Endpoint, links []planner.Link) *graph {
 	g := &graph{
-		Graph: planner.NewGraph(key.model, key.version, key.layers, endpoints, p.believed(now)),
-		built: now, membership: p.membership, centres: map[string]int{},
+		Graph: planner.NewGraph(key.model, key.version, key.layers, endpoints, links),
+		built: now, membership: p.membership, centres: map[string]int{}, endpoints: endpoints, links: links,
 	}
 	for i, c := range g.Centres {
 		g.centres[c] = i
@@ -78,7 +115,7 @@
 // it holds stays covered.
 const minWeight = 1e-3
 
-// believed returns the links with the capacity that they are believed to give.
+// believed returns the links with the capacity that they are believed to give, in order.
 func (p *Picker) believed(now time.Time) []planner.Link {
 	var links []planner.Link
 	for w, l := range p.links {
@@ -86,5 +123,8 @@
 		link.Rate *= p.health.Share(now, linkName(w.from, w.to))
 		links = append(links, link)
 	}
+	slices.SortFunc(links, func(a, b planner.Link) int {
+		return cmp.Or(cmp.Compare(a.From, b.From), cmp.Compare(a.To, b.To))
+	})
 	return links
 }
--- a/internal/routing/picker/picker_test.go
+++ b/internal/routing/picker/picker_test.go
@@ -95,6 +95,9 @@
 			p.Observe(begin, fleet[2], Report{Running: 80, At: begin.Add(time.Millisecond)})
 			p.change(begin.Add(time.Second), planner.Plan{Stages: []planner.Stage{{Endpoint: "c", From: 10, To: 20}}}, 80)
 		}, want: Refusal{Reason: ReasonBusy, RetryAfter: retryAfterBusy}},
+		{name: "a range that is slow and idle", feed: func(p *Picker) {
+			p.Observe(begin, fleet[2], Report{Rate: 1, At: begin.Add(time.Millisecond)})
+		}, always: []string{"c"}},
 		{name: "a cached prefix", feed: func(p *Picker) { p.Cached(begin, "b", 7, false) },
 			query: func(q *Query) { q.Prefixes = []uint64{6, 7} }, always: []string{"b"}},
 		{name: "a cached prefix on a busier endpoint", feed: func(p *Picker) {
--- a/internal/routing/picker/state.go
+++ b/internal/routing/picker/state.go
@@ -71,7 +71,7 @@
 		})
 	}
 	for key := range p.graphs {
-		g := p.build(now, key)
+		g := p.build(now, key, p.usable(now), p.believed(now))
 		s.Models = append(s.Models, ModelState{
 			Model: key.model, Version: key.version, Layers: key.layers, Bound: g.Bound(), Classes: g.Classes,
 		})
