--- a/internal/bench/router/engine.go
+++ b/internal/bench/router/engine.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -17,7 +18,7 @@
 )
 
 // engine is a fake of a model engine: it runs waiting jobs in batches, each as long as its work needs and at least as
-// long as one pass over the weights takes. Prompts run in chunks beside the tokens.
+// long as one pass over the weights takes. Higher priorities go first; prompts run in chunks beside the tokens.
 type engine struct {
 	clock    *clock
 	endpoint planner.Endpoint
@@ -66,26 +67,48 @@
 		e.busy = false
 		return
 	}
-	budget := e.rate * max(iteration, e.floor).Seconds()
-	left := budget
-	if len(e.prompts) > 0 {
-		left -= budget * promptPart
+	left := e.rate * max(iteration, e.floor).Seconds()
+	var finished []*job
+	work := 0.0
+	for left > 0 && len(e.tokens)+len(e.prompts) > 0 {
+		jobs, steps := e.take(left)
+		finished = append(finished, jobs...)
+		work += steps
+		left -= steps
+	}
+	took := max(e.floor, time.Duration(work/e.rate*float64(time.Second)))
+	e.clock.after(took, func() {
+		for _, j := range finished {
+			j.done()
+		}
+		e.batch()
+	})
+}
+
+// take takes the jobs of the highest priority that wait into a batch with room for some steps: tokens first, and prompts
+// in the part that is kept for them and what is left. It returns the jobs that the batch finishes, and its steps.
+func (e *engine) take(room float64) ([]*job, float64) {
+	priority := math.MinInt
+	for _, queue := range [][]*job{e.tokens, e.prompts} {
+		if len(queue) > 0 {
+			priority = max(priority, queue[0].priority)
+		}
+	}
+	kept := 0.0
+	if len(e.prompts) > 0 && e.prompts[0].priority == priority {
+		kept = room * promptPart
 	}
 	var finished []*job
 	work := 0.0
-	for len(e.tokens) > 0 && left > 0 {
-		j := e.tokens[0]
+	for len(e.tokens) > 0 && e.tokens[0].priority == priority && work < room-kept {
+		work += e.tokens[0].steps
+		finished = append(finished, e.tokens[0])
 		e.tokens = e.tokens[1:]
-		left -= j.steps
-		work += j.steps
-		finished = append(finished, j)
 	}
-	left = budget - work
-	for len(e.prompts) > 0 && left > 0 {
+	for len(e.prompts) > 0 && e.prompts[0].priority == priority && work < room {
 		j := e.prompts[0]
-		chunk := min(j.steps, left)
+		chunk := min(j.steps, room-work)
 		j.steps -= chunk
-		left -= chunk
 		work += chunk
 		if j.steps > 0 {
 			break
@@ -93,13 +116,7 @@
 		e.prompts = e.prompts[1:]
 		finished = append(finished, j)
 	}
-	took := max(e.floor, time.Duration(work/e.rate*float64(time.Second)))
-	e.clock.after(took, func() {
-		for _, j := range finished {
-			j.done()
-		}
-		e.batch()
-	})
+	return finished, work
 }
 
 // wire is a fake of the link between two data centres: steps cross it one after another.
