--- a/internal/routing/queuer/queuer.go
+++ b/internal/routing/queuer/queuer.go
@@ -81,7 +81,7 @@
 	// withinSlack, evenSlack and overSlack are the values of an item's Slack.
 	withinSlack = 1.25
 	evenSlack   = 1
-	overSlack   = 0.35
+	overSlack   = 0.25
 	// withinBoost is the value of Boost of a team within its share.
 	withinBoost = 1
 	// withinTime is how long a team within its share holds back those over theirs.
