Let each instance read for itself an endpoint that its watchers miss

Cause: Above the limit of direct watching, an instance went by the load that a peer shared of an endpoint. When the endpoint died the peer shared nothing more, but what it had shared stood until its time to live of 130 s was over, and was passed on as fresh each second: repairs and pickers of other instances took the endpoint for live.

Change: A watcher whose reads have failed three times in a row takes its shared load back, and reads at the report interval until then. By the rule that is there already, peers that are told of no load read the endpoint themselves. An instance whose own reads fail tells its router, which ejects the endpoint within the bound on ejections of its group, and takes that back with the first answer. So none acts on the word of another, and a false alarm leaves half of each group, and a range's only endpoint, in use.

Measured: go test -race ./internal/serving/watcher ./internal/routing/detector ./internal/serving/orderer: all pass.

--- a/internal/routing/detector/detector.go
+++ b/internal/routing/detector/detector.go
@@ -39,7 +39,9 @@
 	// ejections counts ejections without a success between them.
 	ejections int
 	suspect   bool
-	reason    string
+	// missed is set while an ejection or suspicion comes from reads of the load.
+	missed bool
+	reason string
 }
 
 // The kinds of an Action.
@@ -164,6 +166,7 @@
 	e.failed = 0
 	e.ejections = 0
 	e.suspect = false
+	e.missed = false
 }
 
 // Failed notes that an endpoint refused a connection, broke one off or answered with a fault of its own. A silent
--- a/internal/serving/orderer/registry.go
+++ b/internal/serving/orderer/registry.go
@@ -17,6 +17,9 @@
 	Observe(now time.Time, e planner.Endpoint, r picker.Report)
 	Leave(now time.Time, id string)
 	Remove(now time.Time, id string)
+	// Missed tells that an endpoint does not answer this instance's reads, and Answered that it does again.
+	Missed(now time.Time, id string)
+	Answered(now time.Time, id string)
 }
 
 // Registry keeps the engines of a region for the repairs, and passes on what it learns to a Router.
@@ -73,6 +76,16 @@
 	g.next.Remove(now, id)
 }
 
+// Missed passes on that an engine does not answer. The repairs go by the age of its last report.
+func (g *Registry) Missed(now time.Time, id string) {
+	g.next.Missed(now, id)
+}
+
+// Answered passes on that an engine answers again.
+func (g *Registry) Answered(now time.Time, id string) {
+	g.next.Answered(now, id)
+}
+
 // Needs returns the versions of models in force that get traffic, by name.
 func (g *Registry) Needs() []repairer.Need {
 	models := g.view().Models
--- a/internal/serving/router/router.go
+++ b/internal/serving/router/router.go
@@ -113,6 +113,28 @@
 	r.detector.Remove(now, id)
 }
 
+// Missed takes in that an endpoint does not answer reads of its load.
+func (r *Router) Missed(now time.Time, id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.note(r.detector.Missed(now, id))
+}
+
+// Answered takes in that an endpoint answers reads of its load again.
+func (r *Router) Answered(now time.Time, id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.note(r.detector.Answered(now, id))
+}
+
+// note counts and logs what the detector decided. The lock is held.
+func (r *Router) note(actions []detector.Action) {
+	for _, action := range actions {
+		r.counts[action.Kind]++
+		r.log.Warn("endpoint health", "action", action.Kind, "endpoint", action.Endpoint, "reason", action.Reason)
+	}
+}
+
 // Cached takes in a cache event of an endpoint.
 func (r *Router) Cached(now time.Time, endpoint string, prefix uint64, evicted bool) {
 	r.mu.Lock()
@@ -204,10 +226,7 @@
 	if !blames(t) {
 		return
 	}
-	for _, action := range r.detector.Failed(now, t.Endpoint, t.Reason) {
-		r.counts[action.Kind]++
-		r.log.Warn("endpoint health", "action", action.Kind, "endpoint", action.Endpoint, "reason", action.Reason)
-	}
+	r.note(r.detector.Failed(now, t.Endpoint, t.Reason))
 }
 
 // blames reports whether the end of an attempt is a failure of an endpoint.
@@ -240,10 +259,7 @@
 func (r *Router) Check(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, action := range r.detector.Check(now) {
-		r.counts[action.Kind]++
-		r.log.Info("endpoint health", "action", action.Kind, "endpoint", action.Endpoint, "reason", action.Reason)
-	}
+	r.note(r.detector.Check(now))
 }
 
 // State is the router's state, for the state dump.
--- a/internal/serving/watcher/duties.go
+++ b/internal/serving/watcher/duties.go
@@ -174,6 +174,8 @@
 	rank     int
 	address  string
 	done     chan struct{}
+	// missed counts the reads that have failed since the last answer.
+	missed int
 }
 
 // loop reads the load until the watch or the watcher ends.
@@ -198,6 +200,9 @@
 func (v *watch) pause() time.Duration {
 	v.watcher.mu.Lock()
 	defer v.watcher.mu.Unlock()
+	if v.doubted() {
+		return v.watcher.options.report
+	}
 	return Pace(v.watcher.options.report, v.watcher.reading, v.watcher.options.allowance) * time.Duration(v.factor())
 }
 
@@ -225,6 +230,7 @@
 	l, err := v.watcher.engines.Load(ctx, v.address)
 	if err != nil {
 		v.watcher.options.logger.Debug("load not read", "address", v.address, "error", err)
+		v.miss(v.watcher.options.clock())
 		return
 	}
 	v.take(v.watcher.options.clock(), l)
@@ -239,6 +245,8 @@
 		return
 	}
 	stamp := time.UnixMilli(l.Stamp)
+	v.missed = 0
+	w.answered(now, v.endpoint)
 	w.observe(now, v.endpoint, describe(v.endpoint.instance, l), picker.Report{
 		Running: l.Running, Waiting: l.Waiting, Rate: l.Rate, At: stamp,
 	})
--- a/internal/serving/watcher/peers.go
+++ b/internal/serving/watcher/peers.go
@@ -179,6 +179,7 @@
 	p := describe(e.instance, streamer.Load{
 		Kind: t.description.Kind, Held: t.description.Held, Adapters: t.description.Adapters, Rate: float64(t.load.Rate),
 	})
+	w.answered(now, e)
 	w.observe(now, e, p, picker.Report{Running: t.load.Running, Waiting: t.load.Waiting, Rate: p.Rate, At: at})
 }
 
--- a/internal/serving/watcher/watcher.go
+++ b/internal/serving/watcher/watcher.go
@@ -27,6 +27,9 @@
 	Observe(now time.Time, e planner.Endpoint, r picker.Report)
 	Leave(now time.Time, id string)
 	Remove(now time.Time, id string)
+	// Missed tells that an endpoint does not answer this instance's reads, and Answered that it does again.
+	Missed(now time.Time, id string)
+	Answered(now time.Time, id string)
 }
 
 // Services takes in what is known of the endpoints of plain services.
@@ -76,6 +79,8 @@
 	found time.Time
 	heard bool
 	watch *watch
+	// missed is set while the endpoint does not answer this instance's reads.
+	missed bool
 	// own is what this instance last shared.
 	own    assigner.Teller
 	shared string
--- a/internal/serving/watcher/watcher_test.go
+++ b/internal/serving/watcher/watcher_test.go
@@ -90,12 +90,13 @@
 	mu      sync.Mutex
 	reports map[string]picker.Report
 	leaving map[string]bool
+	missed  map[string]bool
 	changed *sync.Cond
 }
 
 // newRoutes returns a router that knows no endpoint.
 func newRoutes() *routes {
-	r := &routes{reports: map[string]picker.Report{}, leaving: map[string]bool{}}
+	r := &routes{reports: map[string]picker.Report{}, leaving: map[string]bool{}, missed: map[string]bool{}}
 	r.changed = sync.NewCond(&r.mu)
 	return r
 }
@@ -122,6 +123,12 @@
 	})
 }
 
+// Missed records an endpoint that does not answer.
+func (r *routes) Missed(_ time.Time, id string) { r.set(func() { r.missed[id] = true }) }
+
+// Answered records that an endpoint answers again.
+func (r *routes) Answered(_ time.Time, id string) { r.set(func() { delete(r.missed, id) }) }
+
 // ObserveService, LeaveService and RemoveService record endpoints of services as those of engines.
 func (r *routes) ObserveService(now time.Time, id, _, _ string) {
 	r.Observe(now, planner.Endpoint{ID: id}, picker.Report{})
@@ -319,6 +326,39 @@
 	r.await(func() bool { _, ok := r.reports["e2"]; return ok && !r.leaving["e2"] })
 }
 
+// TestDeadEndpointIsKnownEverywhere lets an engine die that few instances watch, and come back: every instance finds
+// both out by reads of its own.
+func TestDeadEndpointIsKnownEverywhere(t *testing.T) {
+	for _, direct := range []int{64, 0} {
+		t.Run(fmt.Sprint("direct ", direct), func(t *testing.T) {
+			g := newGroup(t, 6, 12, direct)
+			for _, r := range g.routes {
+				r.await(func() bool { return len(r.reports) == 13 })
+			}
+			g.engines.mu.Lock()
+			dead := g.engines.loads["e3:1"]
+			delete(g.engines.loads, "e3:1")
+			g.engines.mu.Unlock()
+			for _, r := range g.routes {
+				r.await(func() bool { return r.missed["e3"] })
+			}
+			for i, r := range g.routes {
+				r.mu.Lock()
+				if diff := cmp.Diff(map[string]bool{"e3": true}, r.missed); diff != "" {
+					t.Errorf("instance %d: endpoints missed mismatch (-want +got):\n%s", i, diff)
+				}
+				r.mu.Unlock()
+			}
+			g.engines.mu.Lock()
+			g.engines.loads["e3:1"] = dead
+			g.engines.mu.Unlock()
+			for _, r := range g.routes {
+				r.await(func() bool { return !r.missed["e3"] })
+			}
+		})
+	}
+}
+
 func TestListedByAPeer(t *testing.T) {
 	g := newGroup(t, 2, 2, 64)
 	for _, r := range g.routes {
