--- a/internal/serving/watcher/duties.go
+++ b/internal/serving/watcher/duties.go
@@ -181,6 +181,8 @@
 	// sequence is that of the latest cache event read.
 	sequence int64
 	done     chan struct{}
+	// missed counts the reads that have failed since the last answer.
+	missed int
 }
 
 // loop reads the load until the watch or the watcher ends.
@@ -205,6 +207,9 @@
 func (v *watch) pause() time.Duration {
 	v.watcher.mu.Lock()
 	defer v.watcher.mu.Unlock()
+	if v.doubted() {
+		return v.watcher.options.report
+	}
 	return Pace(v.watcher.options.report, v.watcher.reading, v.watcher.options.loadAllowance) * time.Duration(v.factor())
 }
 
@@ -232,6 +237,7 @@
 	l, err := v.watcher.engines.Load(ctx, v.address)
 	if err != nil {
 		v.watcher.options.logger.Debug("load not read", "address", v.address, "error", err)
+		v.miss(v.watcher.options.clock())
 		return
 	}
 	v.take(v.watcher.options.clock(), l)
@@ -247,6 +253,8 @@
 		return
 	}
 	stamp := time.UnixMilli(l.Stamp)
+	v.missed = 0
+	w.answered(now, v.endpoint)
 	w.observe(now, v.endpoint, describe(v.endpoint.instance, l), picker.Report{
 		Running: l.Running, Waiting: l.Waiting, Rate: l.Rate, At: stamp,
 	})
