Read only the commands' own variables from the environment

Cause: every flag of a command was also read from HEATHERROCK_NAME, the prefix of an instance's settings. On an instance's host HEATHERROCK_ID thus became the id of each change, so that a second change got the first one's answer, and other settings changed the output format or were errors. Change: only HEATHERROCK_ADDRESS, HEATHERROCK_TOKEN and HEATHERROCK_OPERATOR are read; the command line goes before them.

--- a/internal/serving/commander/commander.go
+++ b/internal/serving/commander/commander.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 	"time"
 
@@ -34,6 +35,14 @@
 	Run func(ctx context.Context, c *Call) int
 }
 
+// environment lists the flags that may come from the environment, by the name of their variable. Other variables of the
+// program are settings of an instance, such as HEATHERROCK_ID, and mean nothing here.
+var environment = map[string]string{
+	"HEATHERROCK_ADDRESS":  "address",
+	"HEATHERROCK_TOKEN":    "token",
+	"HEATHERROCK_OPERATOR": "operator",
+}
+
 // groups is the table of groups of commands, by name.
 var groups = map[string][]Command{
 	"record": records,
@@ -110,21 +119,36 @@
 	return command.Run(ctx, c)
 }
 
-// parse reads flags and arguments in any order. A flag that is absent comes from the environment, as in
-// HEATHERROCK_ADDRESS.
+// parse reads flags and arguments in any order. The environment gives the flags that it may and that are absent.
 func (c *Call) parse(flags *flag.FlagSet, args []string) error {
 	for {
-		if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("HEATHERROCK")); err != nil {
+		if err := ff.Parse(flags, args); err != nil {
 			return err
 		}
 		if flags.NArg() == 0 {
-			return nil
+			return inherit(flags)
 		}
 		c.Args = append(c.Args, flags.Arg(0))
 		args = flags.Args()[1:]
 	}
 }
 
+// inherit sets the flags that the command line left out from the environment.
+func inherit(flags *flag.FlagSet) error {
+	given := map[string]bool{}
+	flags.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for variable, name := range environment {
+		value, found := os.LookupEnv(variable)
+		if !found || given[name] {
+			continue
+		}
+		if err := flags.Set(name, value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // usage prints what is wrong with the command line.
 func (c *Call) usage(format string, args ...any) int {
 	fmt.Fprintf(c.Stderr, format+"\n", args...)
