Take an answer that is not the table service's as lost

Cause: the client took each 200 or 404 with a JSON body for the answer to a commit. One by something on the way, such as {} or a 404 of a gateway without a route, then said that a condition had failed and nothing was written, which the settlement of a call told its operator as not-run; {"applied":true} without versions stopped the process with an index out of range. A check in each of the five callers was ruled out, since the contract of Result belongs to the client. Change: a commit's answer counts if its status is 200 and it holds a version for each write, or the rows in the way; anything else is Unknown with ErrAnswer. A row without a version and a scan's answer of another status are errors.

--- a/internal/platform/tabler/client.go
+++ b/internal/platform/tabler/client.go
@@ -7,6 +7,8 @@
 	"net/url"
 	"strconv"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 	"github.com/heatherrock/heatherrock/internal/platform/caller"
 )
@@ -21,6 +23,9 @@
 	PathCommit = "/commits"
 )
 
+// ErrAnswer means that an answer is not one of the table service, as from something else on the way to it.
+var ErrAnswer = merry.New("answer is not the table service's")
+
 // Commit is the service's answer to a transaction that it ran.
 type Commit struct {
 	Applied   bool    `json:"applied"`
@@ -56,6 +61,9 @@
 	if err := json.Unmarshal(a.Body, &row); err != nil {
 		return Row{}, false, err
 	}
+	if row.Version == 0 {
+		return Row{}, false, ErrAnswer
+	}
 	return row, true, nil
 }
 
@@ -66,12 +74,16 @@
 	if err != nil {
 		return nil, err
 	}
+	if a.Status != http.StatusOK {
+		return nil, ErrAnswer
+	}
 	var rows []Row
 	err = json.Unmarshal(a.Body, &rows)
 	return rows, err
 }
 
-// Commit applies a transaction. It is sent at most once.
+// Commit applies a transaction. It is sent at most once. An answer that is not the table service's own is as good as
+// lost: its outcome is Unknown, with ErrAnswer.
 func (c *Client) Commit(ctx context.Context, t Txn) (Result, error) {
 	body, err := json.Marshal(t)
 	if err != nil {
@@ -85,5 +97,16 @@
 	if err := json.Unmarshal(a.Body, &p); err != nil {
 		return Result{Outcome: classifier.Unknown}, err
 	}
+	if a.Status != http.StatusOK || !p.answers(t) {
+		return Result{Outcome: classifier.Unknown}, ErrAnswer
+	}
 	return Result{Outcome: classifier.Completed, Applied: p.Applied, Conflicts: p.Conflicts, Versions: p.Versions}, nil
 }
+
+// answers reports whether an answer is one to a transaction: a version for each write, or the rows in the way.
+func (p Commit) answers(t Txn) bool {
+	if p.Applied {
+		return len(p.Versions) == len(t.Writes)
+	}
+	return len(p.Conflicts) > 0
+}
