Find a service's call in one way, by the decoded path

Cause: the dispatcher matched path prefixes by characters and by the path as written, while the records' own rule, by whole segments, was used by its test alone. A call that may run once only could so be taken for an idempotent one and be repeated: POST /hol%64s under a prefix / that may be repeated, or /parts-order under /parts. A name of a service written with an escape sent its whole path to the service. A stricter validator was ruled out: which paths a service decodes alike is the service's matter. Change: recorder.Service.Call decides, by the decoded path; the path as written goes to the service. The second matcher is gone. Measured: three new cases of TestRefusals fail before and pass after, with -race, as do recorder and runner.

--- a/internal/control/recorder/view.go
+++ b/internal/control/recorder/view.go
@@ -192,12 +192,12 @@
 	return len(names) == 0 || slices.Contains(names, name)
 }
 
-// Call returns the call of a service that matches a method and path, the longest path prefix first, and whether
-// there is one. A prefix matches whole path segments.
-func (v View) Call(service, method, path string) (Call, bool) {
+// Call returns the call that matches a method and a decoded path, the longest path prefix first, and whether there is
+// one. A prefix matches whole path segments.
+func (s Service) Call(method, path string) (Call, bool) {
 	var best Call
 	found := false
-	for _, c := range v.Services[service].Calls {
+	for _, c := range s.Calls {
 		if c.Method != method || !covers(c.Path, path) {
 			continue
 		}
--- a/internal/control/recorder/view_test.go
+++ b/internal/control/recorder/view_test.go
@@ -85,11 +85,11 @@
 }
 
 func TestCall(t *testing.T) {
-	v := View{Services: map[string]Service{"stock": {Calls: []Call{
+	s := Service{Calls: []Call{
 		{Method: "GET", Path: "/"},
 		{Method: "POST", Path: "/holds", Deadline: 1},
 		{Method: "POST", Path: "/holds/cancel", Deadline: 2},
-	}}}}
+	}}
 	cases := []struct {
 		method, path string
 		deadline     int
@@ -103,7 +103,7 @@
 		{"DELETE", "/holds", 0, false},
 	}
 	for _, c := range cases {
-		got, found := v.Call("stock", c.method, c.path)
+		got, found := s.Call(c.method, c.path)
 		if diff := cmp.Diff([]any{c.deadline, c.found}, []any{got.Deadline, found}); diff != "" {
 			t.Errorf("%s %s: %s", c.method, c.path, diff)
 		}
--- a/internal/serving/dispatcher/dispatcher.go
+++ b/internal/serving/dispatcher/dispatcher.go
@@ -239,7 +239,7 @@
 
 // Register adds the dispatcher's routes.
 func (d *Dispatcher) Register(r *mux.Router) {
-	r.PathPrefix("/v1/services/{service}/").Handler(d)
+	r.PathPrefix(prefix + "{service}/").Handler(d)
 }
 
 // Drain waits until no claim is in flight, or until ctx ends. It returns the number of those left.
--- a/internal/serving/dispatcher/dispatcher_test.go
+++ b/internal/serving/dispatcher/dispatcher_test.go
@@ -94,6 +94,9 @@
 		{"bad attempt", "POST", "stock/holds", "oak", []string{HeaderKey, day + "-x", HeaderAttempt, "0"}, told{400, "not-run", CodeAttempt, ""}},
 		{"no service", "POST", "till/holds", "oak", nil, told{404, "not-run", CodeService, ""}},
 		{"no call", "DELETE", "stock/holds", "", nil, told{404, "not-run", CodeCall, ""}},
+		{"part of a segment", "GET", "stock/partsman", "", nil, told{404, "not-run", CodeCall, ""}},
+		{"encoded path", "POST", "stock/hol%64s", "oak", nil, told{400, "not-run", claimer.CodeMissing, ""}},
+		{"encoded name", "POST", "st%6Fck/holds", "oak", nil, told{400, "not-run", claimer.CodeMissing, ""}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/serving/dispatcher/handler.go
+++ b/internal/serving/dispatcher/handler.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -19,6 +20,9 @@
 // defaultDeadline bounds a call whose record gives no deadline.
 const defaultDeadline = 10 * time.Second
 
+// prefix begins the path of every call; the service's name and its own path follow.
+const prefix = "/v1/services/"
+
 // forwarded lists the headers of a caller that go to the service.
 var forwarded = []string{"Accept", "Content-Type", "X-Request-Id"}
 
@@ -86,8 +90,8 @@
 	if !ok {
 		return visit{}, CodeService
 	}
-	path := strings.TrimPrefix(r.URL.EscapedPath(), "/v1/services/"+name)
-	call, ok := match(service, r.Method, path)
+	decoded, path := pathsOf(r.URL)
+	call, ok := service.Call(r.Method, decoded)
 	if !ok {
 		return visit{}, CodeCall
 	}
@@ -117,19 +121,20 @@
 	return time.Duration(v.call.Deadline) * time.Millisecond
 }
 
-// match returns the call of a service with the method and the longest prefix of the path.
-func match(s recorder.Service, method, path string) (recorder.Call, bool) {
-	var best recorder.Call
-	found := false
-	for _, c := range s.Calls {
-		if c.Method != method || !strings.HasPrefix(path, c.Path) {
-			continue
-		}
-		if !found || len(c.Path) > len(best.Path) {
-			best, found = c, true
-		}
+// pathsOf returns the path of a request below its service: decoded, by which its call is found, and as the caller wrote
+// it, which goes to the service. A service may decode a path before it acts on it, so an encoded one matches no other
+// call than the same path decoded.
+func pathsOf(u *url.URL) (decoded, written string) {
+	return below(u.Path), below(u.EscapedPath())
+}
+
+// below cuts /v1/services/NAME off a path.
+func below(path string) string {
+	rest := strings.TrimPrefix(path, prefix)
+	if i := strings.IndexByte(rest, '/'); i >= 0 {
+		return rest[i:]
 	}
-	return best, found
+	return "/"
 }
 
 // codeOf returns the code of an error in reading a body.
