Take a 503 for an engine's refusal only if it says so

Cause: the engines' client took every 503 for a refusal. One from something between the two ends may come after the engine began to run, and the caller could be told not-run. The clients of the platform and of services ask for the statement already. Treating 4xx the same was ruled out: an engine gives them before a stream begins, and counting them as crashes would quarantine requests that are merely wrong. Change: a server error is a refusal only with Heatherrock-Outcome: not-run. Measured: TestOpenOutcomes: before, a gateway's 503 counts as refused; after all seven cases pass, with -race, as do the generator, the runner and the stand-ins.

--- a/internal/platform/streamer/client.go
+++ b/internal/platform/streamer/client.go
@@ -18,6 +18,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
+	"github.com/heatherrock/heatherrock/internal/platform/caller"
 )
 
 const (
@@ -126,16 +127,18 @@
 		defer cancel()
 		defer answer.Body.Close()
 		text, _ := io.ReadAll(io.LimitReader(answer.Body, lineLimit))
-		return nil, refusal(answer.StatusCode), merry.Errorf("endpoint %s: %s: %s", r.Stages[0].Endpoint, answer.Status, bytes.TrimSpace(text))
+		return nil, refusal(answer), merry.Errorf("endpoint %s: %s: %s", r.Stages[0].Endpoint, answer.Status, bytes.TrimSpace(text))
 	}
 	scanner := bufio.NewScanner(answer.Body)
 	scanner.Buffer(make([]byte, 0, 4096), lineLimit)
 	return &Stream{body: answer.Body, scanner: scanner, cancel: cancel}, classifier.Completed, nil
 }
 
-// refusal returns the outcome of a status other than 200: engines answer 4xx and 503 before they run anything.
-func refusal(status int) classifier.Outcome {
-	if status >= 400 && status < 500 || status == http.StatusServiceUnavailable {
+// refusal returns the outcome of an answer other than 200. Engines answer 4xx before they run anything; a server error
+// counts as a refusal only if it says so, since something between the two ends may have given it.
+func refusal(a *http.Response) classifier.Outcome {
+	clientError := a.StatusCode >= 400 && a.StatusCode < 500
+	if clientError || classifier.Answered(a.StatusCode, a.Header.Get(caller.HeaderOutcome)) == classifier.Refused {
 		return classifier.Refused
 	}
 	return classifier.Unknown
@@ -182,23 +185,6 @@
 	return events, err
 }
 
-// Order sends an order to an endpoint. The outcome says whether the endpoint can have carried it out.
-func (c *Client) Order(ctx context.Context, address string, o Order) (classifier.Outcome, error) {
-	answer, outcome, err := c.send(ctx, http.MethodPost, address, "/engine/orders", o)
-	if err != nil {
-		return outcome, err
-	}
-	defer answer.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(answer.Body, lineLimit))
-	if err != nil {
-		return classifier.Unknown, merry.Wrap(err)
-	}
-	if answer.StatusCode/100 != 2 {
-		return refusal(answer.StatusCode), merry.Errorf("order %s: %s: %s", o.ID, answer.Status, bytes.TrimSpace(text))
-	}
-	return classifier.Completed, nil
-}
-
 // call sends a request and decodes its answer into result, unless that is nil.
 func (c *Client) call(ctx context.Context, method, address, path string, body, result any) error {
 	answer, _, err := c.send(ctx, method, address, path, body)
