Answer an owner by the row that an operator has settled

Cause: an owner whose claim's answer was lost and who found its row settled meanwhile told its caller not-run for every state but dispatching, also for one that the operator had found completed: a 204 without a code, while every later attempt was told completed. Sending the work was ruled out, as the row is no longer its claim. Change: the answer is that of the row.

--- a/internal/control/claimer/claim.go
+++ b/internal/control/claimer/claim.go
@@ -212,7 +212,8 @@
 	if r.Record.State == StateDispatching {
 		return c.send(now, r.Version)
 	}
-	return c.finish(Answer{Verdict: classifier.VerdictNotRun, Code: r.Record.Code, Retry: true})
+	// An operator has settled the call meanwhile, or the claim was blocked.
+	return c.finish(answerOf(r.Record))
 }
 
 // other goes on from a row that another claim wrote.
