Make the bounds of the repairs settings

Cause: the weight store's rate, the loads at once, the grace and the order window of the repairs were options of the code alone, so an operator whose weight store is slower or shared could not lower them. Change: settings repairs.layers, repairs.loads, repairs.grace and repairs.window, whose defaults are the decision's own; a window that is not shorter than the lease is an error. Measured: TestRepairsTakeTheirSettings and a case of TestCheck; configurer, orderer and runner pass with -race.

--- a/internal/serving/configurer/checks.go
+++ b/internal/serving/configurer/checks.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/heatherrock/heatherrock/internal/control/leaser"
 )
 
 // hashSize is the length of a SHA-256, in bytes.
@@ -127,5 +129,8 @@
 	if s.Times.Progress > s.Times.Request {
 		faults["times.progress"] = "is longer than times.request"
 	}
+	if length := leaser.DefaultTerms().Length; s.Repairs.Window >= length {
+		faults["repairs.window"] = "is not shorter than the lease, " + length.String()
+	}
 	return faults
 }
--- a/internal/serving/configurer/configurer_test.go
+++ b/internal/serving/configurer/configurer_test.go
@@ -76,6 +76,10 @@
 		{"progress beyond the request", `{"times": {"progress": "1m", "request": "30s"}}`, []string{
 			`f:1:24: times.progress: is longer than times.request`,
 		}},
+		{"orders after the lease", `{"repairs": {"window": "5s", "loads": 0}}`, []string{
+			`f:1:24: repairs.window: is not shorter than the lease, 5s`,
+			`f:1:39: repairs.loads: 0 is not from 1 to 1024`,
+		}},
 		{"malformed", "{\n \"id\": \"a\"\n \"region\": 1}", []string{
 			`f:3:2: invalid character '"' after object value (expecting ',' or '}')`,
 		}},
--- a/internal/serving/configurer/settings.go
+++ b/internal/serving/configurer/settings.go
@@ -24,6 +24,7 @@
 	Log       Log
 	Limits    Limits
 	Times     Times
+	Repairs   Repairs
 	// Credential is the SHA-256 of the operators' bearer token, in hexadecimal. Empty means that none is asked for.
 	Credential string
 }
@@ -54,6 +55,18 @@
 	Queue int
 }
 
+// Repairs bounds the repairs of missing layer ranges. It is the same on all instances of a region.
+type Repairs struct {
+	// Layers bounds what the weight store is asked for, in layers a second.
+	Layers int
+	// Loads bounds the loads that run at once.
+	Loads int
+	// Grace is how long a range must be missing before it is loaded.
+	Grace time.Duration
+	// Window is how long after a write of the lease its holder may start orders.
+	Window time.Duration
+}
+
 // Times are the process's intervals and timeouts.
 type Times struct {
 	// Poll is the time between reads of the configuration's head.
--- a/internal/serving/configurer/table.go
+++ b/internal/serving/configurer/table.go
@@ -34,6 +34,8 @@
 	unitDuration = "duration"
 	unitBytes    = "bytes"
 	unitRequests = "requests"
+	unitLayers   = "layers a second"
+	unitLoads    = "loads"
 	unitAddress  = "host:port"
 	unitURL      = "URL"
 	unitFile     = "file"
@@ -59,7 +61,8 @@
 		"Address at which other instances reach the peers' listener. Empty means the listener's own."))
 	table = append(table, services()...)
 	table = append(table, limits()...)
-	return append(table, times()...)
+	table = append(table, times()...)
+	return append(table, repairs()...)
 }
 
 // listener returns the settings of one listener.
@@ -145,6 +148,20 @@
 	}
 }
 
+// repairs returns the bounds on the repairs of missing layer ranges.
+func repairs() []Setting {
+	return []Setting{
+		number("repairs.layers", 4, 1, 1<<20, unitLayers, func(s *Settings, n int64) { s.Repairs.Layers = int(n) },
+			"Layers that the repairs of a region ask of the weight store."),
+		number("repairs.loads", 4, 1, 1<<10, unitLoads, func(s *Settings, n int64) { s.Repairs.Loads = int(n) },
+			"Loads of layers that run at once in a region."),
+		duration("repairs.grace", "3s", func(s *Settings) *time.Duration { return &s.Repairs.Grace },
+			"Time that layers must be missing before a spare loads them."),
+		duration("repairs.window", "4s", func(s *Settings) *time.Duration { return &s.Repairs.Window },
+			"Time after a write of the lease in which its holder starts orders. Shorter than the lease, 5s."),
+	}
+}
+
 // name returns a required setting that names something.
 func name(n, value string, field func(*Settings) *string, help string) Setting {
 	s := text(n, value, unitName, field, isName, help)
--- a/internal/serving/runner/repairs.go
+++ b/internal/serving/runner/repairs.go
@@ -1,8 +1,11 @@
 package runner
 
 import (
+	"cmp"
 	"time"
 
+	"github.com/heatherrock/heatherrock/internal/control/leaser"
+	"github.com/heatherrock/heatherrock/internal/control/repairer"
 	"github.com/heatherrock/heatherrock/internal/serving/orderer"
 	"github.com/heatherrock/heatherrock/internal/serving/watcher"
 )
@@ -14,8 +17,21 @@
 func (r *Runner) startRepairs() watcher.Router {
 	stale := max(time.Second, missedReports*r.settings.Times.Report)
 	engines := orderer.NewRegistry(r.settings.Region, stale, r.View, r.clock, r.router)
-	r.orders = orderer.New(r.owner, r.settings.Region, r.platform.Table, engines, orderer.WithLogger(r.log))
+	bounds, terms := r.bounds()
+	r.orders = orderer.New(r.owner, r.settings.Region, r.platform.Table, engines, orderer.WithLogger(r.log),
+		orderer.WithSettings(bounds), orderer.WithTerms(terms))
 	r.dumper.Add("repairs", func(time.Time) any { return r.orders.State() })
 	r.orders.Start()
 	return engines
 }
+
+// bounds returns what the settings allow the repairs, and the times of their lease. Settings that were not read from a
+// process's own are zero and leave the defaults.
+func (r *Runner) bounds() (repairer.Settings, leaser.Terms) {
+	set, bounds, terms := r.settings.Repairs, repairer.DefaultSettings(), leaser.DefaultTerms()
+	bounds.Layers = cmp.Or(float64(set.Layers), bounds.Layers)
+	bounds.Parallel = cmp.Or(set.Loads, bounds.Parallel)
+	bounds.Grace = cmp.Or(set.Grace, bounds.Grace)
+	terms.Window = cmp.Or(set.Window, terms.Window)
+	return bounds, terms
+}
--- a/internal/serving/runner/repairs_test.go
+++ b/internal/serving/runner/repairs_test.go
@@ -8,9 +8,11 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/heatherrock/heatherrock/internal/control/leaser"
 	"github.com/heatherrock/heatherrock/internal/control/repairer"
 	"github.com/heatherrock/heatherrock/internal/platform/lister"
 	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/serving/configurer"
 	"github.com/heatherrock/heatherrock/internal/standin/decoder"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 	standin "github.com/heatherrock/heatherrock/internal/standin/lister"
@@ -91,3 +93,21 @@
 	}
 	return all
 }
+
+// TestRepairsTakeTheirSettings checks what the settings allow the repairs.
+func TestRepairsTakeTheirSettings(t *testing.T) {
+	r := &Runner{settings: configurer.Settings{Repairs: configurer.Repairs{
+		Layers: 9, Loads: 2, Grace: time.Second, Window: 3 * time.Second,
+	}}}
+	bounds, terms := r.bounds()
+	want := []any{9.0, 2, time.Second, 3 * time.Second}
+	if diff := cmp.Diff(want, []any{bounds.Layers, bounds.Parallel, bounds.Grace, terms.Window}); diff != "" {
+		t.Errorf("bounds mismatch (-want +got):\n%s", diff)
+	}
+	defaults := configurer.Default().Repairs
+	set := configurer.Repairs{Layers: int(repairer.DefaultSettings().Layers), Loads: repairer.DefaultSettings().Parallel,
+		Grace: repairer.DefaultSettings().Grace, Window: leaser.DefaultTerms().Window}
+	if diff := cmp.Diff(set, defaults); diff != "" {
+		t.Errorf("defaults mismatch (-want +got):\n%s", diff)
+	}
+}
