--- a/internal/serving/poller/poller_test.go
+++ b/internal/serving/poller/poller_test.go
@@ -122,6 +122,33 @@
 	return n
 }
 
+// TestCompactNeverPointsBack compacts on an instance that was paused while others went on and compacted.
+func TestCompactNeverPointsBack(t *testing.T) {
+	ctx := context.Background()
+	p := newPlatform()
+	paused, other := p.join(t, "paused", &alone{}), p.join(t, "other", &alone{})
+	for epoch := range int64(2 * snapshotEvery) {
+		d := p.raise(t)
+		other.advance(d)
+		if epoch < snapshotEvery {
+			paused.advance(d)
+		}
+	}
+	for _, n := range []*Poller{other, paused} {
+		if err := n.Compact(ctx); err != nil {
+			t.Fatal(err)
+		}
+	}
+	row, _, err := p.table.Get(ctx, accepter.Table, accepter.SnapshotKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := accepter.Decode[accepter.Pointer](row)
+	if diff := cmp.Diff(int64(2*snapshotEvery), got.Epoch); diff != "" || err != nil {
+		t.Errorf("newest snapshot mismatch, %v (-want +got):\n%s", err, diff)
+	}
+}
+
 func TestCatchUp(t *testing.T) {
 	ctx := context.Background()
 	p := newPlatform()
--- a/internal/serving/poller/round.go
+++ b/internal/serving/poller/round.go
@@ -181,11 +181,16 @@
 	if s.Epoch == 0 || s.Epoch%snapshotEvery != 0 {
 		return nil
 	}
-	body, err := json.Marshal(s)
+	row, err := p.get(ctx, accepter.SnapshotKey)
 	if err != nil {
 		return err
 	}
-	row, err := p.get(ctx, accepter.SnapshotKey)
+	newest, err := accepter.Decode[accepter.Pointer](row)
+	// An instance that was paused must not point back to a snapshot whose log may be gone.
+	if err != nil || newest.Epoch >= s.Epoch {
+		return err
+	}
+	body, err := json.Marshal(s)
 	if err != nil {
 		return err
 	}
@@ -195,13 +200,18 @@
 	if err := p.objects.Put(ctx, pointer.Object, body); err != nil {
 		return err
 	}
+	return p.point(ctx, row.Version, pointer)
+}
+
+// point writes the pointer to a snapshot on condition of its row's version, and drops the oldest part of the log.
+func (p *Poller) point(ctx context.Context, version int64, pointer accepter.Pointer) error {
 	value, err := json.Marshal(pointer)
 	if err != nil {
 		return err
 	}
 	txn := tabler.Txn{
 		ID:         pointer.Object,
-		Conditions: []tabler.Condition{{Table: accepter.Table, Key: accepter.SnapshotKey, Version: row.Version}},
+		Conditions: []tabler.Condition{{Table: accepter.Table, Key: accepter.SnapshotKey, Version: version}},
 		Writes:     []tabler.Write{{Table: accepter.Table, Key: accepter.SnapshotKey, Value: value}},
 	}
 	old, err := p.table.Scan(ctx, accepter.Table, accepter.LogPrefix, "", scanLimit)
@@ -209,7 +219,7 @@
 		return err
 	}
 	for _, r := range old {
-		if r.Key < accepter.LogKey(max(0, s.Epoch-keepLog)) {
+		if r.Key < accepter.LogKey(max(0, pointer.Epoch-keepLog)) {
 			txn.Writes = append(txn.Writes, tabler.Write{Table: accepter.Table, Key: r.Key, Delete: true})
 		}
 	}
