Measure the exchange at the planned size itself

Change: Measurements begin after 50 s; rounds of urgent news list only the fleet's changed streams, and what a sender has had for 5 s is no longer urgent; experiment planned runs all 390 instances.

--- a/internal/bench/measurer/exchange.go
+++ b/internal/bench/measurer/exchange.go
@@ -13,7 +13,7 @@
 
 const (
 	// warmRounds pass before a measurement, in which instances learn of each other, and measuredRounds in it.
-	warmRounds     = 20
+	warmRounds     = 50
 	measuredRounds = 10
 	// spreadRounds is how many rounds an entry shared during a measurement has to arrive.
 	spreadRounds = 15
@@ -63,7 +63,7 @@
 func exchange(r reporter.Result, seed uint64, p plan) cost {
 	told := toldRate(seed)
 	r.Set("told", told, "loads a second and endpoint")
-	peers := sweep(seed, []float64{39, 78, 156, 234}, func(n float64) shape {
+	peers := sweep(seed, []float64{39, 78, 117, 156}, func(n float64) shape {
 		return shape{instances: int(n), regions: p.regions, centres: p.centres}
 	})
 	perRegion := p.endpoints / p.regions
--- a/internal/bench/measurer/measurer.go
+++ b/internal/bench/measurer/measurer.go
@@ -55,9 +55,40 @@
 		Name: "capacity",
 		Help: "what control costs a node, by peers, endpoints, teams, records and changes, and at the planned size",
 		Run:  run,
+	}, {
+		Name: "planned",
+		Help: "the exchange of all instances of the planned size in one process, against the fit of capacity",
+		Run:  runPlanned,
 	}}
 }
 
+// runPlanned measures the exchange at the planned size itself.
+func runPlanned(seed uint64) (reporter.Result, error) {
+	r := reporter.NewResult("planned", seed)
+	l, f := measure(seed, shape{
+		instances: planned.instances, regions: planned.regions, centres: planned.centres, endpoints: planned.endpoints,
+		loads: toldRate(seed), changes: planned.changes / daySeconds, size: changeBytes,
+	})
+	f.shape.changes = 2
+	f.run(plannedRounds)
+	end := f.now
+	f.shape.changes = 0
+	f.run(plannedRounds)
+	longest, missing := f.spread(end)
+	r.Set("exchange_bytes", l.bytes/kilo, "KB a second and node, both ways")
+	r.Set("exchange_core", l.core, "share of a core")
+	r.Set("exchange_memory", l.memory/mega, "MB")
+	r.SetTarget("spread", longest.Seconds(), "s", spreadTarget)
+	r.SetTarget("spread_missing", float64(missing), "entries", 0)
+	return r, nil
+}
+
+// plannedRounds is how many rounds entries are shared at the planned size, and how many they then have to arrive.
+const plannedRounds = 6
+
+// spreadTarget is the time in which a change of the configuration is to be in force everywhere, in seconds.
+const spreadTarget = 5
+
 // run measures the slopes and adds up the roles.
 func run(seed uint64) (reporter.Result, error) {
 	r := reporter.NewResult("capacity", seed)
--- a/internal/control/gossiper/exchange.go
+++ b/internal/control/gossiper/exchange.go
@@ -8,6 +8,9 @@
 	changeBytes = 12
 )
 
+// newsTime is how long an entry is news.
+const newsTime = 5 * time.Second
+
 // Open returns the first message of an exchange with a peer.
 func (g *Gossiper) Open(now time.Time, peer Peer) Message {
 	return Message{From: g.Self, Digest: pack(nil, g.Digest(peer)...)}
@@ -27,11 +30,12 @@
 }
 
 // Digest returns the marks of the streams that changed lately and of a slice of the others, which moves on each
-// round. Streams of the region are left out for a peer of another region.
+// round. Streams of the region are left out for a peer of another region. A round of urgent news lists only what changed
+// in the fleet's streams, as all urgent topics spread over the fleet.
 func (g *Gossiper) Digest(peer Peer) []Mark {
 	var out []Mark
 	for i, s := range g.Streams {
-		if !g.shares(s, peer) {
+		if !g.shares(s, peer) || g.hurried && (s.Scope != ScopeFleet || s.Hot == 0) {
 			continue
 		}
 		if s.Hot > 0 || i%g.options.slice == g.Round%g.options.slice {
@@ -141,6 +145,7 @@
 	for _, c := range u.Entries {
 		if c.Version > s.Version {
 			out = append(out, g.take(now, s, c))
+			g.pressing(c, u.Age)
 		}
 	}
 	s.Version, s.Purged, s.Gone = u.To, max(s.Purged, u.Purged), false
@@ -150,6 +155,13 @@
 	return out
 }
 
+// pressing lets the next rounds follow each other at once for urgent news, unless the sender has had it for long.
+func (g *Gossiper) pressing(c Change, age int64) {
+	if time.Duration(age)*time.Millisecond < newsTime {
+		g.hurry(c.Topic)
+	}
+}
+
 // take stores one entry and returns it as told to subscribers.
 func (g *Gossiper) take(now time.Time, s *Stream, c Change) Entry {
 	h := Held{Version: c.Version, Value: c.Value, Deleted: c.Deleted}
@@ -158,7 +170,6 @@
 	}
 	n := Name{c.Topic, c.Key}
 	s.Entries[n] = h
-	g.hurry(c.Topic)
 	if p, ok := decodePeer(c.Value); ok && c.Topic == TopicMember && c.Key == s.Owner {
 		m := g.Members[s.Owner]
 		m.Peer = p
--- a/internal/control/gossiper/gossiper.go
+++ b/internal/control/gossiper/gossiper.go
@@ -78,6 +78,8 @@
 	index   map[streamID]*Stream
 	hashes  map[uint64]*Stream
 	options options
+	// hurried is set while the present round is one of urgent news.
+	hurried bool
 	// beaten holds the last heartbeats by scope, and expired is when expired entries were last looked for.
 	beaten  [2]time.Time
 	expired time.Time
@@ -127,7 +129,8 @@
 func (g *Gossiper) Tick(now time.Time) []Entry {
 	g.Round++
 	g.beat(now)
-	if g.Hurry > 0 {
+	g.hurried = g.Hurry > 0
+	if g.hurried {
 		g.Hurry--
 		return g.Expire(now)
 	}
--- a/internal/control/gossiper/member.go
+++ b/internal/control/gossiper/member.go
@@ -144,7 +144,7 @@
 	known := len(near) + len(region) + len(far)
 	out := sample(r, near, g.options.near)
 	regionEvery, farEvery := 3, 4
-	if g.Hurry > 0 {
+	if g.hurried {
 		regionEvery, farEvery = 1, 2
 	}
 	out = append(out, sample(r, region, turn(r, regionEvery, len(near) == 0))...)
