--- a/internal/bench/measurer/measurer.go
+++ b/internal/bench/measurer/measurer.go
@@ -49,6 +49,19 @@
 	memory float64
 }
 
+// report records the measured parts of a role's cost.
+func (c cost) report(r reporter.Result, role string) {
+	if c.core > 0 {
+		r.Set(role+"_node_core", c.core, "share of a core at the planned size")
+	}
+	if c.bytes > 0 {
+		r.Set(role+"_node_bytes", c.bytes/kilo, "KB a second at the planned size, both ways")
+	}
+	if c.memory > 0 {
+		r.Set(role+"_node_memory", c.memory/mega, "MB at the planned size")
+	}
+}
+
 // Experiments returns the experiments of this package.
 func Experiments() []reporter.Experiment {
 	return []reporter.Experiment{{
@@ -122,9 +135,7 @@
 	}
 	var total cost
 	for _, role := range roles {
-		r.Set(role.name+"_node_core", role.cost.core, "share of a core at the planned size")
-		r.Set(role.name+"_node_bytes", role.cost.bytes/kilo, "KB a second at the planned size, both ways")
-		r.Set(role.name+"_node_memory", role.cost.memory/mega, "MB at the planned size")
+		role.cost.report(r, role.name)
 		total.core += role.cost.core
 		total.bytes += role.cost.bytes
 		total.memory += role.cost.memory
