--- a/internal/routing/picker/chooser.go
+++ b/internal/routing/picker/chooser.go
@@ -37,7 +37,7 @@
 
 const (
 	// walks bounds the draws for each path that is wanted, as a draw may end where no endpoint is usable.
-	walks = 3
+	walks = 4
 	// promptWeight is the cost of a prompt that waits, in steps of one token.
 	promptWeight = 4
 	// prefixGain is the part of a stage's cost that a fully cached prompt saves.
@@ -65,12 +65,13 @@
 	}
 }
 
-// draw draws paths and returns the one with the least cost.
+// draw draws paths until there are as many as wanted that are not too busy, and returns the one of them with the
+// least cost.
 func (c *chooser) draw() (path, bool) {
 	best, drawn := path{cost: math.Inf(1)}, 0
 	for range c.picker.choices * walks {
 		p, ok := c.walk()
-		if !ok {
+		if !ok || p.crowd > c.bound() {
 			continue
 		}
 		if p.cost < best.cost {
@@ -220,14 +221,25 @@
 	return w
 }
 
-// busy returns the time, in seconds, in which an endpoint runs a step of each request it has, with this one.
+// busy returns the time, in seconds, in which an endpoint runs a step of each request it has, with this one. It is
+// fullBusy for an endpoint that runs as many as it may.
 func (c *chooser) busy(a planner.Arc, l *load) float64 {
+	if c.full(l) {
+		return fullBusy
+	}
 	return c.picker.step(c.now, l, c.graph.Width(a), c.rate(l)).Seconds()
 }
 
 // crowd returns how busy an endpoint is as far as the bound goes. An instance that has less than its part of the
-// bound there is not held back by what others have: they are, until it has its part.
+// bound there is not held back by what others have: they are, until it has its part. A request with less than the usual
+// slack has no such claim.
 func (c *chooser) crowd(a planner.Arc, l *load) float64 {
+	if c.query.Slack > 0 && c.query.Slack < 1 {
+		return c.busy(a, l)
+	}
+	if c.full(l) {
+		return fullBusy
+	}
 	own := float64((l.steps+c.graph.Width(a))*c.picker.peers) / c.rate(l)
 	return min(c.busy(a, l), own)
 }
--- a/internal/serving/configurer/table.go
+++ b/internal/serving/configurer/table.go
@@ -34,6 +34,8 @@
 	unitDuration = "duration"
 	unitBytes    = "bytes"
 	unitRequests = "requests"
+	unitLayers   = "layers a second"
+	unitLoads    = "loads"
 	unitAddress  = "host:port"
 	unitURL      = "URL"
 	unitFile     = "file"
@@ -59,7 +61,8 @@
 		"Address at which other instances reach the peers' listener. Empty means the listener's own."))
 	table = append(table, services()...)
 	table = append(table, limits()...)
-	return append(table, times()...)
+	table = append(table, times()...)
+	return append(table, repairs()...)
 }
 
 // listener returns the settings of one listener.
@@ -128,6 +131,10 @@
 			"Longest time from the arrival of a request to its end."),
 		duration("times.header", "5s", func(s *Settings) *time.Duration { return &s.Times.Header },
 			"Longest wait for the headers of a request."),
+		duration("times.body", "30s", func(s *Settings) *time.Duration { return &s.Times.Body },
+			"Longest wait for the body of a request."),
+		duration("times.write", "10s", func(s *Settings) *time.Duration { return &s.Times.Write },
+			"Longest wait for a caller to take a part of an answer."),
 		duration("times.idle", "2m", func(s *Settings) *time.Duration { return &s.Times.Idle },
 			"Longest wait for the next request on a connection."),
 		duration("times.reload", "10s", func(s *Settings) *time.Duration { return &s.Times.Reload },
@@ -136,11 +143,25 @@
 			"Time that a leaving instance serves after it fails readiness, for the balancer to see it."),
 		duration("times.drain", "5m", func(s *Settings) *time.Duration { return &s.Times.Drain },
 			"Longest wait for requests in flight on shutdown."),
-		duration("times.stale", "1h", func(s *Settings) *time.Duration { return &s.Times.Stale },
+		duration("times.stale", "30s", func(s *Settings) *time.Duration { return &s.Times.Stale },
 			"Time that an instance admits requests while it can reach neither the table service nor a peer."),
 	}
 }
 
+// repairs returns the bounds on the repairs of missing layer ranges.
+func repairs() []Setting {
+	return []Setting{
+		number("repairs.layers", 4, 1, 1<<20, unitLayers, func(s *Settings, n int64) { s.Repairs.Layers = int(n) },
+			"Layers that the repairs of a region ask of the weight store."),
+		number("repairs.loads", 4, 1, 1<<10, unitLoads, func(s *Settings, n int64) { s.Repairs.Loads = int(n) },
+			"Loads of layers that run at once in a region."),
+		duration("repairs.grace", "3s", func(s *Settings) *time.Duration { return &s.Repairs.Grace },
+			"Time that layers must be missing before a spare loads them."),
+		duration("repairs.window", "4s", func(s *Settings) *time.Duration { return &s.Repairs.Window },
+			"Time after a write of the lease in which its holder starts orders. Shorter than the lease, 5s."),
+	}
+}
+
 // name returns a required setting that names something.
 func name(n, value string, field func(*Settings) *string, help string) Setting {
 	s := text(n, value, unitName, field, isName, help)
--- a/internal/serving/runner/peers.go
+++ b/internal/serving/runner/peers.go
@@ -16,7 +16,7 @@
 
 const (
 	// urgentTimeout bounds the wait for the other instances to learn of a crash.
-	urgentTimeout = 500 * time.Millisecond
+	urgentTimeout = 2 * time.Second
 	// countsKey is the key under which an instance shares its teams' counts.
 	countsKey = "counts"
 )
@@ -32,6 +32,7 @@
 	if r.platform.List != nil {
 		options = append(options, exchanger.WithLister(r.platform.List, s.Times.List))
 	}
+	options = append(options, r.secrets.exchange()...)
 	return exchanger.New(r.self(), options...)
 }
 
@@ -45,6 +46,7 @@
 func (r *Runner) newWatcher(router watcher.Router) *watcher.Watcher {
 	return watcher.New(r.self(), r.platform.List, r.engines, router, r.services, r.exchange,
 		watcher.WithIntervals(r.settings.Times.List, r.settings.Times.Report),
+		watcher.WithCaches(r.engines, r.router),
 		watcher.WithClock(r.clock),
 		watcher.WithLogger(r.log),
 	)
@@ -94,12 +96,12 @@
 	})
 }
 
-// tell calls every peer at once and returns when all have answered or a bound has passed.
+// tell calls every instance that is known, also one not yet heard from, at once and returns when all have answered or a bound has passed.
 func (n *notices) tell(call func(ctx context.Context, p gossiper.Peer) error) {
 	ctx, cancel := context.WithTimeout(context.Background(), urgentTimeout)
 	defer cancel()
 	var wait sync.WaitGroup
-	for _, p := range n.runner.exchange.Peers() {
+	for _, p := range n.runner.exchange.Known() {
 		wait.Go(func() {
 			if err := call(ctx, p); err != nil {
 				n.runner.log.Warn("peer not told of a crash or a trial", "peer", p.ID, "error", err)
@@ -138,6 +140,7 @@
 func (r *Runner) share(now time.Time) {
 	members := r.Members()
 	r.router.SetPeers(now, members)
+	r.router.Configure(now, r.View())
 	r.admitter.Expect(members)
 	if members >= tallier.From {
 		r.exchange.Withdraw(gossiper.TopicLimit, countsKey)
--- a/internal/serving/watcher/duties.go
+++ b/internal/serving/watcher/duties.go
@@ -156,7 +156,7 @@
 		return
 	}
 	w.stop(e)
-	e.watch = &watch{watcher: w, endpoint: e, rank: rank, address: e.instance.Address, done: make(chan struct{})}
+	e.watch = &watch{watcher: w, endpoint: e, rank: rank, id: e.instance.ID, address: e.instance.Address, done: make(chan struct{})}
 	w.wait.Add(1)
 	go e.watch.loop()
 }
@@ -176,8 +176,13 @@
 	watcher  *Watcher
 	endpoint *endpoint
 	rank     int
+	id       string
 	address  string
+	// sequence is that of the latest cache event read.
+	sequence int64
 	done     chan struct{}
+	// missed counts the reads that have failed since the last answer.
+	missed int
 }
 
 // loop reads the load until the watch or the watcher ends.
@@ -202,6 +207,9 @@
 func (v *watch) pause() time.Duration {
 	v.watcher.mu.Lock()
 	defer v.watcher.mu.Unlock()
+	if v.doubted() {
+		return v.watcher.options.report
+	}
 	return Pace(v.watcher.options.report, v.watcher.reading, v.watcher.options.loadAllowance) * time.Duration(v.factor())
 }
 
@@ -229,9 +237,11 @@
 	l, err := v.watcher.engines.Load(ctx, v.address)
 	if err != nil {
 		v.watcher.options.logger.Debug("load not read", "address", v.address, "error", err)
+		v.miss(v.watcher.options.clock())
 		return
 	}
 	v.take(v.watcher.options.clock(), l)
+	v.readEvents(ctx)
 }
 
 // take takes a load in, unless the watch has ended meanwhile.
@@ -243,6 +253,8 @@
 		return
 	}
 	stamp := time.UnixMilli(l.Stamp)
+	v.missed = 0
+	w.answered(now, v.endpoint)
 	w.observe(now, v.endpoint, describe(v.endpoint.instance, l), picker.Report{
 		Running: l.Running, Waiting: l.Waiting, Rate: l.Rate, At: stamp,
 	})
