--- a/internal/bench/measurer/page_test.go
+++ b/internal/bench/measurer/page_test.go
@@ -17,7 +17,7 @@
 
 // figure matches a figure in the page: its name, with the experiment's before a dot unless that is capacity, and its
 // value, in a table or in running text.
-var figure = regexp.MustCompile("`([a-z]+\\.)?([a-z_]+)`(?: \\|)? ([0-9][0-9.,]*[0-9]|[0-9])")
+var figure = regexp.MustCompile("`([a-z]+\\.)?([a-z_]+)`(?: \\|)?\\s([0-9][0-9.,]*[0-9]|[0-9])")
 
 // results reads the committed result of an experiment.
 func results(t *testing.T, name string) reporter.Result {
