Encode what surrounds a token's text once an answer

Cause: each event of a stream was encoded whole, though only the text differs from token to token. Change: a reply encodes a part once and puts each token's text between its two ends.

--- a/internal/serving/server/reply.go
+++ b/internal/serving/server/reply.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 
@@ -57,6 +58,10 @@
 	// opened is set once a part of the answer was written.
 	opened bool
 	text   []byte
+	// before and after surround a token's text in each event but the first; line holds the event being written.
+	before []byte
+	after  []byte
+	line   []byte
 }
 
 // token writes one token's text, or keeps it for the whole answer.
@@ -65,9 +70,38 @@
 		r.text = append(r.text, text...)
 		return nil
 	}
-	first := !r.opened
+	if r.opened {
+		return r.repeat(text)
+	}
 	r.open()
-	return r.event(r.part(text, first))
+	return r.event(r.part(text, true))
+}
+
+// repeat writes the event of a token after the first: all but the text is encoded once an answer.
+func (r *reply) repeat(text string) error {
+	if r.before == nil {
+		if err := r.prepare(); err != nil {
+			return err
+		}
+	}
+	quoted, err := json.Marshal(text)
+	if err != nil {
+		return err
+	}
+	r.line = append(append(append(r.line[:0], r.before...), quoted...), r.after...)
+	return r.send(r.line)
+}
+
+// prepare encodes what surrounds a token's text. The text is the last value of a part that is a string.
+func (r *reply) prepare() error {
+	line, err := json.Marshal(r.part("", false))
+	if err != nil {
+		return err
+	}
+	at := bytes.LastIndex(line, []byte(`""`))
+	r.before = append([]byte("data: "), line[:at]...)
+	r.after = append(line[at+len(`""`):], "\n\n"...)
+	return nil
 }
 
 // open writes the head of a stream.
@@ -104,7 +138,12 @@
 	if err != nil {
 		return err
 	}
-	if _, err := r.w.Write([]byte("data: " + string(line) + "\n\n")); err != nil {
+	return r.send([]byte("data: " + string(line) + "\n\n"))
+}
+
+// send writes an encoded event and flushes it.
+func (r *reply) send(line []byte) error {
+	if _, err := r.w.Write(line); err != nil {
 		return err
 	}
 	return http.NewResponseController(r.w).Flush()
