--- a/internal/serving/watcher/watcher.go
+++ b/internal/serving/watcher/watcher.go
@@ -27,6 +27,9 @@
 	Observe(now time.Time, e planner.Endpoint, r picker.Report)
 	Leave(now time.Time, id string)
 	Remove(now time.Time, id string)
+	// Missed tells that an endpoint does not answer this instance's reads, and Answered that it does again.
+	Missed(now time.Time, id string)
+	Answered(now time.Time, id string)
 }
 
 // Services takes in what is known of the endpoints of plain services.
@@ -81,6 +84,8 @@
 	watch *watch
 	// group names what the endpoint holds, as last seen.
 	group string
+	// missed is set while the endpoint does not answer this instance's reads.
+	missed bool
 	// own is what this instance last shared.
 	own    assigner.Teller
 	shared string
@@ -189,7 +194,7 @@
 func defaults() options {
 	return options{
 		every: 2 * time.Second, report: time.Second, timeout: time.Second, lag: 10 * time.Second,
-		retention: 10 * time.Minute, direct: 64, watchers: 2, subset: 400, listAllowance: 1 << 10, loadAllowance: 4 << 10,
+		retention: 10 * time.Minute, direct: 64, watchers: 2, subset: 400, listAllowance: 1 << 10, loadAllowance: 3 << 10,
 		clock: time.Now, logger: slog.New(slog.DiscardHandler),
 	}
 }
