Allocate what was run for a step at once

Cause: what was run for a step was copied by appending, with three allocations for three stages. Change: the copy is allocated at its length.

--- a/internal/serving/generator/attempt.go
+++ b/internal/serving/generator/attempt.go
@@ -304,8 +304,11 @@
 	default:
 		step.Kind = tracker.Ping
 	}
-	for _, r := range s.Ran {
-		step.Ran = append(step.Ran, planner.Stage(r))
+	if len(s.Ran) > 0 {
+		step.Ran = make([]planner.Stage, len(s.Ran))
+	}
+	for i, r := range s.Ran {
+		step.Ran[i] = planner.Stage(r)
 	}
 	return step
 }
