Leave what is already known out of the decoding of a step

Cause: with what was run kept from step to step, decoding is still more than half of an answer's time: its field is two thirds of a line, and each byte is looked at three times. Change: a line's field that equals the last one decoded is cut out before the rest is decoded.

--- a/internal/platform/streamer/client.go
+++ b/internal/platform/streamer/client.go
@@ -112,10 +112,12 @@
 	body    io.ReadCloser
 	scanner *bufio.Scanner
 	cancel  context.CancelFunc
-	// raw and text hold the encoding of what was run for a token: the newest, and that of ran.
+	// ran is what was last run for a token, and known its field as it was sent.
+	ran   []Stage
+	known []byte
+	// raw and rest are buffers: what was run, not yet decoded, and a line without it.
 	raw  json.RawMessage
-	text []byte
-	ran  []Stage
+	rest []byte
 }
 
 // line is a step whose Ran is not yet decoded.
@@ -169,10 +171,18 @@
 	return step, nil
 }
 
+// ranField begins the field that holds what was run. In valid JSON it is never a part of a string, for a quote within a
+// string follows a backslash.
+const ranField = `,"ran":`
+
 // decode returns the step of a line. Tokens of an attempt run the same stages, so Ran is decoded when it differs from the
 // one before, and else shared: it must not be changed.
 func (s *Stream) decode(text []byte) (Step, error) {
 	var step Step
+	if at := bytes.Index(text, s.known); len(s.known) > 0 && at >= 0 {
+		s.rest = append(append(s.rest[:0], text[:at]...), text[at+len(s.known):]...)
+		text, step.Ran = s.rest, s.ran
+	}
 	s.raw = s.raw[:0]
 	if err := json.Unmarshal(text, &line{Step: &step, Ran: &s.raw}); err != nil {
 		return Step{}, err
@@ -180,14 +190,12 @@
 	if len(s.raw) == 0 {
 		return step, nil
 	}
-	if !bytes.Equal(s.raw, s.text) {
-		var ran []Stage
-		if err := json.Unmarshal(s.raw, &ran); err != nil {
-			return Step{}, err
-		}
-		s.ran, s.text = ran, append(s.text[:0], s.raw...)
+	var ran []Stage
+	if err := json.Unmarshal(s.raw, &ran); err != nil {
+		return Step{}, err
 	}
-	step.Ran = s.ran
+	step.Ran, s.ran = ran, ran
+	s.known = append(append(s.known[:0], ranField...), s.raw...)
 	return step, nil
 }
 
--- a/internal/platform/streamer/next_test.go
+++ b/internal/platform/streamer/next_test.go
@@ -18,6 +18,9 @@
 	{Kind: KindToken, Request: "r-1", Attempt: 1, Position: 1, Token: -2, Text: " \"latch\" \u2028é\n", Ran: ran},
 	{Kind: KindToken, Request: "r-1", Attempt: 1, Position: 2, Token: 3, Text: " bolt", Ran: ran[:2]},
 	{Kind: KindToken, Request: "r-1", Attempt: 1, Position: 3, Token: 4, Text: " hinge", Ran: ran},
+	{Kind: KindToken, Request: "r-1", Attempt: 1, Position: 4, Token: 5, Text: `,"ran":[{"endpoint":"large-0-1"}]`, Ran: ran[:1]},
+	{Kind: KindToken, Request: "r-1", Attempt: 1, Position: 5, Token: 6, Text: `,"ran":null`},
+	{Kind: KindToken, Request: "r-1", Attempt: 1, Position: 6, Token: 7, Text: "", Ran: ran[:1]},
 	{Kind: KindFault, Request: "r-1", Attempt: 1, Position: 2, Reason: FaultCrashed, Endpoint: "e2"},
 	{Kind: KindEnd, Request: "r-1", Attempt: 2, Position: 3, Reason: ReasonStop, Prompt: 7},
 }
