Run the recovery experiments' tests side by side

Cause: The tests of internal/bench/prover took 109 s with -race: most of it is waiting for engines that take their time. The search for prompts is not slow: 24 of 300 words take 40 ms with -race.

Change: The two series of stageloss run at once on fleets of their own, layers in silent take a quarter of the time, and the tests run in parallel. Counts, bounds and the deadline of silence are as before.

--- a/internal/bench/prover/prover_test.go
+++ b/internal/bench/prover/prover_test.go
@@ -15,6 +15,7 @@
 			continue
 		}
 		t.Run(e.Name, func(t *testing.T) {
+			t.Parallel()
 			r, err := e.Run(1)
 			if err != nil {
 				t.Fatal(err)
@@ -38,6 +39,7 @@
 
 // TestOverheadMeasures checks that the experiment gives its figures.
 func TestOverheadMeasures(t *testing.T) {
+	t.Parallel()
 	r, err := runOverhead(1)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/bench/prover/silent.go
+++ b/internal/bench/prover/silent.go
@@ -25,7 +25,7 @@
 	result := reporter.NewResult("silent", seed)
 	ctx, cancel := context.WithTimeout(context.Background(), bound)
 	defer cancel()
-	s, err := open(ctx, 1, 2, 200*time.Microsecond, stager.WithTimes(func(t *configurer.Times) { t.Progress = progress }),
+	s, err := open(ctx, 1, 2, 50*time.Microsecond, stager.WithTimes(func(t *configurer.Times) { t.Progress = progress }),
 		stager.WithFleet(quickPings))
 	if err != nil {
 		return result, err
--- a/internal/bench/prover/stageloss.go
+++ b/internal/bench/prover/stageloss.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -41,12 +43,15 @@
 // runStageLoss kills a stage of each of many answers, with KV import and without.
 func runStageLoss(seed uint64) (reporter.Result, error) {
 	result := reporter.NewResult("stageloss", seed)
-	with, err := lose(seed)
-	if err != nil {
-		return result, err
-	}
-	without, err := lose(seed, stager.WithRunner(runner.WithGenerator(generator.WithoutImports())))
-	if err != nil {
+	var with, without losses
+	var failed [2]error
+	var wait sync.WaitGroup
+	wait.Go(func() { with, failed[0] = lose(seed) })
+	wait.Go(func() {
+		without, failed[1] = lose(seed, stager.WithRunner(runner.WithGenerator(generator.WithoutImports())))
+	})
+	wait.Wait()
+	if err := errors.Join(failed[:]...); err != nil {
 		return result, err
 	}
 	result.Set("kills", 2*kills, "stages")
