--- a/internal/bench/measurer/measurer.go
+++ b/internal/bench/measurer/measurer.go
@@ -73,10 +73,15 @@
 	if err != nil {
 		return r, err
 	}
+	connected, err := connections(r)
+	if err != nil {
+		return r, err
+	}
 	roles := []struct {
 		name string
 		cost cost
 	}{
+		{"connections", connected},
 		{"watcher", watching},
 		{"reader", configuration},
 		{"metrics", measured},
@@ -96,6 +101,7 @@
 	r.SetTarget("core", total.core, "share of a core", targetCore)
 	r.SetTarget("memory", total.memory/mega, "MB", targetMemory)
 	r.SetTarget("bytes", total.bytes/kilo, "KB a second, both ways", targetBytes)
+	failures(r, seed, planned)
 	relay(r, planned)
 	return r, nil
 }
--- a/internal/control/gossiper/entry.go
+++ b/internal/control/gossiper/entry.go
@@ -40,6 +40,14 @@
 	TopicLimit:    ScopeRegion,
 }
 
+// urgent holds the topics whose entries are passed on at once.
+var urgent = map[string]bool{
+	TopicMember:     true,
+	TopicHead:       true,
+	TopicLeaving:    true,
+	TopicQuarantine: true,
+}
+
 // ScopeOf returns the scope of a topic's entries.
 func ScopeOf(topic string) Scope {
 	return scopes[topic]
@@ -108,6 +116,7 @@
 
 // Message is what one instance sends to another in an exchange.
 type Message struct {
+	// From is the sender. Only the first message of an exchange describes it in full.
 	From Peer
 	// Digest holds packed marks.
 	Digest []byte
--- a/internal/control/gossiper/exchange.go
+++ b/internal/control/gossiper/exchange.go
@@ -18,11 +18,11 @@
 func (g *Gossiper) Handle(now time.Time, m Message) (Message, []Entry) {
 	out := g.Expire(now)
 	out = append(out, g.Merge(now, m.Delta)...)
-	if known, ok := g.Members[m.From.ID]; !ok || known.Seen.IsZero() {
+	if m.From.Address != "" {
 		g.Seed([]Peer{m.From})
 	}
 	marks := unpack(m.Digest)
-	reply := Message{From: g.Self, Delta: g.Delta(now, m.From, marks), Digest: pack(nil, g.wanted(marks)...)}
+	reply := Message{From: Peer{ID: g.Self.ID, Region: g.Self.Region}, Delta: g.Delta(now, m.From, marks), Digest: pack(nil, g.wanted(marks)...)}
 	return reply, out
 }
 
@@ -158,6 +158,7 @@
 	}
 	n := Name{c.Topic, c.Key}
 	s.Entries[n] = h
+	g.hurry(c.Topic)
 	if p, ok := decodePeer(c.Value); ok && c.Topic == TopicMember && c.Key == s.Owner {
 		m := g.Members[s.Owner]
 		m.Peer = p
