Read the watcher's options in place when reading cache events

Cause: Reading the cache events copied all options, among them the size of the subset that TestSubsetCoversLayers sets under the lock: a data race with -race.

Change: The options are read in place, only those that are needed.

Measured: go test -race ./internal/serving/watcher: a data race in TestSubsetCoversLayers before, passes after.

--- a/internal/serving/watcher/caches.go
+++ b/internal/serving/watcher/caches.go
@@ -19,7 +19,7 @@
 
 // readEvents reads the cache events since those read before.
 func (v *watch) readEvents(ctx context.Context) {
-	o := v.watcher.options
+	o := &v.watcher.options
 	if o.events == nil {
 		return
 	}
