Measure periodic exports of KV caches against running a lost stage again

Cause: Whether engines should export the KV caches of running answers from time to time, so that a replacement need not run the lost stage's layers for the whole prefix, was not weighed with figures.

Change: The experiment export loses the middle stage of answers and goes on in three ways: the replacement runs the stage's layers, imports their exported cache, or all stages start afresh.

--- a/internal/bench/prover/prover.go
+++ b/internal/bench/prover/prover.go
@@ -27,6 +27,7 @@
 	return []reporter.Experiment{
 		{Name: "overhead", Help: "time that an instance adds to a token, and its processor time", Run: runOverhead},
 		{Name: "stageloss", Help: "stages killed mid-answer: wrong answers, and the pause with and without KV import", Run: runStageLoss},
+		{Name: "export", Help: "periodic export of KV caches against running a lost stage's layers again", Run: runExport},
 		{Name: "silent", Help: "connections gone silent: time to the next token, endpoints ejected", Run: runSilent},
 		{Name: "poison", Help: "a request that crashes what runs it, and its resends over 7 instances", Run: runPoison},
 		{Name: "drain", Help: "every instance replaced and endpoints leaving under load", Run: runDrain},
