Run answers under two losses and under pairs of faults

Cause: The table of faults hit an answer once. Losses in a row, a loss while the next attempt opens, and faults together were not tried.

Change: Rows for two losses in one answer, the loss of the first stage, a loss while a new attempt is being opened, a lost replacement while the surviving stages go on, and the loss of all but one chain. 120 pairs of faults, drawn from eleven by seed, hit answers over whole chains and over mixed ones: each answer is whole, or broken off openly by the retry budget after a right beginning.

Measured: go test -race ./internal/serving/generator passes; no fault of the generator was found.

--- a/internal/serving/generator/generator_test.go
+++ b/internal/serving/generator/generator_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -87,6 +88,8 @@
 	findings []string
 	endings  []Ending
 	retries  int
+	// mixed lets a plan take each stage from another chain, so that the surviving stages of an attempt go on.
+	mixed bool
 }
 
 func newBench(t *testing.T) *bench {
@@ -116,6 +119,9 @@
 }
 
 func (b *bench) Route(_ time.Time, _ Job, a Ask) Route {
+	if b.mixed {
+		return b.mix(a.Avoid)
+	}
 	for _, p := range b.plans {
 		if !uses(p, a.Avoid) {
 			return Route{Plan: p, OK: true}
@@ -124,6 +130,36 @@
 	return Route{After: time.Millisecond}
 }
 
+// mix returns a plan that takes each stage from the first chain whose stage is not to be avoided.
+func (b *bench) mix(avoid []string) Route {
+	var mixed planner.Plan
+	for i := range b.plans[0].Stages {
+		for _, p := range b.plans {
+			if !slices.Contains(avoid, p.Stages[i].Endpoint) {
+				mixed.Stages = append(mixed.Stages, p.Stages[i])
+				break
+			}
+		}
+	}
+	if len(mixed.Stages) < len(b.plans[0].Stages) {
+		return Route{After: time.Millisecond}
+	}
+	return Route{Plan: mixed, OK: true}
+}
+
+// crash returns a meddler that crashes an engine before a line of its chain's stream. A first stage cuts the stream.
+func (b *bench) crash(id string, at int) func(w http.ResponseWriter, r *http.Request, line int, content []byte) {
+	return func(w http.ResponseWriter, _ *http.Request, line int, content []byte) {
+		if line == at {
+			b.engines[id].Crash()
+			if strings.Contains("adg", id) {
+				panic(http.ErrAbortHandler)
+			}
+		}
+		write(w, content)
+	}
+}
+
 func uses(p planner.Plan, avoid []string) bool {
 	for _, s := range p.Stages {
 		for _, a := range avoid {
@@ -272,6 +308,32 @@
 		}},
 		{name: "the first stage is gone", ending: EndingUnreachable, prepare: func(b *bench) { b.servers["a"].Close() }},
 		{name: "a middle stage is gone", ending: EndingUnreachable, prepare: func(b *bench) { b.servers["b"].Close() }},
+		{name: "the first stage is lost under an answer", ending: EndingCrashed, prepare: func(b *bench) {
+			b.heads[0].meddle = b.crash("a", 4)
+		}},
+		{name: "a second stage is lost under the next attempt", ending: EndingCrashed, prepare: func(b *bench) {
+			b.heads[0].meddle = b.crash("c", 4)
+			b.heads[1].meddle = b.crash("e", 5)
+		}},
+		{name: "the next attempt's first stage is lost while it opens", ending: EndingCrashed, prepare: func(b *bench) {
+			b.heads[0].meddle = b.crash("b", 4)
+			b.heads[1].meddle = b.crash("d", 0)
+		}},
+		{name: "a replacement is lost, and surviving stages go on", ending: EndingCrashed, prepare: func(b *bench) {
+			b.mixed = true
+			b.heads[0].meddle = b.crash("b", 4)
+			b.engines["e"].Crash()
+		}},
+		{name: "all but one chain is lost", ending: EndingCrashed, prepare: func(b *bench) {
+			b.heads[0].meddle = func(w http.ResponseWriter, r *http.Request, line int, content []byte) {
+				if line == 2 {
+					for _, id := range []string{"b", "c", "d", "f"} {
+						b.engines[id].Crash()
+					}
+				}
+				b.crash("a", 4)(w, r, line, content)
+			}
+		}},
 		{name: "the last stage crashed", ending: EndingCrashed, prepare: func(b *bench) { b.engines["c"].Crash() }},
 	}
 	for _, c := range cases {
--- /dev/null
+++ b/internal/serving/generator/pairs_test.go
@@ -0,0 +1,151 @@
+package generator
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
+	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/routing/tracker"
+	"github.com/heatherrock/heatherrock/internal/standin/decoder"
+)
+
+// pairSeeds is the number of pairs of faults, each drawn with a seed of its own.
+const pairSeeds = 120
+
+// lineFault changes one line of a stream, and reports whether the line is still to be written.
+type lineFault struct {
+	name string
+	hit  func(b *bench, chain int, w http.ResponseWriter, r *http.Request, content []byte) bool
+}
+
+// lineFaults are the faults that pairs are drawn from.
+var lineFaults = []lineFault{
+	{"the first stage lost", func(b *bench, chain int, _ http.ResponseWriter, _ *http.Request, _ []byte) bool {
+		b.engines[b.plans[chain].Stages[0].Endpoint].Crash()
+		panic(http.ErrAbortHandler)
+	}},
+	{"the middle stage lost", func(b *bench, chain int, _ http.ResponseWriter, _ *http.Request, _ []byte) bool {
+		b.engines[b.plans[chain].Stages[1].Endpoint].Crash()
+		return true
+	}},
+	{"the last stage lost", func(b *bench, chain int, _ http.ResponseWriter, _ *http.Request, _ []byte) bool {
+		b.engines[b.plans[chain].Stages[2].Endpoint].Crash()
+		return true
+	}},
+	{"cut", func(*bench, int, http.ResponseWriter, *http.Request, []byte) bool {
+		panic(http.ErrAbortHandler)
+	}},
+	{"half a line", func(_ *bench, _ int, w http.ResponseWriter, _ *http.Request, content []byte) bool {
+		write(w, content[:len(content)/2])
+		panic(http.ErrAbortHandler)
+	}},
+	{"a line twice", func(_ *bench, _ int, w http.ResponseWriter, _ *http.Request, content []byte) bool {
+		write(w, bytes.Clone(content))
+		return true
+	}},
+	{"a lost line", func(*bench, int, http.ResponseWriter, *http.Request, []byte) bool { return false }},
+	{"another range", func(_ *bench, _ int, w http.ResponseWriter, _ *http.Request, content []byte) bool {
+		edit(w, content, func(s *streamer.Step) {
+			if len(s.Ran) > 0 {
+				s.Ran[0].To--
+			}
+		})
+		return false
+	}},
+	{"an end too early", func(_ *bench, _ int, w http.ResponseWriter, _ *http.Request, content []byte) bool {
+		edit(w, content, func(s *streamer.Step) { s.Kind, s.Position = streamer.KindEnd, s.Position+2 })
+		return false
+	}},
+	{"an older attempt's line", func(_ *bench, _ int, w http.ResponseWriter, _ *http.Request, content []byte) bool {
+		edit(w, content, func(s *streamer.Step) { s.Attempt--; s.Token++ })
+		return true
+	}},
+	{"silence", func(_ *bench, _ int, _ http.ResponseWriter, r *http.Request, _ []byte) bool {
+		<-r.Context().Done()
+		return false
+	}},
+}
+
+// drawn is a fault at a line of a chain's first stream.
+type drawn struct {
+	lineFault
+	chain int
+	line  int
+}
+
+// draw returns a pair of faults. Half of the second ones hit the stream that the first one hits.
+func draw(random *rand.Rand) [2]drawn {
+	var pair [2]drawn
+	for i := range pair {
+		pair[i] = drawn{lineFaults[random.IntN(len(lineFaults))], i * random.IntN(2), random.IntN(limit)}
+	}
+	return pair
+}
+
+// TestPairsOfFaults runs an answer under two faults at random. It is whole, or broken off openly after a right beginning.
+func TestPairsOfFaults(t *testing.T) {
+	_, want := decoder.Answer("m", "v", "", prompt, layers, limit)
+	for seed := range uint64(pairSeeds) {
+		random := rand.New(rand.NewPCG(seed, seed))
+		pair := draw(random)
+		mixed := random.IntN(2) == 0
+		name := fmt.Sprintf("seed %d: %s at %d of %d, %s at %d of %d, mixed %v", seed, pair[0].name, pair[0].line,
+			pair[0].chain, pair[1].name, pair[1].line, pair[1].chain, mixed)
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			b.mixed = mixed
+			for chain, head := range b.heads {
+				head.meddle = meddle(b, chain, pair)
+			}
+			client := streamer.NewClient()
+			defer client.Close()
+			j := job(prompt)
+			j.Limits = tracker.Limits{Silence: 100 * time.Millisecond, Stall: time.Minute}
+			var text strings.Builder
+			r := New(b, b, client).Run(context.Background(), j, func(s string) error {
+				text.WriteString(s)
+				return nil
+			})
+			if r.Failure == FailureNone {
+				if diff := cmp.Diff(want, text.String()); diff != "" {
+					t.Errorf("answer mismatch (-want +got):\n%s", diff)
+				}
+				if diff := cmp.Diff(classifier.VerdictCompleted, r.Verdict); diff != "" {
+					t.Errorf("verdict mismatch (-want +got):\n%s", diff)
+				}
+				return
+			}
+			if !strings.HasPrefix(want, text.String()) {
+				t.Errorf("%v after a wrong beginning: %q", r.Failure, text.String())
+			}
+			if text.Len() > 0 && r.Verdict == classifier.VerdictNotRun {
+				t.Errorf("told as not run after %q", text.String())
+			}
+			// Two faults leave one chain: only the retry budget may end the answer.
+			if diff := cmp.Diff(FailureBudget, r.Failure); diff != "" {
+				t.Errorf("failure mismatch (-want +got):\n%s\n%+v", diff, r.Attempts)
+			}
+		})
+	}
+}
+
+// meddle returns what hits the lines of a chain's first stream.
+func meddle(b *bench, chain int, pair [2]drawn) func(w http.ResponseWriter, r *http.Request, line int, content []byte) {
+	return func(w http.ResponseWriter, r *http.Request, line int, content []byte) {
+		for _, f := range pair {
+			if f.chain == chain && f.line == line && !f.hit(b, chain, w, r, content) {
+				return
+			}
+		}
+		write(w, content)
+	}
+}
