Watch leaving endpoints for longer than the bound on late work

Cause: The drain experiment watched each leaving endpoint for 1 s, so that late could not pass its target of 3 s: the check could not fail.

Change: One endpoint of each range leaves at once, and all are watched for 4 s. The requests sent meanwhile are a figure of their own, so that a fleet without load shows.

--- a/internal/bench/prover/drain.go
+++ b/internal/bench/prover/drain.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/bench/reporter"
 	"github.com/heatherrock/heatherrock/internal/bench/stager"
+	"github.com/heatherrock/heatherrock/internal/routing/planner"
 	"github.com/heatherrock/heatherrock/internal/serving/runner"
 )
 
@@ -20,8 +22,8 @@
 	leavingEndpoints = 4
 	// lateTarget bounds the time after the first sign in which a leaving endpoint gets new work, in seconds.
 	lateTarget = 3
-	// settle is how long an endpoint that leaves is watched.
-	settle = time.Second
+	// settle is how long endpoints that leave are watched.
+	settle = (lateTarget + 1) * time.Second
 )
 
 // balancer is the platform's balancer: it sends requests to the instances that were ready when it looked last.
@@ -107,14 +109,14 @@
 	if err != nil {
 		return result, err
 	}
-	late := time.Duration(0)
-	for i := range leavingEndpoints {
-		late = max(late, leave(s, s.Standins.Fleet.Engines[i].ID))
-	}
+	before := load.sent.Load()
+	late := leave(s)
+	during := load.sent.Load() - before
 	load.stop()
 	b.close()
 	result.Set("replaced", drainNodes, "instances")
 	result.Set("sent", float64(load.sent.Load()), "requests")
+	result.Set("sent_leaving", float64(during), "requests while endpoints leave")
 	result.Set("refused", float64(load.refused.Load()), "requests")
 	result.SetTarget("cut", float64(cut)+float64(load.cut.Load()), "requests", 0)
 	result.SetTarget("wrong", float64(load.wrong.Load()), "answers", 0)
@@ -147,18 +149,21 @@
 	return cut, nil
 }
 
-// leave lets an endpoint leave and returns the longest time after the first sign at which it got new work.
-func leave(s *stager.Stage, id string) time.Duration {
+// leave lets one endpoint of each range leave and returns the longest time after the first sign at which one of them got
+// new work.
+func leave(s *stager.Stage) time.Duration {
+	left := map[string]bool{}
 	sign := time.Now()
-	s.Standins.List.Leave(id)
+	for _, e := range s.Standins.Fleet.Engines[:leavingEndpoints] {
+		left[e.ID] = true
+		s.Standins.List.Leave(e.ID)
+	}
 	late := time.Duration(0)
 	for time.Since(sign) < settle {
 		for _, r := range s.Live() {
 			for _, a := range r.Router().State(time.Now()).Attempts {
-				for _, stage := range a.Plan.Stages {
-					if stage.Endpoint == id {
-						late = max(late, a.Began.Sub(sign))
-					}
+				if uses(a.Plan, left) {
+					late = max(late, a.Began.Sub(sign))
 				}
 			}
 		}
@@ -166,3 +171,8 @@
 	}
 	return late
 }
+
+// uses reports whether a plan has a stage on one of some endpoints.
+func uses(p planner.Plan, endpoints map[string]bool) bool {
+	return slices.ContainsFunc(p.Stages, func(s planner.Stage) bool { return endpoints[s.Endpoint] })
+}
