--- a/internal/bench/spreader/layout.go
+++ b/internal/bench/spreader/layout.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -62,6 +63,7 @@
 		rate := c.read / layoutChanges * changesADay / daySecs
 		result.SetTarget(name+"_rate", rate, "bytes a second", targetBytes)
 	}
+	result.Set("kept", l.kept/layoutChanges*changesADay, "bytes a day")
 	result.Set("records", float64(len(l.follower.Known.Records)), "records")
 	result.Set("apply", l.applied.Seconds()/layoutChanges, "s a change")
 	result.SetTarget("core", l.applied.Seconds()/layoutChanges*changesADay/daySecs, "share of a core", targetCore)
@@ -78,11 +80,13 @@
 	made     int
 	applied  time.Duration
 	written  float64
+	// kept counts the bytes of rows that are never removed.
+	kept float64
 }
 
 // reset forgets what filling the configuration cost.
 func (l *library) reset() {
-	l.applied, l.written = 0, 0
+	l.applied, l.written, l.kept = 0, 0, 0
 	for _, c := range l.costs {
 		*c = cost{}
 	}
@@ -172,7 +176,11 @@
 			continue
 		}
 		for _, w := range step.Txn.Writes {
-			l.written += float64(len(w.Key) + len(w.Value))
+			size := float64(len(w.Key) + len(w.Value))
+			l.written += size
+			if strings.HasPrefix(w.Key, accepter.BodyPrefix) || strings.HasPrefix(w.Key, accepter.AuditPrefix) {
+				l.kept += size
+			}
 		}
 		applied := l.world.apply(*step.Txn)
 		step = m.TakeCommit(time.Now(), tabler.Result{Outcome: classifier.Completed, Applied: applied}, nil)
