Let the replicas and ranges of records act on repairs

Cause: nothing in the process read the replicas of a model's stages or the ranges of an endpoint record, though both say what a spare is told to load. One missing range without a spare also held up the others. Counting replicas over all regions was ruled out: a lease and its inventory are a region's. Change: layers that none holds go first, then those with fewer holders in the region than replicas; a spare whose kind has ranges loads only those and goes before one that may load anything.

--- a/internal/control/recorder/recorder.go
+++ b/internal/control/recorder/recorder.go
@@ -122,7 +122,7 @@
 type Stage struct {
 	From int `json:"from"`
 	To   int `json:"to"`
-	// Replicas is the number of live endpoints below which a spare is told to load the range.
+	// Replicas is the number of live endpoints of a region below which a spare is told to load the range.
 	Replicas int `json:"replicas"`
 }
 
--- a/internal/control/repairer/repairer.go
+++ b/internal/control/repairer/repairer.go
@@ -1,10 +1,8 @@
-// Package repairer decides which spare endpoint loads the layers that no live endpoint holds.
+// Package repairer decides which spare endpoint loads the layers that too few live endpoints hold.
 package repairer
 
 import (
-	"cmp"
 	"fmt"
-	"maps"
 	"slices"
 	"time"
 )
@@ -17,11 +15,20 @@
 	To      int
 }
 
-// Need is a model's version that is to be served.
+// Need is a model's version that is to be served. Each layer must be held once, and those of a stage as often as the
+// stage's replicas.
 type Need struct {
 	Model   string
 	Version string
 	Layers  int
+	Stages  []Stage
+}
+
+// Stage is the layers From up to, not including, To, and the number of live endpoints that are to hold each.
+type Stage struct {
+	From     int
+	To       int
+	Replicas int
 }
 
 // Endpoint is an engine as the repairer sees it.
@@ -30,6 +37,8 @@
 	Kind       string
 	DataCentre string
 	Held       []Range
+	// Allowed are the ranges that the endpoint may be told to load, of any version. None means all.
+	Allowed []Range
 	// Rate is the capacity in layer steps a second.
 	Rate float64
 	// Gone is set if the endpoint is leaving or not believed to be alive.
@@ -93,7 +102,7 @@
 // Repairer is the decision. Its exported fields are shown in the state dump.
 type Repairer struct {
 	Settings Settings
-	// Missing holds since when each range has been missing.
+	// Missing holds since when each range has been held by too few.
 	Missing map[Range]time.Time
 	// Loads are the loads in flight, in the order in which they were ordered.
 	Loads []Load
@@ -135,10 +144,9 @@
 			continue
 		}
 		l, ok := r.order(now, m, since, endpoints)
-		if !ok {
-			break
+		if ok {
+			orders = append(orders, l)
 		}
-		orders = append(orders, l)
 	}
 	return orders
 }
@@ -225,48 +233,6 @@
 	}
 }
 
-// missing returns the ranges that no live endpoint holds or is loading, and keeps since when.
-func (r *Repairer) missing(now time.Time, needs []Need, endpoints []Endpoint) []Range {
-	var all []Range
-	for _, n := range needs {
-		all = append(all, gaps(n, r.held(n, endpoints))...)
-	}
-	since := map[Range]time.Time{}
-	for _, m := range all {
-		since[m] = now
-		for old, at := range r.Missing {
-			if overlap(old, m) && at.Before(since[m]) {
-				since[m] = at
-			}
-		}
-	}
-	r.Missing = since
-	return all
-}
-
-// held returns the ranges of a need that live endpoints hold or are loading, by their first layer.
-func (r *Repairer) held(n Need, endpoints []Endpoint) []Range {
-	var held []Range
-	take := func(h Range) {
-		if h.Model == n.Model && h.Version == n.Version {
-			held = append(held, h)
-		}
-	}
-	for _, e := range endpoints {
-		if e.Gone {
-			continue
-		}
-		for _, h := range e.Held {
-			take(h)
-		}
-	}
-	for _, l := range r.Loads {
-		take(l.Range)
-	}
-	slices.SortFunc(held, func(a, b Range) int { return cmp.Or(cmp.Compare(a.From, b.From), cmp.Compare(a.To, b.To)) })
-	return held
-}
-
 // order orders a spare to load a missing range, or the part of it that the spare can hold. It returns false if that
 // must wait, and notes why.
 func (r *Repairer) order(now time.Time, m Range, since time.Time, endpoints []Endpoint) (Load, bool) {
@@ -278,51 +244,22 @@
 		r.wait(now, m, fmt.Sprintf("the weight store's rate of %v layers a second is spent", r.Settings.Layers))
 		return Load{}, false
 	}
-	spare, ok := r.spare(now, endpoints)
+	spare, part, ok := r.spare(now, m, endpoints)
 	if !ok {
 		r.wait(now, m, "no live endpoint is spare")
 		return Load{}, false
 	}
+	m = part
 	m.To = min(m.To, m.From+r.span(spare, m))
 	r.number++
 	l := Load{ID: r.name(r.number), Endpoint: spare.ID, Range: m, Since: now}
 	r.Loads = append(r.Loads, l)
 	r.Saved -= float64(m.To - m.From)
-	why := fmt.Sprintf("no live endpoint has held the range for %v; the endpoint holds nothing and has the highest rate, %v layer steps a second", now.Sub(since), spare.Rate)
+	why := fmt.Sprintf("too few live endpoints have held the range for %v; the endpoint holds nothing and goes first among the spares, with a rate of %v layer steps a second", now.Sub(since), spare.Rate)
 	r.note(now, l, WhatOrdered, why)
 	return l, true
 }
 
-// span returns how many layers of a range an endpoint is told to load.
-func (r *Repairer) span(e Endpoint, m Range) int {
-	width := m.To - m.From
-	if c := r.Capacity[e.Kind]; c > 0 {
-		return min(width, c)
-	}
-	if r.Settings.Span > 0 {
-		return min(width, r.Settings.Span)
-	}
-	return width
-}
-
-// spare returns the endpoint with the highest rate among those that hold nothing and may be ordered.
-func (r *Repairer) spare(now time.Time, endpoints []Endpoint) (Endpoint, bool) {
-	maps.DeleteFunc(r.Resting, func(_ string, until time.Time) bool { return !now.Before(until) })
-	var best Endpoint
-	found := false
-	for _, e := range endpoints {
-		_, resting := r.Resting[e.ID]
-		loading := slices.ContainsFunc(r.Loads, func(l Load) bool { return l.Endpoint == e.ID })
-		if e.Gone || e.Busy || resting || loading || len(e.Held) > 0 {
-			continue
-		}
-		if !found || e.Rate > best.Rate || (e.Rate == best.Rate && e.ID < best.ID) {
-			best, found = e, true
-		}
-	}
-	return best, found
-}
-
 // wait notes why a range is not loaded now, unless that was the latest deed about it.
 func (r *Repairer) wait(now time.Time, m Range, why string) {
 	for _, d := range slices.Backward(r.Deeds) {
@@ -344,31 +281,3 @@
 		r.Deeds = slices.Delete(r.Deeds, 0, len(r.Deeds)-kept)
 	}
 }
-
-// gaps returns the parts of a need that the ranges held, sorted by their first layer, leave out.
-func gaps(n Need, held []Range) []Range {
-	var all []Range
-	next := 0
-	for _, h := range held {
-		if h.From > next {
-			all = append(all, Range{Model: n.Model, Version: n.Version, From: next, To: min(h.From, n.Layers)})
-		}
-		next = max(next, h.To)
-		if next >= n.Layers {
-			return all
-		}
-	}
-	return append(all, Range{Model: n.Model, Version: n.Version, From: next, To: n.Layers})
-}
-
-// holds reports whether an endpoint holds a whole range.
-func holds(e Endpoint, m Range) bool {
-	return slices.ContainsFunc(e.Held, func(h Range) bool {
-		return h.Model == m.Model && h.Version == m.Version && h.From <= m.From && h.To >= m.To
-	})
-}
-
-// overlap reports whether two ranges have a layer in common.
-func overlap(a, b Range) bool {
-	return a.Model == b.Model && a.Version == b.Version && a.From < b.To && b.From < a.To
-}
--- a/internal/control/repairer/repairer_test.go
+++ b/internal/control/repairer/repairer_test.go
@@ -72,6 +72,51 @@
 	}
 }
 
+// TestPolicies orders by the replicas of a model's stages and by the ranges that the records of endpoints allow.
+func TestPolicies(t *testing.T) {
+	at := start.Add(3 * time.Second)
+	only := func(e Endpoint, allowed ...Range) Endpoint {
+		e.Allowed = allowed
+		return e
+	}
+	oak := func(from, to int) Range { return Range{Model: "oak", From: from, To: to} }
+	cases := []struct {
+		name      string
+		stages    []Stage
+		endpoints []Endpoint
+		want      []Load
+	}{
+		{"one replica short", []Stage{{0, 10, 2}, {10, 30, 1}},
+			[]Endpoint{engine("e1", 1, layers(0, 30)), engine("s1", 1)}, []Load{{"o1", "s1", layers(0, 10), at}}},
+		{"enough replicas", []Stage{{0, 30, 2}},
+			[]Endpoint{engine("e1", 1, layers(0, 30)), engine("e2", 1, layers(0, 30)), engine("s1", 1)}, nil},
+		{"a layer that none holds goes first", []Stage{{0, 20, 3}, {20, 30, 1}},
+			[]Endpoint{engine("e1", 1, layers(0, 20)), engine("s1", 1)}, []Load{{"o1", "s1", layers(20, 30), at}}},
+		{"only the ranges allowed", nil,
+			[]Endpoint{engine("e1", 1, layers(0, 10)), only(engine("s1", 1), oak(0, 10), oak(15, 25))},
+			[]Load{{"o1", "s1", layers(15, 25), at}}},
+		{"named for the range before any", nil,
+			[]Endpoint{engine("e1", 1, layers(0, 20)), engine("s1", 9), only(engine("s2", 1), oak(20, 30))},
+			[]Load{{"o1", "s2", layers(20, 30), at}}},
+		{"allowed another model", nil,
+			[]Endpoint{engine("e1", 1, layers(0, 20)), only(engine("s1", 1), Range{Model: "elm", To: 30})}, nil},
+		{"one range without a spare leaves the next", nil,
+			[]Endpoint{engine("e1", 1, layers(10, 20)), only(engine("s1", 1), oak(20, 30))},
+			[]Load{{"o1", "s1", layers(20, 30), at}}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRepairer()
+			needs := []Need{{Model: "oak", Version: "v1", Layers: 30, Stages: c.stages}}
+			r.Capacity["a"] = 10
+			r.Next(start, needs, c.endpoints)
+			if diff := cmp.Diff(c.want, r.Next(at, needs, c.endpoints)); diff != "" {
+				t.Errorf("orders mismatch (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 func TestLoadIsConfirmedByReport(t *testing.T) {
 	r := newRepairer()
 	step(r, engine("s1", 1))
--- a/internal/serving/orderer/registry.go
+++ b/internal/serving/orderer/registry.go
@@ -80,15 +80,25 @@
 	for _, name := range slices.Sorted(maps.Keys(models)) {
 		for _, v := range models[name].Versions {
 			if v.Share > 0 {
-				needs = append(needs, repairer.Need{Model: name, Version: v.Name, Layers: models[name].Layers})
+				needs = append(needs, needOf(name, v.Name, models[name]))
 			}
 		}
 	}
 	return needs
 }
 
+// needOf returns what a version of a model needs.
+func needOf(name, version string, m recorder.Model) repairer.Need {
+	n := repairer.Need{Model: name, Version: version, Layers: m.Layers}
+	for _, s := range m.Stages {
+		n.Stages = append(n.Stages, repairer.Stage(s))
+	}
+	return n
+}
+
 // Endpoints returns the engines of the region, by name.
 func (g *Registry) Endpoints() []Endpoint {
+	kinds := g.view().Endpoints
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var all []Endpoint
@@ -97,6 +107,9 @@
 		e := Endpoint{Address: s.endpoint.Address}
 		e.ID, e.Kind, e.DataCentre, e.Rate = id, s.endpoint.Kind, s.endpoint.DataCentre, s.endpoint.Rate
 		e.Gone = s.leaving || g.now().Sub(s.at) > g.stale
+		for _, a := range kinds[e.Kind].Ranges {
+			e.Allowed = append(e.Allowed, repairer.Range{Model: a.Model, From: a.From, To: a.To})
+		}
 		for _, h := range s.endpoint.Held {
 			e.Held = append(e.Held, repairer.Range(h))
 		}
--- a/internal/serving/orderer/repair.go
+++ b/internal/serving/orderer/repair.go
@@ -29,7 +29,7 @@
 	Deeds []repairer.Deed
 }
 
-// Missing is a range that no live endpoint holds.
+// Missing is a range that too few live endpoints hold.
 type Missing struct {
 	Range repairer.Range
 	Since time.Time
