Take a head below what is known for no sign of being current

Cause: each read of the head counted as contact with the store, also one of a lower epoch, as when something on the way answers that there is no such row. An instance cut off from the store then admitted for good under an old configuration. Taking the lower epoch for a reset of the store was ruled out, since no epoch is ever taken back. Change: such a head is ErrOld and no read; the instance asks its peers instead.

--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -205,8 +205,12 @@
 }
 
 // Head takes in the store's head, read at now. The store is the truth: a higher epoch that a peer claimed is forgotten.
+// A head lower than what is known is not the accepted one, as accepted epochs stay: it is ErrOld and counts as no read.
 func (f *Follower) Head(now time.Time, epoch int64) Decision {
 	defer f.settle(now)
+	if epoch < f.Known.Epoch && !f.unguarded {
+		return f.fetch(Decision{Err: ErrOld})
+	}
 	f.Read = now
 	f.Highest = max(f.Known.Epoch, epoch)
 	return f.fetch(Decision{})
--- a/internal/control/follower/follower_test.go
+++ b/internal/control/follower/follower_test.go
@@ -63,6 +63,26 @@
 	}
 }
 
+// TestHeadBelowKnown reads a head that is lower than what is known, as from something that is not the store or from one
+// that has lost its rows. It is no sign that the configuration known is current.
+func TestHeadBelowKnown(t *testing.T) {
+	_, deltas := chain(t, 2)
+	f := NewFollower(start, WithStale(time.Minute))
+	f.Advance(start, deltas[0])
+	f.Advance(start, deltas[1])
+	f.Head(start, 2)
+	late := start.Add(2 * time.Minute)
+	if d := f.Head(late, 0); !errors.Is(d.Err, ErrOld) {
+		t.Errorf("head 0: %+v", d)
+	}
+	if f.Admits(late) {
+		t.Error("admits by a head that is lower than what is known")
+	}
+	if f.Head(late, 2); !f.Admits(late) {
+		t.Error("does not admit once the head is there again")
+	}
+}
+
 func TestUnreadableKeepsLastGood(t *testing.T) {
 	snapshots, deltas := chain(t, 3)
 	older := converter.NewReader()
--- a/internal/serving/poller/round.go
+++ b/internal/serving/poller/round.go
@@ -65,7 +65,8 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.follower.Head(p.options.clock(), head.Epoch), nil
+	d := p.follower.Head(p.options.clock(), head.Epoch)
+	return d, d.Err
 }
 
 // get reads one row of the configuration. An absent row has version 0.
