--- a/internal/serving/poller/poller.go
+++ b/internal/serving/poller/poller.go
@@ -242,12 +242,15 @@
 	}
 }
 
-// apply takes in a whole snapshot.
+// apply takes in a whole snapshot. The deltas held do not lead up to it, so they are dropped.
 func (p *Poller) apply(s recorder.Snapshot) follower.Decision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	d := p.follower.Apply(p.options.clock(), s)
 	p.take(d)
+	if d.Learned {
+		p.recent = nil
+	}
 	return d
 }
 
--- a/internal/serving/poller/poller_test.go
+++ b/internal/serving/poller/poller_test.go
@@ -122,6 +122,27 @@
 	return n
 }
 
+// TestSinceAfterWhole asks an instance that has learned a whole snapshot between two deltas for what follows an epoch
+// before it. What lies between is not to be left out.
+func TestSinceAfterWhole(t *testing.T) {
+	p := newPlatform()
+	peer := p.join(t, "peer", &alone{})
+	behind := p.join(t, "behind", &alone{peer: peer})
+	first := p.raise(t)
+	peer.advance(first)
+	behind.advance(first)
+	peer.advance(p.raise(t))
+	for range 3 {
+		p.raise(t)
+	}
+	peer.apply(p.base)
+	peer.advance(p.raise(t))
+	behind.fetch(context.Background(), gossiper.Peer{ID: "peer"}, behind.Base().Epoch)
+	if diff := cmp.Diff(p.base, behind.Base()); diff != "" {
+		t.Errorf("configuration mismatch (-want +got):\n%s", diff)
+	}
+}
+
 // TestCompactNeverPointsBack compacts on an instance that was paused while others went on and compacted.
 func TestCompactNeverPointsBack(t *testing.T) {
 	ctx := context.Background()
