--- a/internal/serving/runner/runner.go
+++ b/internal/serving/runner/runner.go
@@ -110,6 +110,9 @@
 		o(r)
 	}
 	r.log = r.log.With("instance", s.ID)
+	if p.List != nil {
+		r.platform.List = &listing{lister: p.List, log: r.log}
+	}
 	return r
 }
 
@@ -231,6 +234,7 @@
 			Silence: r.settings.Times.Progress,
 			Stall:   stallFactor * r.settings.Times.Progress,
 		}),
+		server.WithPrefixes(streamer.Prefixes),
 		server.WithEnded(r.ended),
 	)
 	s.Register(routes)
