Count every answer of the dispatcher

Change: an answer is counted where it is written. Measured: TestRefusals, ten refusals: before one is counted, after all, with -race.

--- a/internal/serving/dispatcher/dispatcher_test.go
+++ b/internal/serving/dispatcher/dispatcher_test.go
@@ -80,7 +80,7 @@
 func TestRefusals(t *testing.T) {
 	s := &stock{holds: map[string]int{}}
 	tb := newTable()
-	_, one := entry(t, "one", tb, world{addresses: []string{serviceOf(t, s)}})
+	d, one := entry(t, "one", tb, world{addresses: []string{serviceOf(t, s)}})
 	call(t, one, http.MethodPost, "/v1/services/stock/holds", "oak", HeaderKey, day+"-used")
 	cases := []struct {
 		name, method, path, body string
@@ -109,6 +109,9 @@
 	if s.ran() != 1 {
 		t.Errorf("ran %d holds, want 1", s.ran())
 	}
+	if diff := cmp.Diff(Counts{NotRun: int64(len(cases)), Completed: 1}, d.State().Counts); diff != "" {
+		t.Errorf("counts mismatch (-want +got):\n%s", diff)
+	}
 }
 
 func TestTableDownLeavesLookups(t *testing.T) {
--- a/internal/serving/dispatcher/handler.go
+++ b/internal/serving/dispatcher/handler.go
@@ -40,29 +40,37 @@
 func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	attempt, ok := attemptOf(r)
 	if !ok {
-		respond(w, notRun(CodeAttempt))
+		d.answer(w, notRun(CodeAttempt))
 		return
 	}
 	if !d.admit() {
-		respond(w, claimer.Refuse(attempt, CodeFull))
+		d.answer(w, claimer.Refuse(attempt, CodeFull))
 		return
 	}
 	defer d.depart()
+	d.answer(w, d.serve(w, r, attempt))
+}
+
+// answer counts and writes an answer.
+func (d *Dispatcher) answer(w http.ResponseWriter, a claimer.Answer) {
+	d.count(a)
+	respond(w, a)
+}
+
+// serve returns the answer to a request that was let in.
+func (d *Dispatcher) serve(w http.ResponseWriter, r *http.Request, attempt int) claimer.Answer {
 	v, code := d.visit(w, r)
 	if code != "" {
-		respond(w, notRun(code))
-		return
+		return notRun(code)
 	}
 	if v.call.Idempotent {
-		respond(w, d.lookup(r.Context(), v))
-		return
+		return d.lookup(r.Context(), v)
 	}
 	key, code := claimer.ParseKey(r.Header.Get(HeaderKey))
 	if code != "" {
-		respond(w, notRun(code))
-		return
+		return notRun(code)
 	}
-	respond(w, d.hold(r.Context(), v, key, attempt))
+	return d.hold(r.Context(), v, key, attempt)
 }
 
 // admit counts a request in, or returns false if too many are in flight.
--- a/internal/serving/dispatcher/holder.go
+++ b/internal/serving/dispatcher/holder.go
@@ -46,7 +46,6 @@
 	go h.run()
 	select {
 	case answer := <-h.answer:
-		d.count(answer)
 		return answer
 	case <-ctx.Done():
 		return claimer.Answer{Verdict: classifier.VerdictUnknown, Code: claimer.CodeRunning, Retry: true}
--- a/internal/serving/dispatcher/lookup.go
+++ b/internal/serving/dispatcher/lookup.go
@@ -30,9 +30,7 @@
 		fingerprint: quarantiner.Fingerprint(xxhash.Sum64String(v.team + "\x00" + v.print)),
 	}
 	d.earn(v.service)
-	answer := l.run(ctx)
-	d.count(answer)
-	return answer
+	return l.run(ctx)
 }
 
 // lookup is an idempotent call in flight.
