Name the explorations' types after what they are

Cause: the explorations of claims, leases and records called their state world and yard, and their runs played. Change: fleet for the instances before a table of claims, history for one run of leases or records. No behaviour changes.

--- a/internal/bench/claimer/claims.go
+++ b/internal/bench/claimer/claims.go
@@ -62,7 +62,7 @@
 	for range randomHolds {
 		plans = append(plans, draw(random, randomFaults))
 	}
-	a := newWorld(seed, plans, faultInterval).run()
+	a := newFleet(seed, plans, faultInterval).run()
 	r.Set("holds", float64(a.Holds), "holds")
 	r.SetTarget("duplicates", float64(a.Duplicates), "holds", 0)
 	r.SetTarget("misreported", float64(a.Misreported), "holds", 0)
@@ -86,7 +86,7 @@
 		suffix = " (service can be asked)"
 	}
 	for f, plans := range byFault {
-		a := newWorld(seed, plans, faultInterval).run()
+		a := newFleet(seed, plans, faultInterval).run()
 		r.Set("unknown: "+string(f)+suffix, share(a.Unknown, a.Holds), "share")
 	}
 }
@@ -97,7 +97,7 @@
 	for n := range plans {
 		plans[n].Resend = ResendNever
 	}
-	w := newWorld(seed, plans, time.Duration(float64(time.Second)/rate), options...)
+	w := newFleet(seed, plans, time.Duration(float64(time.Second)/rate), options...)
 	a := w.run()
 	var delays []time.Duration
 	for _, h := range w.holds {
--- a/internal/bench/claimer/claims_test.go
+++ b/internal/bench/claimer/claims_test.go
@@ -18,7 +18,7 @@
 		i := p.Injections[0]
 		name := fmt.Sprintf("%s/%s/%v/%s/asked=%v/fenced=%v", i.Step, i.Fault, i.Long, p.Resend, p.Asked, p.Fenced)
 		t.Run(name, func(t *testing.T) {
-			got := newWorld(uint64(n), []Plan{p}, apart).run()
+			got := newFleet(uint64(n), []Plan{p}, apart).run()
 			if diff := cmp.Diff(0, got.bad()); diff != "" {
 				t.Errorf("violations mismatch (-want +got):\n%s%+v", diff, got)
 			}
@@ -33,7 +33,7 @@
 	for range holds {
 		plans = append(plans, draw(r, faults))
 	}
-	return newWorld(seed, plans, apart, options...).run()
+	return newFleet(seed, plans, apart, options...).run()
 }
 
 func TestFaultsTogether(t *testing.T) {
@@ -56,7 +56,7 @@
 		for n := rand.New(rand.NewPCG(seed, 3)).IntN(one); n < len(all); n += one {
 			plans = append(plans, all[n])
 		}
-		if got := newWorld(seed, plans, apart).run(); got.bad() != 0 {
+		if got := newFleet(seed, plans, apart).run(); got.bad() != 0 {
 			t.Errorf("seed %d: %+v", seed, got)
 		}
 	}
@@ -67,13 +67,13 @@
 		name   string
 		option option
 	}{
-		{"claims without a condition", func(w *world) { w.store.loose = true }},
-		{"no blocking row", func(w *world) { w.store.unblocked = true }},
+		{"claims without a condition", func(f *fleet) { f.store.loose = true }},
+		{"no blocking row", func(f *fleet) { f.store.unblocked = true }},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			for plans := range slices.Chunk(late(), 1000) {
-				if newWorld(1, plans, apart, c.option).run().bad() > 0 {
+				if newFleet(1, plans, apart, c.option).run().bad() > 0 {
 					return
 				}
 			}
--- a/internal/bench/claimer/contender.go
+++ b/internal/bench/claimer/contender.go
@@ -10,9 +10,9 @@
 
 // contender is one instance that wants the lease and orders engines while it holds it.
 type contender struct {
-	yard  *yard
-	self  string
-	lease *leaser.Lease
+	history *history
+	self    string
+	lease   *leaser.Lease
 	// rate is how fast the instance's clock goes, and offset how far it is off.
 	rate   float64
 	offset time.Duration
@@ -25,22 +25,22 @@
 
 // local returns the time on the contender's own clock.
 func (c *contender) local() time.Time {
-	passed := c.yard.clock.now.Sub(epoch)
+	passed := c.history.clock.now.Sub(epoch)
 	return epoch.Add(c.offset + time.Duration(float64(passed)*c.rate))
 }
 
 // after runs f once d has passed on the contender's clock, and not while it is paused or after it has died.
 func (c *contender) after(d time.Duration, f func()) {
-	c.yard.clock.after(time.Duration(float64(d)/c.rate)+time.Microsecond, func() { c.awake(f) })
+	c.history.clock.after(time.Duration(float64(d)/c.rate)+time.Microsecond, func() { c.awake(f) })
 }
 
 // awake runs f now, or when the contender wakes.
 func (c *contender) awake(f func()) {
-	now := c.yard.clock.now
+	now := c.history.clock.now
 	switch {
 	case c.dead:
 	case now.Before(c.wake):
-		c.yard.clock.at(c.wake, func() { c.awake(f) })
+		c.history.clock.at(c.wake, func() { c.awake(f) })
 	default:
 		f()
 	}
@@ -48,7 +48,7 @@
 
 // loop takes the lease's next step.
 func (c *contender) loop() {
-	c.yard.disturb(c)
+	c.history.disturb(c)
 	c.awake(c.step)
 }
 
@@ -67,7 +67,7 @@
 
 // read reads the row.
 func (c *contender) read() {
-	y := c.yard
+	y := c.history
 	if y.clock.now.Before(y.down) {
 		c.after(storeTimeout, func() {
 			c.lease.Unreadable(c.local())
@@ -84,7 +84,7 @@
 
 // write writes the row, under the fault drawn for it.
 func (c *contender) write(a leaser.Action) {
-	y := c.yard
+	y := c.history
 	y.writes++
 	outcome, applied, found := classifier.Unknown, false, leaser.Row{}
 	fault := y.writeFault()
@@ -115,16 +115,16 @@
 	if held || !c.lease.Held {
 		return
 	}
-	if c.yard.policy.forget {
+	if c.history.policy.forget {
 		c.lease.Inherited = nil
 	}
-	c.yard.took(c)
+	c.history.took(c)
 }
 
 // order tries to give an order to an engine, and again after a while.
 func (c *contender) order() {
-	c.after(c.yard.between(500*time.Millisecond, 1500*time.Millisecond), c.order)
-	e := c.yard.engines[c.yard.rand.IntN(len(c.yard.engines))]
+	c.after(c.history.between(500*time.Millisecond, 1500*time.Millisecond), c.order)
+	e := c.history.engines[c.history.rand.IntN(len(c.history.engines))]
 	c.orders++
 	id := fmt.Sprintf("%s-%d", c.self, c.orders)
 	if c.lease.Begin(c.local(), leaser.Intent{ID: id, Endpoint: e.name, Order: "load"}) {
@@ -149,7 +149,7 @@
 // send hands an order to the network. The instance may pause as a whole between the last check and the first byte; the
 // order is cut off after the time that the terms give it.
 func (c *contender) send(e *engine, id string) {
-	y := c.yard
+	y := c.history
 	fence := c.lease.Row.Record.Fence
 	pause := time.Duration(0)
 	if y.rand.IntN(20) == 0 {
@@ -168,7 +168,7 @@
 
 // engine is a model engine that takes orders. Active are the orders that it runs.
 type engine struct {
-	yard    *yard
+	history *history
 	name    string
 	highest int64
 	active  map[string]int
@@ -176,20 +176,20 @@
 
 // take begins an order and returns how long it runs. An engine that checks refuses an old fencing number.
 func (e *engine) take(holder string, fence int64) time.Duration {
-	if e.yard.policy.fenced && fence < e.highest {
-		e.yard.refused++
+	if e.history.policy.fenced && fence < e.highest {
+		e.history.refused++
 		return 0
 	}
 	e.highest = max(e.highest, fence)
 	for other, n := range e.active {
 		if other != holder && n > 0 {
-			e.yard.doubled++
+			e.history.doubled++
 			break
 		}
 	}
-	e.yard.ran++
+	e.history.ran++
 	e.active[holder]++
-	run := e.yard.between(time.Second, e.yard.policy.terms.Run)
-	e.yard.clock.after(run, func() { e.active[holder]-- })
+	run := e.history.between(time.Second, e.history.policy.terms.Run)
+	e.history.clock.after(run, func() { e.active[holder]-- })
 	return run
 }
--- a/internal/bench/claimer/world.go
+++ b/internal/bench/claimer/fleet.go
@@ -19,8 +19,8 @@
 	groupPatience  = 250 * time.Millisecond
 )
 
-// world is a fleet, its table service, and the callers' holds.
-type world struct {
+// fleet is the instances, their table service, and the callers' holds.
+type fleet struct {
 	clock     clock
 	rand      *rand.Rand
 	store     *store
@@ -28,36 +28,36 @@
 	holds     []*hold
 }
 
-// option changes a world before it runs.
-type option func(*world)
+// option changes a fleet before it runs.
+type option func(*fleet)
 
 // alone turns grouping off.
-func alone(w *world) {
-	for _, i := range w.instances {
+func alone(f *fleet) {
+	for _, i := range f.instances {
 		i.group.Size = 1
 		i.group.Parallel = groupSize
 	}
 }
 
-// newWorld returns a world whose holds follow the plans and begin apart by interval.
-func newWorld(seed uint64, plans []Plan, interval time.Duration, options ...option) *world {
-	w := &world{clock: clock{now: epoch}, rand: rand.New(rand.NewPCG(seed, 1)), store: &store{rows: map[string]claimer.Row{}}}
+// newFleet returns a fleet whose holds follow the plans and begin apart by interval.
+func newFleet(seed uint64, plans []Plan, interval time.Duration, options ...option) *fleet {
+	f := &fleet{clock: clock{now: epoch}, rand: rand.New(rand.NewPCG(seed, 1)), store: &store{rows: map[string]claimer.Row{}}}
 	for range fleetInstances {
-		i := &instance{world: w, waiting: map[int64]pending{}}
+		i := &instance{fleet: f, waiting: map[int64]pending{}}
 		i.group = claimer.Group{Delay: groupDelay, Size: groupSize, Parallel: groupParallel, Patience: groupPatience}
 		i.budget.Share(epoch, fleetWrites, fleetInstances)
-		w.instances = append(w.instances, i)
+		f.instances = append(f.instances, i)
 	}
 	for _, o := range options {
-		o(w)
+		o(f)
 	}
 	for n, p := range plans {
 		key := claimer.Key{Text: fmt.Sprintf("20260101-%d", n), Day: "20260101"}
-		h := &hold{world: w, key: key, plan: p, told: map[int]classifier.Verdict{}}
-		w.holds = append(w.holds, h)
-		w.clock.after(time.Duration(n)*interval, h.begin)
+		h := &hold{fleet: f, key: key, plan: p, told: map[int]classifier.Verdict{}}
+		f.holds = append(f.holds, h)
+		f.clock.after(time.Duration(n)*interval, h.begin)
 	}
-	return w
+	return f
 }
 
 // Audit sums up the findings of all holds.
@@ -72,15 +72,15 @@
 	Writes      int
 }
 
-// run runs the world to its end and audits it.
-func (w *world) run() Audit {
-	w.clock.run()
-	a := Audit{Holds: len(w.holds), Writes: w.store.writes}
-	for _, h := range w.holds {
-		f := h.audit()
-		a.Duplicates += f.Duplicates
-		a.Misreported += count(f.Misreported)
-		a.Lost += count(f.Lost)
+// run runs the fleet to its end and audits it.
+func (f *fleet) run() Audit {
+	f.clock.run()
+	a := Audit{Holds: len(f.holds), Writes: f.store.writes}
+	for _, h := range f.holds {
+		found := h.audit()
+		a.Duplicates += found.Duplicates
+		a.Misreported += count(found.Misreported)
+		a.Lost += count(found.Lost)
 		v := h.verdict()
 		a.Completed += count(v == classifier.VerdictCompleted)
 		a.NotRun += count(v == classifier.VerdictNotRun)
--- a/internal/bench/claimer/hold.go
+++ b/internal/bench/claimer/hold.go
@@ -20,7 +20,7 @@
 
 // hold is one stock hold that a caller wants, and what became of it.
 type hold struct {
-	world *world
+	fleet *fleet
 	key   claimer.Key
 	plan  Plan
 	// down is the time until which the table cannot be reached for this hold.
@@ -48,14 +48,14 @@
 func (h *hold) attempt() {
 	h.attempts++
 	n := h.attempts
-	w := h.world
+	w := h.fleet
 	call := claimer.Call{Team: "joiners", Key: h.key, Service: "stock", Path: "/holds", Print: "p", Attempt: n, Lookup: h.plan.Asked}
 	arrive := func() {
 		now := w.clock.now
 		limits := claimer.Limits{
 			Send: now.Add(callDeadline / 2), Answer: now.Add(callDeadline), Settle: now.Add(settleTime), Poll: pollTime,
 		}
-		r := &run{world: w, hold: h, instance: w.instances[w.rand.IntN(len(w.instances))]}
+		r := &run{fleet: w, hold: h, instance: w.instances[w.rand.IntN(len(w.instances))]}
 		r.claim = claimer.NewClaim(call, fmt.Sprintf("%s-%d", h.key.Text, n), "owner", limits)
 		r.begin()
 	}
@@ -83,7 +83,7 @@
 	if h.settled || n != h.attempts || h.plan.Resend == ResendNever || n == callerAttempts {
 		return
 	}
-	h.world.clock.after(callerPause, h.attempt)
+	h.fleet.clock.after(callerPause, h.attempt)
 }
 
 // effect runs the work at the service. A service that fences runs a key once.
--- a/internal/bench/claimer/instance.go
+++ b/internal/bench/claimer/instance.go
@@ -9,7 +9,7 @@
 
 // instance is one entry instance: it groups the mutations of its claims.
 type instance struct {
-	world  *world
+	fleet  *fleet
 	group  claimer.Group
 	budget claimer.Budget
 	// waiting holds the mutations of the group by number.
@@ -29,7 +29,7 @@
 
 // submit queues a mutation.
 func (i *instance) submit(p pending) {
-	now := i.world.clock.now
+	now := i.fleet.clock.now
 	i.number++
 	entry := claimer.Entry{Number: i.number, Key: p.mutation.Key, Since: p.since, First: p.first}
 	if !i.group.Add(now, entry, &i.budget) {
@@ -42,7 +42,7 @@
 
 // pump starts the transactions that are due.
 func (i *instance) pump() {
-	c := &i.world.clock
+	c := &i.fleet.clock
 	for {
 		numbers, again := i.group.Next(c.now, &i.budget)
 		if numbers == nil {
@@ -60,7 +60,7 @@
 
 // arm looks at the group again at a time.
 func (i *instance) arm(at time.Time) {
-	c := &i.world.clock
+	c := &i.fleet.clock
 	if at.IsZero() || (i.armed.After(c.now) && !i.armed.After(at)) {
 		return
 	}
@@ -74,12 +74,12 @@
 	for _, p := range batch {
 		mutations = append(mutations, p.mutation)
 	}
-	conflicts := i.world.store.commit(mutations)
+	conflicts := i.fleet.store.commit(mutations)
 	var versions []int64
 	for _, m := range mutations {
-		versions = append(versions, i.world.store.rows[m.Key].Version)
+		versions = append(versions, i.fleet.store.rows[m.Key].Version)
 	}
-	i.world.clock.after(storeLatency/2, func() {
+	i.fleet.clock.after(storeLatency/2, func() {
 		i.group.Done()
 		i.report(batch, conflicts, versions)
 		i.pump()
--- a/internal/bench/claimer/leases.go
+++ b/internal/bench/claimer/leases.go
@@ -78,9 +78,9 @@
 
 // measure runs the histories of a policy and returns the orders that ran for two holders at once.
 func measure(r reporter.Result, seed uint64, name string, p policy) int {
-	var total yard
+	var total history
 	for n := range uint64(histories) {
-		y := newYard(seed*histories+n, p)
+		y := newHistory(seed*histories+n, p)
 		y.run()
 		total.doubled += y.doubled
 		total.ran += y.ran
@@ -90,7 +90,7 @@
 		total.gaps = append(total.gaps, y.gaps...)
 	}
 	slices.Sort(total.gaps)
-	seconds := yardLength.Seconds() * histories
+	seconds := historyLength.Seconds() * histories
 	r.Set(name+"_doubled", float64(total.doubled), "orders")
 	r.Set(name+"_orders", float64(total.ran), "orders")
 	r.Set(name+"_refused", float64(total.refused), "orders")
--- a/internal/bench/claimer/leases_test.go
+++ b/internal/bench/claimer/leases_test.go
@@ -10,7 +10,7 @@
 func doubles(p policy) (int, int) {
 	doubled, ran := 0, 0
 	for seed := range uint64(50) {
-		y := newYard(seed, p)
+		y := newHistory(seed, p)
 		y.run()
 		doubled += y.doubled
 		ran += y.ran
--- a/internal/bench/claimer/run.go
+++ b/internal/bench/claimer/run.go
@@ -15,7 +15,7 @@
 
 // run carries out one claim on one instance.
 type run struct {
-	world    *world
+	fleet    *fleet
 	hold     *hold
 	instance *instance
 	claim    *claimer.Claim
@@ -25,15 +25,15 @@
 
 // begin takes the first step.
 func (r *run) begin() {
-	r.begun = r.world.clock.now
+	r.begun = r.fleet.clock.now
 	r.perform(r.claim.Begin(r.begun))
 }
 
 // next takes a step of the decision after d, unless the owner is gone by then.
 func (r *run) next(d time.Duration, f func(now time.Time) claimer.Action) {
-	r.world.clock.after(d, func() {
+	r.fleet.clock.after(d, func() {
 		if !r.dead {
-			r.perform(f(r.world.clock.now))
+			r.perform(f(r.fleet.clock.now))
 		}
 	})
 }
@@ -46,7 +46,7 @@
 	switch a.Step {
 	case claimer.StepDone:
 	case claimer.StepPause:
-		r.next(a.Until.Sub(r.world.clock.now), r.claim.Resume)
+		r.next(a.Until.Sub(r.fleet.clock.now), r.claim.Resume)
 	default:
 		r.strike(a, stepOf(r.claim, a))
 	}
@@ -84,9 +84,9 @@
 		r.do(a, Injection{})
 		r.dead = true
 	case FaultPause:
-		r.world.clock.after(i.Long, func() { r.do(a, Injection{}) })
+		r.fleet.clock.after(i.Long, func() { r.do(a, Injection{}) })
 	case FaultDown:
-		r.hold.down = r.world.clock.now.Add(i.Long)
+		r.hold.down = r.fleet.clock.now.Add(i.Long)
 		r.do(a, Injection{})
 	default:
 		r.do(a, i)
@@ -109,12 +109,12 @@
 
 // commit writes a mutation: with the others of the instance, or alone if it is to fail.
 func (r *run) commit(m claimer.Mutation, i Injection) {
-	now := r.world.clock.now
+	now := r.fleet.clock.now
 	if now.Before(r.hold.down) {
 		r.committed(storeTimeout, claimer.Commit{Outcome: classifier.NotSent})
 		return
 	}
-	store := r.world.store
+	store := r.fleet.store
 	switch i.Fault {
 	case "", FaultWake:
 		report := func(c claimer.Commit) { r.committed(i.Long, c) }
@@ -123,7 +123,7 @@
 		store.commitOne(m)
 		r.committed(r.doubt(i), claimer.Commit{Outcome: classifier.Unknown})
 	case FaultLate:
-		r.world.clock.after(i.Long, func() { store.commitOne(m) })
+		r.fleet.clock.after(i.Long, func() { store.commitOne(m) })
 		r.committed(storeTimeout, claimer.Commit{Outcome: classifier.Unknown})
 	case FaultDropped:
 		r.committed(storeTimeout, claimer.Commit{Outcome: classifier.Unknown})
@@ -147,7 +147,7 @@
 
 // read reads the row.
 func (r *run) read(i Injection) {
-	known := !r.world.clock.now.Before(r.hold.down)
+	known := !r.fleet.clock.now.Before(r.hold.down)
 	delay := storeLatency
 	switch i.Fault {
 	case "":
@@ -157,7 +157,7 @@
 		known = false
 		delay = storeTimeout
 	}
-	row := r.world.store.rows[r.claim.Call.Row()]
+	row := r.fleet.store.rows[r.claim.Call.Row()]
 	r.next(delay, func(now time.Time) claimer.Action { return r.claim.Read(now, row, known) })
 }
 
@@ -173,7 +173,7 @@
 		outcome, delay = classifier.Unknown, serviceTimeout
 	case FaultLate:
 		outcome, delay = classifier.Unknown, serviceTimeout
-		r.world.clock.after(i.Long, func() { r.hold.effect(r.claim.Call.Attempt) })
+		r.fleet.clock.after(i.Long, func() { r.hold.effect(r.claim.Call.Attempt) })
 	case FaultDropped:
 		outcome, delay = classifier.Unknown, serviceTimeout
 	case FaultRefused:
@@ -182,7 +182,7 @@
 	if outcome == classifier.Completed || i.Fault == FaultLost || i.Fault == FaultSilent {
 		r.hold.effect(r.claim.Call.Attempt)
 	}
-	r.hold.sent(r.world.clock.now.Sub(r.begun))
+	r.hold.sent(r.fleet.clock.now.Sub(r.begun))
 	r.next(delay, func(now time.Time) claimer.Action { return r.claim.Sent(now, outcome, replyOf(outcome)) })
 }
 
--- a/internal/bench/spreader/cutoff.go
+++ b/internal/bench/spreader/cutoff.go
@@ -7,7 +7,7 @@
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 )
 
-// The cut-off that is played in virtual time: one instance for an hour, at the planned rate of changes.
+// The cut-off that runs in virtual time: one instance for an hour, at the planned rate of changes.
 const (
 	cutLength   = time.Hour
 	changesADay = 9800
@@ -22,7 +22,7 @@
 	Refused float64
 }
 
-// cutOff plays a cut-off with a bound on how long the instance serves on.
+// cutOff runs a cut-off with a bound on how long the instance serves on.
 func cutOff(stale time.Duration) Cutoff {
 	start := time.Unix(1_700_000_000, 0)
 	f := follower.NewFollower(start, follower.WithStale(stale))
--- a/internal/bench/spreader/explorer.go
+++ b/internal/bench/spreader/explorer.go
@@ -32,7 +32,7 @@
 	for k := range workers {
 		wait.Go(func() {
 			for n := k; n < histories; n += workers {
-				parts[k].add(newWorld(seed, uint64(n), rows).run())
+				parts[k].add(newHistory(seed, uint64(n), rows).run())
 			}
 		})
 	}
@@ -46,7 +46,7 @@
 
 // prepare returns the rows of a table in which some revisions of each model were submitted.
 func prepare() (map[string]tabler.Row, error) {
-	w := &world{rows: map[string]tabler.Row{}}
+	w := &history{rows: map[string]tabler.Row{}}
 	for i := range revisions {
 		for _, ref := range models {
 			if err := w.submit(ref, i); err != nil {
@@ -58,7 +58,7 @@
 }
 
 // submit submits a revision of a model.
-func (w *world) submit(ref recorder.Ref, share int) error {
+func (h *history) submit(ref recorder.Ref, share int) error {
 	body := recorder.Model{Layers: 8, Tokens: 100, First: 1900, Between: 43,
 		Versions: []recorder.Version{{Name: "a", Share: 100 - share}, {Name: "b", Share: share}}}
 	record, err := recorder.NewRecord(ref.Kind, ref.Name, body)
@@ -71,10 +71,10 @@
 	step := m.Begin(time.Time{})
 	for step.Result == nil {
 		if step.Txn == nil {
-			step = m.TakeRead(time.Time{}, w.read(step))
+			step = m.TakeRead(time.Time{}, h.read(step))
 			continue
 		}
-		applied := tabler.Result{Outcome: classifier.Completed, Applied: w.apply(*step.Txn)}
+		applied := tabler.Result{Outcome: classifier.Completed, Applied: h.apply(*step.Txn)}
 		step = m.TakeCommit(time.Time{}, applied, nil)
 	}
 	if step.Result.Outcome != classifier.Completed {
@@ -84,21 +84,21 @@
 }
 
 // poll reads the head and the log for an instance. The answer is on its way and may be overtaken.
-func (w *world) poll(i int) {
-	if w.down {
+func (h *history) poll(i int) {
+	if h.down {
 		return
 	}
-	head, err := accepter.Decode[accepter.Head](w.rows[accepter.HeadKey])
+	head, err := accepter.Decode[accepter.Head](h.rows[accepter.HeadKey])
 	if err != nil {
 		panic(err)
 	}
-	w.messages = append(w.messages, message{to: i, polled: true, head: head.Epoch, deltas: w.log(w.followers[i].Known.Epoch)})
+	h.messages = append(h.messages, message{to: i, polled: true, head: head.Epoch, deltas: h.log(h.followers[i].Known.Epoch)})
 }
 
 // ask lets an instance ask a peer, whose answer is on its way.
-func (w *world) ask(i, peer int) {
-	f := w.followers[peer]
-	w.messages = append(w.messages, message{
+func (h *history) ask(i, peer int) {
+	f := h.followers[peer]
+	h.messages = append(h.messages, message{
 		to:       i,
 		from:     fmt.Sprint("i", peer),
 		snapshot: f.Known,
@@ -107,63 +107,63 @@
 }
 
 // deliver delivers one message out of order, drops it, or delivers it and leaves it to come again.
-func (w *world) deliver() {
-	if len(w.messages) == 0 {
+func (h *history) deliver() {
+	if len(h.messages) == 0 {
 		return
 	}
-	i := w.r.IntN(len(w.messages))
-	m := w.messages[i]
-	fate := w.r.IntN(5)
+	i := h.r.IntN(len(h.messages))
+	m := h.messages[i]
+	fate := h.r.IntN(5)
 	if fate != 0 {
-		w.messages = append(w.messages[:i], w.messages[i+1:]...)
+		h.messages = append(h.messages[:i], h.messages[i+1:]...)
 	}
 	if fate != 1 {
-		w.take(m.to, m)
+		h.take(m.to, m)
 	}
 }
 
 // take lets an instance take a message in and checks what it has in force afterwards.
-func (w *world) take(i int, m message) {
-	f := w.followers[i]
+func (h *history) take(i int, m message) {
+	f := h.followers[i]
 	if m.polled {
-		w.check(i, func() follower.Decision { return f.Head(w.now, m.head) })
+		h.check(i, func() follower.Decision { return f.Head(h.now, m.head) })
 	}
 	if m.from != "" {
-		w.check(i, func() follower.Decision { return f.Heard(w.now, m.from, m.vouch.Epoch, m.vouch.Vouches) })
+		h.check(i, func() follower.Decision { return f.Heard(h.now, m.from, m.vouch.Epoch, m.vouch.Vouches) })
 	}
 	if m.snapshot.Epoch > 0 {
-		w.check(i, func() follower.Decision { return f.Apply(w.now, m.snapshot) })
+		h.check(i, func() follower.Decision { return f.Apply(h.now, m.snapshot) })
 	}
 	for _, d := range m.deltas {
-		w.check(i, func() follower.Decision { return f.Advance(w.now, d) })
+		h.check(i, func() follower.Decision { return f.Advance(h.now, d) })
 	}
 }
 
 // check carries one event of an instance out, compares what it has in force before and after, and passes on what it
 // learnt.
-func (w *world) check(i int, event func() follower.Decision) {
-	f := w.followers[i]
+func (h *history) check(i int, event func() follower.Decision) {
+	f := h.followers[i]
 	before := f.Force
 	d := event()
 	if f.Force < before {
-		w.found.Reversions++
+		h.found.Reversions++
 	}
 	if !d.Applied {
 		return
 	}
-	w.found.Applied++
-	truth := w.delta(f.Force)
+	h.found.Applied++
+	truth := h.delta(f.Force)
 	if truth.Sum != f.Known.Sum() {
-		w.found.Divergent++
+		h.found.Divergent++
 	}
 	for range 2 {
-		w.messages = append(w.messages, message{to: w.r.IntN(members), deltas: []recorder.Delta{truth}})
+		h.messages = append(h.messages, message{to: h.r.IntN(members), deltas: []recorder.Delta{truth}})
 	}
 }
 
 // delta returns the delta of an epoch as the table has it.
-func (w *world) delta(epoch int64) recorder.Delta {
-	d, err := accepter.Decode[recorder.Delta](w.rows[accepter.LogKey(epoch)])
+func (h *history) delta(epoch int64) recorder.Delta {
+	d, err := accepter.Decode[recorder.Delta](h.rows[accepter.LogKey(epoch)])
 	if err != nil {
 		panic(err)
 	}
@@ -171,40 +171,40 @@
 }
 
 // finish ends the faults, lets what is late arrive, and compares what everyone believes with the table.
-func (w *world) finish() {
-	for len(w.late) > 0 {
-		w.land()
+func (h *history) finish() {
+	for len(h.late) > 0 {
+		h.land()
 	}
-	w.down = false
-	for i := range w.followers {
-		w.poll(i)
-		w.take(i, w.messages[len(w.messages)-1])
+	h.down = false
+	for i := range h.followers {
+		h.poll(i)
+		h.take(i, h.messages[len(h.messages)-1])
 	}
-	for len(w.messages) > 0 {
-		m := w.messages[0]
-		w.messages = w.messages[1:]
-		w.take(m.to, m)
+	for len(h.messages) > 0 {
+		m := h.messages[0]
+		h.messages = h.messages[1:]
+		h.take(m.to, m)
 	}
-	head, err := accepter.Decode[accepter.Head](w.rows[accepter.HeadKey])
+	head, err := accepter.Decode[accepter.Head](h.rows[accepter.HeadKey])
 	if err != nil {
 		panic(err)
 	}
-	w.found.Epochs = head.Epoch
-	for _, f := range w.followers {
+	h.found.Epochs = head.Epoch
+	for _, f := range h.followers {
 		if f.Force != head.Epoch {
-			w.found.Behind++
+			h.found.Behind++
 		}
 	}
-	for id, outcome := range w.told {
-		if !w.fits(id, outcome) {
-			w.found.Misreported++
+	for id, outcome := range h.told {
+		if !h.fits(id, outcome) {
+			h.found.Misreported++
 		}
 	}
 }
 
 // fits reports whether what an operator was told agrees with the table.
-func (w *world) fits(id string, outcome classifier.Outcome) bool {
-	row := w.rows[accepter.AuditKey(id)]
+func (h *history) fits(id string, outcome classifier.Outcome) bool {
+	row := h.rows[accepter.AuditKey(id)]
 	audit, err := accepter.Decode[accepter.Audit](row)
 	if err != nil {
 		panic(err)
--- a/internal/bench/spreader/world.go
+++ b/internal/bench/spreader/history.go
@@ -77,9 +77,9 @@
 	at       int
 }
 
-// world is one history: a table with faults, instances, operators and what is on its way between them. Time is
+// history is a table with faults, instances, operators and what is on its way between them. Time is
 // virtual.
-type world struct {
+type history struct {
 	r         *rand.Rand
 	now       time.Time
 	rows      map[string]tabler.Row
@@ -93,9 +93,9 @@
 	found     Findings
 }
 
-// newWorld returns the history of a seed, over a table whose rows are given.
-func newWorld(seed, number uint64, rows map[string]tabler.Row) *world {
-	w := &world{
+// newHistory returns the history of a seed, over a table whose rows are given.
+func newHistory(seed, number uint64, rows map[string]tabler.Row) *history {
+	h := &history{
 		r:         rand.New(rand.NewPCG(seed, number)),
 		now:       time.Unix(1_700_000_000, 0),
 		rows:      maps.Clone(rows),
@@ -104,153 +104,153 @@
 		told:      map[string]classifier.Outcome{},
 		found:     Findings{Histories: 1},
 	}
-	for i := range w.followers {
-		w.followers[i] = follower.NewFollower(w.now)
+	for i := range h.followers {
+		h.followers[i] = follower.NewFollower(h.now)
 	}
-	return w
+	return h
 }
 
 // run runs the history and returns what it found.
-func (w *world) run() Findings {
+func (h *history) run() Findings {
 	for range events {
-		w.event()
+		h.event()
 	}
-	w.finish()
-	return w.found
+	h.finish()
+	return h.found
 }
 
 // event lets one thing happen.
-func (w *world) event() {
-	w.now = w.now.Add(time.Duration(w.r.Int64N(int64(tick))))
-	switch n := w.r.IntN(20); {
+func (h *history) event() {
+	h.now = h.now.Add(time.Duration(h.r.Int64N(int64(tick))))
+	switch n := h.r.IntN(20); {
 	case n < 9:
-		w.operate(w.r.IntN(operators))
+		h.operate(h.r.IntN(operators))
 	case n < 11:
-		w.poll(w.r.IntN(members))
+		h.poll(h.r.IntN(members))
 	case n < 13:
-		w.ask(w.r.IntN(members), w.r.IntN(members))
+		h.ask(h.r.IntN(members), h.r.IntN(members))
 	case n < 17:
-		w.deliver()
+		h.deliver()
 	case n < 18:
-		w.land()
+		h.land()
 	case n < 19:
-		w.down = w.r.IntN(3) == 0
+		h.down = h.r.IntN(3) == 0
 	default:
-		w.followers[w.r.IntN(members)] = follower.NewFollower(w.now)
+		h.followers[h.r.IntN(members)] = follower.NewFollower(h.now)
 	}
 }
 
 // operate begins or continues an operator's change.
-func (w *world) operate(i int) {
-	c := w.changes[i]
+func (h *history) operate(i int) {
+	c := h.changes[i]
 	if c == nil {
-		w.made++
-		at := w.r.IntN(members)
-		ref := models[w.r.IntN(len(models))]
+		h.made++
+		at := h.r.IntN(members)
+		ref := models[h.r.IntN(len(models))]
 		command := accepter.Command{
-			ID:       fmt.Sprint("m", w.made),
+			ID:       fmt.Sprint("m", h.made),
 			Action:   accepter.ActionAccept,
 			Operator: fmt.Sprint("o", i),
 			Changes: []accepter.Change{{
 				Kind:     ref.Kind,
 				Name:     ref.Name,
-				Seen:     w.seen(ref),
-				Revision: 1 + w.r.Int64N(revisions),
+				Seen:     h.seen(ref),
+				Revision: 1 + h.r.Int64N(revisions),
 			}},
 		}
-		m := accepter.NewMutation(command, w.followers[at].Known, nil)
-		w.changes[i] = &change{mutation: m, step: m.Begin(w.now), at: at}
+		m := accepter.NewMutation(command, h.followers[at].Known, nil)
+		h.changes[i] = &change{mutation: m, step: m.Begin(h.now), at: at}
 		return
 	}
 	if c.step.Txn != nil {
-		result, err := w.commit(*c.step.Txn)
-		c.step = c.mutation.TakeCommit(w.now, result, err)
+		result, err := h.commit(*c.step.Txn)
+		c.step = c.mutation.TakeCommit(h.now, result, err)
 	} else {
-		c.step = c.mutation.TakeRead(w.now, w.read(c.step))
+		c.step = c.mutation.TakeRead(h.now, h.read(c.step))
 	}
 	if c.step.Result != nil {
-		w.changes[i] = nil
-		w.end(c.at, *c.step.Result)
+		h.changes[i] = nil
+		h.end(c.at, *c.step.Result)
 	}
 }
 
 // seen returns the revision of a record that an operator sees in force, at times an old one.
-func (w *world) seen(ref recorder.Ref) int64 {
-	entry, err := accepter.Decode[accepter.Entry](w.rows[accepter.EntryKey(ref)])
+func (h *history) seen(ref recorder.Ref) int64 {
+	entry, err := accepter.Decode[accepter.Entry](h.rows[accepter.EntryKey(ref)])
 	if err != nil {
 		panic(err)
 	}
-	if w.r.IntN(4) == 0 {
-		return w.r.Int64N(revisions)
+	if h.r.IntN(4) == 0 {
+		return h.r.Int64N(revisions)
 	}
 	return entry.Force
 }
 
 // end notes what an operator was told, and lets the instance share what it committed.
-func (w *world) end(at int, r accepter.Result) {
-	w.told[r.ID] = r.Outcome
+func (h *history) end(at int, r accepter.Result) {
+	h.told[r.ID] = r.Outcome
 	if r.Outcome == classifier.Unknown {
-		w.found.Unsettled++
+		h.found.Unsettled++
 	}
 	if r.Outcome != classifier.Completed || r.Delta == nil {
 		return
 	}
-	w.take(at, message{deltas: []recorder.Delta{*r.Delta}})
+	h.take(at, message{deltas: []recorder.Delta{*r.Delta}})
 }
 
 // commit answers a transaction, with a fault half of the time.
-func (w *world) commit(t tabler.Txn) (tabler.Result, error) {
-	if w.down {
+func (h *history) commit(t tabler.Txn) (tabler.Result, error) {
+	if h.down {
 		return tabler.Result{Outcome: classifier.Unknown}, errAway
 	}
-	switch w.r.IntN(10) {
+	switch h.r.IntN(10) {
 	case 0:
 		return tabler.Result{Outcome: classifier.Refused}, errAway
 	case 1:
 		return tabler.Result{Outcome: classifier.Unknown}, errAway
 	case 2, 3:
-		w.late = append(w.late, t)
+		h.late = append(h.late, t)
 		return tabler.Result{Outcome: classifier.Unknown}, errAway
 	case 4:
-		w.apply(t)
+		h.apply(t)
 		return tabler.Result{Outcome: classifier.Unknown}, errAway
 	default:
-		return tabler.Result{Outcome: classifier.Completed, Applied: w.apply(t)}, nil
+		return tabler.Result{Outcome: classifier.Completed, Applied: h.apply(t)}, nil
 	}
 }
 
 // apply applies a transaction if its conditions hold.
-func (w *world) apply(t tabler.Txn) bool {
+func (h *history) apply(t tabler.Txn) bool {
 	for _, c := range t.Conditions {
-		if w.rows[c.Key].Version != c.Version {
+		if h.rows[c.Key].Version != c.Version {
 			return false
 		}
 	}
 	for _, n := range t.Writes {
-		w.rows[n.Key] = tabler.Row{Table: n.Table, Key: n.Key, Value: n.Value, Version: w.rows[n.Key].Version + 1}
+		h.rows[n.Key] = tabler.Row{Table: n.Table, Key: n.Key, Value: n.Value, Version: h.rows[n.Key].Version + 1}
 	}
 	return true
 }
 
 // land lets one late write arrive.
-func (w *world) land() {
-	if len(w.late) == 0 {
+func (h *history) land() {
+	if len(h.late) == 0 {
 		return
 	}
-	i := w.r.IntN(len(w.late))
-	t := w.late[i]
-	w.late = append(w.late[:i], w.late[i+1:]...)
-	w.apply(t)
+	i := h.r.IntN(len(h.late))
+	t := h.late[i]
+	h.late = append(h.late[:i], h.late[i+1:]...)
+	h.apply(t)
 }
 
 // read answers a step with keys.
-func (w *world) read(step accepter.Step) accepter.Read {
-	if w.down {
+func (h *history) read(step accepter.Step) accepter.Read {
+	if h.down {
 		return accepter.Read{Err: errAway}
 	}
-	r := accepter.Read{Rows: map[string]tabler.Row{}, Deltas: w.log(step.After)}
+	r := accepter.Read{Rows: map[string]tabler.Row{}, Deltas: h.log(step.After)}
 	for _, key := range step.Keys {
-		if row, found := w.rows[key]; found {
+		if row, found := h.rows[key]; found {
 			r.Rows[key] = row
 		}
 	}
@@ -258,10 +258,10 @@
 }
 
 // log returns the deltas after an epoch.
-func (w *world) log(after int64) []recorder.Delta {
+func (h *history) log(after int64) []recorder.Delta {
 	var deltas []recorder.Delta
 	for epoch := after + 1; ; epoch++ {
-		row, found := w.rows[accepter.LogKey(epoch)]
+		row, found := h.rows[accepter.LogKey(epoch)]
 		if !found {
 			return deltas
 		}
--- a/internal/bench/spreader/layout.go
+++ b/internal/bench/spreader/layout.go
@@ -42,7 +42,7 @@
 // runLayout measures what changes cost under each layout, on a configuration of the planned size.
 func runLayout(seed uint64) (reporter.Result, error) {
 	result := reporter.NewResult("layout", seed)
-	l := &library{r: rand.New(rand.NewPCG(seed, seed)), world: &world{rows: map[string]tabler.Row{}},
+	l := &library{r: rand.New(rand.NewPCG(seed, seed)), history: &history{rows: map[string]tabler.Row{}},
 		follower: follower.NewFollower(time.Time{}), bodies: map[uint64]bool{}, costs: map[string]*cost{}}
 	for _, name := range layouts {
 		l.costs[name] = &cost{}
@@ -73,7 +73,7 @@
 // library is a configuration that is changed and whose storage is weighed.
 type library struct {
 	r        *rand.Rand
-	world    *world
+	history  *history
 	follower *follower.Follower
 	bodies   map[uint64]bool
 	costs    map[string]*cost
@@ -172,7 +172,7 @@
 	step := m.Begin(time.Now())
 	for step.Result == nil {
 		if step.Txn == nil {
-			step = m.TakeRead(time.Now(), l.world.read(step))
+			step = m.TakeRead(time.Now(), l.history.read(step))
 			continue
 		}
 		for _, w := range step.Txn.Writes {
@@ -182,7 +182,7 @@
 				l.kept += size
 			}
 		}
-		applied := l.world.apply(*step.Txn)
+		applied := l.history.apply(*step.Txn)
 		step = m.TakeCommit(time.Now(), tabler.Result{Outcome: classifier.Completed, Applied: applied}, nil)
 	}
 	if step.Result.Outcome != classifier.Completed {
@@ -199,11 +199,11 @@
 		return err
 	}
 	size := float64(len(whole))
-	delta := float64(len(l.world.rows[accepter.LogKey(s.Epoch)].Value))
-	head := float64(len(l.world.rows[accepter.HeadKey].Value))
+	delta := float64(len(l.history.rows[accepter.LogKey(s.Epoch)].Value))
+	head := float64(len(l.history.rows[accepter.HeadKey].Value))
 	entries := 0.0
 	for _, r := range s.Records {
-		entries += float64(len(accepter.EntryKey(r.Ref())) + len(l.world.rows[accepter.EntryKey(r.Ref())].Value))
+		entries += float64(len(accepter.EntryKey(r.Ref())) + len(l.history.rows[accepter.EntryKey(r.Ref())].Value))
 	}
 	changed, _ := s.Find(ref)
 	body := float64(len(changed.Body))
--- a/internal/bench/spreader/planned.go
+++ b/internal/bench/spreader/planned.go
@@ -11,7 +11,7 @@
 	"github.com/heatherrock/heatherrock/internal/serving/poller"
 )
 
-// The planned fleet, which is played in virtual time: 390 instances in 4 regions.
+// The planned fleet, which runs in virtual time: 390 instances in 4 regions.
 const (
 	plannedNodes   = 390
 	plannedRegions = 4
@@ -53,7 +53,7 @@
 	Pushes int
 }
 
-// spreadPlanned plays changes over the planned fleet. Without pushes, instances learn by reading the head alone.
+// spreadPlanned runs changes over the planned fleet. Without pushes, instances learn by reading the head alone.
 func spreadPlanned(r *rand.Rand, push bool) Planned {
 	var out Planned
 	interval := follower.Interval(time.Second, plannedNodes)
