Let an answer that lost its place go before those that have not begun

Cause: a running answer whose stage died while all endpoints were busy waited a second or two for its next try, like a new request.

--- a/internal/serving/generator/generator.go
+++ b/internal/serving/generator/generator.go
@@ -294,7 +294,7 @@
 		if now.Add(route.After).After(a.job.Deadline) || len(a.attempts) == 0 {
 			return FailureCapacity, route.After
 		}
-		if !a.wait(ctx, route.After) {
+		if !a.wait(ctx, min(route.After, retryWait)) {
 			return a.left(ctx), 0
 		}
 	}
@@ -329,6 +329,9 @@
 	return list
 }
 
+// retryWait is the longest wait before a plan is asked for again for an answer in progress.
+const retryWait = 100 * time.Millisecond
+
 // trialWait is how long to wait while the same request is on trial.
 const trialWait = 100 * time.Millisecond
 
--- a/internal/serving/router/router.go
+++ b/internal/serving/router/router.go
@@ -20,6 +20,8 @@
 const (
 	// retryShare is the share of requests that may be retries, unless the fleet's record says otherwise.
 	retryShare = 0.1
+	// movedSlack is the slack of an answer that lost its place: it goes before those that have not begun.
+	movedSlack = 4
 	// retryFloor is the number of retries a second that are always allowed.
 	retryFloor = 10
 )
@@ -176,6 +178,10 @@
 
 // query returns what the picker is asked for.
 func (r *Router) query(j generator.Job, a generator.Ask) picker.Query {
+	slack := j.Slack
+	if a.Last.Stages != nil {
+		slack = movedSlack
+	}
 	return picker.Query{
 		Model:      j.Model,
 		Version:    j.Version,
@@ -186,7 +192,7 @@
 		Avoid:      a.Avoid,
 		Priority:   j.Priority,
 		Tokens:     j.Limit - a.Delivered,
-		Slack:      j.Slack,
+		Slack:      slack,
 	}
 }
 
