--- a/internal/platform/streamer/client.go
+++ b/internal/platform/streamer/client.go
@@ -18,6 +18,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
+	"github.com/heatherrock/heatherrock/internal/platform/caller"
 )
 
 const (
@@ -111,6 +112,18 @@
 	body    io.ReadCloser
 	scanner *bufio.Scanner
 	cancel  context.CancelFunc
+	// ran is what was last run for a token, and known its field as it was sent.
+	ran   []Stage
+	known []byte
+	// raw and rest are buffers: what was run, not yet decoded, and a line without it.
+	raw  json.RawMessage
+	rest []byte
+}
+
+// line is a step whose Ran is not yet decoded.
+type line struct {
+	*Step
+	Ran *json.RawMessage `json:"ran"`
 }
 
 // Open sends a request to the endpoint of its first stage. Without an error the outcome is Completed and the stream is
@@ -126,22 +139,24 @@
 		defer cancel()
 		defer answer.Body.Close()
 		text, _ := io.ReadAll(io.LimitReader(answer.Body, lineLimit))
-		return nil, refusal(answer.StatusCode), merry.Errorf("endpoint %s: %s: %s", r.Stages[0].Endpoint, answer.Status, bytes.TrimSpace(text))
+		return nil, refusal(answer), merry.Errorf("endpoint %s: %s: %s", r.Stages[0].Endpoint, answer.Status, bytes.TrimSpace(text))
 	}
 	scanner := bufio.NewScanner(answer.Body)
 	scanner.Buffer(make([]byte, 0, 4096), lineLimit)
 	return &Stream{body: answer.Body, scanner: scanner, cancel: cancel}, classifier.Completed, nil
 }
 
-// refusal returns the outcome of a status other than 200: engines answer 4xx and 503 before they run anything.
-func refusal(status int) classifier.Outcome {
-	if status >= 400 && status < 500 || status == http.StatusServiceUnavailable {
+// refusal returns the outcome of an answer other than 200. Engines answer 4xx before they run anything; a server error
+// counts as a refusal only if it says so, since something between the two ends may have given it.
+func refusal(a *http.Response) classifier.Outcome {
+	clientError := a.StatusCode >= 400 && a.StatusCode < 500
+	if clientError || classifier.Answered(a.StatusCode, a.Header.Get(caller.HeaderOutcome)) == classifier.Refused {
 		return classifier.Refused
 	}
 	return classifier.Unknown
 }
 
-// Next returns the next step. It returns io.EOF if the stream has stopped without an explicit end.
+// Next returns the next step. Its Ran may be shared with other steps and must not be changed. It returns io.EOF if the stream has stopped without an explicit end.
 func (s *Stream) Next() (Step, error) {
 	if !s.scanner.Scan() {
 		if err := s.scanner.Err(); err != nil {
@@ -149,13 +164,41 @@
 		}
 		return Step{}, io.EOF
 	}
-	var step Step
-	if err := json.Unmarshal(s.scanner.Bytes(), &step); err != nil {
+	step, err := s.decode(s.scanner.Bytes())
+	if err != nil {
 		return Step{}, merry.Prepend(err, "step")
 	}
 	return step, nil
 }
 
+// ranField begins the field that holds what was run. In valid JSON it is never a part of a string, for a quote within a
+// string follows a backslash.
+const ranField = `,"ran":`
+
+// decode returns the step of a line. Tokens of an attempt run the same stages, so Ran is decoded when it differs from the
+// one before, and else shared: it must not be changed.
+func (s *Stream) decode(text []byte) (Step, error) {
+	var step Step
+	if at := bytes.Index(text, s.known); len(s.known) > 0 && at >= 0 {
+		s.rest = append(append(s.rest[:0], text[:at]...), text[at+len(s.known):]...)
+		text, step.Ran = s.rest, s.ran
+	}
+	s.raw = s.raw[:0]
+	if err := json.Unmarshal(text, &line{Step: &step, Ran: &s.raw}); err != nil {
+		return Step{}, err
+	}
+	if len(s.raw) == 0 {
+		return step, nil
+	}
+	var ran []Stage
+	if err := json.Unmarshal(s.raw, &ran); err != nil {
+		return Step{}, err
+	}
+	step.Ran, s.ran = ran, ran
+	s.known = append(append(s.known[:0], ranField...), s.raw...)
+	return step, nil
+}
+
 // Close ends the stream and its connection if the answer is not complete. It may be called during Next.
 func (s *Stream) Close() {
 	s.cancel()
@@ -182,23 +225,6 @@
 	return events, err
 }
 
-// Order sends an order to an endpoint. The outcome says whether the endpoint can have carried it out.
-func (c *Client) Order(ctx context.Context, address string, o Order) (classifier.Outcome, error) {
-	answer, outcome, err := c.send(ctx, http.MethodPost, address, "/engine/orders", o)
-	if err != nil {
-		return outcome, err
-	}
-	defer answer.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(answer.Body, lineLimit))
-	if err != nil {
-		return classifier.Unknown, merry.Wrap(err)
-	}
-	if answer.StatusCode/100 != 2 {
-		return refusal(answer.StatusCode), merry.Errorf("order %s: %s: %s", o.ID, answer.Status, bytes.TrimSpace(text))
-	}
-	return classifier.Completed, nil
-}
-
 // call sends a request and decodes its answer into result, unless that is nil.
 func (c *Client) call(ctx context.Context, method, address, path string, body, result any) error {
 	answer, _, err := c.send(ctx, method, address, path, body)
--- a/internal/serving/orderer/registry.go
+++ b/internal/serving/orderer/registry.go
@@ -17,6 +17,9 @@
 	Observe(now time.Time, e planner.Endpoint, r picker.Report)
 	Leave(now time.Time, id string)
 	Remove(now time.Time, id string)
+	// Missed tells that an endpoint does not answer this instance's reads, and Answered that it does again.
+	Missed(now time.Time, id string)
+	Answered(now time.Time, id string)
 }
 
 // Registry keeps the engines of a region for the repairs, and passes on what it learns to a Router.
@@ -73,6 +76,16 @@
 	g.next.Remove(now, id)
 }
 
+// Missed passes on that an engine does not answer. The repairs go by the age of its last report.
+func (g *Registry) Missed(now time.Time, id string) {
+	g.next.Missed(now, id)
+}
+
+// Answered passes on that an engine answers again.
+func (g *Registry) Answered(now time.Time, id string) {
+	g.next.Answered(now, id)
+}
+
 // Needs returns the versions of models in force that get traffic, by name.
 func (g *Registry) Needs() []repairer.Need {
 	models := g.view().Models
@@ -80,15 +93,25 @@
 	for _, name := range slices.Sorted(maps.Keys(models)) {
 		for _, v := range models[name].Versions {
 			if v.Share > 0 {
-				needs = append(needs, repairer.Need{Model: name, Version: v.Name, Layers: models[name].Layers})
+				needs = append(needs, needOf(name, v.Name, models[name]))
 			}
 		}
 	}
 	return needs
 }
 
+// needOf returns what a version of a model needs.
+func needOf(name, version string, m recorder.Model) repairer.Need {
+	n := repairer.Need{Model: name, Version: version, Layers: m.Layers}
+	for _, s := range m.Stages {
+		n.Stages = append(n.Stages, repairer.Stage(s))
+	}
+	return n
+}
+
 // Endpoints returns the engines of the region, by name.
 func (g *Registry) Endpoints() []Endpoint {
+	kinds := g.view().Endpoints
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var all []Endpoint
@@ -97,6 +120,9 @@
 		e := Endpoint{Address: s.endpoint.Address}
 		e.ID, e.Kind, e.DataCentre, e.Rate = id, s.endpoint.Kind, s.endpoint.DataCentre, s.endpoint.Rate
 		e.Gone = s.leaving || g.now().Sub(s.at) > g.stale
+		for _, a := range kinds[e.Kind].Ranges {
+			e.Allowed = append(e.Allowed, repairer.Range{Model: a.Model, From: a.From, To: a.To})
+		}
 		for _, h := range s.endpoint.Held {
 			e.Held = append(e.Held, repairer.Range(h))
 		}
