--- /dev/null
+++ b/internal/routing/planner/bench_test.go
@@ -0,0 +1,37 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+)
+
+// large returns a graph of one region's data centres, each with halves, thirds and quarters of 48 layers.
+func large(centres int) *Graph {
+	var endpoints []Endpoint
+	for centre := range centres {
+		for _, width := range []int{24, 16, 12} {
+			for from := 0; from < 48; from += width {
+				id := fmt.Sprintf("%d-%d-%d", centre, width, from)
+				endpoints = append(endpoints, holder(id, fmt.Sprint(centre), from, from+width, float64(1000+10*from)))
+			}
+		}
+	}
+	return NewGraph("m", "1", 48, endpoints, nil)
+}
+
+// BenchmarkGraph measures the bound with what limits it, as in a state dump, and the weights of a pick.
+func BenchmarkGraph(b *testing.B) {
+	for _, centres := range []int{3, 10} {
+		g := large(centres)
+		b.Run(fmt.Sprintf("bound/%d", centres), func(b *testing.B) {
+			for b.Loop() {
+				g.Bound()
+			}
+		})
+		b.Run(fmt.Sprintf("weights/%d", centres), func(b *testing.B) {
+			for b.Loop() {
+				g.Balance()
+			}
+		})
+	}
+}
--- a/internal/routing/planner/spread.go
+++ b/internal/routing/planner/spread.go
@@ -92,9 +92,12 @@
 	classUse []float64
 	linkRate [][]float64
 	linkUse  [][]float64
-	nodes    [][]step
-	flows    map[Arc]float64
-	moves    map[Move]float64
+	// classPrice is the price of a layer of each class, and linkPrice that of each link, at their use.
+	classPrice []float64
+	linkPrice  [][]float64
+	nodes      [][]step
+	flows      map[Arc]float64
+	moves      map[Move]float64
 }
 
 // step is the cheapest way to a node: over an arc from the boundary before, and over a link before it from another
@@ -112,6 +115,7 @@
 	s.classUse = make([]float64, len(g.Classes))
 	for i, c := range g.Classes {
 		s.centres = append(s.centres, g.centre(c.DataCentre))
+		s.classPrice = append(s.classPrice, 1)
 		for _, a := range g.Arcs(i) {
 			s.starts[a.From] = append(s.starts[a.From], a)
 		}
@@ -119,6 +123,7 @@
 	for from := range g.Centres {
 		s.linkRate = append(s.linkRate, nil)
 		s.linkUse = append(s.linkUse, make([]float64, len(g.Centres)))
+		s.linkPrice = append(s.linkPrice, slices.Repeat([]float64{crossPrice}, len(g.Centres)))
 		for to := range g.Centres {
 			s.linkRate[from] = append(s.linkRate[from], g.linkRate(from, to))
 		}
@@ -144,7 +149,7 @@
 		for _, a := range s.starts[b] {
 			centre := s.centres[a.Class]
 			price, from := s.enter(nodes[b], b, centre)
-			price += s.price(a)
+			price += float64(s.graph.Width(a)) * s.classPrice[a.Class]
 			if price < nodes[a.To][centre].price {
 				nodes[a.To][centre] = step{price: price, arc: a, centre: from}
 			}
@@ -173,7 +178,7 @@
 		if c == centre {
 			continue
 		}
-		price := nodes[c].price + s.linkPrice(c, centre)
+		price := nodes[c].price + s.linkPrice[c][centre]
 		if price < best {
 			best, from = price, c
 		}
@@ -181,18 +186,7 @@
 	return best, from
 }
 
-// price returns the price of an arc, for each of its layers that of its class.
-func (s *spreader) price(a Arc) float64 {
-	return float64(s.graph.Width(a)) * math.Exp(spreadSlope*s.classUse[a.Class])
-}
-
-// linkPrice returns the price of a link. An unused or unlimited link costs a little, so that a path does not cross
-// without need.
-func (s *spreader) linkPrice(from, to int) float64 {
-	return crossPrice * math.Exp(spreadSlope*s.linkUse[from][to])
-}
-
-// crossPrice is the price of an unused link, in layers.
+// crossPrice is the price of an unused or unlimited link, in layers: a path does not cross without need.
 const crossPrice = 1
 
 // use raises the use of an arc and of the link taken to reach it.
@@ -200,7 +194,9 @@
 	s.flows[a] += s.slice
 	s.moves[Move{Boundary: a.From, From: from, To: to}] += s.slice
 	s.classUse[a.Class] += s.slice * float64(s.graph.Width(a)) / s.graph.Classes[a.Class].Rate
+	s.classPrice[a.Class] = math.Exp(spreadSlope * s.classUse[a.Class])
 	if from != to {
 		s.linkUse[from][to] += s.slice / s.linkRate[from][to]
+		s.linkPrice[from][to] = crossPrice * math.Exp(spreadSlope*s.linkUse[from][to])
 	}
 }
