Be ready only once the endpoints are known

Cause: seven processes started from the Agency's example said that they were ready, and answered 'no set of live endpoints covers the model's layers', before they had read the first load reports. Change: a new instance is not ready until the endpoints that it knows cover each model, or 10 s have passed.

--- a/internal/serving/router/router.go
+++ b/internal/serving/router/router.go
@@ -196,6 +196,16 @@
 	}
 }
 
+// Covers reports whether the endpoints known at now cover the layers of a model's version, whether or not they have a
+// place.
+func (r *Router) Covers(now time.Time, model, version string, layers int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	q := picker.Query{Model: model, Version: version, Layers: layers, DataCentre: r.datacentre}
+	_, refusal := r.picker.Pick(now, q, r.random)
+	return refusal.Reason != picker.ReasonCover
+}
+
 // Reserve takes a place for the first attempt at a job, and reports false if all are taken. Where no set of endpoints
 // covers the model there is nothing to wait for, and the attempt itself says so.
 func (r *Router) Reserve(now time.Time, j generator.Job) bool {
--- a/internal/serving/runner/configuration.go
+++ b/internal/serving/runner/configuration.go
@@ -70,5 +70,27 @@
 	if r.phase.leaving() {
 		return "leaving"
 	}
-	return r.config.Ready(now)
+	if reason := r.config.Ready(now); reason != "" {
+		return reason
+	}
+	if now.Sub(r.begun) < coverWait && !r.covered(now) {
+		return "the endpoints are not known yet"
+	}
+	return ""
+}
+
+// coverWait bounds the wait of a new instance for endpoints that cover every model. A model that nothing covers must
+// not keep the instance from serving the others.
+const coverWait = 10 * time.Second
+
+// covered reports whether the endpoints known at now cover every model in force.
+func (r *Runner) covered(now time.Time) bool {
+	for name, m := range r.View().Models {
+		for _, v := range m.Versions {
+			if v.Share > 0 && !r.router.Covers(now, name, v.Name, m.Layers) {
+				return false
+			}
+		}
+	}
+	return true
 }
--- a/internal/serving/runner/runner.go
+++ b/internal/serving/runner/runner.go
@@ -54,6 +54,8 @@
 	log      *slog.Logger
 	// owner names this process: it differs after a restart.
 	owner string
+	// begun is when the instance started.
+	begun time.Time
 	// address is where other instances reach this one.
 	address string
 	done    chan struct{}
@@ -138,6 +140,7 @@
 	if r.settings.Advertise != "" {
 		r.address = r.settings.Advertise
 	}
+	r.begun = r.clock()
 	r.build()
 	callers, operators := r.secrets.secure("callers", listeners[0]), r.secrets.secure("operators", listeners[1])
 	r.callers = newFront(callers, r.callerRoutes(), r.settings, &r.phase, r.log)
