Test that both ends of a connection between instances present certificates

Cause: TLS between instances had no test of its own.

Change: A test with a known and an unknown certificate, and without TLS.

--- /dev/null
+++ b/internal/serving/exchanger/tls_test.go
@@ -0,0 +1,94 @@
+package exchanger
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"errors"
+	"math/big"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/heatherrock/heatherrock/internal/control/gossiper"
+)
+
+// certify returns a certificate for the loopback address that signs itself, and a pool that holds it.
+func certify(t *testing.T, name string) (tls.Certificate, *x509.CertPool) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+		KeyUsage:    x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	leaf, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(leaf)
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, pool
+}
+
+// secured returns the options of an instance that presents a certificate and asks for one of the pool.
+func secured(cert tls.Certificate, pool *x509.CertPool) Option {
+	certs := []tls.Certificate{cert}
+	return WithTLS(
+		&tls.Config{MinVersion: tls.VersionTLS12, Certificates: certs, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert},
+		&tls.Config{MinVersion: tls.VersionTLS12, Certificates: certs, RootCAs: pool},
+	)
+}
+
+func TestBothEndsPresentCertificates(t *testing.T) {
+	known, pool := certify(t, "known")
+	stranger, _ := certify(t, "stranger")
+	cases := []struct {
+		name   string
+		client tls.Certificate
+		ok     bool
+	}{
+		{"known", known, true},
+		{"stranger", stranger, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			certs := []tls.Certificate{known, c.client}
+			nodes := start(t, 2, func(i int) []Option {
+				return []Option{WithInterval(time.Hour), secured(certs[i], pool)}
+			})
+			err := nodes[1].Call(t.Context(), nodes[0].Dump().Self, "Exchange.Epoch", Nothing{}, new(int64))
+			if c.ok && err != nil {
+				t.Errorf("call with a known certificate: %v", err)
+			}
+			if !c.ok && !errors.Is(err, ErrUnreachable) && !errors.Is(err, ErrNotSent) {
+				t.Errorf("call with an unknown certificate: got %v, want a refusal", err)
+			}
+		})
+	}
+	t.Run("without TLS", func(t *testing.T) {
+		nodes := start(t, 2, func(i int) []Option {
+			o := []Option{WithInterval(time.Hour)}
+			if i == 0 {
+				o = append(o, secured(known, pool))
+			}
+			return o
+		})
+		self := gossiper.Peer{ID: "n0", Address: nodes[0].Dump().Self.Address}
+		if err := nodes[1].Call(t.Context(), self, "Exchange.Epoch", Nothing{}, new(int64)); !errors.Is(err, ErrUnreachable) {
+			t.Errorf("call without TLS: got %v, want ErrUnreachable", err)
+		}
+	})
+}
