--- a/internal/bench/measurer/page_test.go
+++ b/internal/bench/measurer/page_test.go
@@ -71,6 +71,28 @@
 	return strconv.FormatFloat(value, 'f', digits, 64) == text
 }
 
+// link matches a link to another page.
+var link = regexp.MustCompile(`\]\(([^)#:]+)(?:#[^)]*)?\)`)
+
+// TestLinks checks that the pages which the pages link to exist.
+func TestLinks(t *testing.T) {
+	err := filepath.WalkDir(docs, func(name string, _ os.DirEntry, err error) error {
+		if err != nil || filepath.Ext(name) != ".md" {
+			return err
+		}
+		text, err := os.ReadFile(name)
+		for _, m := range link.FindAllStringSubmatch(string(text), -1) {
+			if _, err := os.Stat(filepath.Join(filepath.Dir(name), m[1])); err != nil {
+				t.Errorf("%s: %v", name, err)
+			}
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
 func TestShows(t *testing.T) {
 	cases := []struct {
 		text  string
