Keep reads of cache events to an allowance

Cause: each read of a load was followed by a read of cache events of any length; at the planned request rate they would take more than an instance's 20 KB a second for control.

--- a/internal/serving/watcher/options.go
+++ b/internal/serving/watcher/options.go
@@ -17,10 +17,12 @@
 	watchers      int
 	listAllowance int
 	loadAllowance int
-	clock         func() time.Time
-	logger        *slog.Logger
-	events        Events
-	caches        Caches
+	// eventAllowance is the bytes a second that reads of cache events may take.
+	eventAllowance int
+	clock          func() time.Time
+	logger         *slog.Logger
+	events         Events
+	caches         Caches
 }
 
 // Option changes how a Watcher works.
@@ -69,7 +71,8 @@
 	return func(o *options) { o.logger = l }
 }
 
-// WithCaches sets where the cache events of the endpoints that this instance watches are read, and what takes them in.
-func WithCaches(e Events, c Caches) Option {
-	return func(o *options) { o.events, o.caches = e, c }
+// WithCaches sets where the cache events of the endpoints that this instance watches are read, what takes them in, and
+// the bytes a second that the reads may take. An allowance of 0 is none.
+func WithCaches(e Events, c Caches, allowance int) Option {
+	return func(o *options) { o.events, o.caches, o.eventAllowance = e, c, allowance }
 }
