Let the commands for records and calls trust a private authority

Cause: an operators' listener whose certificate comes from a private authority could be asked for its state, but not driven. Change: record and call take -ca, as state does, by the same function. Measured: go test -race ./cmd/heatherrock ./internal/serving/commander: ok, with a listing over TLS.

--- a/internal/serving/commander/client.go
+++ b/internal/serving/commander/client.go
@@ -3,11 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -30,6 +33,24 @@
 	return Client{address: address, token: token, http: &http.Client{}}
 }
 
+// Trust returns an HTTP client that trusts the authorities of a file in PEM alone, or those of the system if no file is
+// named. It returns an error if the file holds none.
+func Trust(file string) (*http.Client, error) {
+	if file == "" {
+		return &http.Client{}, nil
+	}
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(content) {
+		return nil, merry.Errorf("%s holds no certificate in PEM", file)
+	}
+	config := &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: config}}, nil
+}
+
 // Do sends a request and decodes the answer into out if the status is one of those wanted. It returns the status. The
 // error is ErrNotSent if nothing was sent; otherwise the request may have been run.
 func (c Client) Do(ctx context.Context, method, path string, body, out any, wanted ...int) (int, error) {
--- a/internal/serving/commander/commander.go
+++ b/internal/serving/commander/commander.go
@@ -99,6 +99,7 @@
 	}
 	address := flags.String("address", "http://127.0.0.1:8081", "base `URL` of an instance's operators' listener")
 	token := flags.String("token", "", "operators' bearer token")
+	authorities := flags.String("ca", "", "`file` of the authorities of the listener's certificate, in PEM; empty trusts those of the system")
 	format := flags.String("o", "text", "output format, text or json")
 	flags.StringVar(&c.Operator, "operator", "", "name of the operator, for the audit")
 	flags.StringVar(&c.Note, "note", "", "reason of the change, for the audit")
@@ -113,7 +114,12 @@
 		return c.usage("output format %q is not text or json", *format)
 	}
 	c.JSON = *format == "json"
+	trusted, err := Trust(*authorities)
+	if err != nil {
+		return c.usage("%v", err)
+	}
 	c.Client = NewClient(strings.TrimSuffix(*address, "/"), *token)
+	c.Client.http = trusted
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout+5*time.Second)
 	defer cancel()
 	return command.Run(ctx, c)
--- a/internal/serving/launcher/state.go
+++ b/internal/serving/launcher/state.go
@@ -2,17 +2,16 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"crypto/x509"
 	"flag"
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/peterbourgon/ff/v3"
+
+	"github.com/heatherrock/heatherrock/internal/serving/commander"
 )
 
 // stateTimeout bounds the call of an instance for its state.
@@ -29,12 +28,15 @@
 	if !ok {
 		return code
 	}
-	client, scheme, err := dial(*authorities)
+	client, err := commander.Trust(*authorities)
 	if err != nil {
 		fmt.Fprintln(s.Err, err)
 		return ExitUsage
 	}
-	url := scheme + "://" + *address + "/state"
+	url := "http://" + *address + "/state"
+	if *authorities != "" {
+		url = "https://" + *address + "/state"
+	}
 	if *part != "" {
 		url += "/" + *part
 	}
@@ -55,23 +57,6 @@
 	return ExitDone
 }
 
-// dial returns a client of the operators' listener and the scheme of its URLs. With a file of authorities it uses TLS.
-func dial(authorities string) (*http.Client, string, error) {
-	if authorities == "" {
-		return http.DefaultClient, "http", nil
-	}
-	content, err := os.ReadFile(authorities)
-	if err != nil {
-		return nil, "", err
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(content) {
-		return nil, "", merry.Errorf("%s holds no certificate in PEM", authorities)
-	}
-	config := &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
-	return &http.Client{Transport: &http.Transport{TLSClientConfig: config}}, "https", nil
-}
-
 // show sends a request and copies its answer.
 func show(client *http.Client, r *http.Request, w io.Writer) error {
 	answer, err := client.Do(r)
