Read cache events only where an instance watches all endpoints

Cause: the allowance for cache events, 2 KB a second, is more than control has left at the planned size (0.6 KB of 20 KB, see docs/CAPACITY.md), and what it could read there would be of no use. Change: an instance that watches a part of the endpoints reads no cache events; affinity then rests on what it has itself sent. One that watches all reads them after each load, as it does loads without an allowance.

--- a/internal/serving/runner/peers.go
+++ b/internal/serving/runner/peers.go
@@ -17,8 +17,6 @@
 const (
 	// urgentTimeout bounds the wait for the other instances to learn of a crash.
 	urgentTimeout = 2 * time.Second
-	// eventAllowance is the bytes a second that reads of the engines' cache events may take.
-	eventAllowance = 2 << 10
 	// countsKey is the key under which an instance shares its teams' counts.
 	countsKey = "counts"
 )
@@ -48,7 +46,7 @@
 func (r *Runner) newWatcher(router watcher.Router) *watcher.Watcher {
 	return watcher.New(r.self(), r.platform.List, r.engines, router, r.services, r.exchange,
 		watcher.WithIntervals(r.settings.Times.List, r.settings.Times.Report),
-		watcher.WithCaches(r.engines, r.router, eventAllowance),
+		watcher.WithCaches(r.engines, r.router),
 		watcher.WithClock(r.clock),
 		watcher.WithLogger(r.log),
 	)
--- a/internal/serving/watcher/caches.go
+++ b/internal/serving/watcher/caches.go
@@ -7,12 +7,6 @@
 	"github.com/heatherrock/heatherrock/internal/platform/streamer"
 )
 
-const (
-	// eventsBytes is what a read of cache events takes on the wire, both ways, and eventBytes each event, in bytes.
-	eventsBytes = 400
-	eventBytes  = 70
-)
-
 // Events reads the cache events of engines. They come late and with gaps.
 type Events interface {
 	Events(ctx context.Context, address string, after int64) ([]streamer.Event, error)
@@ -23,10 +17,11 @@
 	Cached(now time.Time, endpoint string, prefix uint64, evicted bool)
 }
 
-// readEvents reads the cache events since those read before, unless the reads so far have used up the allowance.
+// readEvents reads the cache events since those read before. An instance that watches a part of the endpoints only reads
+// none: their number grows with the requests, and control has no bytes for them.
 func (v *watch) readEvents(ctx context.Context) {
 	o := &v.watcher.options
-	if o.events == nil || o.clock().Before(v.resume) {
+	if o.events == nil || !v.watcher.all() {
 		return
 	}
 	events, err := o.events.Events(ctx, v.address, v.sequence)
@@ -35,21 +30,15 @@
 		return
 	}
 	now := o.clock()
-	v.resume = now.Add(v.rest(len(events)))
 	for _, e := range events {
 		v.sequence = max(v.sequence, e.Sequence)
 		o.caches.Cached(now, v.id, e.Prefix, e.Evicted)
 	}
 }
 
-// rest returns the time until the next read of events after one of a number of events, so that the reads of all watched
-// endpoints stay within the allowance.
-func (v *watch) rest(events int) time.Duration {
-	allowance := v.watcher.options.eventAllowance
-	if allowance <= 0 {
-		return 0
-	}
-	v.watcher.mu.Lock()
-	defer v.watcher.mu.Unlock()
-	return time.Duration((eventsBytes+events*eventBytes)*v.watcher.reading) * time.Second / time.Duration(allowance)
+// all reports whether this instance watches every endpoint of its region by itself.
+func (w *Watcher) all() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.reading == 0
 }
--- a/internal/serving/watcher/duties.go
+++ b/internal/serving/watcher/duties.go
@@ -180,9 +180,7 @@
 	address  string
 	// sequence is that of the latest cache event read.
 	sequence int64
-	// resume is when cache events may be read next.
-	resume time.Time
-	done   chan struct{}
+	done     chan struct{}
 	// missed counts the reads that have failed since the last answer.
 	missed int
 }
--- a/internal/serving/watcher/options.go
+++ b/internal/serving/watcher/options.go
@@ -17,12 +17,10 @@
 	watchers      int
 	listAllowance int
 	loadAllowance int
-	// eventAllowance is the bytes a second that reads of cache events may take.
-	eventAllowance int
-	clock          func() time.Time
-	logger         *slog.Logger
-	events         Events
-	caches         Caches
+	clock         func() time.Time
+	logger        *slog.Logger
+	events        Events
+	caches        Caches
 }
 
 // Option changes how a Watcher works.
@@ -71,8 +69,8 @@
 	return func(o *options) { o.logger = l }
 }
 
-// WithCaches sets where the cache events of the endpoints that this instance watches are read, what takes them in, and
-// the bytes a second that the reads may take. An allowance of 0 is none.
-func WithCaches(e Events, c Caches, allowance int) Option {
-	return func(o *options) { o.events, o.caches, o.eventAllowance = e, c, allowance }
+// WithCaches sets where the cache events of the endpoints that this instance watches are read, and what takes them
+// in.
+func WithCaches(e Events, c Caches) Option {
+	return func(o *options) { o.events, o.caches = e, c }
 }
