--- a/internal/serving/watcher/caches.go
+++ b/internal/serving/watcher/caches.go
@@ -17,10 +17,11 @@
 	Cached(now time.Time, endpoint string, prefix uint64, evicted bool)
 }
 
-// readEvents reads the cache events since those read before.
+// readEvents reads the cache events since those read before. An instance that watches a part of the endpoints only reads
+// none: their number grows with the requests, and control has no bytes for them.
 func (v *watch) readEvents(ctx context.Context) {
 	o := &v.watcher.options
-	if o.events == nil {
+	if o.events == nil || !v.watcher.all() {
 		return
 	}
 	events, err := o.events.Events(ctx, v.address, v.sequence)
@@ -34,3 +35,10 @@
 		o.caches.Cached(now, v.id, e.Prefix, e.Evicted)
 	}
 }
+
+// all reports whether this instance watches every endpoint of its region by itself.
+func (w *Watcher) all() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.reading == 0
+}
