Let one listener count the bytes of its connections

Cause: The measures of control and the spread of records each had a listener and a connection that count bytes.

Change: internal/bench/counter has one, beside the processor time.

--- a/internal/bench/measurer/watch.go
+++ b/internal/bench/measurer/watch.go
@@ -4,12 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
 	"time"
 
+	"github.com/heatherrock/heatherrock/internal/bench/counter"
 	"github.com/heatherrock/heatherrock/internal/bench/reporter"
 	"github.com/heatherrock/heatherrock/internal/control/assigner"
 	"github.com/heatherrock/heatherrock/internal/platform/lister"
@@ -29,43 +29,11 @@
 	standbyReads = 8
 )
 
-// counted counts the bytes that pass a listener's connections.
-type counted struct {
-	net.Listener
-	bytes *atomic.Int64
-}
-
-// Accept returns a connection that counts.
-func (c counted) Accept() (net.Conn, error) {
-	conn, err := c.Listener.Accept()
-	return countedConn{conn, c.bytes}, err
-}
-
-// countedConn counts the bytes that pass a connection.
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-// Read reads and counts.
-func (c countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-// Write writes and counts.
-func (c countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // watch measures reads of loads over loopback, and the division of the duties at the planned size.
 func watch(r reporter.Result, p plan) (cost, error) {
 	var bytes atomic.Int64
 	server := httptest.NewUnstartedServer(http.HandlerFunc(report))
-	server.Listener = counted{server.Listener, &bytes}
+	server.Listener = counter.NewListener(server.Listener, &bytes)
 	server.Start()
 	defer server.Close()
 	client := streamer.NewClient()
