Use plain terms in repairs, calls and operators' answers

Cause: deeds, tactics, visits, trails, and answers that were told needed explaining. Change: events of repairs (also in the state dump), repeats, inbound, connections, report, deliver and setOutcome.

--- a/internal/control/repairer/repairer.go
+++ b/internal/control/repairer/repairer.go
@@ -77,8 +77,8 @@
 	Since    time.Time
 }
 
-// Deed says what was done about a range, and why.
-type Deed struct {
+// Event says what was done about a range, and why.
+type Event struct {
 	At       time.Time
 	Range    Range
 	Endpoint string
@@ -88,7 +88,7 @@
 	Why  string
 }
 
-// The values of a deed's What.
+// The values of an event's What.
 const (
 	WhatOrdered = "ordered"
 	WhatLoaded  = "loaded"
@@ -96,7 +96,7 @@
 	WhatWaiting = "waiting"
 )
 
-// kept bounds the deeds that are kept.
+// kept bounds the events that are kept.
 const kept = 64
 
 // Repairer is the decision. Its exported fields are shown in the state dump.
@@ -113,9 +113,9 @@
 	// Saved counts the layers that the weight store may be asked for now.
 	Saved float64
 	At    time.Time
-	// Deeds are the latest deeds, the latest last, and Count is the number of all.
-	Deeds []Deed
-	Count int
+	// Events are the latest events, the latest last, and Count is the number of all.
+	Events []Event
+	Count  int
 
 	number int64
 	name   func(n int64) string
@@ -166,7 +166,7 @@
 // Adopt takes over a load that an earlier holder ordered, unless its end is known.
 func (r *Repairer) Adopt(l Load) {
 	known := slices.ContainsFunc(r.Loads, func(o Load) bool { return o.ID == l.ID })
-	ended := slices.ContainsFunc(r.Deeds, func(d Deed) bool {
+	ended := slices.ContainsFunc(r.Events, func(d Event) bool {
 		return d.Order == l.ID && (d.What == WhatLoaded || d.What == WhatFailed)
 	})
 	if !known && !ended {
@@ -183,12 +183,12 @@
 
 // Loaded reports whether an endpoint was lately seen to hold what an order told it to load.
 func (r *Repairer) Loaded(id string) bool {
-	return slices.ContainsFunc(r.Deeds, func(d Deed) bool { return d.Order == id && d.What == WhatLoaded })
+	return slices.ContainsFunc(r.Events, func(d Event) bool { return d.Order == id && d.What == WhatLoaded })
 }
 
-// Since returns the deeds after the first count, as far as they are kept.
-func (r *Repairer) Since(count int) []Deed {
-	return r.Deeds[max(0, len(r.Deeds)-(r.Count-count)):]
+// Since returns the events after the first count, as far as they are kept.
+func (r *Repairer) Since(count int) []Event {
+	return r.Events[max(0, len(r.Events)-(r.Count-count)):]
 }
 
 // refill adds what the weight store may be asked for meanwhile.
@@ -260,9 +260,9 @@
 	return l, true
 }
 
-// wait notes why a range is not loaded now, unless that was the latest deed about it.
+// wait notes why a range is not loaded now, unless that was the latest event about it.
 func (r *Repairer) wait(now time.Time, m Range, why string) {
-	for _, d := range slices.Backward(r.Deeds) {
+	for _, d := range slices.Backward(r.Events) {
 		if d.Range == m {
 			if d.What == WhatWaiting && d.Why == why {
 				return
@@ -273,11 +273,11 @@
 	r.note(now, Load{Range: m}, WhatWaiting, why)
 }
 
-// note keeps a deed.
+// note keeps an event.
 func (r *Repairer) note(now time.Time, l Load, what, why string) {
-	r.Deeds = append(r.Deeds, Deed{At: now, Range: l.Range, Endpoint: l.Endpoint, Order: l.ID, What: what, Why: why})
+	r.Events = append(r.Events, Event{At: now, Range: l.Range, Endpoint: l.Endpoint, Order: l.ID, What: what, Why: why})
 	r.Count++
-	if len(r.Deeds) > kept {
-		r.Deeds = slices.Delete(r.Deeds, 0, len(r.Deeds)-kept)
+	if len(r.Events) > kept {
+		r.Events = slices.Delete(r.Events, 0, len(r.Events)-kept)
 	}
 }
--- a/internal/control/repairer/repairer_test.go
+++ b/internal/control/repairer/repairer_test.go
@@ -62,11 +62,11 @@
 				t.Errorf("orders mismatch (-want +got):\n%s", diff)
 			}
 			what := ""
-			if len(r.Deeds) > 0 {
-				what = r.Deeds[len(r.Deeds)-1].What
+			if len(r.Events) > 0 {
+				what = r.Events[len(r.Events)-1].What
 			}
 			if diff := cmp.Diff(c.what, what); diff != "" {
-				t.Errorf("deed mismatch (-want +got):\n%s", diff)
+				t.Errorf("event mismatch (-want +got):\n%s", diff)
 			}
 		})
 	}
@@ -124,8 +124,8 @@
 		t.Errorf("a range that is being loaded was ordered again: %+v", got)
 	}
 	r.Next(start.Add(time.Minute), need, []Endpoint{engine("s1", 1, layers(0, 30))})
-	if d := r.Deeds[len(r.Deeds)-1]; d.What != WhatLoaded || len(r.Loads) != 0 {
-		t.Errorf("last deed is %+v, %d loads", d, len(r.Loads))
+	if d := r.Events[len(r.Events)-1]; d.What != WhatLoaded || len(r.Loads) != 0 {
+		t.Errorf("last event is %+v, %d loads", d, len(r.Loads))
 	}
 }
 
--- a/internal/serving/commander/records.go
+++ b/internal/serving/commander/records.go
@@ -125,11 +125,11 @@
 	}
 	var result accepter.Result
 	status, err := c.Client.Do(ctx, http.MethodPost, "/changes", command, &result, answers...)
-	return c.told(command, result, status, err)
+	return c.report(command, result, status, err)
 }
 
-// told prints what became of a change and returns the exit code.
-func (c *Call) told(command accepter.Command, result accepter.Result, status int, err error) int {
+// report prints what became of a change and returns the exit code.
+func (c *Call) report(command accepter.Command, result accepter.Result, status int, err error) int {
 	switch {
 	case errors.Is(err, ErrNotSent):
 		return c.fail("not run: %v", err)
@@ -237,7 +237,7 @@
 		var result accepter.Result
 		to := "/changes/" + url.PathEscape(c.ID) + "/resolve"
 		status, err := c.Client.Do(ctx, http.MethodPost, to, nil, &result, answers...)
-		return c.told(command, result, status, err)
+		return c.report(command, result, status, err)
 	}
 	if len(c.Args) != 1 {
 		return c.usage("an epoch is wanted, or -id with the id of a change")
--- a/internal/serving/dispatcher/dispatcher.go
+++ b/internal/serving/dispatcher/dispatcher.go
@@ -111,10 +111,10 @@
 
 	mu     sync.Mutex
 	claims map[string]*claimer.Claim
-	calls  map[string]*tactics
+	calls  map[string]*repeats
 	counts Counts
-	// visits counts the requests of callers in flight.
-	visits int
+	// inFlight counts the requests of callers in flight.
+	inFlight int
 	// left is closed and replaced when a claim ends.
 	left  chan struct{}
 	close sync.Once
@@ -131,8 +131,8 @@
 	now     func() time.Time
 }
 
-// tactics are the decisions about the repeats of one service's idempotent calls.
-type tactics struct {
+// repeats are the decisions about the repeats of one service's idempotent calls.
+type repeats struct {
 	budget retrier.Budget
 	hedger retrier.Hedger
 }
@@ -203,7 +203,7 @@
 		quarantine: unguarded{},
 		settings:   settings{body: defaultBody, flight: defaultFlight, poll: defaultPoll, settle: defaultSettle, collect: defaultCollect, now: time.Now},
 		claims:     map[string]*claimer.Claim{},
-		calls:      map[string]*tactics{},
+		calls:      map[string]*repeats{},
 		left:       make(chan struct{}),
 		writer: &writer{
 			table:   t,
--- a/internal/serving/dispatcher/handler.go
+++ b/internal/serving/dispatcher/handler.go
@@ -26,8 +26,8 @@
 // forwarded lists the headers of a caller that go to the service.
 var forwarded = []string{"Accept", "Content-Type", "X-Request-Id"}
 
-// visit is one request of a caller to a service.
-type visit struct {
+// inbound is one request of a caller to a service.
+type inbound struct {
 	team    string
 	service string
 	call    recorder.Call
@@ -59,7 +59,7 @@
 
 // serve returns the answer to a request that was let in.
 func (d *Dispatcher) serve(w http.ResponseWriter, r *http.Request, attempt int) claimer.Answer {
-	v, code := d.visit(w, r)
+	v, code := d.parse(w, r)
 	if code != "" {
 		return notRun(code)
 	}
@@ -77,10 +77,10 @@
 func (d *Dispatcher) admit() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.visits >= d.settings.flight {
+	if d.inFlight >= d.settings.flight {
 		return false
 	}
-	d.visits++
+	d.inFlight++
 	return true
 }
 
@@ -88,29 +88,29 @@
 func (d *Dispatcher) depart() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.visits--
+	d.inFlight--
 }
 
-// visit reads a request, or returns the code of what is wrong with it.
-func (d *Dispatcher) visit(w http.ResponseWriter, r *http.Request) (visit, string) {
+// parse reads a request, or returns the code of what is wrong with it.
+func (d *Dispatcher) parse(w http.ResponseWriter, r *http.Request) (inbound, string) {
 	name := mux.Vars(r)["service"]
 	service, ok := d.view.Service(name)
 	if !ok {
-		return visit{}, CodeService
+		return inbound{}, CodeService
 	}
 	decoded, path := pathsOf(r.URL)
 	call, ok := service.Call(r.Method, decoded)
 	if !ok {
-		return visit{}, CodeCall
+		return inbound{}, CodeCall
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, d.settings.body))
 	if err != nil {
-		return visit{}, codeOf(err)
+		return inbound{}, codeOf(err)
 	}
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
 	}
-	v := visit{team: d.identifier.Team(r), service: name, call: call, begun: d.settings.now()}
+	v := inbound{team: d.identifier.Team(r), service: name, call: call, begun: d.settings.now()}
 	v.message = Message{Method: r.Method, Path: path, Header: http.Header{}, Body: body}
 	for _, h := range forwarded {
 		if value := r.Header.Get(h); value != "" {
@@ -122,7 +122,7 @@
 }
 
 // deadline returns the longest duration of the call.
-func (v visit) deadline() time.Duration {
+func (v inbound) deadline() time.Duration {
 	if v.call.Deadline <= 0 {
 		return defaultDeadline
 	}
--- a/internal/serving/dispatcher/holder.go
+++ b/internal/serving/dispatcher/holder.go
@@ -19,7 +19,7 @@
 // holder carries out one claim.
 type holder struct {
 	dispatcher *Dispatcher
-	visit      visit
+	inbound    inbound
 	claim      *claimer.Claim
 	answer     chan claimer.Answer
 	// reply is the whole reply of the service, which the first caller gets even if it is too long to be stored.
@@ -27,7 +27,7 @@
 }
 
 // hold runs a call at most once and returns the caller's answer. The claim goes on to its end if the caller leaves.
-func (d *Dispatcher) hold(ctx context.Context, v visit, key claimer.Key, attempt int) claimer.Answer {
+func (d *Dispatcher) hold(ctx context.Context, v inbound, key claimer.Key, attempt int) claimer.Answer {
 	fleet := d.view.Fleet()
 	d.writer.share(float64(fleet.Writes), d.view.Members())
 	if code := d.writer.check(key); code != "" {
@@ -40,7 +40,7 @@
 		Team: v.team, Key: key, Service: v.service, Path: v.message.Path,
 		Print: v.print, Attempt: attempt, Lookup: v.call.Lookup != "",
 	}
-	h := &holder{dispatcher: d, visit: v, answer: make(chan claimer.Answer, 1)}
+	h := &holder{dispatcher: d, inbound: v, answer: make(chan claimer.Answer, 1)}
 	h.claim = claimer.NewClaim(call, uuid.NewString(), d.owner, d.limits(v))
 	d.enter(h.claim)
 	go h.run()
@@ -53,7 +53,7 @@
 }
 
 // limits returns the times that bound a claim.
-func (d *Dispatcher) limits(v visit) claimer.Limits {
+func (d *Dispatcher) limits(v inbound) claimer.Limits {
 	answer := v.begun.Add(v.deadline())
 	return claimer.Limits{
 		Send:   v.begun.Add(v.deadline() / 2),
@@ -69,7 +69,7 @@
 	action := h.step(func(now time.Time) claimer.Action { return h.claim.Begin(now) })
 	for {
 		if action.Answer != nil {
-			h.tell(*action.Answer)
+			h.deliver(*action.Answer)
 		}
 		if action.Step == claimer.StepDone {
 			return
@@ -130,8 +130,8 @@
 	}
 }
 
-// tell gives the caller its answer, and lists a claim whose owner does not tell what became of it.
-func (h *holder) tell(a claimer.Answer) {
+// deliver gives the caller its answer, and lists a claim whose owner does not tell what became of it.
+func (h *holder) deliver(a claimer.Answer) {
 	if h.reply != nil && a.Reply != nil {
 		a.Reply = h.reply
 	}
@@ -146,11 +146,11 @@
 func (h *holder) send() (classifier.Outcome, *claimer.Reply) {
 	ctx, cancel := context.WithDeadline(context.Background(), h.claim.Limits.Answer)
 	defer cancel()
-	message := h.visit.message
+	message := h.inbound.message
 	message.Header = message.Header.Clone()
 	message.Header.Set(HeaderKey, h.serviceKey())
 	last := classifier.NotSent
-	for _, e := range h.dispatcher.chooser.Choose(h.visit.service) {
+	for _, e := range h.dispatcher.chooser.Choose(h.inbound.service) {
 		outcome, reply := h.dispatcher.try(ctx, e, message)
 		if !outcome.NotRun() {
 			return outcome, h.keep(outcome, reply)
@@ -177,11 +177,11 @@
 
 // ask asks the service what became of the key. It returns nil unless the service tells that the work ran.
 func (h *holder) ask() *claimer.Reply {
-	ctx, cancel := context.WithTimeout(context.Background(), h.visit.deadline()/2)
+	ctx, cancel := context.WithTimeout(context.Background(), h.inbound.deadline()/2)
 	defer cancel()
-	path := strings.ReplaceAll(h.visit.call.Lookup, "{key}", url.PathEscape(h.serviceKey()))
+	path := strings.ReplaceAll(h.inbound.call.Lookup, "{key}", url.PathEscape(h.serviceKey()))
 	message := Message{Method: http.MethodGet, Path: path, Header: http.Header{}}
-	for _, e := range h.dispatcher.chooser.Choose(h.visit.service) {
+	for _, e := range h.dispatcher.chooser.Choose(h.inbound.service) {
 		outcome, reply := h.dispatcher.try(ctx, e, message)
 		if outcome == classifier.Completed && reply.Status == http.StatusOK {
 			return h.keep(outcome, reply)
--- a/internal/serving/dispatcher/lookup.go
+++ b/internal/serving/dispatcher/lookup.go
@@ -22,11 +22,11 @@
 }
 
 // lookup runs an idempotent call: again after a failure within the budget, and beside a slow attempt where that pays.
-func (d *Dispatcher) lookup(ctx context.Context, v visit) claimer.Answer {
+func (d *Dispatcher) lookup(ctx context.Context, v inbound) claimer.Answer {
 	ctx, cancel := context.WithDeadline(ctx, v.begun.Add(v.deadline()))
 	defer cancel()
 	l := &lookup{
-		dispatcher: d, visit: v, endpoints: d.chooser.Choose(v.service), results: make(chan result, v.call.Retries+2),
+		dispatcher: d, inbound: v, endpoints: d.chooser.Choose(v.service), results: make(chan result, v.call.Retries+2),
 		fingerprint: quarantiner.Fingerprint(xxhash.Sum64String(v.team + "\x00" + v.print)),
 	}
 	d.earn(v.service)
@@ -36,7 +36,7 @@
 // lookup is an idempotent call in flight.
 type lookup struct {
 	dispatcher  *Dispatcher
-	visit       visit
+	inbound     inbound
 	endpoints   []Endpoint
 	fingerprint quarantiner.Fingerprint
 	// suspect is set once the call may have crashed an endpoint, here or elsewhere.
@@ -116,7 +116,7 @@
 // attempt runs one attempt and reports its result.
 func (l *lookup) attempt(ctx context.Context, e Endpoint) {
 	begun := l.dispatcher.settings.now()
-	outcome, reply := l.dispatcher.try(ctx, e, l.visit.message)
+	outcome, reply := l.dispatcher.try(ctx, e, l.inbound.message)
 	latency := l.dispatcher.settings.now().Sub(begun)
 	l.results <- result{endpoint: e.ID, outcome: outcome, reply: reply, latency: latency}
 }
@@ -132,7 +132,7 @@
 		l.suspect = false
 	}
 	if r.outcome == classifier.Completed {
-		d.observe(l.visit.service, r.latency)
+		d.observe(l.inbound.service, r.latency)
 		return true
 	}
 	if r.outcome == classifier.Unknown && r.reply == nil && ctx.Err() == nil {
@@ -147,10 +147,10 @@
 
 // again reports whether one more attempt may be started.
 func (l *lookup) again(ctx context.Context) bool {
-	if ctx.Err() != nil || l.started > l.visit.call.Retries || (l.suspect && l.judge() != "") {
+	if ctx.Err() != nil || l.started > l.inbound.call.Retries || (l.suspect && l.judge() != "") {
 		return false
 	}
-	return l.dispatcher.spend(l.visit.service)
+	return l.dispatcher.spend(l.inbound.service)
 }
 
 // hedge returns a channel that fires when a second attempt beside the first pays, or nil.
@@ -158,7 +158,7 @@
 	if l.suspect || len(l.endpoints) < 2 {
 		return nil
 	}
-	delay, pays := l.dispatcher.delay(l.visit.service)
+	delay, pays := l.dispatcher.delay(l.inbound.service)
 	if !pays {
 		return nil
 	}
@@ -174,11 +174,11 @@
 	return claimer.Answer{Verdict: verdict, Code: CodeFailed, Retry: true}
 }
 
-// tacticsOf returns the decisions about a service's repeats. The lock must be held.
-func (d *Dispatcher) tacticsOf(service string) *tactics {
+// repeatsOf returns the decisions about a service's repeats. The lock must be held.
+func (d *Dispatcher) repeatsOf(service string) *repeats {
 	t, ok := d.calls[service]
 	if !ok {
-		t = &tactics{budget: retrier.Budget{Reserve: defaultReserve, Saved: defaultReserve * 100}}
+		t = &repeats{budget: retrier.Budget{Reserve: defaultReserve, Saved: defaultReserve * 100}}
 		d.calls[service] = t
 	}
 	t.budget.Percent = d.view.Fleet().Budget
@@ -189,26 +189,26 @@
 func (d *Dispatcher) earn(service string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.tacticsOf(service).budget.Earn()
+	d.repeatsOf(service).budget.Earn()
 }
 
 // spend takes one repeat from the budget, or returns false.
 func (d *Dispatcher) spend(service string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.tacticsOf(service).budget.Spend()
+	return d.repeatsOf(service).budget.Spend()
 }
 
 // observe takes the latency of a completed call.
 func (d *Dispatcher) observe(service string, latency time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.tacticsOf(service).hedger.Observe(latency)
+	d.repeatsOf(service).hedger.Observe(latency)
 }
 
 // delay returns when a second attempt pays.
 func (d *Dispatcher) delay(service string) (time.Duration, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.tacticsOf(service).hedger.Delay()
+	return d.repeatsOf(service).hedger.Delay()
 }
--- a/internal/serving/dispatcher/lookup_test.go
+++ b/internal/serving/dispatcher/lookup_test.go
@@ -91,7 +91,7 @@
 		tail.Observe(latency)
 	}
 	d.mu.Lock()
-	d.tacticsOf("stock").hedger = tail
+	d.repeatsOf("stock").hedger = tail
 	d.mu.Unlock()
 	got := call(t, s, http.MethodGet, "/v1/services/stock/parts/oak", "")
 	if diff := cmp.Diff(told{200, "completed", "", "oak"}, got); diff != "" {
--- a/internal/serving/dispatcher/sender.go
+++ b/internal/serving/dispatcher/sender.go
@@ -81,7 +81,7 @@
 // Send sends a message to an address (host and port) and returns what is known of it. The reply is set if a whole
 // answer came, whatever the outcome. The error explains an outcome without a reply.
 func (s *Sender) Send(ctx context.Context, address string, m Message) (classifier.Outcome, *claimer.Reply, error) {
-	trace := &trail{until: m.Until}
+	trace := &connections{until: m.Until}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: trace.got})
 	request, err := s.request(ctx, address, m)
 	if err != nil {
@@ -135,8 +135,8 @@
 	return &conn{Conn: c}, nil
 }
 
-// trail holds the connections that a request was given.
-type trail struct {
+// connections holds the connections that a request was given.
+type connections struct {
 	mu    sync.Mutex
 	hops  []hop
 	blind bool
@@ -150,7 +150,7 @@
 }
 
 // got notes a connection before the request is written to it.
-func (t *trail) got(info httptrace.GotConnInfo) {
+func (t *connections) got(info httptrace.GotConnInfo) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c, ok := info.Conn.(*conn)
@@ -163,7 +163,7 @@
 
 // outcome returns what is known of a request that failed: not sent only if no byte was written for it, which it makes
 // final by sealing each connection.
-func (t *trail) outcome() classifier.Outcome {
+func (t *connections) outcome() classifier.Outcome {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	silent := !t.blind
--- a/internal/serving/operator/operator.go
+++ b/internal/serving/operator/operator.go
@@ -151,17 +151,17 @@
 	if c.ID == "" {
 		c.ID = uuid.Must(uuid.NewV7()).String()
 	}
-	o.tell(w, c, o.committer.Do(r.Context(), c))
+	o.report(w, c, o.committer.Do(r.Context(), c))
 }
 
 // resolve finds out what became of a change whose outcome was not known.
 func (o *Operator) resolve(w http.ResponseWriter, r *http.Request) {
 	c := accepter.Command{ID: mux.Vars(r)["id"], Action: accepter.ActionResolve}
-	o.tell(w, c, o.committer.Do(r.Context(), c))
+	o.report(w, c, o.committer.Do(r.Context(), c))
 }
 
-// tell writes what became of a change.
-func (o *Operator) tell(w http.ResponseWriter, c accepter.Command, result accepter.Result) {
+// report writes what became of a change.
+func (o *Operator) report(w http.ResponseWriter, c accepter.Command, result accepter.Result) {
 	w.Header().Set(OutcomeHeader, classifier.Combine(result.Outcome).String())
 	status := http.StatusOK
 	switch {
--- a/internal/serving/orderer/orderer_test.go
+++ b/internal/serving/orderer/orderer_test.go
@@ -111,9 +111,9 @@
 	wait(two, func(s State) bool { return s.Held && len(s.Loads) == 1 })
 	i.hold("e2", 10, 20)
 	wait(two, func(s State) bool { return len(s.Loads) == 0 && len(s.Unconfirmed) == 0 })
-	deeds := two.State().Deeds
-	if len(deeds) != 1 || deeds[0].What != repairer.WhatLoaded || deeds[0].Order != first.ID {
-		t.Errorf("deeds of the next holder are %+v", deeds)
+	events := two.State().Events
+	if len(events) != 1 || events[0].What != repairer.WhatLoaded || events[0].Order != first.ID {
+		t.Errorf("events of the next holder are %+v", events)
 	}
 
 	// A later order carries the next holder's number.
@@ -134,11 +134,11 @@
 	i := &inventory{endpoints: []Endpoint{{Endpoint: repairer.Endpoint{ID: "e1", Kind: "a"}, Address: address}}}
 	o := start(t, "one", standin.New(), i)
 	wait(o, func(s State) bool {
-		n := len(s.Deeds)
-		return n > 1 && s.Deeds[n-1].What == repairer.WhatWaiting && len(s.Unconfirmed) == 0
+		n := len(s.Events)
+		return n > 1 && s.Events[n-1].What == repairer.WhatWaiting && len(s.Unconfirmed) == 0
 	})
-	if d := o.State().Deeds[1]; d.What != repairer.WhatFailed || d.Endpoint != "e1" {
-		t.Errorf("second deed is %+v", d)
+	if d := o.State().Events[1]; d.What != repairer.WhatFailed || d.Endpoint != "e1" {
+		t.Errorf("second event is %+v", d)
 	}
 }
 
--- a/internal/serving/orderer/repair.go
+++ b/internal/serving/orderer/repair.go
@@ -25,8 +25,8 @@
 	Unconfirmed []leaser.Intent
 	Missing     []Missing
 	Loads       []repairer.Load
-	// Deeds say what was done about missing ranges and why, the latest last.
-	Deeds []repairer.Deed
+	// Events say what was done about missing ranges and why, the latest last.
+	Events []repairer.Event
 }
 
 // Missing is a range that too few live endpoints hold.
@@ -42,7 +42,7 @@
 	s := State{
 		Lease: o.name, Held: o.lease.Held, Fence: o.lease.Row.Record.Fence, Holder: o.lease.Row.Record.Holder,
 		Unconfirmed: slices.Clone(o.lease.Row.Record.Intents),
-		Loads:       slices.Clone(o.repairer.Loads), Deeds: slices.Clone(o.repairer.Deeds),
+		Loads:       slices.Clone(o.repairer.Loads), Events: slices.Clone(o.repairer.Events),
 	}
 	for r, since := range o.repairer.Missing {
 		s.Missing = append(s.Missing, Missing{Range: r, Since: since})
@@ -176,7 +176,7 @@
 	}
 }
 
-// log logs the deeds since the last look.
+// log logs the events since the last look.
 func (o *Orderer) log() {
 	for _, d := range o.repairer.Since(o.shown) {
 		o.logger.Info("repair", "what", d.What, "model", d.Range.Model, "version", d.Range.Version,
--- a/internal/serving/poller/round.go
+++ b/internal/serving/poller/round.go
@@ -39,13 +39,13 @@
 	}
 	if err != nil {
 		p.options.scope.Counter("config_store_failures").Inc(1)
-		p.tell(err)
+		p.logStore(err)
 		p.ask(ctx)
 	}
 }
 
-// tell logs why the store did not bring the configuration up to date.
-func (p *Poller) tell(err error) {
+// logStore logs why the store did not bring the configuration up to date.
+func (p *Poller) logStore(err error) {
 	if errors.Is(err, recorder.ErrSum) {
 		p.options.logger.Error("the store's log does not lead to the configuration accepted", "error", err)
 		return
--- a/internal/serving/runner/repairs_test.go
+++ b/internal/serving/runner/repairs_test.go
@@ -69,27 +69,27 @@
 	list.Remove("e1")
 	servers["e1"].CloseClientConnections()
 	servers["e1"].Config.Close()
-	for !whole() || len(deeds(instances)) < 2 {
+	for !whole() || len(events(instances)) < 2 {
 		time.Sleep(10 * time.Millisecond)
 	}
 	lost := repairer.Range{Model: "oak", Version: "v1", From: layers / 3, To: 2 * layers / 3}
 	var got []string
-	for _, d := range deeds(instances) {
+	for _, d := range events(instances) {
 		if d.Range != lost || d.Endpoint != "spare" || d.Why == "" {
-			t.Errorf("deed is %+v", d)
+			t.Errorf("event is %+v", d)
 		}
 		got = append(got, d.What)
 	}
 	if diff := cmp.Diff([]string{repairer.WhatOrdered, repairer.WhatLoaded}, got); diff != "" {
-		t.Errorf("deeds mismatch (-want +got):\n%s", diff)
+		t.Errorf("events mismatch (-want +got):\n%s", diff)
 	}
 }
 
-// deeds returns what the instances did about missing ranges.
-func deeds(instances []*Runner) []repairer.Deed {
-	var all []repairer.Deed
+// events returns what the instances did about missing ranges.
+func events(instances []*Runner) []repairer.Event {
+	var all []repairer.Event
 	for _, r := range instances {
-		all = append(all, r.orders.State().Deeds...)
+		all = append(all, r.orders.State().Events...)
 	}
 	return all
 }
--- a/internal/serving/settler/settler.go
+++ b/internal/serving/settler/settler.go
@@ -188,13 +188,13 @@
 	}
 	entry, err := s.read(r.Context(), keyOf(r))
 	if err != nil {
-		tell(w, classifier.VerdictNotRun)
+		setOutcome(w, classifier.VerdictNotRun)
 		problem(w, http.StatusServiceUnavailable, "the call cannot be read: "+err.Error())
 		return
 	}
 	record, why := said.Settle(s.now(), claimer.Row{Version: entry.Version, Record: entry.Record})
 	if why != "" {
-		tell(w, classifier.VerdictNotRun)
+		setOutcome(w, classifier.VerdictNotRun)
 		problem(w, http.StatusConflict, why)
 		return
 	}
@@ -215,13 +215,13 @@
 	})
 	switch {
 	case result.Outcome == classifier.Completed && result.Applied:
-		tell(w, classifier.VerdictCompleted)
+		setOutcome(w, classifier.VerdictCompleted)
 		answer(w, http.StatusOK, Entry{Call: old.Call, Version: result.Versions[0], Record: record})
 	case result.Outcome == classifier.Completed:
-		tell(w, classifier.VerdictNotRun)
+		setOutcome(w, classifier.VerdictNotRun)
 		problem(w, http.StatusConflict, "the call has changed since it was seen")
 	case result.Outcome.NotRun():
-		tell(w, classifier.VerdictNotRun)
+		setOutcome(w, classifier.VerdictNotRun)
 		problem(w, http.StatusServiceUnavailable, "the settlement was not written: "+text(err))
 	default:
 		s.doubt(w, r, old.Call, record)
@@ -232,11 +232,11 @@
 func (s *Settler) doubt(w http.ResponseWriter, r *http.Request, key string, record claimer.Record) {
 	entry, err := s.read(r.Context(), key)
 	if err == nil && bytes.Equal(entry.Record.Encode(), record.Encode()) {
-		tell(w, classifier.VerdictCompleted)
+		setOutcome(w, classifier.VerdictCompleted)
 		answer(w, http.StatusOK, entry)
 		return
 	}
-	tell(w, classifier.VerdictUnknown)
+	setOutcome(w, classifier.VerdictUnknown)
 	problem(w, http.StatusGatewayTimeout, "it is not known whether the settlement was written; look at the call again")
 }
 
@@ -246,7 +246,7 @@
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&said); err != nil {
-		tell(w, classifier.VerdictNotRun)
+		setOutcome(w, classifier.VerdictNotRun)
 		problem(w, http.StatusBadRequest, "the body cannot be read: "+err.Error())
 		return said, false
 	}
@@ -259,8 +259,8 @@
 	return v["day"] + "/" + v["team"] + "/" + v["key"]
 }
 
-// tell says in a header what became of a settlement.
-func tell(w http.ResponseWriter, v classifier.Verdict) {
+// setOutcome says in a header what became of a settlement.
+func setOutcome(w http.ResponseWriter, v classifier.Verdict) {
 	w.Header().Set(headerOutcome, v.String())
 }
 
