Write operators' answers and the stand-ins' limiters in one place each

Cause: records and calls each had their own functions for JSON answers, errors and the outcome header, and the table's and the object store's stand-ins each their own limiter, with a nil check in one of them. Change: packages internal/serving/answerer and internal/standin/limiter.

--- a/internal/serving/operator/operator.go
+++ b/internal/serving/operator/operator.go
@@ -18,18 +18,13 @@
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/serving/answerer"
 	"github.com/heatherrock/heatherrock/internal/serving/poller"
 )
 
 // maxBody is the largest body of a request, in bytes.
 const maxBody = 8 << 20
 
-// OutcomeHeader is the header that says completed, not-run or unknown of a change.
-const OutcomeHeader = "Heatherrock-Outcome"
-
-// retryAfter is the wait that an operator is told when the store does not answer, in seconds.
-const retryAfter = "2"
-
 // Committer carries changes out.
 type Committer interface {
 	Do(ctx context.Context, c accepter.Command) accepter.Result
@@ -96,11 +91,6 @@
 	route(http.MethodGet, "/records/{kind}/{name}/diff", o.diff)
 }
 
-// Problem is the body of an answer that is an error.
-type Problem struct {
-	Error string `json:"error"`
-}
-
 // Guard lets a request through that bears the operators' token.
 func (o *Operator) Guard(h http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -108,7 +98,7 @@
 		sum := sha256.Sum256([]byte(token))
 		given := hex.EncodeToString(sum[:])
 		if o.credential != "" && subtle.ConstantTimeCompare([]byte(given), []byte(o.credential)) != 1 {
-			problem(w, http.StatusUnauthorized, "the operators' token is missing or wrong")
+			answerer.Problem(w, http.StatusUnauthorized, "the operators' token is missing or wrong")
 			return
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, maxBody)
@@ -116,36 +106,19 @@
 	}
 }
 
-// answer writes a body as JSON.
-func answer(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	encoder := json.NewEncoder(w)
-	encoder.SetEscapeHTML(false)
-	_ = encoder.Encode(body)
-}
-
-// problem writes an error.
-func problem(w http.ResponseWriter, status int, text string) {
-	if status == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", retryAfter)
-	}
-	answer(w, status, Problem{Error: text})
-}
-
 // change carries out a submit, an accept or a retire.
 func (o *Operator) change(w http.ResponseWriter, r *http.Request) {
 	var c accepter.Command
 	decoder := json.NewDecoder(r.Body)
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&c); err != nil {
-		w.Header().Set(OutcomeHeader, classifier.VerdictNotRun.String())
-		problem(w, http.StatusBadRequest, "the body cannot be read: "+err.Error())
+		answerer.Outcome(w, classifier.VerdictNotRun)
+		answerer.Problem(w, http.StatusBadRequest, "the body cannot be read: "+err.Error())
 		return
 	}
 	if c.Operator == "" || c.Action == accepter.ActionResolve {
-		w.Header().Set(OutcomeHeader, classifier.VerdictNotRun.String())
-		problem(w, http.StatusBadRequest, "operator and an action of submit, accept or retire are wanted")
+		answerer.Outcome(w, classifier.VerdictNotRun)
+		answerer.Problem(w, http.StatusBadRequest, "operator and an action of submit, accept or retire are wanted")
 		return
 	}
 	if c.ID == "" {
@@ -162,7 +135,7 @@
 
 // report writes what became of a change.
 func (o *Operator) report(w http.ResponseWriter, c accepter.Command, result accepter.Result) {
-	w.Header().Set(OutcomeHeader, classifier.Combine(result.Outcome).String())
+	answerer.Outcome(w, classifier.Combine(result.Outcome))
 	status := http.StatusOK
 	switch {
 	case result.Outcome == classifier.Unknown:
@@ -178,7 +151,7 @@
 		status = http.StatusGone
 	default:
 		status = http.StatusServiceUnavailable
-		w.Header().Set("Retry-After", retryAfter)
+		answerer.RetryLater(w)
 	}
-	answer(w, status, result)
+	answerer.JSON(w, status, result)
 }
--- a/internal/serving/operator/operator_test.go
+++ b/internal/serving/operator/operator_test.go
@@ -17,6 +17,7 @@
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/control/validator"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
+	"github.com/heatherrock/heatherrock/internal/platform/caller"
 	"github.com/heatherrock/heatherrock/internal/serving/poller"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 	"github.com/heatherrock/heatherrock/internal/standin/tabler"
@@ -83,7 +84,7 @@
 			f := &fake{result: c.result}
 			w := call(f, nil, http.MethodPost, "/changes", c.token, c.body)
 			want := []any{c.status, c.calls, c.outcome, c.status == 503}
-			got := []any{w.Code, f.calls, w.Header().Get(OutcomeHeader), w.Header().Get("Retry-After") != ""}
+			got := []any{w.Code, f.calls, w.Header().Get(caller.HeaderOutcome), w.Header().Get("Retry-After") != ""}
 			if diff := cmp.Diff(want, got); diff != "" {
 				t.Error(diff, w.Body)
 			}
--- a/internal/serving/operator/reads.go
+++ b/internal/serving/operator/reads.go
@@ -13,6 +13,7 @@
 	"github.com/heatherrock/heatherrock/internal/control/converter"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/serving/answerer"
 	"github.com/heatherrock/heatherrock/internal/serving/poller"
 )
 
@@ -62,18 +63,18 @@
 					Force: record.Revision, State: recorder.StateAccepted})
 			}
 		}
-		answer(w, http.StatusOK, out)
+		answerer.JSON(w, http.StatusOK, out)
 		return
 	}
 	for _, row := range rows {
 		entry, err := accepter.Decode[accepter.Entry](row)
 		if err != nil {
-			problem(w, http.StatusInternalServerError, err.Error())
+			answerer.Problem(w, http.StatusInternalServerError, err.Error())
 			return
 		}
 		out.Entries = append(out.Entries, entry)
 	}
-	answer(w, http.StatusOK, out)
+	answerer.JSON(w, http.StatusOK, out)
 }
 
 // scan reads all rows with a prefix whose keys come after the key given.
@@ -111,7 +112,7 @@
 func (o *Operator) audits(w http.ResponseWriter, r *http.Request) {
 	limit, err := number(r, "limit", scanLimit)
 	if err != nil || limit < 1 || limit > scanLimit {
-		problem(w, http.StatusBadRequest, fmt.Sprintf("limit: want 1 to %d", scanLimit))
+		answerer.Problem(w, http.StatusBadRequest, fmt.Sprintf("limit: want 1 to %d", scanLimit))
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), o.timeout)
@@ -119,19 +120,19 @@
 	after := accepter.AuditKey(r.URL.Query().Get("after"))
 	rows, err := o.table.Scan(ctx, accepter.Table, accepter.AuditPrefix, after, int(limit))
 	if err != nil {
-		problem(w, http.StatusServiceUnavailable, "the store cannot be read: "+err.Error())
+		answerer.Problem(w, http.StatusServiceUnavailable, "the store cannot be read: "+err.Error())
 		return
 	}
 	audits := make([]accepter.Audit, 0, len(rows))
 	for _, row := range rows {
 		audit, err := accepter.Decode[accepter.Audit](row)
 		if err != nil {
-			problem(w, http.StatusInternalServerError, err.Error())
+			answerer.Problem(w, http.StatusInternalServerError, err.Error())
 			return
 		}
 		audits = append(audits, audit)
 	}
-	answer(w, http.StatusOK, audits)
+	answerer.JSON(w, http.StatusOK, audits)
 }
 
 // show answers a record: the revision asked for, or the one in force, or the latest if none is.
@@ -151,15 +152,15 @@
 	}
 	schema, err := number(r, "schema", int64(record.Schema))
 	if err != nil {
-		problem(w, http.StatusBadRequest, err.Error())
+		answerer.Problem(w, http.StatusBadRequest, err.Error())
 		return
 	}
 	record, err = converter.Convert(record, int(schema))
 	if err != nil {
-		problem(w, http.StatusUnprocessableEntity, err.Error())
+		answerer.Problem(w, http.StatusUnprocessableEntity, err.Error())
 		return
 	}
-	answer(w, http.StatusOK, Shown{Entry: entry, Record: record})
+	answerer.JSON(w, http.StatusOK, Shown{Entry: entry, Record: record})
 }
 
 // reference returns the record that a request's path names.
@@ -184,9 +185,9 @@
 func (o *Operator) present(w http.ResponseWriter, what string, found bool, err error) bool {
 	switch {
 	case err != nil:
-		problem(w, http.StatusServiceUnavailable, "the store cannot be read: "+err.Error())
+		answerer.Problem(w, http.StatusServiceUnavailable, "the store cannot be read: "+err.Error())
 	case !found:
-		problem(w, http.StatusNotFound, what+" does not exist")
+		answerer.Problem(w, http.StatusNotFound, what+" does not exist")
 	default:
 		return true
 	}
@@ -197,7 +198,7 @@
 func (o *Operator) revision(w http.ResponseWriter, r *http.Request, ref recorder.Ref, name string, absent int64) (recorder.Record, bool) {
 	revision, err := number(r, name, absent)
 	if err != nil {
-		problem(w, http.StatusBadRequest, err.Error())
+		answerer.Problem(w, http.StatusBadRequest, err.Error())
 		return recorder.Record{}, false
 	}
 	if revision == 0 {
@@ -226,7 +227,7 @@
 	if diffs == nil {
 		diffs = []recorder.Diff{}
 	}
-	answer(w, http.StatusOK, diffs)
+	answerer.JSON(w, http.StatusOK, diffs)
 }
 
 // wait answers once an epoch is in force on every live instance, or with the instances where it is not when the time
@@ -234,12 +235,12 @@
 func (o *Operator) wait(w http.ResponseWriter, r *http.Request) {
 	epoch, err := strconv.ParseInt(mux.Vars(r)["epoch"], 10, 64)
 	if err != nil || epoch < 0 {
-		problem(w, http.StatusBadRequest, "the epoch is not a whole number of 0 or more")
+		answerer.Problem(w, http.StatusBadRequest, "the epoch is not a whole number of 0 or more")
 		return
 	}
 	millis, err := number(r, "timeout", 0)
 	if err != nil {
-		problem(w, http.StatusBadRequest, err.Error())
+		answerer.Problem(w, http.StatusBadRequest, err.Error())
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), min(time.Duration(millis)*time.Millisecond, maxWait))
@@ -248,7 +249,7 @@
 	for pause := o.interval; ; pause = min(2*pause, maxPause) {
 		o.look(r.Context(), &out)
 		if len(out.Behind) == 0 {
-			answer(w, http.StatusOK, out)
+			answerer.JSON(w, http.StatusOK, out)
 			return
 		}
 		timer := time.NewTimer(pause)
@@ -256,7 +257,7 @@
 		case <-timer.C:
 		case <-ctx.Done():
 			timer.Stop()
-			answer(w, http.StatusGatewayTimeout, out)
+			answerer.JSON(w, http.StatusGatewayTimeout, out)
 			return
 		}
 	}
--- a/internal/serving/settler/settler.go
+++ b/internal/serving/settler/settler.go
@@ -13,8 +13,8 @@
 
 	"github.com/heatherrock/heatherrock/internal/control/claimer"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/platform/caller"
 	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/serving/answerer"
 )
 
 const (
@@ -26,8 +26,6 @@
 	most = 4096
 	// defaultTimeout bounds each operation of the table service.
 	defaultTimeout = 2 * time.Second
-	// headerOutcome says what became of a settlement.
-	headerOutcome = caller.HeaderOutcome
 )
 
 // Entry is one call as operators see it.
@@ -101,13 +99,13 @@
 	for len(entries) < most {
 		rows, err := s.scan(r.Context(), table, prefix, after)
 		if err != nil {
-			problem(w, http.StatusServiceUnavailable, "the table service cannot be read: "+err.Error())
+			answerer.Problem(w, http.StatusServiceUnavailable, "the table service cannot be read: "+err.Error())
 			return
 		}
 		for _, row := range rows {
 			entry, open, err := pick(r.Context(), row)
 			if err != nil {
-				problem(w, http.StatusServiceUnavailable, "the call "+row.Key+" cannot be read: "+err.Error())
+				answerer.Problem(w, http.StatusServiceUnavailable, "the call "+row.Key+" cannot be read: "+err.Error())
 				return
 			}
 			if open {
@@ -119,7 +117,7 @@
 		}
 		after = rows[len(rows)-1].Key
 	}
-	answer(w, http.StatusOK, entries)
+	answerer.JSON(w, http.StatusOK, entries)
 }
 
 // scan reads the next rows of a table.
@@ -172,11 +170,11 @@
 	entry, err := s.read(r.Context(), keyOf(r))
 	switch {
 	case err != nil:
-		problem(w, http.StatusServiceUnavailable, "the call cannot be read: "+err.Error())
+		answerer.Problem(w, http.StatusServiceUnavailable, "the call cannot be read: "+err.Error())
 	case entry.Version == 0:
-		problem(w, http.StatusNotFound, "there is no such call")
+		answerer.Problem(w, http.StatusNotFound, "there is no such call")
 	default:
-		answer(w, http.StatusOK, entry)
+		answerer.JSON(w, http.StatusOK, entry)
 	}
 }
 
@@ -188,14 +186,14 @@
 	}
 	entry, err := s.read(r.Context(), keyOf(r))
 	if err != nil {
-		setOutcome(w, classifier.VerdictNotRun)
-		problem(w, http.StatusServiceUnavailable, "the call cannot be read: "+err.Error())
+		answerer.Outcome(w, classifier.VerdictNotRun)
+		answerer.Problem(w, http.StatusServiceUnavailable, "the call cannot be read: "+err.Error())
 		return
 	}
 	record, why := said.Settle(s.now(), claimer.Row{Version: entry.Version, Record: entry.Record})
 	if why != "" {
-		setOutcome(w, classifier.VerdictNotRun)
-		problem(w, http.StatusConflict, why)
+		answerer.Outcome(w, classifier.VerdictNotRun)
+		answerer.Problem(w, http.StatusConflict, why)
 		return
 	}
 	s.write(w, r, entry, record)
@@ -215,14 +213,14 @@
 	})
 	switch {
 	case result.Outcome == classifier.Completed && result.Applied:
-		setOutcome(w, classifier.VerdictCompleted)
-		answer(w, http.StatusOK, Entry{Call: old.Call, Version: result.Versions[0], Record: record})
+		answerer.Outcome(w, classifier.VerdictCompleted)
+		answerer.JSON(w, http.StatusOK, Entry{Call: old.Call, Version: result.Versions[0], Record: record})
 	case result.Outcome == classifier.Completed:
-		setOutcome(w, classifier.VerdictNotRun)
-		problem(w, http.StatusConflict, "the call has changed since it was seen")
+		answerer.Outcome(w, classifier.VerdictNotRun)
+		answerer.Problem(w, http.StatusConflict, "the call has changed since it was seen")
 	case result.Outcome.NotRun():
-		setOutcome(w, classifier.VerdictNotRun)
-		problem(w, http.StatusServiceUnavailable, "the settlement was not written: "+text(err))
+		answerer.Outcome(w, classifier.VerdictNotRun)
+		answerer.Problem(w, http.StatusServiceUnavailable, "the settlement was not written: "+text(err))
 	default:
 		s.doubt(w, r, old.Call, record)
 	}
@@ -232,12 +230,12 @@
 func (s *Settler) doubt(w http.ResponseWriter, r *http.Request, key string, record claimer.Record) {
 	entry, err := s.read(r.Context(), key)
 	if err == nil && bytes.Equal(entry.Record.Encode(), record.Encode()) {
-		setOutcome(w, classifier.VerdictCompleted)
-		answer(w, http.StatusOK, entry)
+		answerer.Outcome(w, classifier.VerdictCompleted)
+		answerer.JSON(w, http.StatusOK, entry)
 		return
 	}
-	setOutcome(w, classifier.VerdictUnknown)
-	problem(w, http.StatusGatewayTimeout, "it is not known whether the settlement was written; look at the call again")
+	answerer.Outcome(w, classifier.VerdictUnknown)
+	answerer.Problem(w, http.StatusGatewayTimeout, "it is not known whether the settlement was written; look at the call again")
 }
 
 // settlement reads the body of a settlement.
@@ -246,8 +244,8 @@
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&said); err != nil {
-		setOutcome(w, classifier.VerdictNotRun)
-		problem(w, http.StatusBadRequest, "the body cannot be read: "+err.Error())
+		answerer.Outcome(w, classifier.VerdictNotRun)
+		answerer.Problem(w, http.StatusBadRequest, "the body cannot be read: "+err.Error())
 		return said, false
 	}
 	return said, true
@@ -259,28 +257,6 @@
 	return v["day"] + "/" + v["team"] + "/" + v["key"]
 }
 
-// setOutcome says in a header what became of a settlement.
-func setOutcome(w http.ResponseWriter, v classifier.Verdict) {
-	w.Header().Set(headerOutcome, v.String())
-}
-
-// answer writes a body as JSON.
-func answer(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
-}
-
-// problem writes an error.
-func problem(w http.ResponseWriter, status int, text string) {
-	if status == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", "2")
-	}
-	answer(w, status, struct {
-		Error string `json:"error"`
-	}{text})
-}
-
 // text returns an error's text, or that there is none.
 func text(err error) string {
 	if err == nil {
--- a/internal/serving/settler/settler_test.go
+++ b/internal/serving/settler/settler_test.go
@@ -11,6 +11,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/heatherrock/heatherrock/internal/control/claimer"
+	"github.com/heatherrock/heatherrock/internal/platform/caller"
 	"github.com/heatherrock/heatherrock/internal/platform/tabler"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 	standin "github.com/heatherrock/heatherrock/internal/standin/tabler"
@@ -60,7 +61,7 @@
 	if err := json.NewDecoder(a.Body).Decode(out); err != nil {
 		t.Fatal(err)
 	}
-	return a.StatusCode, a.Header.Get(headerOutcome)
+	return a.StatusCode, a.Header.Get(caller.HeaderOutcome)
 }
 
 func TestListDropsKnownCalls(t *testing.T) {
--- a/internal/standin/storer/store.go
+++ b/internal/standin/storer/store.go
@@ -15,6 +15,7 @@
 	"github.com/heatherrock/heatherrock/internal/platform/storer"
 	"github.com/heatherrock/heatherrock/internal/standin/answerer"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
+	"github.com/heatherrock/heatherrock/internal/standin/limiter"
 )
 
 // The names of the calls, by which faults are set.
@@ -44,25 +45,17 @@
 // WithRates bounds the writes and the reads a second. Without it, or with 0, there is no bound.
 func WithRates(writes, reads float64) Option {
 	return func(s *Store) {
-		s.writes = limiter(writes)
-		s.reads = limiter(reads)
+		s.writes = limiter.New(writes)
+		s.reads = limiter.New(reads)
 	}
 }
 
-// limiter returns a limiter with a burst of one second.
-func limiter(bound float64) *rate.Limiter {
-	if bound <= 0 {
-		return rate.NewLimiter(rate.Inf, 0)
-	}
-	return rate.NewLimiter(rate.Limit(bound), int(max(1, bound)))
-}
-
 // errLimited is the error of a call over the rate.
 var errLimited = merry.New("rate of the object store is spent", merry.WithHTTPCode(http.StatusTooManyRequests))
 
 // New returns an empty object store that the faults hit. Without faults, they are nil.
 func New(faults *faulter.Faults, options ...Option) *Store {
-	s := &Store{faults: faults, objects: map[string][]byte{}, writes: limiter(0), reads: limiter(0)}
+	s := &Store{faults: faults, objects: map[string][]byte{}, writes: limiter.New(0), reads: limiter.New(0)}
 	for _, o := range options {
 		o(s)
 	}
--- a/internal/standin/tabler/table.go
+++ b/internal/standin/tabler/table.go
@@ -15,6 +15,7 @@
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 	"github.com/heatherrock/heatherrock/internal/platform/tabler"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
+	"github.com/heatherrock/heatherrock/internal/standin/limiter"
 )
 
 // The names of the calls, by which faults are set.
@@ -75,22 +76,17 @@
 // WithRates bounds the commits and the reads a second. Without it, or with 0, there is no bound.
 func WithRates(writes, reads float64) Option {
 	return func(t *Table) {
-		t.writes = limiter(writes)
-		t.reads = limiter(reads)
+		t.writes = limiter.New(writes)
+		t.reads = limiter.New(reads)
 	}
 }
 
-// limiter returns a limiter with a burst of one second, or nil for a bound of 0.
-func limiter(bound float64) *rate.Limiter {
-	if bound <= 0 {
-		return nil
-	}
-	return rate.NewLimiter(rate.Limit(bound), int(max(1, bound)))
-}
-
 // New returns an empty table service.
 func New(options ...Option) *Table {
-	t := &Table{clock: time.Now, rows: map[rowKey]tabler.Row{}, keys: map[string][]string{}}
+	t := &Table{
+		clock: time.Now, writes: limiter.New(0), reads: limiter.New(0),
+		rows: map[rowKey]tabler.Row{}, keys: map[string][]string{},
+	}
 	for _, o := range options {
 		o(t)
 	}
@@ -172,7 +168,7 @@
 	if err != nil {
 		return err
 	}
-	if t.reads != nil && !t.reads.AllowN(t.clock(), 1) {
+	if !t.reads.AllowN(t.clock(), 1) {
 		t.limited()
 		return errLimited
 	}
@@ -181,7 +177,7 @@
 
 // apply runs a transaction unless the rate of writes is spent.
 func (t *Table) apply(txn tabler.Txn) (tabler.Result, error) {
-	if t.writes != nil && !t.writes.AllowN(t.clock(), 1) {
+	if !t.writes.AllowN(t.clock(), 1) {
 		t.limited()
 		return tabler.Result{Outcome: classifier.Refused}, errLimited
 	}
