Count a listener's bytes in the bench's counter

Cause: the spreader and the measurer each wrap a listener to count its bytes, with the same three types. Change: counter.Listener, used by the spreader.

--- a/internal/bench/spreader/fleet.go
+++ b/internal/bench/spreader/fleet.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/heatherrock/heatherrock/internal/bench/counter"
 	"github.com/heatherrock/heatherrock/internal/control/accepter"
 	"github.com/heatherrock/heatherrock/internal/control/gossiper"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
@@ -129,38 +130,6 @@
 	lose      atomic.Bool
 }
 
-// countedListener counts the bytes of the connections to the table service.
-type countedListener struct {
-	net.Listener
-	bytes *atomic.Int64
-}
-
-// Accept returns the next connection.
-func (l countedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	return countedConn{c, l.bytes}, err
-}
-
-// countedConn counts the bytes of a connection, both ways.
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-// Read reads and counts.
-func (c countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-// Write writes and counts.
-func (c countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // newFleet starts a fleet. The caller closes it.
 func newFleet(seed uint64) (*fleet, error) {
 	f := &fleet{faults: faulter.NewFaults(seed)}
@@ -170,7 +139,7 @@
 		return nil, err
 	}
 	f.server = &http.Server{Handler: f.table.Handler(), ReadHeaderTimeout: time.Second}
-	go f.runServer(countedListener{l, &f.bytes})
+	go f.runServer(counter.Listener{Listener: l, Bytes: &f.bytes})
 	f.client = tabler.NewClient("http://" + l.Addr().String())
 	listeners := make([]net.Listener, count)
 	peers := make([]gossiper.Peer, count)
