Forget instances that were known only from an earlier list

Change: List takes the platform's list as a whole and removes what only an earlier one named.

Measured: go test -race ./internal/control/gossiper ./internal/serving/exchanger ./internal/serving/runner passes, with a new case for two lists.

--- a/internal/control/gossiper/gossiper_test.go
+++ b/internal/control/gossiper/gossiper_test.go
@@ -217,3 +217,20 @@
 		}
 	}
 }
+
+func TestList(t *testing.T) {
+	f := newFleet(5, 1, 3)
+	for range 5 {
+		f.round()
+	}
+	g := f.nodes[f.order[0]]
+	heard := g.ids()
+	g.List([]Peer{{ID: "new", Address: "new:1"}, {ID: "next", Address: "next:1"}})
+	if diff := cmp.Diff(append([]string{"new", "next"}, heard...), g.ids()); diff != "" {
+		t.Errorf("members after the first list mismatch (-want +got):\n%s", diff)
+	}
+	g.List([]Peer{{ID: "next", Address: "next:1"}})
+	if diff := cmp.Diff(append([]string{"next"}, heard...), g.ids()); diff != "" {
+		t.Errorf("members after the second list mismatch (-want +got):\n%s", diff)
+	}
+}
--- a/internal/control/gossiper/member.go
+++ b/internal/control/gossiper/member.go
@@ -56,11 +56,19 @@
 	}
 }
 
-// Forget removes a peer that was only known from a list.
-func (g *Gossiper) Forget(id string) {
-	if m, ok := g.Members[id]; ok && m.Seen.IsZero() {
-		delete(g.Members, id)
+// List takes in the platform's list of instances: it adds those that are new and removes those that were known only
+// from an earlier list.
+func (g *Gossiper) List(peers []Peer) {
+	listed := map[string]bool{}
+	for _, p := range peers {
+		listed[p.ID] = true
+	}
+	for id, m := range g.Members {
+		if m.Seen.IsZero() && !listed[id] {
+			delete(g.Members, id)
+		}
 	}
+	g.Seed(peers)
 }
 
 // Failed records that an exchange with a peer failed.
--- a/internal/serving/exchanger/exchanger.go
+++ b/internal/serving/exchanger/exchanger.go
@@ -301,7 +301,7 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.gossip.Seed(entryPeers(instances))
+	x.gossip.List(entryPeers(instances))
 }
 
 // entryPeers returns the entry instances of the platform's list as peers.
