--- a/internal/platform/streamer/client.go
+++ b/internal/platform/streamer/client.go
@@ -112,6 +112,18 @@
 	body    io.ReadCloser
 	scanner *bufio.Scanner
 	cancel  context.CancelFunc
+	// ran is what was last run for a token, and known its field as it was sent.
+	ran   []Stage
+	known []byte
+	// raw and rest are buffers: what was run, not yet decoded, and a line without it.
+	raw  json.RawMessage
+	rest []byte
+}
+
+// line is a step whose Ran is not yet decoded.
+type line struct {
+	*Step
+	Ran *json.RawMessage `json:"ran"`
 }
 
 // Open sends a request to the endpoint of its first stage. Without an error the outcome is Completed and the stream is
@@ -144,7 +156,7 @@
 	return classifier.Unknown
 }
 
-// Next returns the next step. It returns io.EOF if the stream has stopped without an explicit end.
+// Next returns the next step. Its Ran may be shared with other steps and must not be changed. It returns io.EOF if the stream has stopped without an explicit end.
 func (s *Stream) Next() (Step, error) {
 	if !s.scanner.Scan() {
 		if err := s.scanner.Err(); err != nil {
@@ -152,13 +164,41 @@
 		}
 		return Step{}, io.EOF
 	}
-	var step Step
-	if err := json.Unmarshal(s.scanner.Bytes(), &step); err != nil {
+	step, err := s.decode(s.scanner.Bytes())
+	if err != nil {
 		return Step{}, merry.Prepend(err, "step")
 	}
 	return step, nil
 }
 
+// ranField begins the field that holds what was run. In valid JSON it is never a part of a string, for a quote within a
+// string follows a backslash.
+const ranField = `,"ran":`
+
+// decode returns the step of a line. Tokens of an attempt run the same stages, so Ran is decoded when it differs from the
+// one before, and else shared: it must not be changed.
+func (s *Stream) decode(text []byte) (Step, error) {
+	var step Step
+	if at := bytes.Index(text, s.known); len(s.known) > 0 && at >= 0 {
+		s.rest = append(append(s.rest[:0], text[:at]...), text[at+len(s.known):]...)
+		text, step.Ran = s.rest, s.ran
+	}
+	s.raw = s.raw[:0]
+	if err := json.Unmarshal(text, &line{Step: &step, Ran: &s.raw}); err != nil {
+		return Step{}, err
+	}
+	if len(s.raw) == 0 {
+		return step, nil
+	}
+	var ran []Stage
+	if err := json.Unmarshal(s.raw, &ran); err != nil {
+		return Step{}, err
+	}
+	step.Ran, s.ran = ran, ran
+	s.known = append(append(s.known[:0], ranField...), s.raw...)
+	return step, nil
+}
+
 // Close ends the stream and its connection if the answer is not complete. It may be called during Next.
 func (s *Stream) Close() {
 	s.cancel()
--- a/internal/serving/dispatcher/handler.go
+++ b/internal/serving/dispatcher/handler.go
@@ -26,8 +26,8 @@
 // forwarded lists the headers of a caller that go to the service.
 var forwarded = []string{"Accept", "Content-Type", "X-Request-Id"}
 
-// visit is one request of a caller to a service.
-type visit struct {
+// inbound is one request of a caller to a service.
+type inbound struct {
 	team    string
 	service string
 	call    recorder.Call
@@ -40,39 +40,47 @@
 func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	attempt, ok := attemptOf(r)
 	if !ok {
-		respond(w, notRun(CodeAttempt))
+		d.answer(w, notRun(CodeAttempt))
 		return
 	}
 	if !d.admit() {
-		respond(w, claimer.Refuse(attempt, CodeFull))
+		d.answer(w, claimer.Refuse(attempt, CodeFull))
 		return
 	}
 	defer d.depart()
-	v, code := d.visit(w, r)
+	d.answer(w, d.serve(w, r, attempt))
+}
+
+// answer counts and writes an answer.
+func (d *Dispatcher) answer(w http.ResponseWriter, a claimer.Answer) {
+	d.count(a)
+	respond(w, a)
+}
+
+// serve returns the answer to a request that was let in.
+func (d *Dispatcher) serve(w http.ResponseWriter, r *http.Request, attempt int) claimer.Answer {
+	v, code := d.parse(w, r)
 	if code != "" {
-		respond(w, notRun(code))
-		return
+		return notRun(code)
 	}
 	if v.call.Idempotent {
-		respond(w, d.lookup(r.Context(), v))
-		return
+		return d.lookup(r.Context(), v)
 	}
 	key, code := claimer.ParseKey(r.Header.Get(HeaderKey))
 	if code != "" {
-		respond(w, notRun(code))
-		return
+		return notRun(code)
 	}
-	respond(w, d.hold(r.Context(), v, key, attempt))
+	return d.hold(r.Context(), v, key, attempt)
 }
 
 // admit counts a request in, or returns false if too many are in flight.
 func (d *Dispatcher) admit() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.visits >= d.settings.flight {
+	if d.inFlight >= d.settings.flight {
 		return false
 	}
-	d.visits++
+	d.inFlight++
 	return true
 }
 
@@ -80,29 +88,29 @@
 func (d *Dispatcher) depart() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.visits--
+	d.inFlight--
 }
 
-// visit reads a request, or returns the code of what is wrong with it.
-func (d *Dispatcher) visit(w http.ResponseWriter, r *http.Request) (visit, string) {
+// parse reads a request, or returns the code of what is wrong with it.
+func (d *Dispatcher) parse(w http.ResponseWriter, r *http.Request) (inbound, string) {
 	name := mux.Vars(r)["service"]
 	service, ok := d.view.Service(name)
 	if !ok {
-		return visit{}, CodeService
+		return inbound{}, CodeService
 	}
 	decoded, path := pathsOf(r.URL)
 	call, ok := service.Call(r.Method, decoded)
 	if !ok {
-		return visit{}, CodeCall
+		return inbound{}, CodeCall
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, d.settings.body))
 	if err != nil {
-		return visit{}, codeOf(err)
+		return inbound{}, codeOf(err)
 	}
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
 	}
-	v := visit{team: d.identifier.Team(r), service: name, call: call, begun: d.settings.now()}
+	v := inbound{team: d.identifier.Team(r), service: name, call: call, begun: d.settings.now()}
 	v.message = Message{Method: r.Method, Path: path, Header: http.Header{}, Body: body}
 	for _, h := range forwarded {
 		if value := r.Header.Get(h); value != "" {
@@ -114,7 +122,7 @@
 }
 
 // deadline returns the longest duration of the call.
-func (v visit) deadline() time.Duration {
+func (v inbound) deadline() time.Duration {
 	if v.call.Deadline <= 0 {
 		return defaultDeadline
 	}
--- a/internal/serving/poller/round.go
+++ b/internal/serving/poller/round.go
@@ -39,13 +39,13 @@
 	}
 	if err != nil {
 		p.options.scope.Counter("config_store_failures").Inc(1)
-		p.tell(err)
+		p.logStore(err)
 		p.ask(ctx)
 	}
 }
 
-// tell logs why the store did not bring the configuration up to date.
-func (p *Poller) tell(err error) {
+// logStore logs why the store did not bring the configuration up to date.
+func (p *Poller) logStore(err error) {
 	if errors.Is(err, recorder.ErrSum) {
 		p.options.logger.Error("the store's log does not lead to the configuration accepted", "error", err)
 		return
@@ -65,7 +65,8 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.follower.Head(p.options.clock(), head.Epoch), nil
+	d := p.follower.Head(p.options.clock(), head.Epoch)
+	return d, d.Err
 }
 
 // get reads one row of the configuration. An absent row has version 0.
