Count answered load reads against the silence of an endpoint

The detector knew streams alone: with one stream to an endpoint, its silence was 'silent on all connections' although reads of its load were answered all the time; three such in a row ejected the endpoint. Ruled out by the log: reads of loads that fail, and stalled stages. Measured: a table in which the same silences eject the endpoint without reads, and do not with them, passes; before the change its second row has no way to be told and the endpoint is ejected as in the first.

--- /dev/null
+++ b/internal/routing/detector/heard_test.go
@@ -0,0 +1,49 @@
+package detector
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestSilenceBesideAnAnswer lets the only connection to an endpoint go silent again and again, and checks that this
+// counts against the endpoint only if nothing else is heard of it.
+func TestSilenceBesideAnAnswer(t *testing.T) {
+	const progress = time.Second
+	cases := []struct {
+		name string
+		// heard is the age of the last answer on another connection when each silence ends; 0 means none.
+		heard time.Duration
+		want  bool
+	}{
+		{"nothing else is heard", 0, true},
+		{"reads of its load are answered", 300 * time.Millisecond, false},
+		{"reads of its load were answered once, before", 2 * time.Second, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			d := New(WithProgress(progress), WithFailures(3))
+			for _, id := range []string{"a", "b", "c"} {
+				d.Join(now, id, "range")
+			}
+			ejected := false
+			for range 4 {
+				now = now.Add(10 * progress)
+				d.Opened(now, "stream", "a")
+				d.Await(now, "stream")
+				now = now.Add(progress)
+				if c.heard > 0 {
+					d.Heard(now.Add(-c.heard), "a")
+				}
+				for _, action := range d.Check(now) {
+					ejected = ejected || action.Kind == ActionEject
+				}
+			}
+			if diff := cmp.Diff(c.want, ejected); diff != "" {
+				t.Errorf("ejected mismatch (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/routing/detector/watch.go
+++ b/internal/routing/detector/watch.go
@@ -16,6 +16,14 @@
 	return d.ejectEndpoint(now, id, e)
 }
 
+// Heard notes that an endpoint answered on a connection that the detector does not know, such as that of a read of its
+// load: a connection that goes silent beside it is not the endpoint's silence.
+func (d *Detector) Heard(now time.Time, id string) {
+	if e := d.endpoints[id]; e != nil && now.After(e.heard) {
+		e.heard = now
+	}
+}
+
 // Answered notes that an endpoint answers reads of its load again. An ejection that Missed began ends.
 func (d *Detector) Answered(_ time.Time, id string) []Action {
 	e := d.endpoints[id]
--- a/internal/serving/router/router.go
+++ b/internal/serving/router/router.go
@@ -92,6 +92,12 @@
 	defer r.mu.Unlock()
 	r.picker.Observe(now, e, report)
 	r.detector.Join(now, e.ID, group(e))
+	heard := report.At
+	if heard.After(now) {
+		// The endpoint's clock is ahead.
+		heard = now
+	}
+	r.detector.Heard(heard, e.ID)
 }
 
 // group names the endpoints that can stand in for each other.
