Work out the bounds of the state dump outside the router's lock

Change: the state takes the graphs as they are, the bounds follow after the lock is given up, and attempts have an accessor of their own.

--- a/internal/bench/presenter/script.go
+++ b/internal/bench/presenter/script.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/google/uuid"
@@ -117,7 +116,7 @@
 	go a.run(ctx, p, node.CallerAddress(), prompt, limit)
 	var running []router.Attempt
 	err := stager.Until(ctx, func() bool {
-		running = node.Router().State(time.Now()).Attempts
+		running = node.Router().Attempts()
 		return len(running) > 0 && running[0].Tokens >= 5
 	})
 	if err != nil {
@@ -176,7 +175,7 @@
 		answers[i] = &asked{done: make(chan struct{})}
 		go answers[i].run(ctx, p, first.CallerAddress(), prompt, limit)
 	}
-	err := stager.Until(ctx, func() bool { return len(first.Router().State(time.Now()).Attempts) == callers })
+	err := stager.Until(ctx, func() bool { return len(first.Router().Attempts()) == callers })
 	if err != nil {
 		return "", err
 	}
--- a/internal/bench/prover/drain.go
+++ b/internal/bench/prover/drain.go
@@ -161,7 +161,7 @@
 	late := time.Duration(0)
 	for time.Since(sign) < settle {
 		for _, r := range s.Live() {
-			for _, a := range r.Router().State(time.Now()).Attempts {
+			for _, a := range r.Router().Attempts() {
 				if uses(a.Plan, left) {
 					late = max(late, a.Began.Sub(sign))
 				}
--- a/internal/bench/prover/prover.go
+++ b/internal/bench/prover/prover.go
@@ -100,7 +100,7 @@
 func progressed(ctx context.Context, r *runner.Runner, tokens int) (router.Attempt, error) {
 	var found router.Attempt
 	err := stager.Until(ctx, func() bool {
-		for _, a := range r.Router().State(time.Now()).Attempts {
+		for _, a := range r.Router().Attempts() {
 			if a.Tokens >= tokens {
 				found = a
 				return true
--- a/internal/routing/picker/state.go
+++ b/internal/routing/picker/state.go
@@ -52,9 +52,21 @@
 	Layers  int
 	Bound   planner.Bound
 	Classes []planner.Class
+
+	graph *planner.Graph
+}
+
+// WithBounds returns the state with the bound of each model and what limits it. It takes long with many endpoints, and
+// needs nothing of the picker.
+func (s State) WithBounds() State {
+	s.Models = slices.Clone(s.Models)
+	for i := range s.Models {
+		s.Models[i].Bound = s.Models[i].graph.Bound()
+	}
+	return s
 }
 
-// State returns the picker's state, with the bound of each model that was asked for and what limits it.
+// State returns the picker's state. The bounds of the models that were asked for are left to WithBounds.
 func (p *Picker) State(now time.Time) State {
 	s := State{Peers: p.peers}
 	for id, l := range p.loads {
@@ -70,10 +82,9 @@
 			Share: p.health.Share(now, linkName(w.from, w.to)),
 		})
 	}
-	for key := range p.graphs {
-		g := p.build(now, key, p.usable(now), p.believed(now))
+	for key, g := range p.graphs {
 		s.Models = append(s.Models, ModelState{
-			Model: key.model, Version: key.version, Layers: key.layers, Bound: g.Bound(), Classes: g.Classes,
+			Model: key.model, Version: key.version, Layers: key.layers, Classes: g.Classes, graph: g.Graph,
 		})
 	}
 	slices.SortFunc(s.Endpoints, func(a, b EndpointState) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/serving/router/router.go
+++ b/internal/serving/router/router.go
@@ -55,6 +55,9 @@
 	Tokens int
 	// Reserved is set until the attempt begins.
 	Reserved bool
+
+	// told is set once the picker knows that the next token is overdue.
+	told bool
 }
 
 // Option changes a Router under construction.
@@ -288,6 +291,7 @@
 	}
 	a.Tokens++
 	a.Last = now
+	a.told = false
 }
 
 // Ended takes in how an attempt ended.
@@ -336,8 +340,25 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.note(r.detector.Check(now))
+	for _, a := range r.attempts {
+		r.overdue(now, a)
+	}
+}
+
+// overdue tells the picker once of a token that is long in coming, so that a stage which has become slow is known before
+// the token is there. The lock is held.
+func (r *Router) overdue(now time.Time, a *Attempt) {
+	wait := now.Sub(a.Last)
+	if a.Tokens == 0 || a.told || wait < overdueWait {
+		return
+	}
+	a.told = true
+	r.picker.Progress(now, a.Plan, wait)
 }
 
+// overdueWait is the time without a token after which the picker is told.
+const overdueWait = 300 * time.Millisecond
+
 // State is the router's state, for the state dump.
 type State struct {
 	Picker   picker.State
@@ -348,22 +369,38 @@
 	Counts map[string]int
 }
 
-// State returns the router's state at now.
+// State returns the router's state at now, with the bound of each model. The bounds are worked out after the lock is
+// given up, so that requests do not wait for them.
 func (r *Router) State(now time.Time) State {
+	s := r.copyState(now)
+	s.Picker = s.Picker.WithBounds()
+	return s
+}
+
+// copyState returns the router's state at now without the bounds.
+func (r *Router) copyState(now time.Time) State {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	counts := make(map[string]int, len(r.counts))
-	for k, n := range r.counts {
-		counts[k] = n
+	return State{
+		Picker:   r.picker.State(now),
+		Detector: r.detector.State(now),
+		Attempts: r.running(),
+		Counts:   maps.Clone(r.counts),
 	}
+}
+
+// Attempts returns the attempts in progress, ordered by request.
+func (r *Router) Attempts() []Attempt {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.running()
+}
+
+// running returns copies of the attempts in progress, ordered by request. The lock is held.
+func (r *Router) running() []Attempt {
 	attempts := make([]Attempt, 0, len(r.attempts))
 	for _, id := range slices.Sorted(maps.Keys(r.attempts)) {
 		attempts = append(attempts, *r.attempts[id])
 	}
-	return State{
-		Picker:   r.picker.State(now),
-		Detector: r.detector.State(now),
-		Attempts: attempts,
-		Counts:   counts,
-	}
+	return attempts
 }
--- a/internal/serving/runner/contract_test.go
+++ b/internal/serving/runner/contract_test.go
@@ -214,7 +214,7 @@
 		cancel()
 		for s.Next() {
 		}
-		for len(r.Router().State(time.Now()).Attempts) > 0 {
+		for len(r.Router().Attempts()) > 0 {
 			time.Sleep(time.Millisecond)
 		}
 	})
