Refuse peers without authorities, and end silent TLS handshakes

Cause: check passed settings with a certificate for peers and no authorities, which an instance then refused to start with; a connection that began no TLS handshake held a place of the peers' listener for five minutes. Change: check names the missing setting. A handshake must end within the timeout of a call. Three cases of a test of unreadable files now name authorities, as their settings would be at fault for another reason; their results are the same, and a case for the new fault is added.

--- a/internal/serving/configurer/checks.go
+++ b/internal/serving/configurer/checks.go
@@ -126,6 +126,9 @@
 			faults[name+".ca"] = "needs " + name + ".cert"
 		}
 	}
+	if s.Peers.Cert != "" && s.Peers.Key != "" && s.Peers.CA == "" {
+		faults["peers.cert"] = "needs peers.ca, as both ends present certificates"
+	}
 	if s.Times.Progress > s.Times.Request {
 		faults["times.progress"] = "is longer than times.request"
 	}
--- a/internal/serving/configurer/configurer_test.go
+++ b/internal/serving/configurer/configurer_test.go
@@ -185,10 +185,11 @@
 	absent := filepath.Join(dir, "absent.pem")
 	cases := []struct{ name, cert, key, ca, want string }{
 		{"right", cert, secret, cert, ""},
-		{"no certificate", absent, secret, "", "peers.cert: open " + absent + ": no such file or directory"},
-		{"no key", cert, absent, "", "peers.key: open " + absent + ": no such file or directory"},
-		{"not a certificate", text, secret, "", "peers.cert: " + text + " with " + secret +
+		{"no certificate", absent, secret, cert, "peers.cert: open " + absent + ": no such file or directory"},
+		{"no key", cert, absent, cert, "peers.key: open " + absent + ": no such file or directory"},
+		{"not a certificate", text, secret, cert, "peers.cert: " + text + " with " + secret +
 			": tls: failed to find any PEM data in certificate input"},
+		{"no authorities named", cert, secret, "", "peers.cert: needs peers.ca, as both ends present certificates"},
 		{"no authority", cert, secret, text, "peers.ca: " + text + " holds no certificate in PEM"},
 	}
 	for _, c := range cases {
--- a/internal/serving/exchanger/session.go
+++ b/internal/serving/exchanger/session.go
@@ -1,6 +1,7 @@
 package exchanger
 
 import (
+	"context"
 	"crypto/tls"
 	"errors"
 	"net"
@@ -84,7 +85,9 @@
 		return
 	}
 	secure := tls.Server(c, s.x.options.server)
-	if err := secure.Handshake(); err != nil {
+	ctx, cancel := context.WithTimeout(context.Background(), s.x.options.timeout)
+	defer cancel()
+	if err := secure.HandshakeContext(ctx); err != nil {
 		s.x.options.logger.Warn("peer refused", "address", s.raw.RemoteAddr().String(), "error", err)
 		return
 	}
--- a/internal/serving/runner/secure_test.go
+++ b/internal/serving/runner/secure_test.go
@@ -157,6 +157,22 @@
 	}
 }
 
+// TestSilentPeer opens a connection to the peers' listener and says nothing: it is closed.
+func TestSilentPeer(t *testing.T) {
+	a := newAuthority(t)
+	s := settings()
+	s.Peers = a.issue(t, t.TempDir(), 2, loopback)
+	s.Peers.CA = a.file
+	c, err := net.Dial("tcp", launch(t, s).PeerAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if n, err := c.Read(make([]byte, 1)); err == nil {
+		t.Errorf("%d bytes came", n)
+	}
+}
+
 // TestCertificateReload replaces a listener's certificate while the instance runs, then breaks it.
 func TestCertificateReload(t *testing.T) {
 	a, dir := newAuthority(t), t.TempDir()
