Count refusals, and show how many requests run and wait

Cause: a request refused before it ran was logged only, and no metric told how many requests run or wait. Measured: go test -race ./internal/serving/runner ./internal/serving/server ./cmd/heatherrock: ok; a scrape shows both refusals of the test.

--- a/internal/serving/runner/contract_test.go
+++ b/internal/serving/runner/contract_test.go
@@ -296,6 +296,26 @@
 	})
 }
 
+// TestRefusalsAreCounted refuses a request of each interface and waits for the scrape that shows both.
+func TestRefusalsAreCounted(t *testing.T) {
+	r := start(t)
+	send(t, r, "POST", "/v1/completions", "wrong", "{}")
+	send(t, r, "POST", "/v1/services/stores/holds", "wrong", "{}")
+	const want = `heatherrock_refusals{code="invalid_api_key",datacentre="scot-central-a",instance="entry-1"} 2`
+	for seen := false; !seen; {
+		answer, err := http.Get("http://" + r.OperatorAddress() + "/metrics")
+		if err != nil {
+			t.Fatal(err)
+		}
+		content, err := io.ReadAll(answer.Body)
+		_ = answer.Body.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		seen = strings.Contains(string(content), want)
+	}
+}
+
 // send sends one request and returns the answer's status, header and code.
 func send(t *testing.T, r *Runner, method, path, key, body string) (int, http.Header, string) {
 	t.Helper()
--- a/internal/serving/runner/runner.go
+++ b/internal/serving/runner/runner.go
@@ -239,6 +239,7 @@
 		}),
 		server.WithPrefixes(streamer.Prefixes),
 		server.WithEnded(r.ended),
+		server.WithRefused(r.refused),
 	)
 	s.Register(routes)
 	routes.PathPrefix("/v1/services/{service}/").Handler(r.admitted(r.calls))
@@ -248,6 +249,22 @@
 // stallFactor is how many times longer than the silence limit a stage may take for a token.
 const stallFactor = 5
 
+// refused counts a request that was refused.
+func (r *Runner) refused(_ string, code server.Code) {
+	r.meter.Count("refusals", "code", string(code), 1)
+}
+
+// gauge shows how many requests run and wait.
+func (r *Runner) gauge(now time.Time) {
+	state := r.admitter.State(now)
+	r.meter.Gauge("running", float64(state.Running))
+	waiting := 0
+	for _, q := range state.Queues {
+		waiting += q.Length
+	}
+	r.meter.Gauge("waiting", float64(waiting))
+}
+
 // ended counts an answer that has ended.
 func (r *Runner) ended(team, model string, result generator.Result, took time.Duration) {
 	r.meter.Count("answers", "outcome", result.Verdict.String(), 1)
@@ -295,6 +312,7 @@
 			return
 		case <-t.C:
 			r.share(r.clock())
+			r.gauge(r.clock())
 		}
 	}
 }
--- a/internal/serving/runner/services.go
+++ b/internal/serving/runner/services.go
@@ -115,6 +115,7 @@
 		}
 		if p != nil {
 			r.log.Info("request refused", "request", id, "team", team, "code", p.Code)
+			r.refused(team, p.Code)
 			p.Write(w)
 			return
 		}
--- a/internal/serving/server/server.go
+++ b/internal/serving/server/server.go
@@ -85,6 +85,7 @@
 	size     int64
 	prefixes func(model, version, adapter, prompt string) []uint64
 	ended    func(team, model string, r generator.Result, took time.Duration)
+	refusals func(team string, code Code)
 }
 
 // Option changes a Server under construction.
@@ -115,6 +116,11 @@
 	return func(s *Server) { s.ended = f }
 }
 
+// WithRefused sets what is told of each request that was refused. The team is empty if it is not known.
+func WithRefused(f func(team string, code Code)) Option {
+	return func(s *Server) { s.refusals = f }
+}
+
 // New returns a server of callers.
 func New(v Views, g Gate, a Admitter, r Runner, options ...Option) *Server {
 	s := &Server{
@@ -129,6 +135,7 @@
 		size:     1 << 20,
 		prefixes: func(_, _, _, _ string) []uint64 { return nil },
 		ended:    func(string, string, generator.Result, time.Duration) {},
+		refusals: func(string, Code) {},
 	}
 	for _, o := range options {
 		o(s)
@@ -217,6 +224,7 @@
 // refused answers a request that did not run.
 func (s *Server) refused(w http.ResponseWriter, id, team string, p *Problem) {
 	s.log.Info("request refused", "request", id, "team", team, "code", p.Code, "reason", p.Message)
+	s.refusals(team, p.Code)
 	p.Write(w)
 }
 
