Allocate the parts of a token's time at once

Cause: each token told to the picker made a list of parts by appending, with three allocations for three stages, under the router's lock. Change: the list is allocated at its length.

--- a/internal/routing/picker/link.go
+++ b/internal/routing/picker/link.go
@@ -56,7 +56,8 @@
 	if between <= 0 {
 		return
 	}
-	var parts []detector.Part
+	// A stage adds itself and the link to it.
+	parts := make([]detector.Part, 0, 2*len(plan.Stages))
 	before := ""
 	for _, s := range plan.Stages {
 		l := p.loads[s.Endpoint]
