Measure when throughput is back after the loss of an engine

Cause: stageloss gave the pause of single answers, not the time until throughput is back at 0.95 of the new bound.

Change: The fleet of the routing experiments can lose an engine for good: its reports cease, attempts that need it fail at once and go on elsewhere with the whole prefix, and the detector judges as in an instance. stageloss prints the new bound and the time, against the same trial without the loss, since the offered load varies with each second.

--- a/internal/bench/prover/stageloss.go
+++ b/internal/bench/prover/stageloss.go
@@ -11,6 +11,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/heatherrock/heatherrock/internal/bench/reporter"
+	timeline "github.com/heatherrock/heatherrock/internal/bench/router"
 	"github.com/heatherrock/heatherrock/internal/bench/stager"
 	"github.com/heatherrock/heatherrock/internal/platform/streamer"
 	"github.com/heatherrock/heatherrock/internal/serving/generator"
@@ -55,6 +56,9 @@
 		return result, err
 	}
 	result.Set("kills", 2*kills, "stages")
+	loss := timeline.LoseEngine(seed)
+	result.Set("bound", loss.After/loss.Before, "of the bound before, in virtual time")
+	result.Set("back", loss.Back.Seconds(), "s until 0.95 of the new bound, in virtual time")
 	result.SetTarget("wrong", float64(with.wrong+without.wrong), "answers", 0)
 	result.SetTarget("cut", float64(with.cut+without.cut), "answers", 0)
 	result.SetTarget("pause_import", ratio(with.pauses, 50), "times the rerun", importTarget)
--- a/internal/bench/router/attempt.go
+++ b/internal/bench/router/attempt.go
@@ -40,6 +40,7 @@
 	}
 	a.stream.token = func(work float64) { i.token(a, work) }
 	a.stream.end = func() { i.end(a) }
+	a.stream.failed = func(endpoint string) { i.fail(a, endpoint) }
 	i.active = append(i.active, a)
 	a.stream.begin()
 }
@@ -85,6 +86,7 @@
 // watch tells the policy of tokens that are overdue, and begins anew the attempts without progress.
 func (i *instance) watch() {
 	now := i.trial.clock.now
+	i.policy.check(now)
 	for _, a := range slices.Clone(i.active) {
 		wait := now.Sub(a.last)
 		if a.count > 0 && wait >= overdue && wait < overdue+watchEvery {
--- a/internal/bench/router/engine.go
+++ b/internal/bench/router/engine.go
@@ -30,6 +30,8 @@
 	tokens  []*job
 	prompts []*job
 	busy    bool
+	// lost is set once the engine has crashed for good.
+	lost bool
 }
 
 // job is the work of one stage: a token's, or a whole prompt's.
--- a/internal/bench/router/fleet.go
+++ b/internal/bench/router/fleet.go
@@ -65,6 +65,9 @@
 func (f *fleet) bound() float64 {
 	var endpoints []planner.Endpoint
 	for _, e := range f.engines {
+		if e.lost {
+			continue
+		}
 		endpoint := e.endpoint
 		endpoint.Rate = e.rate
 		endpoints = append(endpoints, endpoint)
@@ -108,6 +111,9 @@
 		observe(e.endpoint, picker.Report{Rate: e.endpoint.Rate, At: f.clock.now})
 		offset := time.Duration(r.Int64N(int64(reportEvery)))
 		f.clock.every(offset, reportEvery, func() {
+			if e.lost {
+				return
+			}
 			waiting := len(e.prompts)
 			report := picker.Report{
 				Running: e.running - waiting, Waiting: waiting, Rate: e.endpoint.Rate, At: f.clock.now,
@@ -140,6 +146,8 @@
 	// token is called at each token, with the work in tokens that it stands for, and end after the last.
 	token func(work float64)
 	end   func()
+	// failed is called in place of them once an engine of the plan has crashed.
+	failed func(endpoint string)
 }
 
 // begin sends the prompt through the stages.
@@ -163,6 +171,10 @@
 		tokens += s.prompt * promptCost
 	}
 	e.add(&job{steps: float64(stage.To-stage.From) * tokens, priority: s.priority, done: func() {
+		if e.lost {
+			s.fail(stage.Endpoint)
+			return
+		}
 		if at+1 < len(s.plan.Stages) {
 			next := s.fleet.byID[s.plan.Stages[at+1].Endpoint]
 			s.fleet.cross(e.endpoint.DataCentre, next.endpoint.DataCentre, tokens, func() { s.step(at + 1) })
@@ -190,6 +202,15 @@
 	s.end()
 }
 
+// fail ends the attempt as an engine has crashed.
+func (s *stream) fail(endpoint string) {
+	if s.cancelled {
+		return
+	}
+	s.cancel()
+	s.failed(endpoint)
+}
+
 // cancel gives the attempt up.
 func (s *stream) cancel() {
 	s.cancelled = true
--- a/internal/bench/router/policy.go
+++ b/internal/bench/router/policy.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -17,6 +18,9 @@
 	begin(now time.Time, plan planner.Plan)
 	progress(now time.Time, plan planner.Plan, between time.Duration)
 	end(now time.Time, plan planner.Plan, r picker.Result)
+	// failed tells that an endpoint crashed, and check that time has passed.
+	failed(now time.Time, endpoint string)
+	check(now time.Time)
 }
 
 // maker makes the policy of one instance in a data centre.
@@ -25,13 +29,16 @@
 // graphPolicy is the project's own picker and detector.
 type graphPolicy struct {
 	picker *picker.Picker
+	health *detector.Detector
 	query  picker.Query
 }
 
 // newGraphPolicy makes a graphPolicy.
 func newGraphPolicy(f *fleet, centre string) policy {
+	health := detector.New()
 	p := graphPolicy{
-		picker: picker.New(picker.WithPeers(instances), picker.WithHealth(detector.New())),
+		picker: picker.New(picker.WithPeers(instances), picker.WithHealth(health)),
+		health: health,
 		query:  picker.Query{Model: model, Version: version, Layers: layers, DataCentre: centre},
 	}
 	for _, l := range f.links() {
@@ -42,6 +49,7 @@
 
 func (p graphPolicy) observe(now time.Time, e planner.Endpoint, r picker.Report) {
 	p.picker.Observe(now, e, r)
+	p.health.Join(now, e.ID, fmt.Sprint(e.Held))
 }
 
 func (p graphPolicy) pick(now time.Time, i queuer.Item, r *rand.Rand) (planner.Plan, bool) {
@@ -63,6 +71,14 @@
 	p.picker.Finish(now, plan, r)
 }
 
+func (p graphPolicy) failed(now time.Time, endpoint string) {
+	p.health.Failed(now, endpoint, "crashed")
+}
+
+func (p graphPolicy) check(now time.Time) {
+	p.health.Check(now)
+}
+
 // baseline chooses stage by stage between the endpoints that hold the next layer, each run to the end of its range.
 // It bounds only the answers under way on its instance, at twice what the bound needs for the target between tokens.
 type baseline struct {
@@ -149,6 +165,10 @@
 	b.inflight--
 }
 
+func (b *baseline) failed(time.Time, string) {}
+
+func (b *baseline) check(time.Time) {}
+
 // ownPolicy is the name of the project's policy.
 const ownPolicy = "share"
 
