--- a/internal/serving/router/router.go
+++ b/internal/serving/router/router.go
@@ -20,6 +20,8 @@
 const (
 	// retryShare is the share of requests that may be retries, unless the fleet's record says otherwise.
 	retryShare = 0.1
+	// movedSlack is the slack of an answer that lost its place: it goes before those that have not begun.
+	movedSlack = 4
 	// retryFloor is the number of retries a second that are always allowed.
 	retryFloor = 10
 )
@@ -176,6 +178,10 @@
 
 // query returns what the picker is asked for.
 func (r *Router) query(j generator.Job, a generator.Ask) picker.Query {
+	slack := j.Slack
+	if a.Last.Stages != nil {
+		slack = movedSlack
+	}
 	return picker.Query{
 		Model:      j.Model,
 		Version:    j.Version,
@@ -186,10 +192,20 @@
 		Avoid:      a.Avoid,
 		Priority:   j.Priority,
 		Tokens:     j.Limit - a.Delivered,
-		Slack:      j.Slack,
+		Slack:      slack,
 	}
 }
 
+// Covers reports whether the endpoints known at now cover the layers of a model's version, whether or not they have a
+// place.
+func (r *Router) Covers(now time.Time, model, version string, layers int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	q := picker.Query{Model: model, Version: version, Layers: layers, DataCentre: r.datacentre}
+	_, refusal := r.picker.Pick(now, q, r.random)
+	return refusal.Reason != picker.ReasonCover
+}
+
 // Reserve takes a place for the first attempt at a job, and reports false if all are taken. Where no set of endpoints
 // covers the model there is nothing to wait for, and the attempt itself says so.
 func (r *Router) Reserve(now time.Time, j generator.Job) bool {
--- a/internal/serving/watcher/options.go
+++ b/internal/serving/watcher/options.go
@@ -69,7 +69,8 @@
 	return func(o *options) { o.logger = l }
 }
 
-// WithCaches sets where the cache events of the endpoints that this instance watches are read, and what takes them in.
+// WithCaches sets where the cache events of the endpoints that this instance watches are read, and what takes them
+// in.
 func WithCaches(e Events, c Caches) Option {
 	return func(o *options) { o.events, o.caches = e, c }
 }
