--- a/internal/bench/prover/stageloss.go
+++ b/internal/bench/prover/stageloss.go
@@ -51,12 +51,13 @@
 	wait.Go(func() {
 		without, failed[1] = lose(seed, stager.WithRunner(runner.WithGenerator(generator.WithoutImports())))
 	})
+	var loss timeline.Loss
+	wait.Go(func() { loss = timeline.LoseEngine(seed) })
 	wait.Wait()
 	if err := errors.Join(failed[:]...); err != nil {
 		return result, err
 	}
 	result.Set("kills", 2*kills, "stages")
-	loss := timeline.LoseEngine(seed)
 	result.Set("bound", loss.After/loss.Before, "of the bound before, in virtual time")
 	result.Set("back", loss.Back.Seconds(), "s until 0.95 of the new bound, in virtual time")
 	result.SetTarget("wrong", float64(with.wrong+without.wrong), "answers", 0)
--- a/internal/bench/router/loss.go
+++ b/internal/bench/router/loss.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"sync"
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/routing/picker"
@@ -25,8 +26,11 @@
 	l := Loss{Before: f.bound()}
 	f.lose()
 	l.After = f.bound()
-	with := faultTrial(seed, policies()[0], l.Before, (*fleet).lose)
-	without := faultTrial(seed, policies()[0], l.Before, func(*fleet) {})
+	var with, without *trial
+	var wait sync.WaitGroup
+	wait.Go(func() { with = faultTrial(seed, policies()[0], l.Before, (*fleet).lose) })
+	wait.Go(func() { without = faultTrial(seed, policies()[0], l.Before, func(*fleet) {}) })
+	wait.Wait()
 	l.Back = faultGrace + faultTime
 	for at := faultAt; at+recoveryWindow <= faultAt+faultGrace+faultTime; at += binTime {
 		reach := min(l.After, without.throughput(at, at+recoveryWindow))
