Refuse members that are given twice or in another letter case

Cause: the shape of a body was checked on a map, in which the last of two members stands, and then decoded into a struct, for which letter case does not count. A body with "queue" as a text and again as a number panicked in the check; a member in another case was noted as unknown and took effect unchecked. A lookup path without a leading / joined the service's address. Change: a member that is given twice, or known but for its letter case, is a fault, by path; a lookup begins with /.

--- a/internal/control/validator/validator_test.go
+++ b/internal/control/validator/validator_test.go
@@ -96,6 +96,16 @@
 		{"stage left out", raw("model", "chat", 2, model(
 			`{"stages":[{"from":0,"to":8,"replicas":2},{"from":12,"to":20,"replicas":2}]}`)),
 			[]string{"model/chat: body.stages[1]: begins at layer 12: layers 8 to 12 are left out"}},
+		{"member twice", raw("fleet", "fleet", 1, `{"queue":"x","queue":10,"retention":60,"writes":100,"budget":10}`),
+			[]string{`fleet/fleet: body.queue: is given twice, first as "queue"`}},
+		{"member twice in a list", raw("model", "chat", 2, model(`{"versions":[{"name":"a","share":1,"Share":"x"}]}`)),
+			[]string{`model/chat: body.versions[0].Share: is given twice, first as "share"`}},
+		{"member in another case", raw("team", "x", 1, replaced(team, `{"Priority":"x","toKens":1}`)),
+			[]string{`team/x: body.Priority: is unknown; the member is written "priority"`,
+				`team/x: body.toKens: is unknown; the member is written "tokens"`}},
+		{"lookup that is no path", raw("service", "s", 1,
+			`{"calls":[{"method":"POST","path":"/holds","deadline":1,"lookup":"holds/{key}"}]}`),
+			[]string{`service/s: body.calls[0].lookup: is "holds/{key}"; wants a path that begins with / and has {key} in it`}},
 		{"name", raw("team", "a/b", 1, team), []string{`team/a/b: name: "a/b" is not a letter or digit followed by up to 126 ` +
 			"letters, digits, dots, colons, dashes or underscores"}},
 		{"fleet's name", raw("fleet", "other", 1, fleet),
--- a/internal/control/validator/values.go
+++ b/internal/control/validator/values.go
@@ -164,8 +164,8 @@
 		if c.Retries > 0 && !c.Idempotent {
 			w.fault(path+".retries", "is %d for a call that is not idempotent; wants 0", c.Retries)
 		}
-		if c.Lookup != "" && !strings.Contains(c.Lookup, "{key}") {
-			w.fault(path+".lookup", "is %q; wants a path with {key} in it", c.Lookup)
+		if c.Lookup != "" && (!strings.HasPrefix(c.Lookup, "/") || !strings.Contains(c.Lookup, "{key}")) {
+			w.fault(path+".lookup", "is %q; wants a path that begins with / and has {key} in it", c.Lookup)
 		}
 	}
 }
--- a/internal/control/validator/walker.go
+++ b/internal/control/validator/walker.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"reflect"
 	"slices"
 	"strings"
@@ -37,6 +38,9 @@
 
 // body checks the body of a record: its shape, then its values.
 func (w *walker) body(r recorder.Record) {
+	if w.members(r.Body); len(w.faults) > 0 {
+		return
+	}
 	raised, err := converter.NewReader().Raise(r)
 	if err != nil {
 		w.fault("body", "cannot be read in schema %d: %v", r.Schema, err)
@@ -90,17 +94,21 @@
 		w.fault(path, "is %s; wants an object", describe(value))
 		return
 	}
-	known := map[string]bool{}
+	known := map[string]string{}
 	for i := range kind.NumField() {
 		field := kind.Field(i)
 		label, _, _ := strings.Cut(field.Tag.Get("json"), ",")
-		known[label] = true
+		known[fold(label)] = label
 		if member, found := members[label]; found {
 			w.walk(path+"."+label, member, field.Type, field.Tag.Get("unit"))
 		}
 	}
-	for label := range members {
-		if !known[label] {
+	for _, label := range slices.Sorted(maps.Keys(members)) {
+		meant, found := known[fold(label)]
+		switch {
+		case found && meant != label:
+			w.fault(path+"."+label, "is unknown; the member is written %q", meant)
+		case !found:
 			w.notes = append(w.notes, Fault{Record: w.record, Path: path + "." + label, Reason: "is unknown, and kept"})
 		}
 	}
