Refuse a settlement whose version is no number

Cause: call settle read the leading digits of a version, so that KEY@3x settled version 3. Change: the whole text must be a number. A table of wrong command lines is tested. Measured: TestUsage: before KEY@3x goes on to the instance, after all 14 lines are refused; with -race.

--- a/internal/serving/commander/calls.go
+++ b/internal/serving/commander/calls.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -73,11 +74,14 @@
 		return c.usage("-operator is wanted, for the audit")
 	}
 	name, version, _ := strings.Cut(c.Args[0], "@")
-	said := claimer.Settlement{Outcome: c.Args[1], Operator: c.Operator, Note: c.Note, Gone: len(c.Args) == 3}
 	path, ok := callPath(name)
-	if _, err := fmt.Sscan(version, &said.Version); err != nil || !ok {
+	seen, err := strconv.ParseInt(version, 10, 64)
+	if err != nil || !ok {
 		return c.usage("%s: want DAY/TEAM/KEY@VERSION", c.Args[0])
 	}
+	said := claimer.Settlement{
+		Outcome: c.Args[1], Operator: c.Operator, Note: c.Note, Version: seen, Gone: len(c.Args) == 3,
+	}
 	var entry settler.Entry
 	status, err := c.Client.Do(ctx, http.MethodPost, path+"/settle", said, &entry, http.StatusOK)
 	if err != nil {
--- a/internal/serving/commander/commander_test.go
+++ b/internal/serving/commander/commander_test.go
@@ -12,6 +12,35 @@
 	"github.com/heatherrock/heatherrock/internal/control/accepter"
 )
 
+// TestUsage gives wrong command lines. None of them reaches an instance.
+func TestUsage(t *testing.T) {
+	const call = "20261204/joiners/20261204-frame"
+	cases := [][]string{
+		{},
+		{"records"},
+		{"record", "no-such"},
+		{"record", "accept"},
+		{"record", "accept", "model/oak@1..x", "-operator", "ann"},
+		{"record", "accept", "model/oak@1..2"},
+		{"record", "retire", "model/oak@1..2", "-operator", "ann"},
+		{"record", "list", "-o", "yaml"},
+		{"call", "show", "frame"},
+		{"call", "settle", call + "@3", "-operator", "ann"},
+		{"call", "settle", call + "@3", "completed"},
+		{"call", "settle", call + "@3", "completed", "dead", "-operator", "ann"},
+		{"call", "settle", call + "@3x", "completed", "-operator", "ann"},
+		{"call", "settle", call, "completed", "-operator", "ann"},
+	}
+	for _, args := range cases {
+		if len(args) > 0 {
+			args = append(args, "-address", "http://127.0.0.1:1")
+		}
+		if exit := Run(t.Context(), args, io.Discard, io.Discard); exit != ExitUsage {
+			t.Errorf("%v: exit code %d, want %d", args, exit, ExitUsage)
+		}
+	}
+}
+
 // TestEnvironment runs a command where the settings of an instance are in the environment. Only the variables of the
 // commands count, and the command line goes before them.
 func TestEnvironment(t *testing.T) {
