--- a/internal/bench/counter/listener.go
+++ b/internal/bench/counter/listener.go
@@ -5,20 +5,24 @@
 	"sync/atomic"
 )
 
-// Listener counts the bytes of the connections that it accepts, both ways.
-type Listener struct {
+// listener counts the bytes that pass the connections which it accepts.
+type listener struct {
 	net.Listener
-	// Bytes is the number of bytes that have passed.
-	Bytes *atomic.Int64
+	bytes *atomic.Int64
+}
+
+// NewListener returns a listener that adds to bytes what passes its connections, both ways.
+func NewListener(l net.Listener, bytes *atomic.Int64) net.Listener {
+	return listener{l, bytes}
 }
 
-// Accept returns the next connection, whose bytes are counted. The error is that of the listener.
-func (l Listener) Accept() (net.Conn, error) {
+// Accept returns the next connection.
+func (l listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
-	return conn{c, l.Bytes}, err
+	return conn{c, l.bytes}, err
 }
 
-// conn counts the bytes of a connection.
+// conn counts the bytes that pass a connection.
 type conn struct {
 	net.Conn
 	bytes *atomic.Int64
--- a/internal/bench/spreader/fleet.go
+++ b/internal/bench/spreader/fleet.go
@@ -139,7 +139,7 @@
 		return nil, err
 	}
 	f.server = &http.Server{Handler: f.table.Handler(), ReadHeaderTimeout: time.Second}
-	go f.runServer(counter.Listener{Listener: l, Bytes: &f.bytes})
+	go f.runServer(counter.NewListener(l, &f.bytes))
 	f.client = tabler.NewClient("http://" + l.Addr().String())
 	listeners := make([]net.Listener, count)
 	peers := make([]gossiper.Peer, count)
