Cut the plan of a change of epoch

Change: a draft gathers the changes one by one in include. No behaviour changes. Measured: accepter with its exploration, committer, commander and spreader pass with -race.

--- a/internal/control/accepter/plan.go
+++ b/internal/control/accepter/plan.go
@@ -101,61 +101,81 @@
 	return e
 }
 
+// draft is a change of epoch in the making: its plan, its delta, and what speaks against it.
+type draft struct {
+	plan    plan
+	delta   recorder.Delta
+	refused Result
+}
+
+// sound reports whether nothing speaks against the draft.
+func (d *draft) sound() bool {
+	return len(d.refused.Faults)+len(d.refused.Conflicts) == 0
+}
+
 // planChange brings revisions into force, or takes them out, and raises the epoch by one.
 func (m *Mutation) planChange(now time.Time, r Read) (plan, *Result) {
 	epoch := m.Base.Epoch + 1
-	delta := recorder.Delta{
+	d := draft{plan: plan{result: Result{Epoch: epoch, Changes: m.Command.Changes}}}
+	d.delta = recorder.Delta{
 		Epoch:    epoch,
 		Mutation: m.Command.ID,
 		Operator: m.Command.Operator,
 		Stamp:    now.UnixMilli(),
 	}
-	p := plan{result: Result{Epoch: epoch, Changes: m.Command.Changes}}
-	var refused Result
-	for i, change := range m.Command.Changes {
-		row := r.Rows[EntryKey(change.Ref())]
-		entry, err := Decode[Entry](row)
-		if err != nil {
-			return plan{}, &Result{Outcome: classifier.NotSent, Reason: err.Error()}
-		}
-		if fault, bad := m.fits(i, change, row, r); bad {
-			refused.Faults = append(refused.Faults, fault)
-			continue
-		}
-		if entry.Force != change.Seen {
-			refused.Conflicts = append(refused.Conflicts, conflict(change, entry))
-			continue
-		}
-		after, err := m.apply(&delta, change, r)
-		if err != nil {
+	for i := range m.Command.Changes {
+		if err := m.include(now, &d, i, r); err != nil {
 			return plan{}, &Result{Outcome: classifier.NotSent, Reason: err.Error()}
 		}
-		entry = m.stamp(now, entry, epoch)
-		entry.Force, entry.State = change.Revision, recorder.StateAccepted
-		if change.Revision == 0 {
-			entry.State = recorder.StateRetired
-		}
-		p.put(row, entry)
-		in, _ := m.Base.Find(change.Ref())
-		p.result.Diffs = append(p.result.Diffs, recorder.Compare(in, after)...)
-	}
-	if len(refused.Faults)+len(refused.Conflicts) == 0 {
-		faults, notes := m.unread(delta.Put)
-		refused.Faults = append(validator.Check(m.Base, delta.Put, delta.Drop), faults...)
-		p.result.Notes = notes
-	}
-	if len(refused.Faults)+len(refused.Conflicts) > 0 {
-		refused.Outcome = classifier.Refused
-		return plan{}, &refused
-	}
-	delta.Sum = m.Base.With(delta.Put, delta.Drop).Sum()
-	p.result.Delta = &delta
-	p.txn.Conditions = append(p.txn.Conditions, unchanged(HeadKey, r.Rows[HeadKey].Version))
-	p.txn.Writes = append(p.txn.Writes,
-		write(HeadKey, Head{Epoch: epoch, Sum: delta.Sum}),
-		write(LogKey(epoch), delta),
+	}
+	if d.sound() {
+		faults, notes := m.unread(d.delta.Put)
+		d.refused.Faults = append(validator.Check(m.Base, d.delta.Put, d.delta.Drop), faults...)
+		d.plan.result.Notes = notes
+	}
+	if !d.sound() {
+		d.refused.Outcome = classifier.Refused
+		return plan{}, &d.refused
+	}
+	d.delta.Sum = m.Base.With(d.delta.Put, d.delta.Drop).Sum()
+	d.plan.result.Delta = &d.delta
+	d.plan.txn.Conditions = append(d.plan.txn.Conditions, unchanged(HeadKey, r.Rows[HeadKey].Version))
+	d.plan.txn.Writes = append(d.plan.txn.Writes,
+		write(HeadKey, Head{Epoch: epoch, Sum: d.delta.Sum}),
+		write(LogKey(epoch), d.delta),
 	)
-	return m.close(now, p)
+	return m.close(now, d.plan)
+}
+
+// include adds the i-th change of the command to a draft, or what speaks against it. The error is that of decoding a row.
+func (m *Mutation) include(now time.Time, d *draft, i int, r Read) error {
+	change := m.Command.Changes[i]
+	row := r.Rows[EntryKey(change.Ref())]
+	entry, err := Decode[Entry](row)
+	if err != nil {
+		return err
+	}
+	if fault, bad := m.fits(i, change, row, r); bad {
+		d.refused.Faults = append(d.refused.Faults, fault)
+		return nil
+	}
+	if entry.Force != change.Seen {
+		d.refused.Conflicts = append(d.refused.Conflicts, conflict(change, entry))
+		return nil
+	}
+	after, err := m.apply(&d.delta, change, r)
+	if err != nil {
+		return err
+	}
+	entry = m.stamp(now, entry, d.delta.Epoch)
+	entry.Force, entry.State = change.Revision, recorder.StateAccepted
+	if change.Revision == 0 {
+		entry.State = recorder.StateRetired
+	}
+	d.plan.put(row, entry)
+	in, _ := m.Base.Find(change.Ref())
+	d.plan.result.Diffs = append(d.plan.result.Diffs, recorder.Compare(in, after)...)
+	return nil
 }
 
 // fits returns the fault of a change that names no record or revision that exists, and whether there is one.
