Tell a later attempt that is turned away early unknown

Cause: a verdict about an attempt speaks of all before it. A later attempt that was turned away before its row was read was told not-run where its service or call was retired meanwhile, the body was over a limit or could not be read, or the key was expired or lay ahead, though an earlier attempt may have run. Reading the row first was ruled out: the table may be down, and an expired key has no row.

--- a/internal/serving/dispatcher/answer.go
+++ b/internal/serving/dispatcher/answer.go
@@ -124,7 +124,10 @@
 	}
 }
 
-// notRun returns an answer to a call that was turned away and that sending again unchanged would not help.
-func notRun(code string) claimer.Answer {
-	return claimer.Answer{Verdict: classifier.VerdictNotRun, Code: code}
+// turnedAway returns the answer to an attempt that was turned away before its key's row was read, and that sending again
+// unchanged would not help. An attempt before it may have run.
+func turnedAway(attempt int, code string) claimer.Answer {
+	a := claimer.Refuse(attempt, code)
+	a.Retry = false
+	return a
 }
--- a/internal/serving/dispatcher/dispatcher_test.go
+++ b/internal/serving/dispatcher/dispatcher_test.go
@@ -114,6 +114,32 @@
 	}
 }
 
+// TestLaterAttemptsTurnedAway turns later attempts away before anything is read. An earlier one may have run.
+func TestLaterAttemptsTurnedAway(t *testing.T) {
+	s := &stock{holds: map[string]int{}}
+	_, one := entry(t, "one", newTable(), world{addresses: []string{serviceOf(t, s)}}, WithBody(8))
+	cases := []struct {
+		name, path, body, key string
+		code                  string
+	}{
+		{"service retired", "till/holds", "oak", day + "-a", CodeService},
+		{"call retired", "stock/orders", "oak", day + "-a", CodeCall},
+		{"limit lowered", "stock/holds", "seasoned-oak", day + "-a", CodeBody},
+		{"clock behind", "stock/holds", "oak", "99991231-a", claimer.CodeFuture},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got := call(t, one, http.MethodPost, "/v1/services/"+c.path, c.body, HeaderKey, c.key, HeaderAttempt, "2")
+			if diff := cmp.Diff(told{504, "unknown", c.code, ""}, got); diff != "" {
+				t.Errorf("answer mismatch (-want +got):\n%s", diff)
+			}
+		})
+	}
+	if s.ran() != 0 {
+		t.Errorf("ran %d holds", s.ran())
+	}
+}
+
 func TestTableDownLeavesLookups(t *testing.T) {
 	s := &stock{holds: map[string]int{}}
 	_, one := entry(t, "one", &table{down: true}, world{addresses: []string{serviceOf(t, s)}})
--- a/internal/serving/dispatcher/handler.go
+++ b/internal/serving/dispatcher/handler.go
@@ -40,7 +40,7 @@
 func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	attempt, ok := attemptOf(r)
 	if !ok {
-		d.answer(w, notRun(CodeAttempt))
+		d.answer(w, turnedAway(1, CodeAttempt))
 		return
 	}
 	if !d.admit() {
@@ -61,14 +61,14 @@
 func (d *Dispatcher) serve(w http.ResponseWriter, r *http.Request, attempt int) claimer.Answer {
 	v, code := d.parse(w, r)
 	if code != "" {
-		return notRun(code)
+		return turnedAway(attempt, code)
 	}
 	if v.call.Idempotent {
 		return d.lookup(r.Context(), v)
 	}
 	key, code := claimer.ParseKey(r.Header.Get(HeaderKey))
 	if code != "" {
-		return notRun(code)
+		return turnedAway(attempt, code)
 	}
 	return d.hold(r.Context(), v, key, attempt)
 }
--- a/internal/serving/dispatcher/holder.go
+++ b/internal/serving/dispatcher/holder.go
@@ -31,7 +31,7 @@
 	fleet := d.view.Fleet()
 	d.writer.share(float64(fleet.Writes), d.view.Members())
 	if code := d.writer.check(key); code != "" {
-		return notRun(code)
+		return turnedAway(attempt, code)
 	}
 	if !d.writer.open() {
 		return claimer.Refuse(attempt, claimer.CodeTable)
