--- a/internal/serving/exchanger/options.go
+++ b/internal/serving/exchanger/options.go
@@ -11,12 +11,6 @@
 	"github.com/heatherrock/heatherrock/internal/platform/lister"
 )
 
-// Vouched is the configuration that an instance holds: its epoch and the encoded snapshot.
-type Vouched struct {
-	Epoch int64
-	Body  []byte
-}
-
 // options are the intervals, bounds and sources of an Exchanger.
 type options struct {
 	interval time.Duration
@@ -28,7 +22,6 @@
 	server   *tls.Config
 	client   *tls.Config
 	seed     uint64
-	vouch    func() (Vouched, bool)
 	logger   *slog.Logger
 	scope    tally.Scope
 	gossip   []gossiper.Option
@@ -67,12 +60,6 @@
 	return func(o *options) { o.seed = seed }
 }
 
-// WithVouch sets the source of the configuration that this instance vouches for. The source reports false while the
-// instance has none.
-func WithVouch(source func() (Vouched, bool)) Option {
-	return func(o *options) { o.vouch = source }
-}
-
 // WithLogger sets the log.
 func WithLogger(l *slog.Logger) Option {
 	return func(o *options) { o.logger = l }
@@ -96,7 +83,6 @@
 		timeout:  2 * time.Second,
 		idle:     5 * time.Minute,
 		sessions: 1024,
-		vouch:    func() (Vouched, bool) { return Vouched{}, false },
 		logger:   slog.New(slog.DiscardHandler),
 		scope:    tally.NoopScope,
 	}
--- a/internal/serving/exchanger/session.go
+++ b/internal/serving/exchanger/session.go
@@ -23,22 +23,6 @@
 	return nil
 }
 
-// Epoch answers the epoch that this instance vouches for, or 0 if there is none.
-func (e *Exchange) Epoch(_ Nothing, reply *int64) error {
-	if v, ok := e.x.options.vouch(); ok {
-		*reply = v.Epoch
-	}
-	return nil
-}
-
-// Snapshot answers the configuration that this instance vouches for. Its epoch is 0 if there is none.
-func (e *Exchange) Snapshot(_ Nothing, reply *Vouched) error {
-	if v, ok := e.x.options.vouch(); ok {
-		*reply = v
-	}
-	return nil
-}
-
 // session is a connection that a peer opened.
 type session struct {
 	x   *Exchanger
