--- a/internal/bench/runner/command.go
+++ b/internal/bench/runner/command.go
@@ -37,6 +37,7 @@
 		{"list", "", "list the experiments", list},
 		{"run", "NAME [--seed N] [-o json|text] [--plot FILE]", "run an experiment", run},
 		{"compare", "BEFORE.json AFTER.json", "compare two results", compare},
+		{"report", "FILE.json ...", "print the figures of results that have a target as a table in Markdown", report},
 	}
 }
 
@@ -186,6 +187,27 @@
 	return exitDone
 }
 
+// report prints the figures of results that have a target.
+func report(args []string, out, errs io.Writer) int {
+	if len(args) == 0 {
+		return usage(errs)
+	}
+	var results []reporter.Result
+	for _, name := range args {
+		result, err := read(name)
+		if err != nil {
+			fmt.Fprintf(errs, "bench: %s: %v\n", name, err)
+			return exitFailed
+		}
+		results = append(results, result)
+	}
+	if err := reporter.WriteTable(out, results); err != nil {
+		fmt.Fprintln(errs, "bench:", err)
+		return exitFailed
+	}
+	return exitDone
+}
+
 // read reads the result in a file.
 func read(name string) (reporter.Result, error) {
 	f, err := os.Open(name)
--- a/internal/bench/runner/command_test.go
+++ b/internal/bench/runner/command_test.go
@@ -42,6 +42,9 @@
 		{"compare of one", []string{"compare", before}, exitUsage, "usage:"},
 		{"compare of two experiments", []string{"compare", before, other}, exitUsage, "two experiments"},
 		{"compare with a broken file", []string{"compare", before, broken}, exitFailed, "broken.json"},
+		{"report", []string{"report", before, other}, exitDone, "| `flow` | `share` | 0.8 | 0.95 | ratio |"},
+		{"report of nothing", []string{"report"}, exitUsage, "usage:"},
+		{"report with a broken file", []string{"report", broken}, exitFailed, "broken.json"},
 		{"compare with no file", []string{"compare", before, filepath.Join(dir, "none")}, exitFailed, "none"},
 	}
 	for _, c := range cases {
