Tell a later attempt that is not let in unknown

Cause: calls of plain services that are refused for their credential, their team's rights or a stale configuration were told not-run, also as a later attempt of a key, of which an earlier one may have run. Change: a later attempt that is not let in is told unknown, with the same status and code. Measured: TestRefusedAttempts: before attempts 2 and 17 are told not-run, after unknown; runner and dispatcher pass with -race.

--- a/internal/serving/dispatcher/handler.go
+++ b/internal/serving/dispatcher/handler.go
@@ -173,3 +173,9 @@
 	n, err := strconv.Atoi(text)
 	return n, err == nil && n >= 1
 }
+
+// Later reports whether a request is a later attempt of a call, of which an earlier one may have run.
+func Later(r *http.Request) bool {
+	attempt, ok := attemptOf(r)
+	return ok && attempt > 1
+}
--- a/internal/serving/runner/services.go
+++ b/internal/serving/runner/services.go
@@ -10,6 +10,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
+	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 	"github.com/heatherrock/heatherrock/internal/routing/selector"
 	"github.com/heatherrock/heatherrock/internal/serving/dispatcher"
 	"github.com/heatherrock/heatherrock/internal/serving/server"
@@ -105,7 +106,7 @@
 		id := server.Identify(w, q)
 		q.Header.Set(server.HeaderRequest, id)
 		if p := r.Gate(r.clock()); p != nil {
-			p.Write(w)
+			refuse(w, q, *p)
 			return
 		}
 		view := r.config.View()
@@ -115,9 +116,17 @@
 		}
 		if p != nil {
 			r.log.Info("request refused", "request", id, "team", team, "code", p.Code)
-			p.Write(w)
+			refuse(w, q, *p)
 			return
 		}
 		next.ServeHTTP(w, q.WithContext(context.WithValue(q.Context(), teamKey{}, team)))
 	})
 }
+
+// refuse answers a call that is not let in. Of a later attempt it is not known whether one before it has run.
+func refuse(w http.ResponseWriter, q *http.Request, p server.Problem) {
+	if dispatcher.Later(q) {
+		p.Verdict = classifier.VerdictUnknown
+	}
+	p.Write(w)
+}
