Set the usual pace when no model has a target

Cause: the pace of the last model with a target stayed once it was retired. Change: the picker falls back to its usual pace. Measured: router and picker tests pass with the race detector.

--- a/internal/routing/picker/tune.go
+++ b/internal/routing/picker/tune.go
@@ -8,8 +8,12 @@
 // fullBusy is how busy an endpoint counts that runs as many requests as it may, in seconds. It is above any bound.
 const fullBusy = 1e9
 
-// SetPace sets the longest time in which an endpoint may run one step of each of its requests, from now on.
+// SetPace sets the longest time in which an endpoint may run one step of each of its requests, from now on. Zero sets
+// the usual one.
 func (p *Picker) SetPace(_ time.Time, pace time.Duration) {
+	if pace <= 0 {
+		pace = defaultPace
+	}
 	p.pace = pace
 }
 
--- a/internal/serving/router/configure.go
+++ b/internal/serving/router/configure.go
@@ -25,9 +25,7 @@
 		}
 	}
 	r.picker.SetBatches(now, batches)
-	if between := shortest(view); between > 0 {
-		r.picker.SetPace(now, time.Duration(paceShare*float64(between)))
-	}
+	r.picker.SetPace(now, time.Duration(paceShare*float64(shortest(view))))
 }
 
 // shortest returns the shortest target for the time between tokens of all models, or 0 if none has one.
