Raise the horizon of keys only on the word of the callers' clocks too

Cause: an instance whose clock is far ahead raised the horizon for the whole fleet, after which every hold was refused as expired until an operator noticed. No key ran twice, but one wrong clock stopped all holds. Measured: the horizon's table has a clock that is a year ahead and an instance without keys; both fail before the change, and pass now.

--- a/internal/control/claimer/key.go
+++ b/internal/control/claimer/key.go
@@ -94,8 +94,14 @@
 	return ""
 }
 
-// Next returns the horizon's day for a retention at now, and whether it is to be raised.
-func (h Horizon) Next(now time.Time, retention time.Duration) (string, bool) {
+// Next returns the horizon's day for a retention at now, and whether it is to be raised. Newest is the latest day of a
+// key that this instance was sent: the horizon is raised only while the callers' clocks are not behind its own, since an
+// instance whose clock is far ahead would otherwise let every key of the fleet expire.
+func (h Horizon) Next(now time.Time, retention time.Duration, newest string) (string, bool) {
 	day := now.Add(-retention).UTC().Format(dayLayout)
-	return day, day > h.Day
+	current := now.Add(-maxBehind).UTC().Format(dayLayout)
+	return day, day > h.Day && newest >= current
 }
+
+// maxBehind is how far the callers' clocks may be behind an instance's for it to raise the horizon.
+const maxBehind = 24 * time.Hour
--- a/internal/control/claimer/key_test.go
+++ b/internal/control/claimer/key_test.go
@@ -48,10 +48,17 @@
 			t.Errorf("day %s mismatch (-want +got):\n%s", day, diff)
 		}
 	}
-	if day, raise := h.Next(now, 13*24*time.Hour); day != "20261121" || !raise {
+	today := now.UTC().Format("20060102")
+	if day, raise := h.Next(now, 13*24*time.Hour, today); day != "20261121" || !raise {
 		t.Errorf("next horizon is %s, %v", day, raise)
 	}
-	if _, raise := h.Next(now, 30*24*time.Hour); raise {
+	if _, raise := h.Next(now.AddDate(1, 0, 0), 13*24*time.Hour, today); raise {
+		t.Error("a clock that is a year ahead of the callers' raises the horizon")
+	}
+	if _, raise := h.Next(now, 13*24*time.Hour, ""); raise {
+		t.Error("the horizon is raised before any key was sent")
+	}
+	if _, raise := h.Next(now, 30*24*time.Hour, today); raise {
 		t.Error("the horizon would be lowered")
 	}
 }
--- a/internal/serving/dispatcher/collector.go
+++ b/internal/serving/dispatcher/collector.go
@@ -70,7 +70,7 @@
 func (c *collector) raise() bool {
 	retention := time.Duration(c.view.Fleet().Retention) * time.Second
 	horizon := c.writer.within()
-	day, due := horizon.Next(c.writer.now(), retention)
+	day, due := horizon.Next(c.writer.now(), retention, c.writer.newestDay())
 	if retention <= 0 || !due {
 		return false
 	}
--- a/internal/serving/dispatcher/collector_test.go
+++ b/internal/serving/dispatcher/collector_test.go
@@ -39,8 +39,11 @@
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Fatalf("first answer mismatch (-want +got):\n%s", diff)
 	}
-	strict := New("two", tb, keeping{w, 24 * time.Hour}, w, w, WithCollect(time.Hour))
+	strict := New("two", tb, keeping{w, 24 * time.Hour}, w, w, WithCollect(time.Millisecond))
 	t.Cleanup(strict.Close)
+	// A key of today shows that the callers' clocks are not behind the instance's.
+	today, _ := claimer.ParseKey(time.Now().UTC().Format("20060102") + "-lamp")
+	strict.writer.check(today)
 	key, _ := claimer.ParseKey(old)
 	row := claimer.Call{Team: "joiners", Key: key}.Row()
 	for found := true; found; time.Sleep(time.Millisecond) {
--- a/internal/serving/dispatcher/writer.go
+++ b/internal/serving/dispatcher/writer.go
@@ -37,6 +37,8 @@
 	budget  claimer.Budget
 	breaker claimer.Breaker
 	horizon claimer.Horizon
+	// newest is the latest day of a key that was sent here.
+	newest  string
 	tickets map[int64]*ticket
 	last    int64
 
@@ -56,7 +58,18 @@
 func (w *writer) check(k claimer.Key) string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.horizon.Check(w.now(), k)
+	code := w.horizon.Check(w.now(), k)
+	if code != claimer.CodeFuture {
+		w.newest = max(w.newest, k.Day)
+	}
+	return code
+}
+
+// newestDay returns the latest day of a key that was sent here and does not lie ahead.
+func (w *writer) newestDay() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.newest
 }
 
 // share sets the part of the fleet's bound on writes, in transactions a second, that one of members may use.
