--- a/internal/bench/claimer/history.go
+++ b/internal/bench/claimer/history.go
@@ -73,8 +73,7 @@
 
 // run runs the history to its end.
 func (h *history) run() {
-	for len(h.clock.events) > 0 && h.clock.now.Before(h.end) {
-		h.clock.next()
+	for h.clock.now.Before(h.end) && h.clock.next() {
 	}
 }
 
