Call the fleet in one process a fleet

Cause: 'stage' is a part of a plan everywhere else; the bench used it for a set of instances and stand-ins. Change: package stager is assembler, its Stage a Fleet.

--- a/cmd/heatherrock/scenario_test.go
+++ b/cmd/heatherrock/scenario_test.go
@@ -18,8 +18,8 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/heatherrock/heatherrock/internal/bench/assembler"
 	"github.com/heatherrock/heatherrock/internal/bench/presenter"
-	"github.com/heatherrock/heatherrock/internal/bench/stager"
 	"github.com/heatherrock/heatherrock/internal/serving/configurer"
 	"github.com/heatherrock/heatherrock/internal/serving/launcher"
 )
@@ -31,8 +31,8 @@
 	bound = time.Minute
 )
 
-// stageKey is the key of a script's instance.
-type stageKey struct{}
+// fleetKey is the key of a script's instance.
+type fleetKey struct{}
 
 // commands are the commands of the scripts besides those of testscript.
 var commands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
@@ -75,14 +75,14 @@
 	change := func(*configurer.Settings) {}
 	if len(args) == 3 {
 		change = func(s *configurer.Settings) {
-			s.Operators.Cert, s.Operators.Key, s.Credential = ts.MkAbs(args[0]), ts.MkAbs(args[1]), stager.Hash(args[2])
+			s.Operators.Cert, s.Operators.Key, s.Credential = ts.MkAbs(args[0]), ts.MkAbs(args[1]), assembler.Hash(args[2])
 		}
 	}
-	stage, err := stager.New(stager.Mixed(1, step), 1, stager.WithSettings(change))
+	fleet, err := assembler.New(assembler.Mixed(1, step), 1, assembler.WithSettings(change))
 	ts.Check(err)
-	ts.Defer(stage.Close)
-	*ts.Value(stageKey{}).(**stager.Stage) = stage
-	ts.Setenv("OPERATORS", stage.Nodes[0].OperatorAddress())
+	ts.Defer(fleet.Close)
+	*ts.Value(fleetKey{}).(**assembler.Fleet) = fleet
+	ts.Setenv("OPERATORS", fleet.Nodes[0].OperatorAddress())
 }
 
 // documented checks that a page of the documentation holds a file: documented PAGE FILE.
@@ -116,21 +116,21 @@
 func covered(ts *testscript.TestScript, _ bool, args []string) {
 	ctx, cancel := context.WithTimeout(context.Background(), bound)
 	defer cancel()
-	stage := *ts.Value(stageKey{}).(**stager.Stage)
+	fleet := *ts.Value(fleetKey{}).(**assembler.Fleet)
 	epoch, err := strconv.ParseInt(args[0], 10, 64)
 	ts.Check(err)
-	ts.Check(stage.Covered(ctx))
-	ts.Check(stage.InForce(ctx, epoch))
+	ts.Check(fleet.Covered(ctx))
+	ts.Check(fleet.InForce(ctx, epoch))
 }
 
 // ask sends a request and prints its status, code and text: ask TEAM PROMPT LIMIT.
 func ask(ts *testscript.TestScript, _ bool, args []string) {
-	stage := *ts.Value(stageKey{}).(**stager.Stage)
+	fleet := *ts.Value(fleetKey{}).(**assembler.Fleet)
 	limit, err := strconv.Atoi(args[2])
 	ts.Check(err)
-	c := stager.NewCaller(args[0])
+	c := assembler.NewCaller(args[0])
 	defer c.Close()
-	a, err := c.Complete(context.Background(), stage.Nodes[0].CallerAddress(), stager.Model, args[1], limit)
+	a, err := c.Complete(context.Background(), fleet.Nodes[0].CallerAddress(), assembler.Model, args[1], limit)
 	ts.Check(err)
 	_, err = ts.Stdout().Write([]byte(strconv.Itoa(a.Status) + " " + a.Code + a.Text + "\n"))
 	ts.Check(err)
@@ -139,15 +139,15 @@
 // begin sends a request and returns once its first token was delivered; the request ends with the script: begin TEAM
 // PROMPT LIMIT.
 func begin(ts *testscript.TestScript, _ bool, args []string) {
-	stage := *ts.Value(stageKey{}).(**stager.Stage)
+	fleet := *ts.Value(fleetKey{}).(**assembler.Fleet)
 	limit, err := strconv.Atoi(args[2])
 	ts.Check(err)
-	c := stager.NewCaller(args[0])
+	c := assembler.NewCaller(args[0])
 	ctx, cancel := context.WithCancel(context.Background())
 	left := make(chan struct{})
 	go func() {
 		defer close(left)
-		_, _ = c.Complete(ctx, stage.Nodes[0].CallerAddress(), stager.Model, args[1], limit)
+		_, _ = c.Complete(ctx, fleet.Nodes[0].CallerAddress(), assembler.Model, args[1], limit)
 		c.Close()
 	}()
 	ts.Defer(func() {
@@ -155,12 +155,12 @@
 		<-left
 	})
 	running := func() bool {
-		attempts := stage.Nodes[0].Router().State(time.Now()).Attempts
+		attempts := fleet.Nodes[0].Router().State(time.Now()).Attempts
 		return len(attempts) > 0 && attempts[0].Tokens > 0
 	}
 	wait, end := context.WithTimeout(ctx, bound)
 	defer end()
-	ts.Check(stager.Until(wait, running))
+	ts.Check(assembler.Until(wait, running))
 }
 
 func TestScenarios(t *testing.T) {
@@ -168,7 +168,7 @@
 		Dir:  "testdata/script",
 		Cmds: commands,
 		Setup: func(env *testscript.Env) error {
-			env.Values[stageKey{}] = new(*stager.Stage)
+			env.Values[fleetKey{}] = new(*assembler.Fleet)
 			return nil
 		},
 	})
--- a/cmd/standin/scenario_test.go
+++ b/cmd/standin/scenario_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/heatherrock/heatherrock/internal/bench/stager"
+	"github.com/heatherrock/heatherrock/internal/bench/assembler"
 	"github.com/heatherrock/heatherrock/internal/control/accepter"
 	"github.com/heatherrock/heatherrock/internal/control/validator"
 	"github.com/heatherrock/heatherrock/internal/platform/lister"
@@ -97,7 +97,7 @@
 	}
 	var accepted accepter.Result
 	tries := 0
-	wait := stager.Until(ctx, func() bool {
+	wait := assembler.Until(ctx, func() bool {
 		tries++
 		accepted, err = s.change(ctx, accepter.Command{
 			ID: fmt.Sprint("accept-", tries), Action: accepter.ActionAccept, Operator: "duty", Changes: submitted.Changes,
@@ -107,7 +107,7 @@
 	if wait != nil {
 		t.Fatal(err)
 	}
-	wait = stager.Until(ctx, func() bool {
+	wait = assembler.Until(ctx, func() bool {
 		for _, r := range s.nodes {
 			known := len(r.Router().State(time.Now()).Picker.Endpoints)
 			if r.View().Epoch < accepted.Epoch || known < len(s.standins.Engines) {
@@ -133,7 +133,7 @@
 			defer cancel()
 			s := newSite(t, user)
 			s.accept(ctx, t)
-			caller := stager.NewCaller(user + "-" + teams[user])
+			caller := assembler.NewCaller(user + "-" + teams[user])
 			defer caller.Close()
 			s.answers(ctx, t, caller)
 			s.places(ctx, t, caller, effects[user], items[user])
@@ -142,7 +142,7 @@
 }
 
 // answers asks each instance for an answer and compares it with the reference.
-func (s *site) answers(ctx context.Context, t *testing.T, caller *stager.Caller) {
+func (s *site) answers(ctx context.Context, t *testing.T, caller *assembler.Caller) {
 	t.Helper()
 	held := s.standins.Fleet.Engines[0].Held[0]
 	layers := 2 * held.To
@@ -157,7 +157,7 @@
 }
 
 // places sends one hold or order to two instances under one key and checks that it ran once.
-func (s *site) places(ctx context.Context, t *testing.T, caller *stager.Caller, effect, item string) {
+func (s *site) places(ctx context.Context, t *testing.T, caller *assembler.Caller, effect, item string) {
 	t.Helper()
 	header := http.Header{"Idempotency-Key": {time.Now().UTC().Format("20060102") + "-1"}}
 	body, err := json.Marshal(map[string]any{"item": item, "quantity": 1})
--- a/internal/bench/stager/stager.go
+++ b/internal/bench/assembler/assembler.go
@@ -1,5 +1,5 @@
-// Package stager runs instances of heatherrock and stand-ins for all that lies outside them, in one process.
-package stager
+// Package assembler runs instances of heatherrock and stand-ins for all that lies outside them, in one process.
+package assembler
 
 import (
 	"context"
@@ -27,8 +27,8 @@
 // poll is the time between looks at a condition.
 const poll = 5 * time.Millisecond
 
-// Stage is a number of instances before one set of stand-ins.
-type Stage struct {
+// Fleet is a number of instances before one set of stand-ins.
+type Fleet struct {
 	Standins *starter.Starter
 	// Nodes are the instances, the oldest first. Live returns them while others join and leave.
 	Nodes []*runner.Runner
@@ -45,40 +45,40 @@
 	started    int
 }
 
-// Option changes a Stage under construction.
-type Option func(*Stage)
+// Option changes a Fleet under construction.
+type Option func(*Fleet)
 
 // WithTimes changes the instances' times.
 func WithTimes(change func(*configurer.Times)) Option {
-	return func(s *Stage) { change(&s.times) }
+	return func(s *Fleet) { change(&s.times) }
 }
 
 // WithLogger sets the instances' log. Without it nothing is logged.
-func WithLogger(l *slog.Logger) Option { return func(s *Stage) { s.logger = l } }
+func WithLogger(l *slog.Logger) Option { return func(s *Fleet) { s.logger = l } }
 
 // WithFleet changes the description of the stand-ins.
 func WithFleet(change func(*starter.Fleet)) Option {
-	return func(s *Stage) { s.changes = append(s.changes, change) }
+	return func(s *Fleet) { s.changes = append(s.changes, change) }
 }
 
 // WithRunner adds options of the instances.
 func WithRunner(options ...runner.Option) Option {
-	return func(s *Stage) { s.options = append(s.options, options...) }
+	return func(s *Fleet) { s.options = append(s.options, options...) }
 }
 
 // WithSettings changes the settings of each instance that joins.
 func WithSettings(change func(*configurer.Settings)) Option {
-	return func(s *Stage) { s.settings = append(s.settings, change) }
+	return func(s *Fleet) { s.settings = append(s.settings, change) }
 }
 
 // WithPlace sets the data centre and region of the instances.
 func WithPlace(datacentre, region string) Option {
-	return func(s *Stage) { s.datacentre, s.region = datacentre, region }
+	return func(s *Fleet) { s.datacentre, s.region = datacentre, region }
 }
 
 // New starts the stand-ins of a fleet and a number of instances. After an error none runs.
-func New(f starter.Fleet, nodes int, options ...Option) (*Stage, error) {
-	s := &Stage{
+func New(f starter.Fleet, nodes int, options ...Option) (*Fleet, error) {
+	s := &Fleet{
 		datacentre: "a",
 		region:     "r",
 		logger:     slog.New(slog.DiscardHandler),
@@ -111,7 +111,7 @@
 }
 
 // Join starts one more instance and puts it into the instance list.
-func (s *Stage) Join() (*runner.Runner, error) {
+func (s *Fleet) Join() (*runner.Runner, error) {
 	s.started++
 	free := configurer.Listener{Address: "127.0.0.1:0"}
 	settings := configurer.Settings{
@@ -145,7 +145,7 @@
 }
 
 // Retire drains the first instance and takes it out of the list. It returns the number of requests cut off.
-func (s *Stage) Retire(ctx context.Context) int {
+func (s *Fleet) Retire(ctx context.Context) int {
 	s.mu.Lock()
 	first := s.Nodes[0]
 	s.Nodes = slices.Clone(s.Nodes[1:])
@@ -157,14 +157,14 @@
 }
 
 // Live returns the instances that were not retired.
-func (s *Stage) Live() []*runner.Runner {
+func (s *Fleet) Live() []*runner.Runner {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.Nodes
 }
 
 // Close ends the instances and the stand-ins.
-func (s *Stage) Close() {
+func (s *Fleet) Close() {
 	for _, r := range s.Nodes {
 		r.Close()
 	}
@@ -185,7 +185,7 @@
 
 // Accept submits and accepts records by the first instance's operators' interface and waits until they are in force on
 // every instance. It returns the epoch.
-func (s *Stage) Accept(ctx context.Context, records ...recorder.Record) (int64, error) {
+func (s *Fleet) Accept(ctx context.Context, records ...recorder.Record) (int64, error) {
 	submitted, err := s.change(ctx, accepter.Command{Action: accepter.ActionSubmit, Records: records})
 	if err != nil {
 		return 0, err
@@ -203,7 +203,7 @@
 }
 
 // InForce returns once an epoch, or a later one, is in force on every instance.
-func (s *Stage) InForce(ctx context.Context, epoch int64) error {
+func (s *Fleet) InForce(ctx context.Context, epoch int64) error {
 	return Until(ctx, func() bool {
 		for _, r := range s.Live() {
 			if r.View().Epoch < epoch {
@@ -215,7 +215,7 @@
 }
 
 // change sends one command to the first instance.
-func (s *Stage) change(ctx context.Context, c accepter.Command) (accepter.Result, error) {
+func (s *Fleet) change(ctx context.Context, c accepter.Command) (accepter.Result, error) {
 	c.ID = uuid.NewString()
 	c.Operator = "duty"
 	var result accepter.Result
@@ -232,7 +232,7 @@
 }
 
 // Covered returns once every instance knows of as many engines as the fleet has, or the context's error.
-func (s *Stage) Covered(ctx context.Context) error {
+func (s *Fleet) Covered(ctx context.Context) error {
 	return Until(ctx, func() bool {
 		for _, r := range s.Live() {
 			if len(r.Router().State(time.Now()).Picker.Endpoints) < len(s.Standins.Fleet.Engines) {
@@ -244,7 +244,7 @@
 }
 
 // Met returns once every instance has heard of every other, or the context's error.
-func (s *Stage) Met(ctx context.Context) error {
+func (s *Fleet) Met(ctx context.Context) error {
 	return Until(ctx, func() bool {
 		live := s.Live()
 		for _, r := range live {
--- a/internal/bench/stager/caller.go
+++ b/internal/bench/assembler/caller.go
@@ -1,4 +1,4 @@
-package stager
+package assembler
 
 import (
 	"bufio"
--- a/internal/bench/presenter/presenter.go
+++ b/internal/bench/presenter/presenter.go
@@ -10,7 +10,7 @@
 
 	"github.com/peterbourgon/ff/v3"
 
-	"github.com/heatherrock/heatherrock/internal/bench/stager"
+	"github.com/heatherrock/heatherrock/internal/bench/assembler"
 	"github.com/heatherrock/heatherrock/internal/serving/launcher"
 )
 
@@ -43,36 +43,36 @@
 	if err := ff.Parse(f, args); err != nil {
 		return launcher.ExitUsage
 	}
-	stage, err := stager.New(stager.Mixed(replicas, step), 2)
+	fleet, err := assembler.New(assembler.Mixed(replicas, step), 2)
 	if err != nil {
 		fmt.Fprintln(s.Err, err)
 		return launcher.ExitFailed
 	}
-	defer stage.Close()
+	defer fleet.Close()
 	if *once {
-		return script(ctx, s.Out, stage)
+		return script(ctx, s.Out, fleet)
 	}
-	return leave(ctx, s, stage)
+	return leave(ctx, s, fleet)
 }
 
 // leave brings the demo's records into force and leaves everything up until the context ends.
-func leave(ctx context.Context, s launcher.Streams, stage *stager.Stage) int {
-	if _, err := stage.Accept(ctx, stager.Records(team)...); err != nil {
+func leave(ctx context.Context, s launcher.Streams, fleet *assembler.Fleet) int {
+	if _, err := fleet.Accept(ctx, assembler.Records(team)...); err != nil {
 		fmt.Fprintln(s.Err, err)
 		return launcher.ExitFailed
 	}
-	if err := stage.Covered(ctx); err != nil {
+	if err := fleet.Covered(ctx); err != nil {
 		fmt.Fprintln(s.Err, err)
 		return launcher.ExitFailed
 	}
-	guide(s.Out, stage)
+	guide(s.Out, fleet)
 	<-ctx.Done()
 	return launcher.ExitDone
 }
 
 // guide prints what to try.
-func guide(w io.Writer, stage *stager.Stage) {
-	first, second := stage.Nodes[0], stage.Nodes[1]
+func guide(w io.Writer, fleet *assembler.Fleet) {
+	first, second := fleet.Nodes[0], fleet.Nodes[1]
 	fmt.Fprintf(w, `Two instances and their stand-ins are up. Try:
 
   curl -N http://%s/v1/completions -H 'Authorization: Bearer %s' \
@@ -92,6 +92,6 @@
   curl -X POST %s/standins/medium-1-1/restore
 
 Interrupt ends the demo.
-`, first.CallerAddress(), team, stager.Model, first.CallerAddress(), team, stager.Model, second.CallerAddress(),
-		stager.Service, team, stager.Item, first.OperatorAddress(), second.OperatorAddress(), stage.Standins.Control(), stage.Standins.Control())
+`, first.CallerAddress(), team, assembler.Model, first.CallerAddress(), team, assembler.Model, second.CallerAddress(),
+		assembler.Service, team, assembler.Item, first.OperatorAddress(), second.OperatorAddress(), fleet.Standins.Control(), fleet.Standins.Control())
 }
--- a/internal/bench/presenter/script.go
+++ b/internal/bench/presenter/script.go
@@ -10,7 +10,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/google/uuid"
 
-	"github.com/heatherrock/heatherrock/internal/bench/stager"
+	"github.com/heatherrock/heatherrock/internal/bench/assembler"
 	"github.com/heatherrock/heatherrock/internal/serving/launcher"
 	"github.com/heatherrock/heatherrock/internal/serving/router"
 	"github.com/heatherrock/heatherrock/internal/standin/decoder"
@@ -19,7 +19,7 @@
 // check is one step of the script: what it shows, and how.
 type check struct {
 	name string
-	run  func(ctx context.Context, p *play) (string, error)
+	run  func(ctx context.Context, p *session) (string, error)
 }
 
 // checks is the script, in order.
@@ -31,17 +31,17 @@
 	{"an instance is shut down under load and no request is cut off", checkDrain},
 }
 
-// play is one run of the script.
-type play struct {
-	stage  *stager.Stage
-	caller *stager.Caller
+// session is one run of the script.
+type session struct {
+	fleet  *assembler.Fleet
+	caller *assembler.Caller
 }
 
 // script runs the checks in order and returns the exit code.
-func script(ctx context.Context, w io.Writer, stage *stager.Stage) int {
+func script(ctx context.Context, w io.Writer, fleet *assembler.Fleet) int {
 	ctx, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
-	p := &play{stage: stage, caller: stager.NewCaller(team)}
+	p := &session{fleet: fleet, caller: assembler.NewCaller(team)}
 	defer p.caller.Close()
 	for _, c := range checks {
 		seen, err := c.run(ctx, p)
@@ -55,22 +55,22 @@
 }
 
 // checkRecord brings the demo's records into force.
-func checkRecord(ctx context.Context, p *play) (string, error) {
-	epoch, err := p.stage.Accept(ctx, stager.Records(team)...)
+func checkRecord(ctx context.Context, p *session) (string, error) {
+	epoch, err := p.fleet.Accept(ctx, assembler.Records(team)...)
 	if err != nil {
 		return "", err
 	}
-	for _, r := range p.stage.Nodes {
-		if _, ok := r.View().Models[stager.Model]; !ok {
-			return "", merry.Errorf("model %s is not in force on %s", stager.Model, r.ID())
+	for _, r := range p.fleet.Nodes {
+		if _, ok := r.View().Models[assembler.Model]; !ok {
+			return "", merry.Errorf("model %s is not in force on %s", assembler.Model, r.ID())
 		}
 	}
-	return fmt.Sprintf("epoch %d", epoch), p.stage.Covered(ctx)
+	return fmt.Sprintf("epoch %d", epoch), p.fleet.Covered(ctx)
 }
 
 // verify compares an answer with the reference of the engines' arithmetic.
-func verify(a stager.Answer, prompt string, limit int) error {
-	_, want := decoder.Answer(stager.Model, "v1", "", prompt, stager.Layers, limit)
+func verify(a assembler.Answer, prompt string, limit int) error {
+	_, want := decoder.Answer(assembler.Model, "v1", "", prompt, assembler.Layers, limit)
 	if a.Text != want || !a.Whole {
 		return merry.Errorf("status %d code %q: the answer is %q, want %q", a.Status, a.Code, a.Text, want)
 	}
@@ -78,11 +78,11 @@
 }
 
 // checkAnswer asks each instance for one answer.
-func checkAnswer(ctx context.Context, p *play) (string, error) {
+func checkAnswer(ctx context.Context, p *session) (string, error) {
 	const prompt, limit = "a sash for a third class carriage", 24
 	tokens := 0
-	for _, r := range p.stage.Nodes {
-		a, err := p.caller.Complete(ctx, r.CallerAddress(), stager.Model, prompt, limit)
+	for _, r := range p.fleet.Nodes {
+		a, err := p.caller.Complete(ctx, r.CallerAddress(), assembler.Model, prompt, limit)
 		if err != nil {
 			return "", err
 		}
@@ -96,26 +96,26 @@
 
 // asked is an answer that is on its way.
 type asked struct {
-	answer stager.Answer
+	answer assembler.Answer
 	err    error
 	done   chan struct{}
 }
 
 // run waits for the answer.
-func (a *asked) run(ctx context.Context, p *play, address, prompt string, limit int) {
+func (a *asked) run(ctx context.Context, p *session, address, prompt string, limit int) {
 	defer close(a.done)
-	a.answer, a.err = p.caller.Complete(ctx, address, stager.Model, prompt, limit)
+	a.answer, a.err = p.caller.Complete(ctx, address, assembler.Model, prompt, limit)
 }
 
 // checkKill crashes the middle stage of an answer in progress.
-func checkKill(ctx context.Context, p *play) (string, error) {
+func checkKill(ctx context.Context, p *session) (string, error) {
 	// This prompt's answer is as long as its limit.
 	const prompt, limit = "a pattern for a footboard", 120
-	node := p.stage.Nodes[0]
+	node := p.fleet.Nodes[0]
 	a := &asked{done: make(chan struct{})}
 	go a.run(ctx, p, node.CallerAddress(), prompt, limit)
 	var running []router.Attempt
-	err := stager.Until(ctx, func() bool {
+	err := assembler.Until(ctx, func() bool {
 		running = node.Router().Attempts()
 		return len(running) > 0 && running[0].Tokens >= 5
 	})
@@ -124,7 +124,7 @@
 	}
 	stages := running[0].Plan.Stages
 	victim := stages[1].Endpoint
-	p.stage.Standins.Part(victim).Crash()
+	p.fleet.Standins.Part(victim).Crash()
 	<-a.done
 	if a.err != nil {
 		return "", a.err
@@ -132,7 +132,7 @@
 	if err := verify(a.answer, prompt, limit); err != nil {
 		return "", err
 	}
-	if err := p.stage.Standins.Part(victim).Restore(); err != nil {
+	if err := p.fleet.Standins.Part(victim).Restore(); err != nil {
 		return "", err
 	}
 	return fmt.Sprintf("%s of %d stages crashed after token %d of %d", victim, len(stages), running[0].Tokens,
@@ -140,12 +140,12 @@
 }
 
 // checkHold sends one hold to each instance under the same key.
-func checkHold(ctx context.Context, p *play) (string, error) {
+func checkHold(ctx context.Context, p *session) (string, error) {
 	key := uuid.Must(uuid.NewV7()).String()
-	body := fmt.Appendf(nil, `{"item":%q,"quantity":2}`, stager.Item)
-	for _, r := range p.stage.Nodes {
+	body := fmt.Appendf(nil, `{"item":%q,"quantity":2}`, assembler.Item)
+	for _, r := range p.fleet.Nodes {
 		header := http.Header{"Idempotency-Key": {key}, "Content-Type": {"application/json"}}
-		a, err := p.caller.Send(ctx, http.MethodPost, r.CallerAddress(), "/v1/services/"+stager.Service+"/holds", header, body)
+		a, err := p.caller.Send(ctx, http.MethodPost, r.CallerAddress(), "/v1/services/"+assembler.Service+"/holds", header, body)
 		if err != nil {
 			return "", err
 		}
@@ -159,7 +159,7 @@
 		}
 	}
 	// The service is given the key with the team's name before it.
-	runs := p.stage.Standins.Ledgers[stager.Service].Runs()[team+":"+key]
+	runs := p.fleet.Standins.Ledgers[assembler.Service].Runs()[team+":"+key]
 	if runs != 1 {
 		return "", merry.Errorf("the hold ran %d times", runs)
 	}
@@ -167,21 +167,21 @@
 }
 
 // checkDrain shuts the first instance down while callers stream from it.
-func checkDrain(ctx context.Context, p *play) (string, error) {
+func checkDrain(ctx context.Context, p *session) (string, error) {
 	const callers, prompt, limit = 12, "a pattern for a footboard", 60
-	first := p.stage.Nodes[0]
+	first := p.fleet.Nodes[0]
 	answers := make([]*asked, callers)
 	for i := range answers {
 		answers[i] = &asked{done: make(chan struct{})}
 		go answers[i].run(ctx, p, first.CallerAddress(), prompt, limit)
 	}
-	err := stager.Until(ctx, func() bool { return len(first.Router().Attempts()) == callers })
+	err := assembler.Until(ctx, func() bool { return len(first.Router().Attempts()) == callers })
 	if err != nil {
 		return "", err
 	}
 	var wait sync.WaitGroup
 	cut := 0
-	wait.Go(func() { cut = p.stage.Retire(ctx) })
+	wait.Go(func() { cut = p.fleet.Retire(ctx) })
 	for _, a := range answers {
 		<-a.done
 		if a.err != nil {
--- a/internal/bench/prover/drain.go
+++ b/internal/bench/prover/drain.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/heatherrock/heatherrock/internal/bench/assembler"
 	"github.com/heatherrock/heatherrock/internal/bench/reporter"
-	"github.com/heatherrock/heatherrock/internal/bench/stager"
 	"github.com/heatherrock/heatherrock/internal/routing/planner"
 	"github.com/heatherrock/heatherrock/internal/serving/runner"
 )
@@ -28,7 +28,7 @@
 
 // balancer is the platform's balancer: it sends requests to the instances that were ready when it looked last.
 type balancer struct {
-	stage  *stager.Stage
+	fleet  *assembler.Fleet
 	client *http.Client
 	done   chan struct{}
 	wait   sync.WaitGroup
@@ -38,8 +38,8 @@
 }
 
 // newBalancer returns a balancer that has looked once.
-func newBalancer(s *stager.Stage) *balancer {
-	b := &balancer{stage: s, client: &http.Client{Timeout: time.Second}, done: make(chan struct{})}
+func newBalancer(s *assembler.Fleet) *balancer {
+	b := &balancer{fleet: s, client: &http.Client{Timeout: time.Second}, done: make(chan struct{})}
 	b.look()
 	b.wait.Add(1)
 	go b.loop()
@@ -64,7 +64,7 @@
 // look asks each instance that the platform runs whether it is ready.
 func (b *balancer) look() {
 	var ready []*runner.Runner
-	for _, r := range b.stage.Live() {
+	for _, r := range b.fleet.Live() {
 		answer, err := b.client.Get("http://" + r.OperatorAddress() + "/readyz")
 		if err != nil {
 			continue
@@ -125,7 +125,7 @@
 }
 
 // replace puts a new instance in the place of each. It returns the number of requests that instances cut off.
-func replace(ctx context.Context, s *stager.Stage, b *balancer) (int, error) {
+func replace(ctx context.Context, s *assembler.Fleet, b *balancer) (int, error) {
 	cut := 0
 	for range drainNodes {
 		joined, err := s.Join()
@@ -133,7 +133,7 @@
 			return cut, err
 		}
 		// The new instance takes requests before the old one leaves.
-		err = stager.Until(ctx, func() bool {
+		err = assembler.Until(ctx, func() bool {
 			for _, r := range b.nodes() {
 				if r == joined {
 					return true
@@ -151,7 +151,7 @@
 
 // leave lets one endpoint of each range leave and returns the longest time after the first sign at which one of them got
 // new work.
-func leave(s *stager.Stage) time.Duration {
+func leave(s *assembler.Fleet) time.Duration {
 	left := map[string]bool{}
 	sign := time.Now()
 	for _, e := range s.Standins.Fleet.Engines[:leavingEndpoints] {
--- a/internal/bench/prover/export.go
+++ b/internal/bench/prover/export.go
@@ -12,8 +12,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/ansel1/merry/v2"
 
+	"github.com/heatherrock/heatherrock/internal/bench/assembler"
 	"github.com/heatherrock/heatherrock/internal/bench/reporter"
-	"github.com/heatherrock/heatherrock/internal/bench/stager"
 	"github.com/heatherrock/heatherrock/internal/platform/streamer"
 	"github.com/heatherrock/heatherrock/internal/standin/decoder"
 	"github.com/heatherrock/heatherrock/internal/standin/starter"
@@ -69,7 +69,7 @@
 	result := reporter.NewResult("export", seed)
 	ctx, cancel := context.WithTimeout(context.Background(), bound)
 	defer cancel()
-	fleet := stager.Mixed(replicas, 100*time.Microsecond)
+	fleet := assembler.Mixed(replicas, 100*time.Microsecond)
 	slowPrefill(&fleet)
 	standins, err := starter.Start(fleet)
 	if err != nil {
@@ -99,9 +99,9 @@
 
 // lose runs an answer, exports the cache of its middle stage and goes on in each of the three ways.
 func (h *handover) lose(ctx context.Context, name, prompt string) error {
-	tokens, _ := decoder.Answer(stager.Model, "v1", "", prompt, stager.Layers, deliveredTokens+3)
+	tokens, _ := decoder.Answer(assembler.Model, "v1", "", prompt, assembler.Layers, deliveredTokens+3)
 	r := streamer.Request{
-		Request: name, Attempt: 1, Model: stager.Model, Version: "v1", Prompt: prompt,
+		Request: name, Attempt: 1, Model: assembler.Model, Version: "v1", Prompt: prompt,
 		Limit: deliveredTokens, Stages: h.chain("1", "1"),
 	}
 	if _, err := h.first(ctx, r); err != nil {
--- a/internal/bench/prover/overhead.go
+++ b/internal/bench/prover/overhead.go
@@ -9,9 +9,9 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/heatherrock/heatherrock/internal/bench/assembler"
 	"github.com/heatherrock/heatherrock/internal/bench/counter"
 	"github.com/heatherrock/heatherrock/internal/bench/reporter"
-	"github.com/heatherrock/heatherrock/internal/bench/stager"
 	"github.com/heatherrock/heatherrock/internal/platform/streamer"
 	"github.com/heatherrock/heatherrock/internal/routing/planner"
 	"github.com/heatherrock/heatherrock/internal/standin/starter"
@@ -43,7 +43,7 @@
 	result := reporter.NewResult("overhead", seed)
 	ctx, cancel := context.WithTimeout(context.Background(), bound)
 	defer cancel()
-	s, err := open(ctx, 1, 1, 0, stager.WithFleet(evenStages))
+	s, err := open(ctx, 1, 1, 0, assembler.WithFleet(evenStages))
 	if err != nil {
 		return result, err
 	}
@@ -72,11 +72,11 @@
 	for i := range 3 {
 		kind := []string{"large", "medium", "small"}[i]
 		k := f.Kinds[kind]
-		k.Layer = starter.Duration(stageTime / (stager.Layers / 3))
+		k.Layer = starter.Duration(stageTime / (assembler.Layers / 3))
 		f.Kinds[kind] = k
 		f.Engines = append(f.Engines, starter.Engine{
 			ID: fmt.Sprintf("%s-1", kind), Kind: kind, DataCentre: "a", Region: "r",
-			Held: []streamer.Held{{Model: stager.Model, Version: "v1", From: i * stager.Layers / 3, To: (i + 1) * stager.Layers / 3}},
+			Held: []streamer.Held{{Model: assembler.Model, Version: "v1", From: i * assembler.Layers / 3, To: (i + 1) * assembler.Layers / 3}},
 		})
 	}
 }
@@ -120,8 +120,8 @@
 }
 
 // askThrough asks the instance and returns the times of the tokens.
-func askThrough(ctx context.Context, s *stager.Stage, prompt string) ([]time.Time, error) {
-	c := stager.NewCaller(team)
+func askThrough(ctx context.Context, s *assembler.Fleet, prompt string) ([]time.Time, error) {
+	c := assembler.NewCaller(team)
 	defer c.Close()
 	a := ask(ctx, c, s.Nodes[0], prompt, overheadTokens)
 	<-a.done
@@ -132,11 +132,11 @@
 }
 
 // askDirect calls the stages without an instance and returns the times of the tokens.
-func askDirect(ctx context.Context, s *stager.Stage, prompt string) ([]time.Time, error) {
+func askDirect(ctx context.Context, s *assembler.Fleet, prompt string) ([]time.Time, error) {
 	client := streamer.NewClient()
 	defer client.Close()
 	r := streamer.Request{
-		Request: "direct-" + prompt, Attempt: 1, Model: stager.Model, Version: "v1", Prompt: prompt, Limit: overheadTokens,
+		Request: "direct-" + prompt, Attempt: 1, Model: assembler.Model, Version: "v1", Prompt: prompt, Limit: overheadTokens,
 	}
 	for _, e := range s.Standins.Fleet.Engines {
 		stage := planner.Stage{Endpoint: e.ID, Address: s.Standins.Part(e.ID).Server.Address(), From: e.Held[0].From, To: e.Held[0].To}
--- a/internal/bench/prover/poison.go
+++ b/internal/bench/prover/poison.go
@@ -6,8 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/heatherrock/heatherrock/internal/bench/assembler"
 	"github.com/heatherrock/heatherrock/internal/bench/reporter"
-	"github.com/heatherrock/heatherrock/internal/bench/stager"
 	"github.com/heatherrock/heatherrock/internal/serving/runner"
 	"github.com/heatherrock/heatherrock/internal/standin/starter"
 )
@@ -31,14 +31,14 @@
 	result := reporter.NewResult("poison", seed)
 	ctx, cancel := context.WithTimeout(context.Background(), bound)
 	defer cancel()
-	s, err := open(ctx, poisonNodes, 4, 100*time.Microsecond, stager.WithFleet(restarting))
+	s, err := open(ctx, poisonNodes, 4, 100*time.Microsecond, assembler.WithFleet(restarting))
 	if err != nil {
 		return result, err
 	}
 	defer s.Close()
 	load := startLoad(ctx, s.Live, poisonCallers, seed)
 	refused, codes := resend(ctx, s)
-	err = stager.Until(ctx, func() bool { return load.sent.Load() >= innocents })
+	err = assembler.Until(ctx, func() bool { return load.sent.Load() >= innocents })
 	load.stop()
 	if err != nil {
 		return result, err
@@ -69,13 +69,13 @@
 }
 
 // resend sends the request to each instance in turn, as a caller does who gets no answer.
-func resend(ctx context.Context, s *stager.Stage) (int, map[string]int) {
-	c := stager.NewCaller(team)
+func resend(ctx context.Context, s *assembler.Fleet) (int, map[string]int) {
+	c := assembler.NewCaller(team)
 	defer c.Close()
 	codes := map[string]int{}
 	for range poisonResends {
 		for _, r := range s.Nodes {
-			a := ask(ctx, c, r, stager.Poison+" drawing", 20)
+			a := ask(ctx, c, r, assembler.Poison+" drawing", 20)
 			<-a.done
 			codes[a.answer.Code]++
 		}
@@ -114,7 +114,7 @@
 // loop asks one request after another until done is closed.
 func (l *load) loop(ctx context.Context, nodes func() []*runner.Runner, seed uint64) {
 	defer l.wait.Done()
-	c := stager.NewCaller(team)
+	c := assembler.NewCaller(team)
 	defer c.Close()
 	random := random(seed)
 	for {
--- a/internal/bench/prover/prover.go
+++ b/internal/bench/prover/prover.go
@@ -8,8 +8,8 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/heatherrock/heatherrock/internal/bench/assembler"
 	"github.com/heatherrock/heatherrock/internal/bench/reporter"
-	"github.com/heatherrock/heatherrock/internal/bench/stager"
 	"github.com/heatherrock/heatherrock/internal/serving/router"
 	"github.com/heatherrock/heatherrock/internal/serving/runner"
 	"github.com/heatherrock/heatherrock/internal/standin/decoder"
@@ -35,12 +35,12 @@
 }
 
 // open starts a mixed fleet of instances with the records in force.
-func open(ctx context.Context, nodes, replicas int, step time.Duration, options ...stager.Option) (*stager.Stage, error) {
-	s, err := stager.New(stager.Mixed(replicas, step), nodes, options...)
+func open(ctx context.Context, nodes, replicas int, step time.Duration, options ...assembler.Option) (*assembler.Fleet, error) {
+	s, err := assembler.New(assembler.Mixed(replicas, step), nodes, options...)
 	if err != nil {
 		return nil, err
 	}
-	if _, err = s.Accept(ctx, stager.Records(team)...); err == nil {
+	if _, err = s.Accept(ctx, assembler.Records(team)...); err == nil {
 		err = s.Covered(ctx)
 	}
 	if err == nil {
@@ -57,28 +57,28 @@
 type asked struct {
 	prompt string
 	limit  int
-	answer stager.Answer
+	answer assembler.Answer
 	err    error
 	done   chan struct{}
 }
 
 // ask sends a request to an instance.
-func ask(ctx context.Context, c *stager.Caller, r *runner.Runner, prompt string, limit int) *asked {
+func ask(ctx context.Context, c *assembler.Caller, r *runner.Runner, prompt string, limit int) *asked {
 	a := &asked{prompt: prompt, limit: limit, done: make(chan struct{})}
 	go a.run(ctx, c, r.CallerAddress())
 	return a
 }
 
 // run waits for the answer.
-func (a *asked) run(ctx context.Context, c *stager.Caller, address string) {
+func (a *asked) run(ctx context.Context, c *assembler.Caller, address string) {
 	defer close(a.done)
-	a.answer, a.err = c.Complete(ctx, address, stager.Model, a.prompt, a.limit)
+	a.answer, a.err = c.Complete(ctx, address, assembler.Model, a.prompt, a.limit)
 }
 
 // wrong reports whether what the caller got is not the answer to its request. An answer that was openly broken off
 // is not whole, and so not wrong but cut.
 func (a *asked) wrong() bool {
-	_, want := decoder.Answer(stager.Model, "v1", "", a.prompt, stager.Layers, a.limit)
+	_, want := decoder.Answer(assembler.Model, "v1", "", a.prompt, assembler.Layers, a.limit)
 	return a.answer.Whole && a.answer.Text != want
 }
 
@@ -99,7 +99,7 @@
 // progressed returns the attempt in progress on an instance once it has delivered a number of tokens.
 func progressed(ctx context.Context, r *runner.Runner, tokens int) (router.Attempt, error) {
 	var found router.Attempt
-	err := stager.Until(ctx, func() bool {
+	err := assembler.Until(ctx, func() bool {
 		for _, a := range r.Router().Attempts() {
 			if a.Tokens >= tokens {
 				found = a
@@ -121,7 +121,7 @@
 		for range length {
 			text += words[r.IntN(len(words))] + " "
 		}
-		if tokens, _ := decoder.Answer(stager.Model, "v1", "", text, stager.Layers, limit); len(tokens) == limit {
+		if tokens, _ := decoder.Answer(assembler.Model, "v1", "", text, assembler.Layers, limit); len(tokens) == limit {
 			return text, nil
 		}
 	}
--- a/internal/bench/prover/silent.go
+++ b/internal/bench/prover/silent.go
@@ -6,8 +6,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/heatherrock/heatherrock/internal/bench/assembler"
 	"github.com/heatherrock/heatherrock/internal/bench/reporter"
-	"github.com/heatherrock/heatherrock/internal/bench/stager"
 	"github.com/heatherrock/heatherrock/internal/serving/configurer"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 	"github.com/heatherrock/heatherrock/internal/standin/starter"
@@ -25,13 +25,13 @@
 	result := reporter.NewResult("silent", seed)
 	ctx, cancel := context.WithTimeout(context.Background(), bound)
 	defer cancel()
-	s, err := open(ctx, 1, 2, 50*time.Microsecond, stager.WithTimes(func(t *configurer.Times) { t.Progress = progress }),
-		stager.WithFleet(quickPings))
+	s, err := open(ctx, 1, 2, 50*time.Microsecond, assembler.WithTimes(func(t *configurer.Times) { t.Progress = progress }),
+		assembler.WithFleet(quickPings))
 	if err != nil {
 		return result, err
 	}
 	defer s.Close()
-	c := stager.NewCaller(team)
+	c := assembler.NewCaller(team)
 	defer c.Close()
 	random := random(seed)
 	pauses := hdrhistogram.New(1, 60_000, 3)
@@ -74,7 +74,7 @@
 }
 
 // silence lets the next stream on each first stage go silent after some lines.
-func silence(s *stager.Stage, after int) error {
+func silence(s *assembler.Fleet, after int) error {
 	for _, e := range s.Standins.Fleet.Engines {
 		if e.Held[0].From > 0 {
 			continue
@@ -89,7 +89,7 @@
 }
 
 // ejected counts the endpoints that the instances have ejected.
-func ejected(s *stager.Stage) int {
+func ejected(s *assembler.Fleet) int {
 	n := 0
 	for _, r := range s.Nodes {
 		n += r.Router().State(time.Now()).Counts["eject"]
--- a/internal/bench/prover/stageloss.go
+++ b/internal/bench/prover/stageloss.go
@@ -10,9 +10,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/heatherrock/heatherrock/internal/bench/assembler"
 	"github.com/heatherrock/heatherrock/internal/bench/reporter"
 	timeline "github.com/heatherrock/heatherrock/internal/bench/router"
-	"github.com/heatherrock/heatherrock/internal/bench/stager"
 	"github.com/heatherrock/heatherrock/internal/platform/streamer"
 	"github.com/heatherrock/heatherrock/internal/serving/generator"
 	"github.com/heatherrock/heatherrock/internal/serving/router"
@@ -49,7 +49,7 @@
 	var wait sync.WaitGroup
 	wait.Go(func() { with, failed[0] = lose(seed) })
 	wait.Go(func() {
-		without, failed[1] = lose(seed, stager.WithRunner(runner.WithGenerator(generator.WithoutImports())))
+		without, failed[1] = lose(seed, assembler.WithRunner(runner.WithGenerator(generator.WithoutImports())))
 	})
 	var loss timeline.Loss
 	wait.Go(func() { loss = timeline.LoseEngine(seed) })
@@ -75,16 +75,16 @@
 }
 
 // lose runs answers one after another, each of which loses a stage.
-func lose(seed uint64, options ...stager.Option) (losses, error) {
+func lose(seed uint64, options ...assembler.Option) (losses, error) {
 	l := losses{pauses: hdrhistogram.New(1, 1_000_000, 3)}
 	ctx, cancel := context.WithTimeout(context.Background(), bound)
 	defer cancel()
-	s, err := open(ctx, 1, 3, 100*time.Microsecond, append(options, stager.WithFleet(slowPrefill))...)
+	s, err := open(ctx, 1, 3, 100*time.Microsecond, append(options, assembler.WithFleet(slowPrefill))...)
 	if err != nil {
 		return l, err
 	}
 	defer s.Close()
-	c := stager.NewCaller(team)
+	c := assembler.NewCaller(team)
 	defer c.Close()
 	random := random(seed)
 	for range kills {
@@ -104,7 +104,7 @@
 }
 
 // kill runs one answer, crashes one of its stages, and starts that again.
-func (l *losses) kill(ctx context.Context, s *stager.Stage, c *stager.Caller, r *rand.Rand) error {
+func (l *losses) kill(ctx context.Context, s *assembler.Fleet, c *assembler.Caller, r *rand.Rand) error {
 	prompt, err := write(r, promptWords, answerTokens)
 	if err != nil {
 		return err
