Tell the caller why there is no place for a request

Cause: a request refused for want of capacity was told that no live endpoints cover the model, also when they were busy or the same request was on trial; the outcome's header had two constants. Change: the reason goes along from the router; one constant. Measured: generator, server, router, runner and command tests pass.

--- a/internal/serving/generator/generator.go
+++ b/internal/serving/generator/generator.go
@@ -46,7 +46,7 @@
 	OK   bool
 	// After is when a plan may be had, if OK is not set.
 	After time.Duration
-	// Reason says why there is no plan.
+	// Reason says why there is no plan, as told to the caller.
 	Reason string
 }
 
@@ -157,9 +157,11 @@
 
 // Result is how an answer ended.
 type Result struct {
-	Failure  Failure
-	Verdict  classifier.Verdict
-	Reason   string
+	Failure Failure
+	Verdict classifier.Verdict
+	Reason  string
+	// Why says why there was no plan, on FailureCapacity.
+	Why      string
 	Prompt   int
 	Tokens   int
 	After    time.Duration
@@ -215,6 +217,8 @@
 	trial bool
 	// ended is when the last attempt ended.
 	ended time.Time
+	// why says why there was no plan when one was asked for last.
+	why string
 }
 
 // Run runs an answer and passes each token's text to sink, in order. It returns when the answer has ended. An error of
@@ -265,6 +269,7 @@
 		Failure:  f,
 		Verdict:  classifier.Combine(outcomes...),
 		Reason:   a.tracker.Reason,
+		Why:      a.why,
 		Prompt:   a.tracker.Prompt,
 		Tokens:   len(a.tracker.Delivered),
 		After:    after,
@@ -291,6 +296,7 @@
 			// Endpoints that failed once are better than none.
 			a.avoid = nil
 		}
+		a.why = route.Reason
 		if now.Add(route.After).After(a.job.Deadline) || len(a.attempts) == 0 {
 			return FailureCapacity, route.After
 		}
--- a/internal/serving/router/router.go
+++ b/internal/serving/router/router.go
@@ -180,11 +180,17 @@
 	plan, refusal := r.picker.Pick(now, q, r.random)
 	if refusal.Refused() {
 		r.counts[refusal.Reason]++
-		return generator.Route{After: refusal.RetryAfter, Reason: refusal.Reason}
+		return generator.Route{After: refusal.RetryAfter, Reason: reasons[refusal.Reason]}
 	}
 	return generator.Route{Plan: plan, OK: true}
 }
 
+// reasons holds what callers are told of each refusal of the picker.
+var reasons = map[string]string{
+	picker.ReasonCover: "no set of live endpoints covers the model's layers",
+	picker.ReasonBusy:  "all endpoints of a part of the model's layers are busy",
+}
+
 // query returns what the picker is asked for.
 func (r *Router) query(j generator.Job, a generator.Ask) picker.Query {
 	slack := j.Slack
--- a/internal/serving/server/problem.go
+++ b/internal/serving/server/problem.go
@@ -7,12 +7,13 @@
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
+	"github.com/heatherrock/heatherrock/internal/platform/caller"
 )
 
 // The headers that answers carry.
 const (
 	// HeaderOutcome says what became of the request: not-run, completed or unknown.
-	HeaderOutcome = "Heatherrock-Outcome"
+	HeaderOutcome = caller.HeaderOutcome
 	// HeaderRequest carries the request's id.
 	HeaderRequest = "X-Request-Id"
 )
--- a/internal/serving/server/server.go
+++ b/internal/serving/server/server.go
@@ -338,7 +338,7 @@
 	switch r.Failure {
 	case generator.FailureCapacity:
 		p.Code = CodeCapacity
-		p.Message = "no set of live endpoints covers the model's layers"
+		p.Message = r.Why
 		p.After = max(r.After, time.Second)
 	case generator.FailureDeadline:
 		p.Code = CodeDeadline
