--- a/internal/control/recorder/recorder.go
+++ b/internal/control/recorder/recorder.go
@@ -165,7 +165,8 @@
 
 // Endpoint is the body of a record of KindEndpoint: how the endpoints of one accelerator kind are treated.
 type Endpoint struct {
-	// Fenced is set if the endpoints refuse an order with an old fencing number.
+	// Fenced is set if the endpoints refuse an order with an old fencing number. It is for operators to see: orders are
+	// given as if no endpoint checked, so that a wrong record does no harm.
 	Fenced bool `json:"fenced,omitempty"`
 	// Batch bounds the requests that run together on an endpoint.
 	Batch int `json:"batch"`
--- a/internal/serving/admitter/admitter.go
+++ b/internal/serving/admitter/admitter.go
@@ -115,6 +115,19 @@
 	}
 }
 
+// Call counts a call of a plain service within its team's limit of requests. It returns why the call does not run, or
+// nil.
+func (a *Admitter) Call(view recorder.View, team string) *server.Problem {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock()
+	a.configure(now, view)
+	if d := a.limits.Admit(now, team, 1, 0); !d.Admitted {
+		return refuse(server.CodeRate, "the team's limit is reached", d.RetryAfter)
+	}
+	return nil
+}
+
 // enter takes a request into its model's queue, within its team's limits.
 func (a *Admitter) enter(view recorder.View, t server.Ticket) (*waiter, *server.Problem) {
 	a.mu.Lock()
--- a/internal/serving/admitter/admitter_test.go
+++ b/internal/serving/admitter/admitter_test.go
@@ -203,3 +203,22 @@
 		t.Errorf("the small team was served at place %d of %v", place, p.taken)
 	}
 }
+
+// TestCallsCountAgainstTheLimit checks that calls of plain services and requests for models share a team's limit.
+func TestCallsCountAgainstTheLimit(t *testing.T) {
+	a := New(&places{free: 1}, WithClock(func() time.Time { return start }))
+	defer a.Close()
+	if diff := cmp.Diff(server.Code(""), verdict(a.Call(view(), "small"))); diff != "" {
+		t.Errorf("first call mismatch (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(server.CodeRate, verdict(a.Call(view(), "small"))); diff != "" {
+		t.Errorf("second call mismatch (-want +got):\n%s", diff)
+	}
+	_, p := a.Admit(context.Background(), view(), ticket("asked", "small"))
+	if diff := cmp.Diff(server.CodeRate, verdict(p)); diff != "" {
+		t.Errorf("request mismatch (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(server.Code(""), verdict(a.Call(view(), "large"))); diff != "" {
+		t.Errorf("another team's call mismatch (-want +got):\n%s", diff)
+	}
+}
--- a/internal/serving/runner/services.go
+++ b/internal/serving/runner/services.go
@@ -114,6 +114,9 @@
 		if p == nil && !view.AllowsService(team, mux.Vars(q)["service"]) {
 			p = server.Refuse(server.CodeService, "the team may not use the service")
 		}
+		if p == nil {
+			p = r.admitter.Call(view, team)
+		}
 		if p != nil {
 			r.log.Info("request refused", "request", id, "team", team, "code", p.Code)
 			r.refused(team, p.Code)
