Measure what a small team notices of a crowd

Cause: fairness was measured on the decisions alone, not through an instance with its queue, limits and reserved places.

--- a/internal/bench/prover/prover.go
+++ b/internal/bench/prover/prover.go
@@ -31,6 +31,7 @@
 		{Name: "silent", Help: "connections gone silent: time to the next token, endpoints ejected", Run: runSilent},
 		{Name: "poison", Help: "a request that crashes what runs it, and its resends over 7 instances", Run: runPoison},
 		{Name: "drain", Help: "every instance replaced and endpoints leaving under load", Run: runDrain},
+		{Name: "overload", Help: "a crowd of one team's callers: what a small team notices, and what is refused", Run: runOverload},
 	}
 }
 
