Show the bound of every model in the state dump, without a race

Cause: a dump named the bound only of models that a request had asked for; and since the bounds are worked out outside the lock, two dumps at once changed the rates of one shared graph while each worked out what limits it. Change: the dump asks for each model in force; each state has copies of the graphs.

--- a/internal/routing/picker/state.go
+++ b/internal/routing/picker/state.go
@@ -57,7 +57,7 @@
 }
 
 // WithBounds returns the state with the bound of each model and what limits it. It takes long with many endpoints, and
-// needs nothing of the picker.
+// needs nothing of the picker: each model has a copy of its graph.
 func (s State) WithBounds() State {
 	s.Models = slices.Clone(s.Models)
 	for i := range s.Models {
@@ -84,7 +84,7 @@
 	}
 	for key, g := range p.graphs {
 		s.Models = append(s.Models, ModelState{
-			Model: key.model, Version: key.version, Layers: key.layers, Classes: g.Classes, graph: g.Graph,
+			Model: key.model, Version: key.version, Layers: key.layers, Classes: g.Classes, graph: g.Graph.Clone(),
 		})
 	}
 	slices.SortFunc(s.Endpoints, func(a, b EndpointState) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/routing/planner/graph.go
+++ b/internal/routing/planner/graph.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"iter"
+	"maps"
 	"slices"
 )
 
@@ -59,6 +60,14 @@
 	return g
 }
 
+// Clone returns a copy of the graph that shares nothing which Bound changes.
+func (g *Graph) Clone() *Graph {
+	c := *g
+	c.Classes = slices.Clone(g.Classes)
+	c.links = maps.Clone(g.links)
+	return &c
+}
+
 // classify groups the endpoints that hold a part of the model's version.
 func (g *Graph) classify(model, version string, endpoints []Endpoint) {
 	type key struct {
--- a/internal/serving/runner/configuration.go
+++ b/internal/serving/runner/configuration.go
@@ -83,14 +83,22 @@
 // not keep the instance from serving the others.
 const coverWait = 10 * time.Second
 
-// covered reports whether the endpoints known at now cover every model in force.
+// covered reports whether the endpoints known at now cover every model in force. The router knows the layer graph of
+// each model that it was asked for.
 func (r *Runner) covered(now time.Time) bool {
+	all := true
 	for name, m := range r.View().Models {
 		for _, v := range m.Versions {
 			if v.Share > 0 && !r.router.Covers(now, name, v.Name, m.Layers) {
-				return false
+				all = false
 			}
 		}
 	}
-	return true
+	return all
+}
+
+// routerState returns the router's state, with the bound of each model in force also if no request has asked for it.
+func (r *Runner) routerState(now time.Time) any {
+	r.covered(now)
+	return r.router.State(now)
 }
--- a/internal/serving/runner/runner.go
+++ b/internal/serving/runner/runner.go
@@ -200,7 +200,7 @@
 	r.register()
 	r.keeper = r.newOperator()
 	r.dumper = dumper.New(dumper.WithClock(r.clock), dumper.WithReady(r.ready), dumper.WithGuard(r.keeper.Guard))
-	r.dumper.Add("router", func(now time.Time) any { return r.router.State(now) })
+	r.dumper.Add("router", r.routerState)
 	r.dumper.Add("admitter", func(now time.Time) any { return r.admitter.State(now) })
 	r.dumper.Add("quarantine", func(time.Time) any { return r.isolator.State() })
 	r.dumper.Add("services", func(time.Time) any { return r.services.State() })
