Pass the callers' sampling parameters on to the engines

Change: they are checked and go along to each attempt; values out of range are refused with the field's name.

--- a/internal/platform/streamer/streamer.go
+++ b/internal/platform/streamer/streamer.go
@@ -29,10 +29,24 @@
 	// Limit bounds the answer's length in tokens, Delivered included.
 	Limit  int     `json:"limit"`
 	Stages []Stage `json:"stages"`
+	// Sampling says how tokens are chosen. A field that is nil is left to the engine.
+	Sampling Sampling `json:"sampling,omitzero"`
 	// Imports holds the names of exported KV caches that stages may import in place of running the prefix.
 	Imports []string `json:"imports,omitempty"`
 }
 
+// Sampling says how an engine chooses tokens, as in the callers' interface.
+type Sampling struct {
+	Temperature *float64 `json:"temperature,omitempty"`
+	// Top bounds the probability mass of the tokens to choose from.
+	Top *float64 `json:"top,omitempty"`
+	// Seed makes the choice repeatable.
+	Seed *int64 `json:"seed,omitempty"`
+	// Frequency and Presence are penalties on tokens that stand in the answer already.
+	Frequency *float64 `json:"frequency,omitempty"`
+	Presence  *float64 `json:"presence,omitempty"`
+}
+
 // The kinds of a Step.
 const (
 	// KindToken carries one token.
--- a/internal/serving/generator/attempt.go
+++ b/internal/serving/generator/attempt.go
@@ -169,6 +169,7 @@
 		Prompt:    a.job.Prompt,
 		Delivered: a.tracker.Delivered,
 		Limit:     a.job.Limit,
+		Sampling:  a.job.Sampling,
 	}
 	if a.tracker.Attempt > 1 && !a.afresh {
 		// Stages that ran an earlier attempt keep its KV cache under the request's name.
--- a/internal/serving/generator/generator.go
+++ b/internal/serving/generator/generator.go
@@ -28,8 +28,9 @@
 	Adapter  string
 	Priority int
 	// Slack multiplies the bound on how busy an endpoint may be. Zero counts as one.
-	Slack  float64
-	Prompt string
+	Slack    float64
+	Prompt   string
+	Sampling streamer.Sampling
 	// Limit bounds the answer, in tokens.
 	Limit int
 	// Deadline is when the caller no longer waits for the end of the answer.
--- a/internal/serving/runner/contract_test.go
+++ b/internal/serving/runner/contract_test.go
@@ -253,6 +253,7 @@
 		{"no messages", "POST", "/v1/chat/completions", token, `{"model":"oak"}`, 400, "invalid_request"},
 		{"an image", "POST", "/v1/chat/completions", token, `{"model":"oak","messages":[{"content":[{"type":"image_url"}]}]}`, 400, "invalid_request"},
 		{"two answers", "POST", "/v1/chat/completions", token, `{"model":"oak","n":2}`, 400, "unsupported_parameter"},
+		{"a temperature of 3", "POST", "/v1/chat/completions", token, strings.Replace(good, "{", `{"temperature":3,`, 1), 400, "invalid_request"},
 		{"a limit of zero", "POST", "/v1/chat/completions", token, `{"model":"oak","max_tokens":0}`, 400, "invalid_request"},
 		{"unknown adapter", "POST", "/v1/chat/completions", token, strings.Replace(good, "{", `{"adapter":"x",`, 1), 400, "invalid_request"},
 		{"a body over the limit", "POST", "/v1/chat/completions", token, strings.Repeat(" ", 5000) + good, 413, "body_too_large"},
--- a/internal/serving/server/parse.go
+++ b/internal/serving/server/parse.go
@@ -21,10 +21,41 @@
 	Options  *streamOptions  `json:"stream_options"`
 	Count    *int            `json:"n"`
 	Stop     json.RawMessage `json:"stop"`
+	sampling
 	// Adapter names an adapter of the model; it is this project's extension.
 	Adapter string `json:"adapter"`
 }
 
+// sampling says how tokens are chosen, in the callers' format.
+type sampling struct {
+	Temperature *float64 `json:"temperature"`
+	Top         *float64 `json:"top_p"`
+	Seed        *int64   `json:"seed"`
+	Frequency   *float64 `json:"frequency_penalty"`
+	Presence    *float64 `json:"presence_penalty"`
+}
+
+// check refuses values that the callers' interface does not allow.
+func (s sampling) check() *Problem {
+	bounds := []struct {
+		name  string
+		value *float64
+		low   float64
+		high  float64
+	}{
+		{"temperature", s.Temperature, 0, 2},
+		{"top_p", s.Top, 0, 1},
+		{"frequency_penalty", s.Frequency, -2, 2},
+		{"presence_penalty", s.Presence, -2, 2},
+	}
+	for _, b := range bounds {
+		if b.value != nil && (*b.value < b.low || *b.value > b.high) {
+			return parameter(CodeInvalid, b.name, fmt.Sprintf("the value must be from %v to %v", b.low, b.high))
+		}
+	}
+	return nil
+}
+
 // streamOptions are the options of a streamed answer.
 type streamOptions struct {
 	Usage bool `json:"include_usage"`
@@ -76,7 +107,7 @@
 	if limit := q.limit(); limit != nil && *limit < 1 {
 		return parameter(CodeInvalid, "max_tokens", "the limit must be at least 1")
 	}
-	return nil
+	return q.sampling.check()
 }
 
 // parameter returns a refusal that names a field.
--- a/internal/serving/server/server.go
+++ b/internal/serving/server/server.go
@@ -19,6 +19,7 @@
 
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
+	"github.com/heatherrock/heatherrock/internal/platform/streamer"
 	"github.com/heatherrock/heatherrock/internal/routing/quarantiner"
 	"github.com/heatherrock/heatherrock/internal/routing/tracker"
 	"github.com/heatherrock/heatherrock/internal/serving/generator"
@@ -258,6 +259,7 @@
 		Adapter:     q.Adapter,
 		Priority:    view.Teams[team].Priority,
 		Prompt:      text,
+		Sampling:    streamer.Sampling(q.sampling),
 		Limit:       limit,
 		Deadline:    now.Add(s.timeout),
 		Limits:      s.waits(view),
