Decode the answer of a peer's call into a value of its own

Cause: Call returned at the end of its context and left the caller's reply to net/rpc, which went on decoding the late answer into it; a caller that read its reply after an error raced with the decoder. Ruled out: closing the connection first, which does not stop a decoding that has begun.

Change: the answer is decoded into a value of its own and copied when the call is done, for all callers.

--- a/internal/serving/exchanger/caller.go
+++ b/internal/serving/exchanger/caller.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"reflect"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -24,7 +25,8 @@
 
 // Call calls a method of a peer. Without an answer before the context's deadline the connection is taken as silent: it
 // is closed, and the next call dials a new one. The error is ErrNotSent if nothing was sent, ErrUnreachable if the
-// call may have run, and else the method's own. After an error, reply must not be read.
+// call may have run, and else the method's own. Reply is set only if the error is nil: net/rpc goes on decoding the
+// answer of a call that was given up, so it decodes into a value of its own.
 func (x *Exchanger) Call(ctx context.Context, peer gossiper.Peer, method string, args, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, x.options.timeout)
 	defer cancel()
@@ -34,9 +36,13 @@
 		x.Count.Failed.Add(1)
 		return merry.Prependf(ErrNotSent, "%s: %v", peer.ID, err)
 	}
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	decoded := reflect.New(reflect.TypeOf(reply).Elem())
+	call := client.Go(method, args, decoded.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
+		if call.Error == nil {
+			reflect.ValueOf(reply).Elem().Set(decoded.Elem())
+		}
 		return x.answer(peer, client, call.Error)
 	case <-ctx.Done():
 		return x.answer(peer, client, ctx.Err())
