Rename internal/platform to internal/client

Cause: the adapter to the users' platform is to be the folder platform/; two folders of one name mislead. Change: the module of our own protocols' clients is internal/client; nothing else.

--- a/cmd/standin/commands.go
+++ b/cmd/standin/commands.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
 	"github.com/heatherrock/heatherrock/internal/standin/starter"
 )
 
--- a/internal/bench/assembler/assembler.go
+++ b/internal/bench/assembler/assembler.go
@@ -17,7 +17,7 @@
 
 	"github.com/heatherrock/heatherrock/internal/control/accepter"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
-	"github.com/heatherrock/heatherrock/internal/platform/lister"
+	"github.com/heatherrock/heatherrock/internal/client/lister"
 	"github.com/heatherrock/heatherrock/internal/serving/commander"
 	"github.com/heatherrock/heatherrock/internal/serving/configurer"
 	"github.com/heatherrock/heatherrock/internal/serving/runner"
--- a/internal/bench/assembler/assembler_test.go
+++ b/internal/bench/assembler/assembler_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
 	"github.com/heatherrock/heatherrock/internal/serving/runner"
 	"github.com/heatherrock/heatherrock/internal/standin/decoder"
 	"github.com/heatherrock/heatherrock/internal/standin/starter"
--- a/internal/bench/assembler/mixed.go
+++ b/internal/bench/assembler/mixed.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
-	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
 	"github.com/heatherrock/heatherrock/internal/standin/booker"
 	"github.com/heatherrock/heatherrock/internal/standin/starter"
 )
--- a/internal/bench/prover/export.go
+++ b/internal/bench/prover/export.go
@@ -14,7 +14,7 @@
 
 	"github.com/heatherrock/heatherrock/internal/bench/assembler"
 	"github.com/heatherrock/heatherrock/internal/bench/reporter"
-	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
 	"github.com/heatherrock/heatherrock/internal/standin/decoder"
 	"github.com/heatherrock/heatherrock/internal/standin/starter"
 )
--- a/internal/bench/prover/overhead.go
+++ b/internal/bench/prover/overhead.go
@@ -12,7 +12,7 @@
 	"github.com/heatherrock/heatherrock/internal/bench/assembler"
 	"github.com/heatherrock/heatherrock/internal/bench/counter"
 	"github.com/heatherrock/heatherrock/internal/bench/reporter"
-	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
 	"github.com/heatherrock/heatherrock/internal/routing/planner"
 	"github.com/heatherrock/heatherrock/internal/standin/starter"
 )
--- a/internal/bench/prover/stageloss.go
+++ b/internal/bench/prover/stageloss.go
@@ -13,7 +13,7 @@
 	"github.com/heatherrock/heatherrock/internal/bench/assembler"
 	"github.com/heatherrock/heatherrock/internal/bench/reporter"
 	timeline "github.com/heatherrock/heatherrock/internal/bench/router"
-	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
 	"github.com/heatherrock/heatherrock/internal/serving/generator"
 	"github.com/heatherrock/heatherrock/internal/serving/router"
 	"github.com/heatherrock/heatherrock/internal/serving/runner"
--- a/internal/bench/spreader/explorer.go
+++ b/internal/bench/spreader/explorer.go
@@ -9,7 +9,7 @@
 	"github.com/heatherrock/heatherrock/internal/control/follower"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 )
 
 // model is the record that the measured fleet changes, and models are those that the histories change.
--- a/internal/bench/spreader/history.go
+++ b/internal/bench/spreader/history.go
@@ -12,7 +12,7 @@
 	"github.com/heatherrock/heatherrock/internal/control/follower"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 )
 
 // errAway is the error of a store that does not answer.
--- a/internal/bench/spreader/known.go
+++ b/internal/bench/spreader/known.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"github.com/heatherrock/heatherrock/internal/control/gossiper"
-	"github.com/heatherrock/heatherrock/internal/platform/lister"
+	"github.com/heatherrock/heatherrock/internal/client/lister"
 )
 
 // known is a list of instances that does not change.
--- a/internal/bench/spreader/layout.go
+++ b/internal/bench/spreader/layout.go
@@ -14,7 +14,7 @@
 	"github.com/heatherrock/heatherrock/internal/control/follower"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 )
 
 // The configuration of the planned size, and the changes made to it.
--- a/internal/platform/lister/client.go
+++ b/internal/client/lister/client.go
@@ -7,7 +7,7 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/heatherrock/heatherrock/internal/platform/caller"
+	"github.com/heatherrock/heatherrock/internal/client/caller"
 )
 
 // PathInstances answers a GET with the list of instances.
--- a/internal/platform/storer/client.go
+++ b/internal/client/storer/client.go
@@ -10,7 +10,7 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/heatherrock/heatherrock/internal/platform/caller"
+	"github.com/heatherrock/heatherrock/internal/client/caller"
 )
 
 // PathObjects is the path below which each object has its name.
--- a/internal/platform/streamer/client.go
+++ b/internal/client/streamer/client.go
@@ -18,7 +18,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/platform/caller"
+	"github.com/heatherrock/heatherrock/internal/client/caller"
 )
 
 const (
--- a/internal/control/accepter/mutation.go
+++ b/internal/control/accepter/mutation.go
@@ -9,7 +9,7 @@
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/control/validator"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 )
 
 // The actions of a mutation. ActionResolve finds out what became of an earlier mutation with the same id.
--- a/internal/control/accepter/plan.go
+++ b/internal/control/accepter/plan.go
@@ -7,7 +7,7 @@
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/control/validator"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 )
 
 // plan is a transaction and the result if it applies.
--- a/internal/control/accepter/resolve.go
+++ b/internal/control/accepter/resolve.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 )
 
 // resolve takes in a read that looked for the mutation's own row after its answer was lost. A row that is there is the
--- a/internal/control/accepter/rows.go
+++ b/internal/control/accepter/rows.go
@@ -7,7 +7,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
-	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 )
 
 // Table is the table that holds the configuration.
--- a/internal/control/accepter/store_test.go
+++ b/internal/control/accepter/store_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 )
 
 // errStore is the error of a fake store that does not answer.
--- a/internal/serving/answerer/answerer.go
+++ b/internal/serving/answerer/answerer.go
@@ -6,7 +6,7 @@
 	"net/http"
 
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/platform/caller"
+	"github.com/heatherrock/heatherrock/internal/client/caller"
 )
 
 // retryAfter is the wait that an operator is told when the store does not answer, in seconds.
--- a/internal/serving/committer/committer.go
+++ b/internal/serving/committer/committer.go
@@ -11,7 +11,7 @@
 	"github.com/heatherrock/heatherrock/internal/control/accepter"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/serving/poller"
 )
 
--- a/internal/serving/dispatcher/collector.go
+++ b/internal/serving/dispatcher/collector.go
@@ -9,7 +9,7 @@
 	"github.com/google/uuid"
 
 	"github.com/heatherrock/heatherrock/internal/control/claimer"
-	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 )
 
 // collected is the number of rows that one transaction removes, and collectPause the time between two, so that claims
--- a/internal/serving/dispatcher/dispatcher.go
+++ b/internal/serving/dispatcher/dispatcher.go
@@ -15,7 +15,7 @@
 	"github.com/heatherrock/heatherrock/internal/control/claimer"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/dispatch/retrier"
-	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/routing/quarantiner"
 )
 
--- a/internal/serving/dispatcher/fake_test.go
+++ b/internal/serving/dispatcher/fake_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 )
 
 // table is a table service in memory. Its faults are set by the test.
--- a/internal/serving/dispatcher/result_test.go
+++ b/internal/serving/dispatcher/result_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/heatherrock/heatherrock/internal/control/claimer"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 )
 
 // partial is a table that refuses some commits of one instance: those after the first allowed ones, refused times.
--- a/internal/serving/dispatcher/sender.go
+++ b/internal/serving/dispatcher/sender.go
@@ -15,7 +15,7 @@
 
 	"github.com/heatherrock/heatherrock/internal/control/claimer"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/platform/caller"
+	"github.com/heatherrock/heatherrock/internal/client/caller"
 )
 
 // The limits of a Sender.
--- a/internal/serving/dispatcher/writer.go
+++ b/internal/serving/dispatcher/writer.go
@@ -10,7 +10,7 @@
 
 	"github.com/heatherrock/heatherrock/internal/control/claimer"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 )
 
 // horizonKey is the key of the row of the horizon. It sorts after every day.
--- a/internal/serving/exchanger/exchanger.go
+++ b/internal/serving/exchanger/exchanger.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/control/gossiper"
-	"github.com/heatherrock/heatherrock/internal/platform/lister"
+	"github.com/heatherrock/heatherrock/internal/client/lister"
 )
 
 // leavePeers bounds the peers that are told at once when the instance leaves.
--- a/internal/serving/exchanger/exchanger_test.go
+++ b/internal/serving/exchanger/exchanger_test.go
@@ -14,7 +14,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/heatherrock/heatherrock/internal/control/gossiper"
-	"github.com/heatherrock/heatherrock/internal/platform/lister"
+	"github.com/heatherrock/heatherrock/internal/client/lister"
 )
 
 func TestMain(m *testing.M) {
--- a/internal/serving/exchanger/options.go
+++ b/internal/serving/exchanger/options.go
@@ -8,7 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/heatherrock/heatherrock/internal/control/gossiper"
-	"github.com/heatherrock/heatherrock/internal/platform/lister"
+	"github.com/heatherrock/heatherrock/internal/client/lister"
 )
 
 // options are the intervals, bounds and sources of an Exchanger.
--- a/internal/serving/generator/generator.go
+++ b/internal/serving/generator/generator.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
 	"github.com/heatherrock/heatherrock/internal/routing/planner"
 	"github.com/heatherrock/heatherrock/internal/routing/quarantiner"
 	"github.com/heatherrock/heatherrock/internal/routing/tracker"
--- a/internal/serving/generator/pairs_test.go
+++ b/internal/serving/generator/pairs_test.go
@@ -13,7 +13,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
 	"github.com/heatherrock/heatherrock/internal/routing/tracker"
 	"github.com/heatherrock/heatherrock/internal/standin/decoder"
 )
--- a/internal/serving/generator/request_test.go
+++ b/internal/serving/generator/request_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
 	"github.com/heatherrock/heatherrock/internal/routing/planner"
 	"github.com/heatherrock/heatherrock/internal/routing/tracker"
 )
--- a/internal/serving/generator/speed_test.go
+++ b/internal/serving/generator/speed_test.go
@@ -9,7 +9,7 @@
 	"net/http/httptest"
 	"testing"
 
-	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
 	"github.com/heatherrock/heatherrock/internal/routing/planner"
 )
 
--- a/internal/serving/operator/operator_test.go
+++ b/internal/serving/operator/operator_test.go
@@ -17,7 +17,7 @@
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/control/validator"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/platform/caller"
+	"github.com/heatherrock/heatherrock/internal/client/caller"
 	"github.com/heatherrock/heatherrock/internal/serving/poller"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 	"github.com/heatherrock/heatherrock/internal/standin/tabler"
--- a/internal/serving/orderer/orderer.go
+++ b/internal/serving/orderer/orderer.go
@@ -16,8 +16,8 @@
 	"github.com/heatherrock/heatherrock/internal/control/leaser"
 	"github.com/heatherrock/heatherrock/internal/control/repairer"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/platform/streamer"
-	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/serving/dispatcher"
 )
 
--- a/internal/serving/orderer/orderer_test.go
+++ b/internal/serving/orderer/orderer_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/heatherrock/heatherrock/internal/control/leaser"
 	"github.com/heatherrock/heatherrock/internal/control/repairer"
-	"github.com/heatherrock/heatherrock/internal/platform/streamer"
-	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	standin "github.com/heatherrock/heatherrock/internal/standin/tabler"
 )
 
--- a/internal/serving/poller/peers.go
+++ b/internal/serving/poller/peers.go
@@ -13,7 +13,7 @@
 	"github.com/heatherrock/heatherrock/internal/control/follower"
 	"github.com/heatherrock/heatherrock/internal/control/gossiper"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
-	"github.com/heatherrock/heatherrock/internal/platform/lister"
+	"github.com/heatherrock/heatherrock/internal/client/lister"
 )
 
 // The keys under which an instance shares values of the head's topic.
--- a/internal/serving/poller/poller.go
+++ b/internal/serving/poller/poller.go
@@ -15,9 +15,9 @@
 	"github.com/heatherrock/heatherrock/internal/control/follower"
 	"github.com/heatherrock/heatherrock/internal/control/gossiper"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
-	"github.com/heatherrock/heatherrock/internal/platform/lister"
-	"github.com/heatherrock/heatherrock/internal/platform/storer"
-	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/client/lister"
+	"github.com/heatherrock/heatherrock/internal/client/storer"
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 )
 
 // keep is the number of deltas that an instance holds for peers that are behind.
--- a/internal/serving/poller/round.go
+++ b/internal/serving/poller/round.go
@@ -12,7 +12,7 @@
 	"github.com/heatherrock/heatherrock/internal/control/accepter"
 	"github.com/heatherrock/heatherrock/internal/control/follower"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
-	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 )
 
 // The storage of whole snapshots and of the log.
--- a/internal/serving/runner/listing.go
+++ b/internal/serving/runner/listing.go
@@ -5,7 +5,7 @@
 	"log/slog"
 	"sync"
 
-	"github.com/heatherrock/heatherrock/internal/platform/lister"
+	"github.com/heatherrock/heatherrock/internal/client/lister"
 )
 
 // listing is the platform's list as the parts of one instance read it. It logs that the list has become unavailable or
--- a/internal/serving/runner/listing_test.go
+++ b/internal/serving/runner/listing_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/heatherrock/heatherrock/internal/platform/lister"
+	"github.com/heatherrock/heatherrock/internal/client/lister"
 )
 
 // faulty is a list that fails with an error, or answers if that is nil.
--- a/internal/serving/runner/platform.go
+++ b/internal/serving/runner/platform.go
@@ -1,9 +1,9 @@
 package runner
 
 import (
-	"github.com/heatherrock/heatherrock/internal/platform/lister"
-	"github.com/heatherrock/heatherrock/internal/platform/storer"
-	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/client/lister"
+	"github.com/heatherrock/heatherrock/internal/client/storer"
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/serving/configurer"
 )
 
--- a/internal/serving/server/problem.go
+++ b/internal/serving/server/problem.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/platform/caller"
+	"github.com/heatherrock/heatherrock/internal/client/caller"
 )
 
 // The headers that answers carry.
--- a/internal/serving/server/sampling_test.go
+++ b/internal/serving/server/sampling_test.go
@@ -12,7 +12,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
-	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
 	"github.com/heatherrock/heatherrock/internal/serving/generator"
 )
 
--- a/internal/serving/settler/settler.go
+++ b/internal/serving/settler/settler.go
@@ -13,7 +13,7 @@
 
 	"github.com/heatherrock/heatherrock/internal/control/claimer"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/serving/answerer"
 )
 
--- a/internal/serving/settler/settler_test.go
+++ b/internal/serving/settler/settler_test.go
@@ -11,8 +11,8 @@
 	"github.com/gorilla/mux"
 
 	"github.com/heatherrock/heatherrock/internal/control/claimer"
-	"github.com/heatherrock/heatherrock/internal/platform/caller"
-	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/client/caller"
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 	standin "github.com/heatherrock/heatherrock/internal/standin/tabler"
 )
--- a/internal/serving/watcher/caches.go
+++ b/internal/serving/watcher/caches.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
 )
 
 // Events reads the cache events of engines. They come late and with gaps.
--- a/internal/serving/watcher/caches_test.go
+++ b/internal/serving/watcher/caches_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
 )
 
 // cache is an engine's cache events and what was taken in of them.
--- a/internal/serving/watcher/list.go
+++ b/internal/serving/watcher/list.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/control/departer"
-	"github.com/heatherrock/heatherrock/internal/platform/lister"
+	"github.com/heatherrock/heatherrock/internal/client/lister"
 )
 
 // entryBytes is the size of one entry of the list, in bytes, nearly.
--- a/internal/serving/watcher/watcher_test.go
+++ b/internal/serving/watcher/watcher_test.go
@@ -14,8 +14,8 @@
 	"go.uber.org/goleak"
 
 	"github.com/heatherrock/heatherrock/internal/control/gossiper"
-	"github.com/heatherrock/heatherrock/internal/platform/lister"
-	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/lister"
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
 	"github.com/heatherrock/heatherrock/internal/routing/picker"
 	"github.com/heatherrock/heatherrock/internal/routing/planner"
 )
--- a/internal/standin/answerer/answerer.go
+++ b/internal/standin/answerer/answerer.go
@@ -7,7 +7,7 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/heatherrock/heatherrock/internal/platform/caller"
+	"github.com/heatherrock/heatherrock/internal/client/caller"
 )
 
 // Refuse answers that a call was not run, with the status that an error carries.
--- a/internal/standin/booker/booker.go
+++ b/internal/standin/booker/booker.go
@@ -12,7 +12,7 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/heatherrock/heatherrock/internal/platform/caller"
+	"github.com/heatherrock/heatherrock/internal/client/caller"
 )
 
 // HeaderKey is the header of the idempotency key.
--- a/internal/standin/booker/booker_test.go
+++ b/internal/standin/booker/booker_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/heatherrock/heatherrock/internal/platform/caller"
+	"github.com/heatherrock/heatherrock/internal/client/caller"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 )
 
--- a/internal/standin/decoder/arithmetic.go
+++ b/internal/standin/decoder/arithmetic.go
@@ -5,7 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
 )
 
 // stopOdds is one more than the mean length of an answer, in tokens: one token in stopOdds ends it.
--- a/internal/standin/decoder/decoder.go
+++ b/internal/standin/decoder/decoder.go
@@ -15,8 +15,8 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/heatherrock/heatherrock/internal/platform/caller"
-	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/caller"
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 )
 
--- a/internal/standin/decoder/decoder_test.go
+++ b/internal/standin/decoder/decoder_test.go
@@ -15,7 +15,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 
-	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 )
 
--- a/internal/standin/decoder/load.go
+++ b/internal/standin/decoder/load.go
@@ -7,7 +7,7 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
 	"github.com/heatherrock/heatherrock/internal/standin/answerer"
 )
 
--- a/internal/standin/decoder/order.go
+++ b/internal/standin/decoder/order.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"slices"
 
-	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
 	"github.com/heatherrock/heatherrock/internal/standin/answerer"
 )
 
--- a/internal/standin/decoder/prefixes.go
+++ b/internal/standin/decoder/prefixes.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
 	"github.com/heatherrock/heatherrock/internal/standin/answerer"
 )
 
--- a/internal/standin/decoder/session.go
+++ b/internal/standin/decoder/session.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
 )
 
 // Cache is the KV cache of one stage of one request: the state of each layer after each position, and what the last
--- a/internal/standin/decoder/step.go
+++ b/internal/standin/decoder/step.go
@@ -11,7 +11,7 @@
 	"net/http"
 	"time"
 
-	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
 	"github.com/heatherrock/heatherrock/internal/standin/answerer"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 )
--- a/internal/standin/decoder/stream.go
+++ b/internal/standin/decoder/stream.go
@@ -9,7 +9,7 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
 )
 
 // openStream runs an attempt at an answer as its first stage and streams the tokens.
--- a/internal/standin/faulter/wrapper.go
+++ b/internal/standin/faulter/wrapper.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"time"
 
-	"github.com/heatherrock/heatherrock/internal/platform/caller"
+	"github.com/heatherrock/heatherrock/internal/client/caller"
 )
 
 // Path is the path at which a wrapped stand-in takes its faults.
--- a/internal/standin/fetcher/store.go
+++ b/internal/standin/fetcher/store.go
@@ -12,8 +12,8 @@
 	"github.com/gorilla/mux"
 	"golang.org/x/time/rate"
 
-	"github.com/heatherrock/heatherrock/internal/platform/caller"
-	"github.com/heatherrock/heatherrock/internal/platform/fetcher"
+	"github.com/heatherrock/heatherrock/internal/client/caller"
+	"github.com/heatherrock/heatherrock/internal/client/fetcher"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 )
 
--- a/internal/standin/fetcher/store_test.go
+++ b/internal/standin/fetcher/store_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/heatherrock/heatherrock/internal/platform/fetcher"
+	"github.com/heatherrock/heatherrock/internal/client/fetcher"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 )
 
--- a/internal/standin/lister/list.go
+++ b/internal/standin/lister/list.go
@@ -12,8 +12,8 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/gorilla/mux"
 
-	"github.com/heatherrock/heatherrock/internal/platform/caller"
-	"github.com/heatherrock/heatherrock/internal/platform/lister"
+	"github.com/heatherrock/heatherrock/internal/client/caller"
+	"github.com/heatherrock/heatherrock/internal/client/lister"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 )
 
--- a/internal/standin/lister/list_test.go
+++ b/internal/standin/lister/list_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/heatherrock/heatherrock/internal/platform/lister"
+	"github.com/heatherrock/heatherrock/internal/client/lister"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 )
 
--- a/internal/standin/starter/fleet.go
+++ b/internal/standin/starter/fleet.go
@@ -9,8 +9,8 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/tailscale/hujson"
 
-	"github.com/heatherrock/heatherrock/internal/platform/lister"
-	"github.com/heatherrock/heatherrock/internal/platform/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/lister"
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
 )
 
 // Fleet describes stand-ins. A part that is absent is not started. An empty address is a free port of 127.0.0.1.
--- a/internal/standin/starter/starter.go
+++ b/internal/standin/starter/starter.go
@@ -8,8 +8,8 @@
 
 	"github.com/ansel1/merry/v2"
 
-	platform "github.com/heatherrock/heatherrock/internal/platform/fetcher"
-	instances "github.com/heatherrock/heatherrock/internal/platform/lister"
+	platform "github.com/heatherrock/heatherrock/internal/client/fetcher"
+	instances "github.com/heatherrock/heatherrock/internal/client/lister"
 	"github.com/heatherrock/heatherrock/internal/standin/booker"
 	"github.com/heatherrock/heatherrock/internal/standin/decoder"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
--- a/internal/standin/starter/starter_test.go
+++ b/internal/standin/starter/starter_test.go
@@ -12,9 +12,9 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/heatherrock/heatherrock/internal/platform/lister"
-	"github.com/heatherrock/heatherrock/internal/platform/streamer"
-	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/client/lister"
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/standin/decoder"
 )
 
--- a/internal/standin/storer/store.go
+++ b/internal/standin/storer/store.go
@@ -12,7 +12,7 @@
 	"github.com/gorilla/mux"
 	"golang.org/x/time/rate"
 
-	"github.com/heatherrock/heatherrock/internal/platform/storer"
+	"github.com/heatherrock/heatherrock/internal/client/storer"
 	"github.com/heatherrock/heatherrock/internal/standin/answerer"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 	"github.com/heatherrock/heatherrock/internal/standin/limiter"
--- a/internal/standin/storer/store_test.go
+++ b/internal/standin/storer/store_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/heatherrock/heatherrock/internal/platform/storer"
+	"github.com/heatherrock/heatherrock/internal/client/storer"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 )
 
--- a/internal/standin/tabler/handler.go
+++ b/internal/standin/tabler/handler.go
@@ -10,7 +10,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/standin/answerer"
 )
 
--- a/internal/standin/tabler/table.go
+++ b/internal/standin/tabler/table.go
@@ -13,7 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/platform/tabler"
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 	"github.com/heatherrock/heatherrock/internal/standin/limiter"
 )
