--- /dev/null
+++ b/cmd/gateway/main.go
@@ -0,0 +1,104 @@
+// Command gateway runs an instance on the first users' platform.
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/heatherrock/heatherrock/internal/serving/gateway"
+	"github.com/heatherrock/heatherrock/internal/serving/logger"
+	"github.com/heatherrock/heatherrock/platform"
+)
+
+func main() {
+	os.Exit(run())
+}
+
+// run runs the instance until the process is told to stop, and returns the exit code.
+func run() int {
+	lines := logger.New(os.Stdout)
+	defer lines.Close()
+	log := lines.Log(slog.LevelInfo)
+	settings, err := platform.Load(os.Getenv(platform.Variable))
+	if err != nil {
+		log.Error("settings not read", "error", err)
+		return 2
+	}
+	store := platform.NewStore(settings.Store.Address)
+	defer store.Close()
+	orders := platform.NewOrders()
+	defer orders.Close()
+	g := gateway.New(gatewaySettings(settings), gateway.Platform{
+		Store:          store,
+		Orders:         orders,
+		Protocol:       platform.Protocol{},
+		ConfigTable:    platform.TableConfig,
+		ConfigKey:      platform.KeyConfig,
+		EndpointTable:  platform.TableEndpoints,
+		DecodeConfig:   platform.DecodeConfig,
+		DecodeEndpoint: platform.DecodeEndpoint,
+	}, log, time.Now)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	if err := g.Start(); err != nil {
+		log.Error("instance not started", "error", err)
+		return 1
+	}
+	for {
+		select {
+		case <-reload:
+			reread(log)
+		case <-stop:
+			g.Drain(context.Background())
+			g.Close()
+			return 0
+		}
+	}
+}
+
+// reread reads the settings file again. What it holds is in force from a process's start, so a change is only logged.
+func reread(log *slog.Logger) {
+	s, err := platform.Load(os.Getenv(platform.Variable))
+	if err != nil {
+		log.Error("settings not read again: those before stay in force", "error", err)
+		return
+	}
+	log.Info("settings read again: they take effect at the next start", "name", s.Name)
+}
+
+// gatewaySettings returns the settings of the instance.
+func gatewaySettings(s platform.Settings) gateway.Settings {
+	port := func(n int) string { return net.JoinHostPort(s.IP, strconv.Itoa(s.Ports[0]+n)) }
+	return gateway.Settings{
+		ID:          fmt.Sprintf("%s-%s", s.Name, suffix()),
+		Name:        s.Name,
+		DataCentre:  s.DataCentre,
+		Region:      s.Region,
+		Callers:     s.Listen.Callers,
+		Ready:       s.Listen.Ready,
+		Peers:       port(0),
+		Metrics:     port(1),
+		Grace:       s.Grace(),
+		RetryShare:  s.Bounds.BudgetRatio,
+		RetrySlack:  s.Bounds.BudgetSlack,
+		RetryWindow: time.Duration(s.Bounds.BudgetWindow * float64(time.Second)),
+	}
+}
+
+// suffix returns a random suffix of a process's name.
+func suffix() string {
+	var b [3]byte
+	_, _ = rand.Read(b[:]) // It never fails.
+	return hex.EncodeToString(b[:])
+}
--- a/cmd/standin/examples_test.go
+++ b/cmd/standin/examples_test.go
@@ -11,10 +11,10 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/heatherrock/heatherrock/internal/control/recorder"
-	"github.com/heatherrock/heatherrock/internal/control/validator"
 	"github.com/heatherrock/heatherrock/internal/client/lister"
 	"github.com/heatherrock/heatherrock/internal/client/streamer"
+	"github.com/heatherrock/heatherrock/internal/control/recorder"
+	"github.com/heatherrock/heatherrock/internal/control/validator"
 	"github.com/heatherrock/heatherrock/internal/serving/configurer"
 	"github.com/heatherrock/heatherrock/internal/standin/decoder"
 	"github.com/heatherrock/heatherrock/internal/standin/starter"
--- a/cmd/standin/scenario_test.go
+++ b/cmd/standin/scenario_test.go
@@ -14,9 +14,9 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/heatherrock/heatherrock/internal/bench/assembler"
+	"github.com/heatherrock/heatherrock/internal/client/lister"
 	"github.com/heatherrock/heatherrock/internal/control/accepter"
 	"github.com/heatherrock/heatherrock/internal/control/validator"
-	"github.com/heatherrock/heatherrock/internal/client/lister"
 	"github.com/heatherrock/heatherrock/internal/serving/commander"
 	"github.com/heatherrock/heatherrock/internal/serving/configurer"
 	"github.com/heatherrock/heatherrock/internal/serving/runner"
--- a/internal/bench/assembler/assembler.go
+++ b/internal/bench/assembler/assembler.go
@@ -15,9 +15,9 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/google/uuid"
 
+	"github.com/heatherrock/heatherrock/internal/client/lister"
 	"github.com/heatherrock/heatherrock/internal/control/accepter"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
-	"github.com/heatherrock/heatherrock/internal/client/lister"
 	"github.com/heatherrock/heatherrock/internal/serving/commander"
 	"github.com/heatherrock/heatherrock/internal/serving/configurer"
 	"github.com/heatherrock/heatherrock/internal/serving/runner"
--- a/internal/bench/assembler/mixed.go
+++ b/internal/bench/assembler/mixed.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
-	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/client/streamer"
+	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/standin/booker"
 	"github.com/heatherrock/heatherrock/internal/standin/starter"
 )
--- a/internal/bench/claimer/holds.go
+++ b/internal/bench/claimer/holds.go
@@ -16,8 +16,8 @@
 
 	"github.com/heatherrock/heatherrock/internal/bench/counter"
 	"github.com/heatherrock/heatherrock/internal/bench/reporter"
-	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/client/tabler"
+	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/serving/dispatcher"
 	"github.com/heatherrock/heatherrock/internal/standin/booker"
 	standin "github.com/heatherrock/heatherrock/internal/standin/tabler"
--- a/internal/bench/measurer/watch.go
+++ b/internal/bench/measurer/watch.go
@@ -11,9 +11,9 @@
 
 	"github.com/heatherrock/heatherrock/internal/bench/counter"
 	"github.com/heatherrock/heatherrock/internal/bench/reporter"
-	"github.com/heatherrock/heatherrock/internal/control/assigner"
 	"github.com/heatherrock/heatherrock/internal/client/lister"
 	"github.com/heatherrock/heatherrock/internal/client/streamer"
+	"github.com/heatherrock/heatherrock/internal/control/assigner"
 	"github.com/heatherrock/heatherrock/internal/serving/watcher"
 )
 
--- a/internal/bench/spreader/explorer.go
+++ b/internal/bench/spreader/explorer.go
@@ -5,11 +5,11 @@
 	"sync"
 	"time"
 
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/control/accepter"
 	"github.com/heatherrock/heatherrock/internal/control/follower"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/client/tabler"
 )
 
 // model is the record that the measured fleet changes, and models are those that the histories change.
--- a/internal/bench/spreader/fleet.go
+++ b/internal/bench/spreader/fleet.go
@@ -10,10 +10,10 @@
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/bench/counter"
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/control/accepter"
 	"github.com/heatherrock/heatherrock/internal/control/gossiper"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
-	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/serving/committer"
 	"github.com/heatherrock/heatherrock/internal/serving/exchanger"
 	"github.com/heatherrock/heatherrock/internal/serving/poller"
--- a/internal/bench/spreader/history.go
+++ b/internal/bench/spreader/history.go
@@ -8,11 +8,11 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/control/accepter"
 	"github.com/heatherrock/heatherrock/internal/control/follower"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/client/tabler"
 )
 
 // errAway is the error of a store that does not answer.
--- a/internal/bench/spreader/known.go
+++ b/internal/bench/spreader/known.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 
-	"github.com/heatherrock/heatherrock/internal/control/gossiper"
 	"github.com/heatherrock/heatherrock/internal/client/lister"
+	"github.com/heatherrock/heatherrock/internal/control/gossiper"
 )
 
 // known is a list of instances that does not change.
--- a/internal/bench/spreader/layout.go
+++ b/internal/bench/spreader/layout.go
@@ -10,11 +10,11 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/heatherrock/heatherrock/internal/bench/reporter"
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/control/accepter"
 	"github.com/heatherrock/heatherrock/internal/control/follower"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/client/tabler"
 )
 
 // The configuration of the planned size, and the changes made to it.
--- a/internal/client/streamer/client.go
+++ b/internal/client/streamer/client.go
@@ -17,8 +17,8 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 	"github.com/heatherrock/heatherrock/internal/client/caller"
+	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 )
 
 const (
--- a/internal/client/streamer/client_test.go
+++ b/internal/client/streamer/client_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 	"github.com/heatherrock/heatherrock/internal/client/caller"
+	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 )
 
 // TestOpenOutcomes checks what is known of an attempt from the answer to its opening.
--- a/internal/control/accepter/mutation.go
+++ b/internal/control/accepter/mutation.go
@@ -6,10 +6,10 @@
 	"fmt"
 	"time"
 
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/control/validator"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/client/tabler"
 )
 
 // The actions of a mutation. ActionResolve finds out what became of an earlier mutation with the same id.
--- a/internal/control/accepter/plan.go
+++ b/internal/control/accepter/plan.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"time"
 
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/control/validator"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/client/tabler"
 )
 
 // plan is a transaction and the result if it applies.
--- a/internal/control/accepter/resolve.go
+++ b/internal/control/accepter/resolve.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 	"github.com/heatherrock/heatherrock/internal/client/tabler"
+	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 )
 
 // resolve takes in a read that looked for the mutation's own row after its answer was lost. A row that is there is the
--- a/internal/control/accepter/rows.go
+++ b/internal/control/accepter/rows.go
@@ -6,8 +6,8 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/client/tabler"
+	"github.com/heatherrock/heatherrock/internal/control/recorder"
 )
 
 // Table is the table that holds the configuration.
--- a/internal/control/accepter/store_test.go
+++ b/internal/control/accepter/store_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/client/tabler"
 )
 
 // errStore is the error of a fake store that does not answer.
--- /dev/null
+++ b/internal/control/replicator/replicator.go
@@ -0,0 +1,77 @@
+// Package replicator keeps an instance's copy of a table of the platform's store, from the store's own answers and from
+// what other instances pass on. Versions come from one counter of the store, so the newest row wins whoever brings it.
+package replicator
+
+import (
+	"time"
+)
+
+// Row is one row of a table at a version. Deleted rows are remembered, so that an older copy does not bring them back.
+type Row struct {
+	Key     string
+	Value   []byte
+	Version int64
+	Deleted bool
+}
+
+// Page is part of a table: the rows of a read or the changes since a version.
+type Page struct {
+	Rows []Row
+	// Version is the version up to which the page tells all.
+	Version int64
+}
+
+// Copy is the copy of one table. It is not safe for concurrent use.
+type Copy struct {
+	Rows map[string]Row
+	// Version is the version up to which all changes are known.
+	Version int64
+	// Read is when the store or another instance last told that nothing newer is there, or what is.
+	Read time.Time
+}
+
+// New returns an empty copy.
+func New() *Copy {
+	return &Copy{Rows: map[string]Row{}}
+}
+
+// Merge takes in the changes up to a version, and returns the rows that were news.
+func (c *Copy) Merge(now time.Time, p Page) []Row {
+	var news []Row
+	for _, r := range p.Rows {
+		if old, ok := c.Rows[r.Key]; ok && old.Version >= r.Version {
+			continue
+		}
+		c.Rows[r.Key] = r
+		news = append(news, r)
+	}
+	c.Version = max(c.Version, p.Version)
+	c.Read = now
+	return news
+}
+
+// Replace takes in the whole table as of a version, and returns the rows that were news. Rows that the table no longer
+// has are news as deletions.
+func (c *Copy) Replace(now time.Time, p Page) []Row {
+	listed := make(map[string]bool, len(p.Rows))
+	for _, r := range p.Rows {
+		listed[r.Key] = true
+	}
+	for key, r := range c.Rows {
+		if !listed[key] && !r.Deleted && r.Version < p.Version {
+			p.Rows = append(p.Rows, Row{Key: key, Version: p.Version, Deleted: true})
+		}
+	}
+	return c.Merge(now, p)
+}
+
+// Since returns the rows that are newer than a version.
+func (c *Copy) Since(version int64) Page {
+	p := Page{Version: c.Version}
+	for _, r := range c.Rows {
+		if r.Version > version {
+			p.Rows = append(p.Rows, r)
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/internal/routing/matcher/matcher.go
@@ -0,0 +1,123 @@
+// Package matcher decides which route a request takes, which service serves it and whose it is.
+package matcher
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Kind says what may be repeated of a request.
+type Kind int
+
+// The kinds of request. The zero value is the strictest.
+const (
+	// Unsafe requests run at most once.
+	Unsafe Kind = iota
+	// Safe requests are idempotent.
+	Safe
+	// Stream requests are answered by a series of events.
+	Stream
+)
+
+// String returns the kind's name in logs.
+func (k Kind) String() string {
+	return [...]string{"unsafe", "safe", "stream"}[k]
+}
+
+// Share is a service's part of a route's requests.
+type Share struct {
+	Service string
+	Weight  float64
+}
+
+// Route is a rule for the requests of one host whose path begins with a prefix.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest time a request is kept without its final answer; zero means no bound.
+	Timeout time.Duration
+	// Target is the time to the first byte of an answer, and Gap the longest pause between events, that callers
+	// count as on time.
+	Target time.Duration
+	Gap    time.Duration
+	// Priority is the rank of the requests; 0 goes first.
+	Priority int
+	Split    []Share
+	// Attempts is the greatest number of endpoints that one request is sent to.
+	Attempts int
+	// Anonymous routes ask for no credential.
+	Anonymous bool
+	// Resumable streams may be continued by another endpoint after the last event delivered.
+	Resumable bool
+}
+
+// Repeatable reports whether a request that may have run may be sent again.
+func (r Route) Repeatable() bool {
+	return r.Kind == Safe || r.Kind == Stream && r.Resumable
+}
+
+// Service returns the service of a request: the same for the same id.
+func (r Route) Service(id string) string {
+	total := 0.0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	// The upper 53 bits of the hash are a fraction of 1.
+	at := float64(xxhash.Sum64String(id)>>11) / (1 << 53) * total
+	for _, s := range r.Split {
+		if at < s.Weight {
+			return s.Service
+		}
+		at -= s.Weight
+	}
+	if len(r.Split) == 0 {
+		return ""
+	}
+	return r.Split[len(r.Split)-1].Service
+}
+
+// Table holds the routes of one configuration.
+type Table struct {
+	hosts map[string][]Route
+}
+
+// New returns a table of routes.
+func New(routes []Route) *Table {
+	t := &Table{hosts: map[string][]Route{}}
+	for _, r := range routes {
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, list := range t.hosts {
+		slices.SortStableFunc(list, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return t
+}
+
+// Match returns the route with the longest prefix of a path among those of a host, which may have a port.
+func (t *Table) Match(host, path string) (Route, bool) {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// Routes returns the number of routes.
+func (t *Table) Routes() int {
+	n := 0
+	for _, list := range t.hosts {
+		n += len(list)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/routing/monitor/monitor.go
@@ -0,0 +1,152 @@
+// Package monitor decides when a stream has gone silent and which endpoint of its path is to blame. An endpoint that dies
+// in the middle of a path sends nothing: the streams through it stop, and those beside it go on.
+package monitor
+
+import (
+	"time"
+)
+
+// The bounds of a verdict.
+const (
+	// Interval is the time between checks.
+	Interval = 40 * time.Millisecond
+	// lateness is how long after Interval a check may come before this process counts as having been held up.
+	lateness = 60 * time.Millisecond
+	// firstSilence is how long a stream may take to its first event beyond what was expected.
+	firstSilence = 700 * time.Millisecond
+	// leastSilence is the shortest silence between events that is suspicious.
+	leastSilence = 160 * time.Millisecond
+	// gapFactor is how many usual gaps long a silence is suspicious.
+	gapFactor = 6
+	// aloneFactor is how much longer a silence has to be if other streams through the same endpoints go on: the
+	// stream may have been preempted or be waiting its turn.
+	aloneFactor = 5
+	// smoothing is the weight of the newest gap in the usual gap.
+	smoothing = 0.2
+)
+
+// Stream is one answer in progress.
+type Stream struct {
+	// Path holds the endpoints that it passes.
+	Path []string
+	// Expected is the expected time to the first event.
+	Expected time.Duration
+	// Last is when the stream began or had its last event.
+	Last time.Time
+	// Gap is the usual time between events; zero before the second one.
+	Gap time.Duration
+	// Events counts the events.
+	Events int
+}
+
+// Verdict is a stream that has gone silent.
+type Verdict struct {
+	ID string
+	// Silent is for how long.
+	Silent time.Duration
+	// Suspects holds the endpoints of its path through which no stream had an event meanwhile; it is empty if others
+	// go on through all of them.
+	Suspects []string
+}
+
+// Monitor watches the streams of one instance. It is not safe for concurrent use.
+type Monitor struct {
+	Streams map[string]*Stream
+
+	// heard is when an endpoint last passed an event of any stream.
+	heard   map[string]time.Time
+	checked time.Time
+}
+
+// New returns a monitor without streams.
+func New() *Monitor {
+	return &Monitor{Streams: map[string]*Stream{}, heard: map[string]time.Time{}}
+}
+
+// Open begins to watch a stream.
+func (m *Monitor) Open(now time.Time, id string, path []string, expected time.Duration) {
+	m.Streams[id] = &Stream{Path: path, Expected: expected, Last: now}
+}
+
+// Close ends the watch on a stream.
+func (m *Monitor) Close(id string) {
+	delete(m.Streams, id)
+}
+
+// Progress records events of a stream.
+func (m *Monitor) Progress(now time.Time, id string) {
+	s, ok := m.Streams[id]
+	if !ok {
+		return
+	}
+	if s.Events > 0 {
+		gap := now.Sub(s.Last)
+		if s.Gap == 0 {
+			s.Gap = gap
+		}
+		s.Gap += time.Duration(smoothing * float64(gap-s.Gap))
+	}
+	s.Events++
+	s.Last = now
+	for _, e := range s.Path {
+		m.heard[e] = now
+	}
+}
+
+// Check returns the streams that have gone silent. A stream is reported once. A check that comes late tells that this
+// process was held up: the time counts for no stream, as events may wait unread.
+func (m *Monitor) Check(now time.Time) []Verdict {
+	late := now.Sub(m.checked) - Interval
+	if !m.checked.IsZero() && late > lateness {
+		for _, s := range m.Streams {
+			s.Last = s.Last.Add(late)
+		}
+		for e := range m.heard {
+			m.heard[e] = m.heard[e].Add(late)
+		}
+	}
+	m.checked = now
+	var out []Verdict
+	for id, s := range m.Streams {
+		silent := now.Sub(s.Last)
+		limit := s.limit()
+		if silent < limit {
+			continue
+		}
+		suspects := m.suspects(s, now.Add(-limit/2))
+		if len(suspects) == 0 && silent < aloneFactor*limit {
+			continue
+		}
+		out = append(out, Verdict{id, silent, suspects})
+		delete(m.Streams, id)
+	}
+	return out
+}
+
+// limit returns the silence that is suspicious.
+func (s *Stream) limit() time.Duration {
+	if s.Events == 0 {
+		return firstSilence + 2*s.Expected
+	}
+	return max(leastSilence, gapFactor*s.Gap)
+}
+
+// suspects returns the endpoints of a stream's path that passed no event since a time.
+func (m *Monitor) suspects(s *Stream, since time.Time) []string {
+	var out []string
+	for _, e := range s.Path {
+		if m.heard[e].Before(since) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Forget drops what is known of endpoints that are not in the set.
+func (m *Monitor) Forget(known func(id string) bool) {
+	for e := range m.heard {
+		if !known(e) {
+			delete(m.heard, e)
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/reserver/reserver.go
@@ -0,0 +1,295 @@
+// Package reserver decides which endpoints run a request, layer by layer, and accounts for the memory that it will need
+// there. An endpoint whose memory runs out preempts a request in the middle of its answer, so a request is given a path
+// only if each endpoint on it has room for the whole answer.
+package reserver
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/heatherrock/heatherrock/internal/routing/placer"
+)
+
+// Endpoint is an endpoint that holds layers.
+type Endpoint struct {
+	ID         string
+	Address    string
+	DataCentre string
+	Card       string
+	Held       placer.Range
+	// Leaving endpoints take no new request.
+	Leaving bool
+}
+
+// Part is a stage of a path.
+type Part struct {
+	Endpoint Endpoint
+	Range    placer.Range
+}
+
+// Path is a way through all layers of a model, with what is reserved for one request.
+type Path struct {
+	Parts []Part
+	// Tokens is the number of tokens reserved on each part.
+	Tokens int
+	// First is the expected time to the first token, and Step the expected time of each token after it.
+	First time.Duration
+	Step  time.Duration
+}
+
+// Ask is a request for a path.
+type Ask struct {
+	// Prompt is the number of tokens that are read, and Answer the number expected to be written.
+	Prompt int
+	Answer int
+	// Avoid holds the endpoints that the path must not use.
+	Avoid map[string]bool
+}
+
+// Refusal says why there is no path.
+type Refusal string
+
+// The refusals.
+const (
+	// Granted means that there is a path.
+	Granted Refusal = ""
+	// Uncovered means that some layers are held by no endpoint that may be used.
+	Uncovered Refusal = "no endpoint for some layers"
+	// Full means that the endpoints have no memory left.
+	Full Refusal = "endpoints full"
+	// Large means that the request is larger than what any endpoint holds.
+	Large Refusal = "request larger than the endpoints' memory"
+)
+
+// The weights of a choice.
+const (
+	// fillLimit is the part of an endpoint's memory that may be reserved; answers are often longer than expected.
+	fillLimit = 0.92
+	// block is the number of tokens in which endpoints hand out memory.
+	block = 16
+	// noise spreads the choices of instances that do not see each other's latest ones.
+	noise = 0.15
+	// crossCost is the extra cost of a hop to another data centre: all requests share the link, and it is what is
+	// left when endpoints fail.
+	crossCost = 60 * time.Millisecond
+	// hopDelay is the delay between two endpoints of a data centre.
+	hopDelay = 200 * time.Microsecond
+	// crossDelay is the delay between two data centres.
+	crossDelay = 500 * time.Microsecond
+	// peerExpiry is how long a peer's usage counts after it was last told.
+	peerExpiry = 3 * time.Second
+	// maxParts bounds the parts of a path.
+	maxParts = 32
+)
+
+// Usage is the memory reserved at endpoints, in tokens times layers, by endpoint.
+type Usage map[string]float64
+
+// peer is what another instance has reserved.
+type peer struct {
+	usage Usage
+	seen  time.Time
+}
+
+// Reserver chooses paths. It is not safe for concurrent use.
+type Reserver struct {
+	// Engine describes the model.
+	Engine *placer.Engine
+	// DataCentre is that of this instance.
+	DataCentre string
+	// Endpoints holds the endpoints by ID.
+	Endpoints map[string]Endpoint
+	// Own is what this instance has reserved.
+	Own Usage
+	// Suspects holds the endpoints that are not used until a time.
+	Suspects map[string]time.Time
+	// Factors holds how many times longer than expected endpoints take, if they were found slow.
+	Factors map[string]float64
+
+	peers  map[string]peer
+	others Usage
+	cuts   []int
+	random *rand.Rand
+}
+
+// New returns a reserver for an instance in a data centre.
+func New(centre string, random *rand.Rand) *Reserver {
+	return &Reserver{
+		DataCentre: centre,
+		Endpoints:  map[string]Endpoint{},
+		Own:        Usage{},
+		Suspects:   map[string]time.Time{},
+		Factors:    map[string]float64{},
+		peers:      map[string]peer{},
+		others:     Usage{},
+		random:     random,
+	}
+}
+
+// Update takes in the engine and its endpoints.
+func (r *Reserver) Update(_ time.Time, e *placer.Engine, endpoints []Endpoint) {
+	r.Engine = e
+	old := r.Endpoints
+	r.Endpoints = map[string]Endpoint{}
+	cuts := map[int]bool{0: true, e.Layers: true}
+	for _, p := range endpoints {
+		r.Endpoints[p.ID] = p
+		if !p.Held.Empty() {
+			cuts[p.Held.From], cuts[p.Held.To] = true, true
+		}
+		if before, ok := old[p.ID]; ok && before.Held.Empty() && !p.Held.Empty() {
+			delete(r.Suspects, p.ID)
+		}
+	}
+	for id := range r.Factors {
+		if _, ok := r.Endpoints[id]; !ok {
+			delete(r.Factors, id)
+		}
+	}
+	r.cuts = r.cuts[:0]
+	for c := range cuts {
+		if c >= 0 && c <= e.Layers {
+			r.cuts = append(r.cuts, c)
+		}
+	}
+	slices.Sort(r.cuts)
+}
+
+// Merge takes in what another instance has reserved.
+func (r *Reserver) Merge(now time.Time, name string, u Usage) {
+	r.peers[name] = peer{u, now}
+	r.sum(now)
+}
+
+// Forget drops what another instance had reserved.
+func (r *Reserver) Forget(now time.Time, name string) {
+	delete(r.peers, name)
+	r.sum(now)
+}
+
+// sum adds up what other instances have reserved.
+func (r *Reserver) sum(now time.Time) {
+	r.others = Usage{}
+	for name, p := range r.peers {
+		if now.Sub(p.seen) > peerExpiry {
+			delete(r.peers, name)
+			continue
+		}
+		for id, n := range p.usage {
+			r.others[id] += n
+		}
+	}
+}
+
+// Suspect keeps an endpoint out of use until a time.
+func (r *Reserver) Suspect(until time.Time, id string) {
+	if until.After(r.Suspects[id]) {
+		r.Suspects[id] = until
+	}
+}
+
+// Used returns the part of an endpoint's memory that is reserved.
+func (r *Reserver) Used(id string) float64 {
+	e := r.Endpoints[id]
+	room := r.room(e)
+	if room <= 0 {
+		return 1
+	}
+	return (r.Own[id] + r.others[id]) / room
+}
+
+// room returns the memory of an endpoint, in tokens times layers.
+func (r *Reserver) room(e Endpoint) float64 {
+	n := e.Held.Len()
+	return float64(r.Engine.Room(r.Engine.Cards[e.Card], n) * n)
+}
+
+// Reserve returns the path with the least expected time, and reserves memory on it.
+func (r *Reserver) Reserve(now time.Time, a Ask) (Path, Refusal) {
+	if r.Engine == nil || len(r.cuts) < 2 {
+		return Path{}, Uncovered
+	}
+	tokens := (a.Prompt + a.Answer + block - 1) / block * block
+	s := newSearch(r, now, a, tokens)
+	parts, ok := s.run()
+	if !ok {
+		return Path{}, r.refuse(now, a, tokens)
+	}
+	p := Path{Parts: parts, Tokens: tokens}
+	for _, part := range parts {
+		r.Own[part.Endpoint.ID] += float64(tokens * part.Range.Len())
+		read, step := s.times(part.Endpoint, part.Range)
+		p.First += read + step
+		p.Step += step + hopDelay
+	}
+	return p, Granted
+}
+
+// refuse returns why there is no path.
+func (r *Reserver) refuse(now time.Time, a Ask, tokens int) Refusal {
+	most := 0
+	covered := make([]bool, r.Engine.Layers)
+	for _, e := range r.Endpoints {
+		if !r.usable(now, e, a.Avoid) {
+			continue
+		}
+		most = max(most, int(fillLimit*float64(r.Engine.Room(r.Engine.Cards[e.Card], e.Held.Len()))))
+		for l := e.Held.From; l < min(e.Held.To, len(covered)); l++ {
+			covered[l] = true
+		}
+	}
+	if slices.Contains(covered, false) {
+		return Uncovered
+	}
+	if tokens > most {
+		return Large
+	}
+	return Full
+}
+
+// usable reports whether an endpoint may be used.
+func (r *Reserver) usable(now time.Time, e Endpoint, avoid map[string]bool) bool {
+	return !e.Leaving && !e.Held.Empty() && e.Held.From >= 0 && !avoid[e.ID] && now.After(r.Suspects[e.ID])
+}
+
+// Release gives back what was reserved on a path.
+func (r *Reserver) Release(p Path) {
+	for _, part := range p.Parts {
+		id := part.Endpoint.ID
+		if r.Own[id] -= float64(p.Tokens * part.Range.Len()); r.Own[id] < 0.5 {
+			delete(r.Own, id)
+		}
+	}
+}
+
+// Load returns the part of the memory of all usable endpoints that is reserved.
+func (r *Reserver) Load(now time.Time) float64 {
+	if r.Engine == nil {
+		return 1
+	}
+	room, used := 0.0, 0.0
+	for _, e := range r.Endpoints {
+		if r.usable(now, e, nil) {
+			room += r.room(e)
+			used += r.Own[e.ID] + r.others[e.ID]
+		}
+	}
+	if room <= 0 {
+		return 1
+	}
+	return math.Min(1, used/room)
+}
+
+// Covered reports whether each layer is held by an endpoint that may be used.
+func (r *Reserver) Covered(now time.Time) bool {
+	if r.Engine == nil {
+		return false
+	}
+	return r.refuse(now, Ask{}, 0) != Uncovered
+}
+
+// compareNodes orders nodes by their cost.
+func compareNodes(a, b *node) int { return cmp.Compare(a.cost, b.cost) }
--- a/internal/serving/answerer/answerer.go
+++ b/internal/serving/answerer/answerer.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"net/http"
 
-	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 	"github.com/heatherrock/heatherrock/internal/client/caller"
+	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 )
 
 // retryAfter is the wait that an operator is told when the store does not answer, in seconds.
--- a/internal/serving/committer/committer.go
+++ b/internal/serving/committer/committer.go
@@ -8,10 +8,10 @@
 	"sync"
 	"time"
 
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/control/accepter"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/serving/poller"
 )
 
--- /dev/null
+++ b/internal/serving/director/director.go
@@ -0,0 +1,456 @@
+// Package director has the layers of models placed on endpoints. One instance at a time has this duty.
+package director
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/heatherrock/heatherrock/internal/control/elector"
+	"github.com/heatherrock/heatherrock/internal/control/gossiper"
+	"github.com/heatherrock/heatherrock/internal/control/replicator"
+	"github.com/heatherrock/heatherrock/internal/routing/placer"
+	"github.com/heatherrock/heatherrock/internal/serving/exchanger"
+	"github.com/heatherrock/heatherrock/internal/serving/syncer"
+)
+
+// The outcomes of an order.
+var (
+	// ErrFenced means that the endpoint has seen a higher token.
+	ErrFenced = merry.Sentinel("order with an old token")
+	// ErrStale means that the endpoint has begun other orders since, or does not take this one.
+	ErrStale = merry.Sentinel("order does not fit the endpoint's state")
+	// ErrElsewhere means that another endpoint has the address.
+	ErrElsewhere = merry.Sentinel("another endpoint has the address")
+)
+
+// Order tells an endpoint what to hold.
+type Order struct {
+	Endpoint string
+	Address  string
+	Range    placer.Range
+	// Token is the fencing token, and Sequence the number of orders that the endpoint has begun before.
+	Token    int64
+	Sequence int64
+}
+
+// Report is what an endpoint says of itself.
+type Report struct {
+	Held     placer.Range
+	Sequence int64
+	// Busy is set while it carries out an order.
+	Busy bool
+}
+
+// Orderer gives orders to endpoints.
+type Orderer interface {
+	// Place gives an order. It returns nil once the order has begun or is done; after an error other than those above
+	// it may have begun, or begin later.
+	Place(ctx context.Context, o Order) error
+	// Report asks an endpoint for its state.
+	Report(ctx context.Context, endpoint, address string) (Report, error)
+}
+
+// Endpoint is an endpoint of any service as its row in the store tells it.
+type Endpoint struct {
+	placer.Holder
+	Service string
+	Address string
+	Leaving bool
+	// Born is when it started, by its own clock; a restart under the same id differs.
+	Born int64
+}
+
+// Model is a model whose layers are placed.
+type Model struct {
+	Service   string
+	Engine    *placer.Engine
+	Endpoints []Endpoint
+}
+
+// The intervals of a Director.
+const (
+	// interval is the time between looks.
+	interval = 200 * time.Millisecond
+	// settled is how long no new endpoint has come before the first placement, so that it sees all of them.
+	settled = 1300 * time.Millisecond
+	// patience bounds the wait for endpoints before the first placement.
+	patience = 5 * time.Second
+	// orderTime bounds an order.
+	orderTime = 1500 * time.Millisecond
+	// showTime is how long an endpoint takes to tell of a change beyond the time of the load.
+	showTime = 4 * time.Second
+	// tableName is the store's table of duties.
+	tableName = "duty"
+)
+
+// pending is an order whose effect does not show yet.
+type pending struct {
+	order placer.Range
+	born  int64
+	until time.Time
+}
+
+// begun is how many orders an endpoint has begun since it started, as far as this instance knows.
+type begun struct {
+	orders int64
+	born   int64
+}
+
+// Director places layers if it is this instance's turn.
+type Director struct {
+	store    syncer.Store
+	exchange *exchanger.Exchanger
+	orders   Orderer
+	log      *slog.Logger
+	clock    func() time.Time
+	self     string
+	done     chan struct{}
+	wait     sync.WaitGroup
+
+	mu      sync.Mutex
+	model   Model
+	grid    placer.Grid
+	first   map[string]time.Time
+	pending map[string]pending
+	begun   map[string]begun
+	elector *elector.Elector
+	// row is the version of the duty's row as last seen.
+	row     int64
+	leaving bool
+}
+
+// New returns a director of an instance.
+func New(self string, store syncer.Store, x *exchanger.Exchanger, o Orderer, log *slog.Logger, clock func() time.Time) *Director {
+	d := &Director{
+		store: store, exchange: x, orders: o, log: log, clock: clock, self: self, done: make(chan struct{}),
+		first: map[string]time.Time{}, pending: map[string]pending{}, begun: map[string]begun{},
+		elector: elector.New(clock(), self),
+	}
+	x.Subscribe(topicDuty, d.heard)
+	return d
+}
+
+// topicDuty carries the duty as its holder has it.
+const topicDuty = "duty"
+
+// Start begins to look.
+func (d *Director) Start() {
+	d.wait.Add(1)
+	go d.loop()
+}
+
+// Close ends the duty.
+func (d *Director) Close() {
+	close(d.done)
+	d.wait.Wait()
+}
+
+// Leave makes the director take no duty any more.
+func (d *Director) Leave() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.leaving = true
+}
+
+// Update takes in the model and its endpoints.
+func (d *Director) Update(now time.Time, m Model) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.model = m
+	seen := map[string]bool{}
+	for _, e := range m.Endpoints {
+		seen[e.ID] = true
+		if _, ok := d.first[e.ID]; !ok {
+			d.first[e.ID] = now
+		}
+		if p, ok := d.pending[e.ID]; ok && (p.born != e.Born || !e.Held.Empty()) {
+			delete(d.pending, e.ID)
+		}
+	}
+	for id := range d.first {
+		if !seen[id] {
+			delete(d.first, id)
+			delete(d.pending, id)
+			delete(d.begun, id)
+		}
+	}
+}
+
+// heard takes in the duty as a peer tells it.
+func (d *Director) heard(e gossiper.Entry) {
+	if e.Deleted {
+		return
+	}
+	duty, err := elector.Decode(e.Value)
+	if err != nil {
+		d.log.Warn("duty not read", "peer", e.Owner, "error", err)
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	held := d.elector.Holds()
+	d.elector.Learn(d.clock(), duty)
+	if held && !d.elector.Holds() {
+		d.log.Warn("duty lost", "holder", duty.Holder, "token", duty.Token)
+		d.exchange.Withdraw(topicDuty, tableName)
+	}
+}
+
+// loop looks until the director is closed.
+func (d *Director) loop() {
+	defer d.wait.Done()
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.done:
+			return
+		case <-ticker.C:
+		}
+		if d.elect() {
+			d.place()
+		}
+	}
+}
+
+// elect takes the duty if it is vacant, and reports whether this instance has it.
+func (d *Director) elect() bool {
+	d.mu.Lock()
+	now := d.clock()
+	if d.elector.Holds() && !d.leaving {
+		d.mu.Unlock()
+		return true
+	}
+	var living []string
+	for _, p := range d.exchange.Peers() {
+		if !p.Leaving {
+			living = append(living, p.ID)
+		}
+	}
+	wants := !d.leaving && d.model.Engine != nil && d.elector.Wants(now, living)
+	service := d.model.Service
+	d.mu.Unlock()
+	if !wants {
+		return false
+	}
+	return d.take(service, living)
+}
+
+// take reads the duty's row and writes this instance into it unless its holder lives.
+func (d *Director) take(service string, living []string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTime)
+	defer cancel()
+	page, err := d.store.Rows(ctx, tableName)
+	if err != nil {
+		d.log.Warn("duty not read", "error", err)
+		d.bar()
+		return false
+	}
+	var version int64
+	duty := elector.Duty{}
+	for _, r := range page.Rows {
+		if r.Key != service {
+			continue
+		}
+		version = r.Version
+		if duty, err = elector.Decode(r.Value); err != nil {
+			d.log.Warn("duty's row not read", "error", err)
+		}
+	}
+	now := d.clock()
+	d.mu.Lock()
+	d.elector.Learn(now, duty)
+	d.mu.Unlock()
+	if slices.Contains(living, duty.Holder) && duty.Holder != d.self {
+		return false
+	}
+	// A token is never used twice, also not after a write that was not answered.
+	next := elector.Duty{Holder: d.self, Token: duty.Token + 1}
+	_, err = d.store.Commit(ctx, syncer.Change{
+		Table: tableName,
+		If:    []syncer.Condition{{Key: service, Version: version}},
+		Set:   []replicator.Row{{Key: service, Value: next.Encode()}},
+	})
+	if err != nil {
+		d.log.Warn("duty not taken", "token", next.Token, "error", err)
+		d.bar()
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.elector.Learn(d.clock(), next)
+	d.pending = map[string]pending{}
+	d.log.Info("duty taken", "service", service, "token", next.Token, "before", duty.Holder)
+	d.exchange.Publish(topicDuty, tableName, next.Encode(), 0)
+	return true
+}
+
+// bar keeps this instance from trying again at once.
+func (d *Director) bar() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.elector.Barred = d.clock().Add(interval * 3)
+}
+
+// place gives the orders that are due.
+func (d *Director) place() {
+	orders := d.due()
+	if len(orders) == 0 {
+		return
+	}
+	var wait sync.WaitGroup
+	for _, o := range orders {
+		wait.Add(1)
+		go d.run(&wait, o)
+	}
+	wait.Wait()
+}
+
+// due returns the orders that are due, and marks them as pending.
+func (d *Director) due() []Order {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock()
+	m := d.model
+	var holders []placer.Holder
+	empty, held := 0, 0
+	newest, oldest := time.Time{}, now
+	for _, e := range m.Endpoints {
+		if e.Leaving {
+			continue
+		}
+		h := e.Holder
+		if p, ok := d.pending[e.ID]; ok {
+			if now.Before(p.until) {
+				h.Held = p.order
+			} else {
+				delete(d.pending, e.ID)
+			}
+		}
+		if h.Held.Empty() {
+			empty++
+		} else {
+			held++
+		}
+		if t := d.first[e.ID]; t.After(newest) {
+			newest = t
+		}
+		if t := d.first[e.ID]; t.Before(oldest) {
+			oldest = t
+		}
+		holders = append(holders, h)
+	}
+	if empty == 0 || held == 0 && now.Sub(newest) < settled && now.Sub(oldest) < patience {
+		return nil
+	}
+	if held == 0 || d.grid.Blocks() < 1 {
+		d.grid = placer.NewGrid(m.Engine, holders)
+		d.log.Info("layers divided", "blocks", d.grid.Blocks(), "widths", d.grid.Widths)
+	}
+	loading := 0
+	for id := range d.pending {
+		if now.Before(d.pending[id].until) {
+			loading++
+		}
+	}
+	var out []Order
+	for _, a := range placer.Plan(m.Engine, d.grid, holders) {
+		if held > 0 && m.Engine.Loads > 0 && loading >= m.Engine.Loads {
+			break
+		}
+		loading++
+		out = append(out, d.order(now, a))
+	}
+	return out
+}
+
+// order returns the order of an assignment and marks it as pending. The lock is held.
+func (d *Director) order(now time.Time, a placer.Assignment) Order {
+	i := slices.IndexFunc(d.model.Endpoints, func(e Endpoint) bool { return e.ID == a.ID })
+	e := d.model.Endpoints[i]
+	load := time.Duration(d.model.Engine.Share(a.Range) * float64(d.model.Engine.Load))
+	if d.begun[a.ID].born != e.Born {
+		d.begun[a.ID] = begun{born: e.Born}
+	}
+	sequence := d.begun[a.ID].orders
+	d.pending[a.ID] = pending{order: a.Range, born: e.Born, until: now.Add(2*load + showTime)}
+	return Order{Endpoint: a.ID, Address: e.Address, Range: a.Range, Token: d.elector.Duty.Token, Sequence: sequence}
+}
+
+// run gives one order and takes its outcome in.
+func (d *Director) run(wait *sync.WaitGroup, o Order) {
+	defer wait.Done()
+	ctx, cancel := context.WithTimeout(context.Background(), orderTime)
+	defer cancel()
+	err := d.orders.Place(ctx, o)
+	log := d.log.With("endpoint", o.Endpoint, "from", o.Range.From, "to", o.Range.To, "token", o.Token, "sequence", o.Sequence)
+	switch {
+	case err == nil:
+		log.Info("order taken")
+		d.count(o.Endpoint, o.Sequence+1)
+	case errors.Is(err, ErrFenced):
+		log.Warn("order refused: another instance has the duty")
+		d.mu.Lock()
+		d.elector.Fenced(d.clock())
+		d.mu.Unlock()
+		d.exchange.Withdraw(topicDuty, tableName)
+	case errors.Is(err, ErrStale):
+		log.Warn("order refused: it does not fit the endpoint's state")
+		d.ask(ctx, o)
+	default:
+		log.Warn("order not answered", "error", strings.TrimSpace(err.Error()))
+		d.shorten(o.Endpoint)
+	}
+}
+
+// count takes in how many orders an endpoint has begun.
+func (d *Director) count(id string, orders int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b := d.begun[id]
+	b.orders = orders
+	d.begun[id] = b
+}
+
+// unansweredTime is how long after an order without an answer the next one is given: it may begin late.
+const unansweredTime = 2 * time.Second
+
+// shorten lets the endpoint have another order soon.
+func (d *Director) shorten(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p, ok := d.pending[id]; ok {
+		p.until = d.clock().Add(unansweredTime)
+		d.pending[id] = p
+	}
+}
+
+// ask learns the state of an endpoint that refused an order, so that the next one fits.
+func (d *Director) ask(ctx context.Context, o Order) {
+	report, err := d.orders.Report(ctx, o.Endpoint, o.Address)
+	if err != nil {
+		d.log.Warn("endpoint's report not read", "endpoint", o.Endpoint, "error", err)
+		d.shorten(o.Endpoint)
+		return
+	}
+	d.count(o.Endpoint, report.Sequence)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.pending[o.Endpoint]
+	if !report.Held.Empty() || report.Busy {
+		p.order = report.Held
+		if report.Held.Empty() {
+			p.order = o.Range
+		}
+	} else {
+		p.until = d.clock()
+	}
+	d.pending[o.Endpoint] = p
+}
--- a/internal/serving/dispatcher/collector.go
+++ b/internal/serving/dispatcher/collector.go
@@ -8,8 +8,8 @@
 
 	"github.com/google/uuid"
 
-	"github.com/heatherrock/heatherrock/internal/control/claimer"
 	"github.com/heatherrock/heatherrock/internal/client/tabler"
+	"github.com/heatherrock/heatherrock/internal/control/claimer"
 )
 
 // collected is the number of rows that one transaction removes, and collectPause the time between two, so that claims
--- a/internal/serving/dispatcher/dispatcher.go
+++ b/internal/serving/dispatcher/dispatcher.go
@@ -12,10 +12,10 @@
 	"github.com/gorilla/mux"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/control/claimer"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/dispatch/retrier"
-	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/routing/quarantiner"
 )
 
--- a/internal/serving/dispatcher/fake_test.go
+++ b/internal/serving/dispatcher/fake_test.go
@@ -14,9 +14,9 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/client/tabler"
 )
 
 // table is a table service in memory. Its faults are set by the test.
--- a/internal/serving/dispatcher/result_test.go
+++ b/internal/serving/dispatcher/result_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/control/claimer"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/client/tabler"
 )
 
 // partial is a table that refuses some commits of one instance: those after the first allowed ones, refused times.
--- a/internal/serving/dispatcher/sender.go
+++ b/internal/serving/dispatcher/sender.go
@@ -13,9 +13,9 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/heatherrock/heatherrock/internal/client/caller"
 	"github.com/heatherrock/heatherrock/internal/control/claimer"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/client/caller"
 )
 
 // The limits of a Sender.
--- a/internal/serving/dispatcher/standin_test.go
+++ b/internal/serving/dispatcher/standin_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 	"github.com/heatherrock/heatherrock/internal/client/caller"
 	"github.com/heatherrock/heatherrock/internal/client/tabler"
+	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 	"github.com/heatherrock/heatherrock/internal/standin/booker"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 	standin "github.com/heatherrock/heatherrock/internal/standin/tabler"
--- a/internal/serving/dispatcher/writer.go
+++ b/internal/serving/dispatcher/writer.go
@@ -8,9 +8,9 @@
 
 	"github.com/google/uuid"
 
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/control/claimer"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/client/tabler"
 )
 
 // horizonKey is the key of the row of the horizon. It sorts after every day.
--- a/internal/serving/exchanger/exchanger.go
+++ b/internal/serving/exchanger/exchanger.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
-	"github.com/heatherrock/heatherrock/internal/control/gossiper"
 	"github.com/heatherrock/heatherrock/internal/client/lister"
+	"github.com/heatherrock/heatherrock/internal/control/gossiper"
 )
 
 // leavePeers bounds the peers that are told at once when the instance leaves.
--- a/internal/serving/exchanger/exchanger_test.go
+++ b/internal/serving/exchanger/exchanger_test.go
@@ -13,8 +13,8 @@
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/goleak"
 
-	"github.com/heatherrock/heatherrock/internal/control/gossiper"
 	"github.com/heatherrock/heatherrock/internal/client/lister"
+	"github.com/heatherrock/heatherrock/internal/control/gossiper"
 )
 
 func TestMain(m *testing.M) {
--- a/internal/serving/exchanger/options.go
+++ b/internal/serving/exchanger/options.go
@@ -7,8 +7,8 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"github.com/heatherrock/heatherrock/internal/control/gossiper"
 	"github.com/heatherrock/heatherrock/internal/client/lister"
+	"github.com/heatherrock/heatherrock/internal/control/gossiper"
 )
 
 // options are the intervals, bounds and sources of an Exchanger.
--- /dev/null
+++ b/internal/serving/forwarder/allocator.go
@@ -0,0 +1,217 @@
+package forwarder
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/heatherrock/heatherrock/internal/routing/monitor"
+	"github.com/heatherrock/heatherrock/internal/routing/placer"
+	"github.com/heatherrock/heatherrock/internal/routing/reserver"
+	"github.com/heatherrock/heatherrock/internal/routing/waiter"
+)
+
+// Allocator hands out paths of one service's endpoints to requests, and lets those wait for which there is none yet. Its
+// methods may be called from any goroutine.
+type Allocator struct {
+	mu       sync.Mutex
+	reserver *reserver.Reserver
+	line     *waiter.Line
+	monitor  *monitor.Monitor
+	// ready holds where a waiting request is told its path.
+	ready map[string]chan reserver.Path
+	// silent holds what to call when a stream has gone silent.
+	silent map[string]func(monitor.Verdict)
+}
+
+// NewAllocator returns an allocator of an instance in a data centre.
+func NewAllocator(centre string, random *rand.Rand) *Allocator {
+	return &Allocator{
+		reserver: reserver.New(centre, random),
+		line:     waiter.New(),
+		monitor:  monitor.New(),
+		ready:    map[string]chan reserver.Path{},
+		silent:   map[string]func(monitor.Verdict){},
+	}
+}
+
+// Update takes in the engine and its endpoints.
+func (a *Allocator) Update(now time.Time, e *placer.Engine, endpoints []reserver.Endpoint) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.reserver.Update(now, e, endpoints)
+	a.monitor.Forget(func(id string) bool { _, ok := a.reserver.Endpoints[id]; return ok })
+	a.grant(now)
+}
+
+// Merge takes in what another instance has reserved.
+func (a *Allocator) Merge(now time.Time, peer string, u reserver.Usage) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.reserver.Merge(now, peer, u)
+	a.grant(now)
+}
+
+// Forget drops what another instance had reserved.
+func (a *Allocator) Forget(now time.Time, peer string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.reserver.Forget(now, peer)
+	a.grant(now)
+}
+
+// Usage returns a copy of what this instance has reserved.
+func (a *Allocator) Usage() reserver.Usage {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := make(reserver.Usage, len(a.reserver.Own))
+	for id, n := range a.reserver.Own {
+		out[id] = n
+	}
+	return out
+}
+
+// Covered reports whether there is a path through all layers.
+func (a *Allocator) Covered(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.reserver.Covered(now)
+}
+
+// Load returns the part of the memory that is reserved and the number of requests that wait.
+func (a *Allocator) Load(now time.Time) (float64, int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.reserver.Load(now), a.line.Len()
+}
+
+// Suspect keeps an endpoint out of use for a time. The endpoint is named by id or by address.
+func (a *Allocator) Suspect(now time.Time, name string, d time.Duration) string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for id, e := range a.reserver.Endpoints {
+		if id == name || e.Address == name {
+			a.reserver.Suspect(now.Add(d), id)
+			return id
+		}
+	}
+	return ""
+}
+
+// Acquire returns a path for a request. It waits until the item's time is over or the context ends.
+func (a *Allocator) Acquire(ctx context.Context, now time.Time, i waiter.Item) (reserver.Path, reserver.Refusal) {
+	a.mu.Lock()
+	path, refusal := reserver.Path{}, reserver.Full
+	if i.Resumed || a.line.Len() == 0 {
+		path, refusal = a.reserver.Reserve(now, i.Ask)
+	}
+	if refusal == reserver.Granted || refusal == reserver.Large {
+		a.mu.Unlock()
+		return path, refusal
+	}
+	wait := a.line.Push(now, i)
+	if wait <= 0 {
+		a.mu.Unlock()
+		return reserver.Path{}, refusal
+	}
+	ready := make(chan reserver.Path, 1)
+	a.ready[i.ID] = ready
+	a.mu.Unlock()
+
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case p := <-ready:
+		return p, reserver.Granted
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	select {
+	case p := <-ready:
+		return p, reserver.Granted
+	default:
+	}
+	a.line.Remove(i.ID)
+	delete(a.ready, i.ID)
+	return reserver.Path{}, refusal
+}
+
+// Release gives a path back.
+func (a *Allocator) Release(now time.Time, p reserver.Path) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.reserver.Release(p)
+	a.grant(now)
+}
+
+// grant gives paths to requests that wait, in their order. The lock is held.
+func (a *Allocator) grant(now time.Time) {
+	for _, i := range a.line.Order(now) {
+		p, refusal := a.reserver.Reserve(now, i.Ask)
+		if refusal == reserver.Uncovered {
+			return
+		}
+		if refusal != reserver.Granted {
+			continue
+		}
+		a.line.Remove(i.ID)
+		a.ready[i.ID] <- p
+		delete(a.ready, i.ID)
+	}
+}
+
+// Open begins to watch a stream; silent is called once if it goes silent.
+func (a *Allocator) Open(now time.Time, id string, p reserver.Path, silent func(monitor.Verdict)) {
+	names := make([]string, len(p.Parts))
+	for i, part := range p.Parts {
+		names[i] = part.Endpoint.ID
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.monitor.Open(now, id, names, p.First)
+	a.silent[id] = silent
+}
+
+// Progress records events of a stream.
+func (a *Allocator) Progress(now time.Time, id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.monitor.Progress(now, id)
+}
+
+// Done ends the watch on a stream.
+func (a *Allocator) Done(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.monitor.Close(id)
+	delete(a.silent, id)
+}
+
+// suspectTime is how long an endpoint whose streams went silent is kept out of use, unless it comes back anew.
+const suspectTime = 4 * time.Second
+
+// Check looks for streams that have gone silent, and lets the requests that wait try again.
+func (a *Allocator) Check(now time.Time) {
+	a.mu.Lock()
+	verdicts := a.monitor.Check(now)
+	calls := make([]func(monitor.Verdict), len(verdicts))
+	for i, v := range verdicts {
+		calls[i] = a.silent[v.ID]
+		delete(a.silent, v.ID)
+		if len(v.Suspects) > 0 {
+			for _, id := range v.Suspects {
+				a.reserver.Suspect(now.Add(suspectTime), id)
+			}
+		}
+	}
+	a.grant(now)
+	a.mu.Unlock()
+	for i, f := range calls {
+		if f != nil {
+			f(verdicts[i])
+		}
+	}
+}
--- /dev/null
+++ b/internal/serving/forwarder/forwarder.go
@@ -0,0 +1,282 @@
+// Package forwarder passes callers' requests on to endpoints, and their answers back, without reading either's body. It
+// serves routes of the operator's configuration: plain calls, and streams of events by an engine whose layers lie on
+// several endpoints.
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/heatherrock/heatherrock/internal/routing/limiter"
+	"github.com/heatherrock/heatherrock/internal/routing/matcher"
+	"github.com/heatherrock/heatherrock/internal/routing/reserver"
+	"github.com/heatherrock/heatherrock/internal/routing/selector"
+	"github.com/heatherrock/heatherrock/internal/serving/connector"
+)
+
+// Endpoint is an endpoint of any service as the discovery tells it.
+type Endpoint struct {
+	reserver.Endpoint
+	Service string
+}
+
+// Forwarder is the callers' interface of one instance. Its methods may be called from any goroutine.
+type Forwarder struct {
+	protocol Protocol
+	pool     *connector.Pool
+	log      *slog.Logger
+	clock    func() time.Time
+	scope    tally.Scope
+	centre   string
+
+	config  atomic.Pointer[matcher.Configuration]
+	leaving atomic.Bool
+	flight  atomic.Int64
+
+	mu         sync.Mutex
+	plain      *selector.Selector
+	allocators map[string]*Allocator
+	budget     *limiter.Budget
+	random     *rand.Rand
+}
+
+// Option changes a Forwarder under construction.
+type Option func(*Forwarder)
+
+// WithLog sets the log.
+func WithLog(l *slog.Logger) Option { return func(f *Forwarder) { f.log = l } }
+
+// WithClock sets the source of the present time.
+func WithClock(clock func() time.Time) Option { return func(f *Forwarder) { f.clock = clock } }
+
+// WithScope sets the scope of the metrics.
+func WithScope(s tally.Scope) Option { return func(f *Forwarder) { f.scope = s } }
+
+// WithBudget sets the budget of this instance for sending requests again.
+func WithBudget(b *limiter.Budget) Option { return func(f *Forwarder) { f.budget = b } }
+
+// WithSeed sets the seed of random choices.
+func WithSeed(seed uint64) Option {
+	return func(f *Forwarder) { f.random = rand.New(rand.NewPCG(seed, seed)) }
+}
+
+// New returns a forwarder of an instance in a data centre. It answers that it is not ready until it has a configuration.
+func New(p Protocol, centre string, options ...Option) *Forwarder {
+	f := &Forwarder{
+		protocol:   p,
+		pool:       connector.New(),
+		log:        slog.New(slog.DiscardHandler),
+		clock:      time.Now,
+		scope:      tally.NoopScope,
+		centre:     centre,
+		plain:      selector.New(),
+		allocators: map[string]*Allocator{},
+		budget:     limiter.NewBudget(0.1, 1),
+		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	for _, o := range options {
+		o(f)
+	}
+	return f
+}
+
+// Configure puts a configuration in force. Requests that have begun keep theirs.
+func (f *Forwarder) Configure(c *matcher.Configuration) {
+	f.config.Store(c)
+}
+
+// Configuration returns the configuration in force; nil if there is none yet.
+func (f *Forwarder) Configuration() *matcher.Configuration {
+	return f.config.Load()
+}
+
+// Leave makes each further answer close its connection.
+func (f *Forwarder) Leave() { f.leaving.Store(true) }
+
+// Flight returns the number of requests in progress.
+func (f *Forwarder) Flight() int64 { return f.flight.Load() }
+
+// Close closes the idle connections to endpoints.
+func (f *Forwarder) Close() { f.pool.Close() }
+
+// Update takes in all endpoints.
+func (f *Forwarder) Update(now time.Time, endpoints []Endpoint) {
+	c := f.config.Load()
+	if c == nil {
+		return
+	}
+	byService := map[string][]reserver.Endpoint{}
+	known := map[string]bool{}
+	f.mu.Lock()
+	for _, e := range endpoints {
+		byService[e.Service] = append(byService[e.Service], e.Endpoint)
+		if s, ok := c.Services[e.Service]; ok && s.Engine == nil {
+			known[e.ID] = true
+			f.plain.Observe(now, e.ID, e.Address, e.Service)
+			if e.Leaving {
+				f.plain.Leave(now, e.ID)
+			}
+		}
+	}
+	for id := range f.plain.Servers {
+		if !known[id] {
+			f.plain.Remove(now, id)
+		}
+	}
+	f.mu.Unlock()
+	for name, s := range c.Services {
+		if s.Engine != nil {
+			f.Allocator(name).Update(now, s.Engine, byService[name])
+		}
+	}
+}
+
+// Allocator returns the allocator of a service that generates.
+func (f *Forwarder) Allocator(service string) *Allocator {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	a, ok := f.allocators[service]
+	if !ok {
+		a = NewAllocator(f.centre, rand.New(rand.NewPCG(f.random.Uint64(), f.random.Uint64())))
+		f.allocators[service] = a
+	}
+	return a
+}
+
+// Allocators returns the allocators by service.
+func (f *Forwarder) Allocators() map[string]*Allocator {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[string]*Allocator, len(f.allocators))
+	for name, a := range f.allocators {
+		out[name] = a
+	}
+	return out
+}
+
+// Covered reports whether each service that generates has a path through all layers.
+func (f *Forwarder) Covered(now time.Time) bool {
+	c := f.config.Load()
+	if c == nil {
+		return false
+	}
+	for name, s := range c.Services {
+		if s.Engine != nil && !f.Allocator(name).Covered(now) {
+			return false
+		}
+	}
+	return true
+}
+
+// Check looks for streams that have gone silent.
+func (f *Forwarder) Check(now time.Time) {
+	for _, a := range f.Allocators() {
+		a.Check(now)
+	}
+}
+
+// choose returns the endpoints of a plain service, the best first.
+func (f *Forwarder) choose(now time.Time, service string) []selector.Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.plain.Choose(now, service, f.random)
+}
+
+// report takes in how a call to an endpoint of a plain service went.
+func (f *Forwarder) report(now time.Time, id string, failed bool, took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.plain.Report(now, id, failed, took)
+}
+
+// repeat reports whether the budget allows to send a request again.
+func (f *Forwarder) repeat(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.budget.Retry(now)
+}
+
+// ServeHTTP serves one request of a caller.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.flight.Add(1)
+	defer f.flight.Add(-1)
+	now := f.clock()
+	if f.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	c := f.config.Load()
+	if c == nil {
+		f.refuse(w, now, refusal{Status: http.StatusServiceUnavailable, Reason: "no configuration", After: time.Second}, "")
+		return
+	}
+	q, err := f.protocol.Decode(r)
+	if err != nil {
+		f.refuse(w, now, refusal{Status: http.StatusBadRequest, Reason: err.Error()}, q.ID)
+		return
+	}
+	route, team, verdict := c.Admit(r.Host, r.URL.EscapedPath(), q.Credential)
+	switch verdict {
+	case matcher.NoRoute:
+		f.refuse(w, now, refusal{Status: http.StatusNotFound, Reason: "no route"}, q.ID)
+		return
+	case matcher.NoCredential:
+		f.refuse(w, now, refusal{Status: http.StatusUnauthorized, Reason: "unknown credential"}, q.ID)
+		return
+	}
+	body, err := readBody(w, r, c.Limits)
+	if err != nil {
+		f.refuse(w, now, bodyRefusal(err), q.ID)
+		return
+	}
+	call := newCall(f, w, r, now, c, q, route, team, body)
+	defer call.end()
+	if e := c.Services[call.service].Engine; e != nil && route.Kind == matcher.Stream {
+		call.stream(e)
+		return
+	}
+	call.plain()
+}
+
+// readBody reads a request's body within the limits.
+func readBody(w http.ResponseWriter, r *http.Request, l matcher.Limits) ([]byte, error) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	reader := r.Body
+	if l.BodyBytes > 0 {
+		reader = http.MaxBytesReader(w, r.Body, l.BodyBytes)
+	}
+	return io.ReadAll(reader)
+}
+
+// errSlow is the error of a body that was not read.
+var errSlow = merry.New("body not read")
+
+// bodyRefusal returns the refusal of a request whose body could not be read.
+func bodyRefusal(err error) refusal {
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return refusal{Status: http.StatusRequestEntityTooLarge, Reason: "body too large"}
+	}
+	return refusal{Status: http.StatusBadRequest, Reason: merry.Prepend(errSlow, err.Error()).Error()}
+}
+
+// gone reports whether a caller has left.
+func gone(ctx context.Context) bool { return ctx.Err() != nil }
+
+// SetBudget sets the requests a second that this instance may send again beside its share, and how many it may save up.
+func (f *Forwarder) SetBudget(now time.Time, rate, size float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.budget.SetFloor(now, rate, size)
+}
--- /dev/null
+++ b/internal/serving/forwarder/stream.go
@@ -0,0 +1,268 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/heatherrock/heatherrock/internal/routing/monitor"
+	"github.com/heatherrock/heatherrock/internal/routing/placer"
+	"github.com/heatherrock/heatherrock/internal/routing/reserver"
+	"github.com/heatherrock/heatherrock/internal/routing/waiter"
+	"github.com/heatherrock/heatherrock/internal/serving/connector"
+)
+
+// The bounds of a stream.
+const (
+	// refusedTime is how long an endpoint that refused its part of a path is kept out of use.
+	refusedTime = 500 * time.Millisecond
+	// brokenTime is how long an endpoint whose connection broke is kept out of use.
+	brokenTime = 2 * time.Second
+	// comeBackFull is when a caller is told to come back at the earliest if the endpoints have no memory left.
+	comeBackFull = 1500 * time.Millisecond
+	// answerMargin is the part of the usual answer that is added to a caller's own estimate, which is often too low.
+	answerMargin = 0.25
+)
+
+// streaming is what is known of a stream over all attempts.
+type streaming struct {
+	*call
+	engine *placer.Engine
+	alloc  *Allocator
+	avoid  map[string]bool
+	// begun is set once the head of the answer has gone to the caller.
+	begun bool
+	// last is the id of the last event delivered.
+	last string
+}
+
+// stream serves a request that is answered by a stream of events.
+func (k *call) stream(e *placer.Engine) {
+	s := &streaming{call: k, engine: e, alloc: k.f.Allocator(k.service), avoid: map[string]bool{}, last: k.q.LastEvent}
+	for n := 0; n < dials; n++ {
+		path, refusal := s.alloc.Acquire(k.ctx, k.f.clock(), s.item())
+		if refusal != reserver.Granted {
+			s.giveUp(string(refusal))
+			return
+		}
+		v := s.attempt(path)
+		s.alloc.Release(k.f.clock(), path)
+		if v == answered {
+			return
+		}
+		if gone(k.ctx) || !k.again(v) {
+			break
+		}
+	}
+	s.giveUp("no whole answer")
+}
+
+// item returns the request as it waits for memory.
+func (s *streaming) item() waiter.Item {
+	usual := float64(s.engine.Answer)
+	answer := usual
+	if s.q.Hint > 0 {
+		answer = float64(s.q.Hint) + answerMargin*usual
+	}
+	if s.q.Most > 0 {
+		answer = min(answer, float64(s.q.Most))
+	}
+	prompt := s.q.Prompt
+	if prompt == 0 {
+		prompt = s.engine.Prompt
+	}
+	return waiter.Item{
+		ID:       s.q.ID,
+		Ask:      reserver.Ask{Prompt: prompt, Answer: int(answer), Avoid: s.avoid},
+		Team:     s.team.Name,
+		Priority: s.priority(),
+		Target:   s.route.Target,
+		Resumed:  s.begun,
+		Until:    s.until,
+		Since:    s.began,
+	}
+}
+
+// giveUp ends a stream that is not whole: one that has begun is broken off, so that it does not look complete.
+func (s *streaming) giveUp(reason string) {
+	switch {
+	case s.r.Context().Err() != nil:
+		s.outcome = "caller left"
+	case s.begun:
+		s.outcome = "broken off: " + reason
+		s.note("broken off after event", s.last)
+		panic(http.ErrAbortHandler) // net/http closes the connection without an end of the body.
+	case s.ran && gone(s.ctx):
+		s.answer(refusal{Status: http.StatusGatewayTimeout, Reason: "no answer in time"})
+	case s.ran:
+		s.answer(refusal{Status: http.StatusBadGateway, Reason: reason})
+	default:
+		s.refuse(reason, comeBackFull)
+	}
+}
+
+// attempt sends the request along a path and passes the events on.
+func (s *streaming) attempt(path reserver.Path) verdict {
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	first := path.Parts[0].Endpoint
+	var silent atomic.Pointer[monitor.Verdict]
+	s.alloc.Open(s.f.clock(), s.q.ID, path, func(v monitor.Verdict) {
+		silent.Store(&v)
+		cancel()
+	})
+	defer s.alloc.Done(s.q.ID)
+	s.note("path", describe(path))
+	m := s.message(Delivery{
+		Endpoint: first.ID, Left: s.left(s.f.clock()), LastEvent: s.last, Path: path.Parts, Priority: s.priority(),
+	})
+	a, err := s.f.pool.Send(ctx, first.Address, m)
+	if err == nil {
+		return s.receive(a, path, &silent)
+	}
+	if errors.Is(err, connector.ErrNotSent) {
+		s.blame(first.ID, brokenTime)
+		s.note("not reached:", err.Error())
+		return unsent
+	}
+	s.attempts++
+	return s.broke(path, err, silent.Load())
+}
+
+// receive takes in the head of an answer and passes the events on.
+func (s *streaming) receive(a *connector.Answer, path reserver.Path, silent *atomic.Pointer[monitor.Verdict]) verdict {
+	s.attempts++
+	reading := s.f.protocol.Read(a.Status, a.Header)
+	if reading.NotRun {
+		_, err := io.Copy(io.Discard, a.Body)
+		a.Finish(err == nil)
+		at := reading.At
+		if at == "" {
+			at = path.Parts[0].Endpoint.Address
+		}
+		id := s.alloc.Suspect(s.f.clock(), at, refusedTime)
+		s.avoid[id] = true
+		s.note("endpoint", id, "did not run it:", http.StatusText(a.Status))
+		return notRun
+	}
+	s.ran = true
+	if a.Status != http.StatusOK || !strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") {
+		return s.pass(a, path)
+	}
+	v, err := s.copyEvents(a)
+	if err == nil {
+		a.Finish(true)
+		return v
+	}
+	a.Finish(false)
+	return s.broke(path, err, silent.Load())
+}
+
+// pass gives an answer that is no stream to the caller, unless it is a failure and another attempt is left.
+func (s *streaming) pass(a *connector.Answer, path reserver.Path) verdict {
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxReply))
+	a.Finish(err == nil && len(body) < maxReply)
+	if err != nil || len(body) >= maxReply {
+		return s.broke(path, err, nil)
+	}
+	s.note("endpoint", path.Parts[0].Endpoint.ID, "answered", http.StatusText(a.Status))
+	if s.begun || a.Status >= 500 && s.attempts < s.route.Attempts && s.route.Repeatable() {
+		s.avoid[path.Parts[0].Endpoint.ID] = true
+		return failed
+	}
+	s.copyHeader(a.Status, a.Header)
+	if _, err := s.w.Write(body); err != nil {
+		s.outcome = "caller left"
+	}
+	return answered
+}
+
+// broke takes in that an attempt ended without a whole answer.
+func (s *streaming) broke(path reserver.Path, err error, v *monitor.Verdict) verdict {
+	s.ran = true
+	switch {
+	case v != nil:
+		s.note("silent for", v.Silent.String(), "suspects", strings.Join(v.Suspects, ","))
+		for _, id := range v.Suspects {
+			s.avoid[id] = true
+		}
+		if len(v.Suspects) == 0 {
+			s.avoid[path.Parts[0].Endpoint.ID] = true
+		}
+	case gone(s.ctx):
+		s.note("given up:", s.ctx.Err().Error())
+	default:
+		s.note("broke:", err.Error())
+		s.blame(path.Parts[0].Endpoint.ID, refusedTime)
+	}
+	return lost
+}
+
+// blame keeps an endpoint out of use for a time, and out of this request for good.
+func (s *streaming) blame(id string, d time.Duration) {
+	s.alloc.Suspect(s.f.clock(), id, d)
+	s.avoid[id] = true
+}
+
+// copyEvents passes the events of an answer on until its end. Each leaves at once; those that came in together leave
+// together.
+func (s *streaming) copyEvents(a *connector.Answer) (verdict, error) {
+	events := newReader(a.Body)
+	for {
+		e, err := events.next()
+		if errors.Is(err, io.EOF) {
+			if !s.begun {
+				s.begin(a)
+			}
+			return answered, nil
+		}
+		if err != nil {
+			return lost, err
+		}
+		now := s.f.clock()
+		s.alloc.Progress(now, s.q.ID)
+		if e.id != "" && s.last != "" && !after(e.id, s.last) {
+			continue
+		}
+		if !s.begun {
+			s.begin(a)
+			s.first = now.Sub(s.began)
+		}
+		if _, err := s.w.Write(e.bytes); err != nil {
+			return lost, err
+		}
+		s.events++
+		if e.id != "" {
+			s.last = e.id
+		}
+		if events.buffered() {
+			continue
+		}
+		if err := http.NewResponseController(s.w).Flush(); err != nil {
+			return lost, err
+		}
+	}
+}
+
+// begin gives the head of the answer to the caller.
+func (s *streaming) begin(a *connector.Answer) {
+	s.begun = true
+	s.copyHeader(a.Status, a.Header)
+}
+
+// describe returns a path for the log.
+func describe(p reserver.Path) string {
+	var b strings.Builder
+	for i, part := range p.Parts {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		fmt.Fprintf(&b, "%s=%d-%d", part.Endpoint.ID, part.Range.From, part.Range.To)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/serving/gateway/gateway.go
@@ -0,0 +1,478 @@
+// Package gateway is one instance on a platform that provides a store, discovery and endpoints with protocols of their own:
+// it puts the parts together, starts them and ends them without cutting off a request.
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/heatherrock/heatherrock/internal/client/lister"
+	"github.com/heatherrock/heatherrock/internal/control/gossiper"
+	"github.com/heatherrock/heatherrock/internal/control/replicator"
+	"github.com/heatherrock/heatherrock/internal/routing/limiter"
+	"github.com/heatherrock/heatherrock/internal/routing/matcher"
+	"github.com/heatherrock/heatherrock/internal/routing/monitor"
+	"github.com/heatherrock/heatherrock/internal/routing/reserver"
+	"github.com/heatherrock/heatherrock/internal/serving/director"
+	"github.com/heatherrock/heatherrock/internal/serving/exchanger"
+	"github.com/heatherrock/heatherrock/internal/serving/forwarder"
+	"github.com/heatherrock/heatherrock/internal/serving/meter"
+	"github.com/heatherrock/heatherrock/internal/serving/syncer"
+)
+
+// Settings are those of one instance.
+type Settings struct {
+	// ID names the process; it differs after a restart.
+	ID         string
+	Name       string
+	DataCentre string
+	Region     string
+	// Callers, Ready, Peers and Metrics are the addresses of the listeners. Metrics may be empty.
+	Callers string
+	Ready   string
+	Peers   string
+	Metrics string
+	// Grace is the time between the order to stop and the end of the process.
+	Grace time.Duration
+	// RetryShare and RetrySlack bound the requests that the whole fleet sends again in RetryWindow: a share of the
+	// requests, and a number besides.
+	RetryShare  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+}
+
+// Platform is what the instance runs on.
+type Platform struct {
+	Store    syncer.Store
+	Orders   director.Orderer
+	Protocol forwarder.Protocol
+	// ConfigTable and ConfigKey name the row of the configuration, and EndpointTable the table of endpoints.
+	ConfigTable   string
+	ConfigKey     string
+	EndpointTable string
+	// DecodeConfig reads the configuration, and DecodeEndpoint an endpoint's row.
+	DecodeConfig   func([]byte) (*matcher.Configuration, error)
+	DecodeEndpoint func(id string, b []byte) (director.Endpoint, error)
+}
+
+// The intervals of a gateway.
+const (
+	// gossipInterval is the time between exchanges with peers.
+	gossipInterval = 250 * time.Millisecond
+	// suspectTime and expireTime are how long a peer may be silent until it is suspected and taken as gone.
+	suspectTime = 1500 * time.Millisecond
+	expireTime  = 3 * time.Second
+	// shareInterval is the time between tellings of what this instance has reserved.
+	shareInterval = 250 * time.Millisecond
+	// startTime is how long an instance waits for a path through all layers before it takes requests all the same.
+	startTime = 9 * time.Second
+	// notice is how long the balancer may take to see that an instance is not ready: two misses a second apart.
+	notice = 2500 * time.Millisecond
+	// lastMoment is kept of the grace for the end of the process.
+	lastMoment = 700 * time.Millisecond
+	// headerTime and idleTime bound callers until a configuration says otherwise.
+	headerTime = 5 * time.Second
+	idleTime   = 2 * time.Minute
+	// headerBytes bounds the head of a request, in bytes.
+	headerBytes = 64 << 10
+	// listInterval is the time between reads of the list of instances.
+	listInterval = 30 * time.Second
+)
+
+// topicUsage carries what an instance has reserved, by service.
+const topicUsage = "usage"
+
+// Gateway is one instance.
+type Gateway struct {
+	settings Settings
+	platform Platform
+	log      *slog.Logger
+	clock    func() time.Time
+
+	meter     *meter.Meter
+	budget    *limiter.Budget
+	forwarder *forwarder.Forwarder
+	exchange  *exchanger.Exchanger
+	syncer    *syncer.Syncer
+	director  *director.Director
+	servers   []*http.Server
+	begun     time.Time
+	leaving   atomic.Bool
+	covered   atomic.Bool
+	done      chan struct{}
+	wait      sync.WaitGroup
+
+	mu        sync.Mutex
+	endpoints map[string]director.Endpoint
+}
+
+// New returns an instance that is not yet started.
+func New(s Settings, p Platform, log *slog.Logger, clock func() time.Time) *Gateway {
+	g := &Gateway{
+		settings: s, platform: p, log: log, clock: clock, done: make(chan struct{}),
+		endpoints: map[string]director.Endpoint{},
+	}
+	g.meter = meter.New(s.Name, s.DataCentre)
+	g.budget = limiter.NewBudget(retryPart*s.RetryShare, 1)
+	g.forwarder = forwarder.New(p.Protocol, s.DataCentre, forwarder.WithLog(log), forwarder.WithClock(clock),
+		forwarder.WithScope(g.meter.Scope()), forwarder.WithBudget(g.budget))
+	self := gossiper.Peer{ID: s.ID, Address: s.Peers, DataCentre: s.DataCentre, Region: s.Region}
+	g.exchange = exchanger.New(self,
+		exchanger.WithInterval(gossipInterval),
+		exchanger.WithLogger(log),
+		exchanger.WithLister(&instances{g}, listInterval),
+		exchanger.WithMetrics(g.meter.Scope()),
+		exchanger.WithGossip(gossiper.WithBeat(suspectTime/3, suspectTime/3), gossiper.WithExpiry(suspectTime, expireTime)),
+	)
+	g.exchange.Subscribe(topicUsage, g.heard)
+	g.syncer = syncer.New(p.Store, g.exchange, log, clock,
+		syncer.Table{Name: p.ConfigTable, News: g.configured},
+		syncer.Table{Name: p.EndpointTable, News: g.discovered, Lapses: true},
+	)
+	g.director = director.New(s.ID, p.Store, g.exchange, p.Orders, log, clock)
+	return g
+}
+
+// retryPart is the part of the fleet's budget for retries that the instances share out; the rest covers what one instance
+// does not know of the others.
+const retryPart = 0.7
+
+// Start opens the listeners and starts the parts. The error says which listener could not be opened.
+func (g *Gateway) Start() error {
+	g.begun = g.clock()
+	peers, err := net.Listen("tcp", g.settings.Peers)
+	if err != nil {
+		return merry.Prepend(err, "listener for peers")
+	}
+	g.exchange.Start(peers)
+	g.syncer.Start()
+	g.director.Start()
+	if err := g.serve("ready", g.settings.Ready, http.HandlerFunc(g.ready)); err != nil {
+		return err
+	}
+	if g.settings.Metrics != "" {
+		routes := http.NewServeMux()
+		routes.Handle("/metrics", g.meter.Handler())
+		routes.HandleFunc("/state", g.state)
+		if err := g.serve("metrics", g.settings.Metrics, routes); err != nil {
+			return err
+		}
+	}
+	if err := g.serve("callers", g.settings.Callers, g.forwarder); err != nil {
+		return err
+	}
+	g.wait.Add(2)
+	go g.loopChecks()
+	go g.loopShares()
+	g.log.Info("instance started", "name", g.settings.Name, "id", g.settings.ID, "callers", g.settings.Callers,
+		"peers", g.settings.Peers, "datacentre", g.settings.DataCentre)
+	return nil
+}
+
+// serve starts a listener.
+func (g *Gateway) serve(name, address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return merry.Prependf(err, "listener for %s", name)
+	}
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerBytes,
+		ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
+	}
+	g.servers = append(g.servers, s)
+	g.wait.Add(1)
+	go g.run(s, l)
+	return nil
+}
+
+// run serves a listener until it is closed.
+func (g *Gateway) run(s *http.Server, l net.Listener) {
+	defer g.wait.Done()
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		g.log.Error("listener ended", "address", l.Addr().String(), "error", err)
+	}
+}
+
+// ready tells the balancer whether the instance takes requests.
+func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
+	if g.Ready(g.clock()) {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// Ready reports whether the instance takes requests: it has a configuration and a way through all layers, or has waited
+// for one long enough. Once it has been ready it stays so until it leaves, whatever becomes of store and endpoints.
+func (g *Gateway) Ready(now time.Time) bool {
+	if g.leaving.Load() || g.forwarder.Configuration() == nil {
+		return false
+	}
+	if g.covered.Load() {
+		return true
+	}
+	if now.Sub(g.begun) > startTime || g.forwarder.Covered(now) {
+		g.covered.Store(true)
+		g.log.Info("instance ready", "after", now.Sub(g.begun).Seconds())
+		return true
+	}
+	return false
+}
+
+// configured takes in a change of the configuration's table.
+func (g *Gateway) configured(now time.Time, rows []replicator.Row) {
+	for _, r := range rows {
+		if r.Key != g.platform.ConfigKey || r.Deleted {
+			continue
+		}
+		c, err := g.platform.DecodeConfig(r.Value)
+		if err != nil {
+			g.log.Error("configuration not read: the one before stays in force", "row", r.Version, "error", err)
+			continue
+		}
+		if old := g.forwarder.Configuration(); old != nil && old.Version >= c.Version {
+			g.log.Warn("older configuration ignored", "configuration", c.Version, "inforce", old.Version)
+			continue
+		}
+		g.forwarder.Configure(c)
+		g.log.Info("configuration in force", "configuration", c.Version, "row", r.Version, "routes", c.Table.Routes(),
+			"services", len(c.Services), "credentials", len(c.Teams))
+		g.update(now)
+	}
+}
+
+// discovered takes in changes of the table of endpoints.
+func (g *Gateway) discovered(now time.Time, rows []replicator.Row) {
+	g.mu.Lock()
+	for _, r := range rows {
+		if r.Deleted {
+			delete(g.endpoints, r.Key)
+			g.log.Info("endpoint gone", "endpoint", r.Key, "row", r.Version)
+			continue
+		}
+		e, err := g.platform.DecodeEndpoint(r.Key, r.Value)
+		if err != nil {
+			delete(g.endpoints, r.Key)
+			g.log.Warn("endpoint not read", "row", r.Version, "error", err)
+			continue
+		}
+		g.endpoints[r.Key] = e
+		g.log.Info("endpoint", "endpoint", e.ID, "service", e.Service, "address", e.Address, "datacentre", e.DataCentre,
+			"card", e.Card, "from", e.Held.From, "to", e.Held.To, "leaving", e.Leaving, "row", r.Version)
+	}
+	g.mu.Unlock()
+	g.update(now)
+}
+
+// update passes the endpoints on to the parts.
+func (g *Gateway) update(now time.Time) {
+	c := g.forwarder.Configuration()
+	if c == nil {
+		return
+	}
+	g.mu.Lock()
+	list := make([]forwarder.Endpoint, 0, len(g.endpoints))
+	models := map[string][]director.Endpoint{}
+	for _, e := range g.endpoints {
+		list = append(list, forwarder.Endpoint{Service: e.Service, Endpoint: reserver.Endpoint{
+			ID: e.ID, Address: e.Address, DataCentre: e.DataCentre, Card: e.Card, Held: e.Held, Leaving: e.Leaving,
+		}})
+		models[e.Service] = append(models[e.Service], e)
+	}
+	g.mu.Unlock()
+	g.forwarder.Update(now, list)
+	for name, s := range c.Services {
+		if s.Engine != nil {
+			g.director.Update(now, director.Model{Service: name, Engine: s.Engine, Endpoints: models[name]})
+		}
+	}
+}
+
+// loopChecks looks for silent streams until done is closed.
+func (g *Gateway) loopChecks() {
+	defer g.wait.Done()
+	t := time.NewTicker(monitor.Interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-g.done:
+			return
+		case <-t.C:
+			g.forwarder.Check(g.clock())
+		}
+	}
+}
+
+// loopShares tells peers what this instance has reserved until done is closed.
+func (g *Gateway) loopShares() {
+	defer g.wait.Done()
+	t := time.NewTicker(shareInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-g.done:
+			return
+		case <-t.C:
+			g.share(g.clock())
+		}
+	}
+}
+
+// share tells peers what this instance has reserved, and sets this instance's part of the budget for retries.
+func (g *Gateway) share(now time.Time) {
+	for service, a := range g.forwarder.Allocators() {
+		b, err := json.Marshal(a.Usage())
+		if err != nil {
+			g.log.Error("usage not encoded", "error", err)
+			continue
+		}
+		g.exchange.Publish(topicUsage, service, b, 0)
+		load, waiting := a.Load(now)
+		g.meter.Gauge("memory_reserved", load)
+		g.meter.Gauge("waiting", float64(waiting))
+	}
+	instances := float64(len(g.exchange.Peers()) + 1)
+	slack := retryPart * g.settings.RetrySlack / instances
+	window := max(1, g.settings.RetryWindow.Seconds())
+	g.forwarder.SetBudget(now, slack/2/window, slack/2)
+	g.meter.Gauge("flight", float64(g.forwarder.Flight()))
+}
+
+// heard takes in what a peer has reserved.
+func (g *Gateway) heard(e gossiper.Entry) {
+	now := g.clock()
+	a := g.forwarder.Allocator(e.Key)
+	if e.Deleted {
+		a.Forget(now, e.Owner)
+		return
+	}
+	var u reserver.Usage
+	if err := json.Unmarshal(e.Value, &u); err != nil {
+		g.log.Warn("usage of a peer not read", "peer", e.Owner, "error", err)
+		return
+	}
+	a.Merge(now, e.Owner, u)
+}
+
+// Drain ends the instance without cutting off a request: it is no longer ready, serves on until the balancer has noticed,
+// then takes no new connection and waits for the requests in flight. It returns the number of those that were cut off.
+func (g *Gateway) Drain(ctx context.Context) int64 {
+	deadline := g.clock().Add(g.settings.Grace - lastMoment)
+	g.leaving.Store(true)
+	g.forwarder.Leave()
+	g.director.Leave()
+	g.log.Info("instance leaving", "flight", g.forwarder.Flight(), "grace", g.settings.Grace.Seconds())
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	leave, done := context.WithTimeout(ctx, time.Second)
+	g.exchange.Leave(leave)
+	done()
+	select {
+	case <-time.After(notice):
+	case <-ctx.Done():
+	}
+	callers := g.servers[len(g.servers)-1]
+	if err := callers.Shutdown(ctx); err != nil {
+		g.log.Warn("requests cut off at the end of the grace", "flight", g.forwarder.Flight(), "error", err)
+	}
+	cut := g.forwarder.Flight()
+	g.log.Info("instance stopped", "cut", cut)
+	return cut
+}
+
+// Close ends the instance at once.
+func (g *Gateway) Close() {
+	close(g.done)
+	for _, s := range g.servers {
+		if err := s.Close(); err != nil {
+			g.log.Debug("listener not closed", "error", err)
+		}
+	}
+	g.director.Close()
+	g.syncer.Close()
+	g.exchange.Close()
+	g.forwarder.Close()
+	g.wait.Wait()
+	if err := g.meter.Close(); err != nil {
+		g.log.Debug("meter not closed", "error", err)
+	}
+}
+
+// state dumps what the instance believes.
+func (g *Gateway) state(w http.ResponseWriter, _ *http.Request) {
+	now := g.clock()
+	out := map[string]any{"id": g.settings.ID, "ready": g.Ready(now), "flight": g.forwarder.Flight(), "peers": g.exchange.Dump()}
+	if c := g.forwarder.Configuration(); c != nil {
+		out["configuration"] = c.Version
+	}
+	g.mu.Lock()
+	out["endpoints"] = g.endpoints
+	g.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(out); err != nil {
+		g.log.Warn("state not written", "error", err)
+	}
+}
+
+// tableInstances is the store's table of instances.
+const tableInstances = "instance"
+
+// instances is the list of the fleet's instances in the store.
+type instances struct {
+	g *Gateway
+}
+
+// List writes this instance into the table and returns all that are in it.
+func (i *instances) List(ctx context.Context) ([]lister.Instance, error) {
+	s := i.g.settings
+	page, err := i.g.platform.Store.Rows(ctx, tableInstances)
+	if err != nil {
+		return nil, err
+	}
+	out, present := decodeInstances(page, s.ID)
+	if present {
+		return out, nil
+	}
+	b, err := json.Marshal(lister.Instance{
+		ID: s.ID, Role: lister.RoleEntry, Address: s.Peers, DataCentre: s.DataCentre, Region: s.Region,
+	})
+	if err != nil {
+		return nil, err
+	}
+	// The row is under the machine's name, so that a restart takes the place of the process before.
+	set := replicator.Row{Key: s.Name, Value: b}
+	if _, err := i.g.platform.Store.Commit(ctx, syncer.Change{Table: tableInstances, Set: []replicator.Row{set}}); err != nil {
+		return nil, err
+	}
+	// Read again: of two that write at once, at least one sees the other.
+	if page, err = i.g.platform.Store.Rows(ctx, tableInstances); err != nil {
+		return nil, err
+	}
+	out, _ = decodeInstances(page, s.ID)
+	return out, nil
+}
+
+// decodeInstances returns the instances of a table, and whether one is among them.
+func decodeInstances(page replicator.Page, self string) ([]lister.Instance, bool) {
+	var out []lister.Instance
+	present := false
+	for _, r := range page.Rows {
+		var e lister.Instance
+		if err := json.Unmarshal(r.Value, &e); err != nil || strings.TrimSpace(e.Address) == "" {
+			continue
+		}
+		present = present || e.ID == self
+		out = append(out, e)
+	}
+	return out, present
+}
--- a/internal/serving/generator/attempt.go
+++ b/internal/serving/generator/attempt.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 	"github.com/heatherrock/heatherrock/internal/client/streamer"
+	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 	"github.com/heatherrock/heatherrock/internal/routing/planner"
 	"github.com/heatherrock/heatherrock/internal/routing/tracker"
 )
--- a/internal/serving/generator/generator.go
+++ b/internal/serving/generator/generator.go
@@ -8,8 +8,8 @@
 	"log/slog"
 	"time"
 
-	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 	"github.com/heatherrock/heatherrock/internal/client/streamer"
+	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 	"github.com/heatherrock/heatherrock/internal/routing/planner"
 	"github.com/heatherrock/heatherrock/internal/routing/quarantiner"
 	"github.com/heatherrock/heatherrock/internal/routing/tracker"
--- a/internal/serving/generator/generator_test.go
+++ b/internal/serving/generator/generator_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 	"github.com/heatherrock/heatherrock/internal/client/streamer"
+	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 	"github.com/heatherrock/heatherrock/internal/routing/quarantiner"
 	"github.com/heatherrock/heatherrock/internal/routing/tracker"
 	"github.com/heatherrock/heatherrock/internal/standin/decoder"
--- a/internal/serving/operator/operator_test.go
+++ b/internal/serving/operator/operator_test.go
@@ -13,11 +13,11 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/gorilla/mux"
 
+	"github.com/heatherrock/heatherrock/internal/client/caller"
 	"github.com/heatherrock/heatherrock/internal/control/accepter"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/control/validator"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/client/caller"
 	"github.com/heatherrock/heatherrock/internal/serving/poller"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 	"github.com/heatherrock/heatherrock/internal/standin/tabler"
--- a/internal/serving/operator/reads.go
+++ b/internal/serving/operator/reads.go
@@ -9,10 +9,10 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/control/accepter"
 	"github.com/heatherrock/heatherrock/internal/control/converter"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
-	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/serving/answerer"
 	"github.com/heatherrock/heatherrock/internal/serving/poller"
 )
--- a/internal/serving/orderer/orderer.go
+++ b/internal/serving/orderer/orderer.go
@@ -13,11 +13,11 @@
 
 	"github.com/google/uuid"
 
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/control/leaser"
 	"github.com/heatherrock/heatherrock/internal/control/repairer"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/client/streamer"
-	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/serving/dispatcher"
 )
 
--- a/internal/serving/orderer/orderer_test.go
+++ b/internal/serving/orderer/orderer_test.go
@@ -12,10 +12,10 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/heatherrock/heatherrock/internal/control/leaser"
-	"github.com/heatherrock/heatherrock/internal/control/repairer"
 	"github.com/heatherrock/heatherrock/internal/client/streamer"
 	"github.com/heatherrock/heatherrock/internal/client/tabler"
+	"github.com/heatherrock/heatherrock/internal/control/leaser"
+	"github.com/heatherrock/heatherrock/internal/control/repairer"
 	standin "github.com/heatherrock/heatherrock/internal/standin/tabler"
 )
 
--- a/internal/serving/orderer/repair.go
+++ b/internal/serving/orderer/repair.go
@@ -7,11 +7,11 @@
 	"slices"
 	"time"
 
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
 	"github.com/heatherrock/heatherrock/internal/control/claimer"
 	"github.com/heatherrock/heatherrock/internal/control/leaser"
 	"github.com/heatherrock/heatherrock/internal/control/repairer"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/client/streamer"
 )
 
 // State is an orderer's part of the state dump.
--- a/internal/serving/poller/peers.go
+++ b/internal/serving/poller/peers.go
@@ -9,11 +9,11 @@
 	"sync"
 	"time"
 
+	"github.com/heatherrock/heatherrock/internal/client/lister"
 	"github.com/heatherrock/heatherrock/internal/control/accepter"
 	"github.com/heatherrock/heatherrock/internal/control/follower"
 	"github.com/heatherrock/heatherrock/internal/control/gossiper"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
-	"github.com/heatherrock/heatherrock/internal/client/lister"
 )
 
 // The keys under which an instance shares values of the head's topic.
--- a/internal/serving/poller/poller.go
+++ b/internal/serving/poller/poller.go
@@ -12,12 +12,12 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"github.com/heatherrock/heatherrock/internal/control/follower"
-	"github.com/heatherrock/heatherrock/internal/control/gossiper"
-	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/client/lister"
 	"github.com/heatherrock/heatherrock/internal/client/storer"
 	"github.com/heatherrock/heatherrock/internal/client/tabler"
+	"github.com/heatherrock/heatherrock/internal/control/follower"
+	"github.com/heatherrock/heatherrock/internal/control/gossiper"
+	"github.com/heatherrock/heatherrock/internal/control/recorder"
 )
 
 // keep is the number of deltas that an instance holds for peers that are behind.
--- a/internal/serving/poller/round.go
+++ b/internal/serving/poller/round.go
@@ -9,10 +9,10 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/control/accepter"
 	"github.com/heatherrock/heatherrock/internal/control/follower"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
-	"github.com/heatherrock/heatherrock/internal/client/tabler"
 )
 
 // The storage of whole snapshots and of the log.
--- a/internal/serving/runner/contract_test.go
+++ b/internal/serving/runner/contract_test.go
@@ -18,10 +18,10 @@
 	"github.com/openai/openai-go"
 	"github.com/openai/openai-go/option"
 
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
 	"github.com/heatherrock/heatherrock/internal/control/accepter"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/client/streamer"
 	"github.com/heatherrock/heatherrock/internal/routing/picker"
 	"github.com/heatherrock/heatherrock/internal/routing/planner"
 	"github.com/heatherrock/heatherrock/internal/serving/committer"
--- a/internal/serving/runner/repairs_test.go
+++ b/internal/serving/runner/repairs_test.go
@@ -8,10 +8,10 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/heatherrock/heatherrock/internal/control/leaser"
-	"github.com/heatherrock/heatherrock/internal/control/repairer"
 	"github.com/heatherrock/heatherrock/internal/client/lister"
 	"github.com/heatherrock/heatherrock/internal/client/streamer"
+	"github.com/heatherrock/heatherrock/internal/control/leaser"
+	"github.com/heatherrock/heatherrock/internal/control/repairer"
 	"github.com/heatherrock/heatherrock/internal/serving/configurer"
 	"github.com/heatherrock/heatherrock/internal/standin/decoder"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
--- a/internal/serving/server/problem.go
+++ b/internal/serving/server/problem.go
@@ -6,8 +6,8 @@
 	"strconv"
 	"time"
 
-	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 	"github.com/heatherrock/heatherrock/internal/client/caller"
+	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 )
 
 // The headers that answers carry.
--- a/internal/serving/server/sampling_test.go
+++ b/internal/serving/server/sampling_test.go
@@ -11,8 +11,8 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/gorilla/mux"
 
-	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/client/streamer"
+	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/serving/generator"
 )
 
--- a/internal/serving/server/server.go
+++ b/internal/serving/server/server.go
@@ -17,9 +17,9 @@
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
 
+	"github.com/heatherrock/heatherrock/internal/client/streamer"
 	"github.com/heatherrock/heatherrock/internal/control/recorder"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/client/streamer"
 	"github.com/heatherrock/heatherrock/internal/routing/quarantiner"
 	"github.com/heatherrock/heatherrock/internal/routing/tracker"
 	"github.com/heatherrock/heatherrock/internal/serving/generator"
--- a/internal/serving/settler/settler.go
+++ b/internal/serving/settler/settler.go
@@ -11,9 +11,9 @@
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
 
+	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/control/claimer"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
-	"github.com/heatherrock/heatherrock/internal/client/tabler"
 	"github.com/heatherrock/heatherrock/internal/serving/answerer"
 )
 
--- a/internal/serving/settler/settler_test.go
+++ b/internal/serving/settler/settler_test.go
@@ -10,9 +10,9 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/gorilla/mux"
 
-	"github.com/heatherrock/heatherrock/internal/control/claimer"
 	"github.com/heatherrock/heatherrock/internal/client/caller"
 	"github.com/heatherrock/heatherrock/internal/client/tabler"
+	"github.com/heatherrock/heatherrock/internal/control/claimer"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 	standin "github.com/heatherrock/heatherrock/internal/standin/tabler"
 )
--- a/internal/serving/watcher/duties.go
+++ b/internal/serving/watcher/duties.go
@@ -5,10 +5,10 @@
 	"slices"
 	"time"
 
-	"github.com/heatherrock/heatherrock/internal/control/assigner"
-	"github.com/heatherrock/heatherrock/internal/control/departer"
 	"github.com/heatherrock/heatherrock/internal/client/lister"
 	"github.com/heatherrock/heatherrock/internal/client/streamer"
+	"github.com/heatherrock/heatherrock/internal/control/assigner"
+	"github.com/heatherrock/heatherrock/internal/control/departer"
 	"github.com/heatherrock/heatherrock/internal/routing/picker"
 	"github.com/heatherrock/heatherrock/internal/routing/planner"
 )
--- a/internal/serving/watcher/list.go
+++ b/internal/serving/watcher/list.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/heatherrock/heatherrock/internal/control/departer"
 	"github.com/heatherrock/heatherrock/internal/client/lister"
+	"github.com/heatherrock/heatherrock/internal/control/departer"
 )
 
 // entryBytes is the size of one entry of the list, in bytes, nearly.
--- a/internal/serving/watcher/watcher_test.go
+++ b/internal/serving/watcher/watcher_test.go
@@ -13,9 +13,9 @@
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/goleak"
 
-	"github.com/heatherrock/heatherrock/internal/control/gossiper"
 	"github.com/heatherrock/heatherrock/internal/client/lister"
 	"github.com/heatherrock/heatherrock/internal/client/streamer"
+	"github.com/heatherrock/heatherrock/internal/control/gossiper"
 	"github.com/heatherrock/heatherrock/internal/routing/picker"
 	"github.com/heatherrock/heatherrock/internal/routing/planner"
 )
--- a/internal/standin/tabler/handler.go
+++ b/internal/standin/tabler/handler.go
@@ -9,8 +9,8 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/gorilla/mux"
 
-	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 	"github.com/heatherrock/heatherrock/internal/client/tabler"
+	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 	"github.com/heatherrock/heatherrock/internal/standin/answerer"
 )
 
--- a/internal/standin/tabler/table.go
+++ b/internal/standin/tabler/table.go
@@ -12,8 +12,8 @@
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/time/rate"
 
-	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 	"github.com/heatherrock/heatherrock/internal/client/tabler"
+	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 	"github.com/heatherrock/heatherrock/internal/standin/limiter"
 )
--- a/internal/standin/tabler/table_test.go
+++ b/internal/standin/tabler/table_test.go
@@ -11,8 +11,8 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 
-	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 	"github.com/heatherrock/heatherrock/internal/client/tabler"
+	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 	"github.com/heatherrock/heatherrock/internal/standin/faulter"
 )
 
