--- a/internal/routing/reserver/reserver.go
+++ b/internal/routing/reserver/reserver.go
@@ -38,6 +38,8 @@
 	// First is the expected time to the first token, and Step the expected time of each token after it.
 	First time.Duration
 	Step  time.Duration
+	// Rate is what the request sends over each link between data centres on its path, in MB a second.
+	Rate float64
 }
 
 // Ask is a request for a path.
@@ -72,9 +74,14 @@
 	block = 16
 	// noise spreads the choices of instances that do not see each other's latest ones.
 	noise = 0.15
-	// crossCost is the extra cost of a hop to another data centre: all requests share the link, and it is what is
-	// left when endpoints fail.
-	crossCost = 60 * time.Millisecond
+	// crossCost is the extra cost of a hop to another data centre while its link is idle: all requests share the
+	// link, and it is what is left when endpoints fail.
+	crossCost = 300 * time.Millisecond
+	// linkLimit is the part of a link that may be reserved. Prompts cross it at once, and beyond half of its rate they
+	// wait for each other longer than an answer may take to begin.
+	linkLimit = 0.5
+	// usualStep is the usual time of a token under load, for the rate at which a request uses a link.
+	usualStep = 12 * time.Millisecond
 	// hopDelay is the delay between two endpoints of a data centre.
 	hopDelay = 200 * time.Microsecond
 	// crossDelay is the delay between two data centres.
@@ -85,9 +92,18 @@
 	maxParts = 32
 )
 
-// Usage is the memory reserved at endpoints, in tokens times layers, by endpoint.
+// Usage is the memory reserved at endpoints, in tokens times layers, by endpoint, and the rate reserved on links between
+// data centres, in MB a second, by the link's name.
 type Usage map[string]float64
 
+// linkName returns the name of the link between two data centres, either way.
+func linkName(a, b string) string {
+	if b < a {
+		a, b = b, a
+	}
+	return "link " + a + " " + b
+}
+
 // peer is what another instance has reserved.
 type peer struct {
 	usage Usage
@@ -218,7 +234,10 @@
 	if !ok {
 		return Path{}, r.refuse(now, a, tokens)
 	}
-	p := Path{Parts: parts, Tokens: tokens}
+	p := Path{Parts: parts, Tokens: tokens, Rate: s.rate()}
+	for _, name := range p.links() {
+		r.Own[name] += p.Rate
+	}
 	for _, part := range parts {
 		r.Own[part.Endpoint.ID] += float64(tokens * part.Range.Len())
 		read, step := s.times(part.Endpoint, part.Range)
@@ -255,13 +274,31 @@
 	return !e.Leaving && !e.Held.Empty() && e.Held.From >= 0 && !avoid[e.ID] && now.After(r.Suspects[e.ID])
 }
 
+// links returns the links between data centres that a path passes, once for each time.
+func (p Path) links() []string {
+	var out []string
+	for i := 1; i < len(p.Parts); i++ {
+		if a, b := p.Parts[i-1].Endpoint.DataCentre, p.Parts[i].Endpoint.DataCentre; a != b {
+			out = append(out, linkName(a, b))
+		}
+	}
+	return out
+}
+
 // Release gives back what was reserved on a path.
 func (r *Reserver) Release(p Path) {
 	for _, part := range p.Parts {
-		id := part.Endpoint.ID
-		if r.Own[id] -= float64(p.Tokens * part.Range.Len()); r.Own[id] < 0.5 {
-			delete(r.Own, id)
-		}
+		r.lower(part.Endpoint.ID, float64(p.Tokens*part.Range.Len()))
+	}
+	for _, name := range p.links() {
+		r.lower(name, p.Rate)
+	}
+}
+
+// lower gives back part of what this instance has reserved. Rounding errors do not stay.
+func (r *Reserver) lower(name string, n float64) {
+	if r.Own[name] -= n; r.Own[name] < 1e-6 {
+		delete(r.Own, name)
 	}
 }
 
--- a/internal/routing/reserver/search.go
+++ b/internal/routing/reserver/search.go
@@ -115,8 +115,12 @@
 	room := s.r.room(c.endpoint)
 	fill := 1 - (c.free-need)/room
 	cost := n.cost + seconds*c.noise*(1+fill*fill*fill)
-	if c.endpoint.DataCentre != n.part.Endpoint.DataCentre {
-		cost += s.crossing().Seconds()
+	if from := n.part.Endpoint.DataCentre; c.endpoint.DataCentre != from {
+		crossing, ok := s.crossing(from, c.endpoint.DataCentre, n.before == nil)
+		if !ok {
+			return
+		}
+		cost += crossing.Seconds()
 	}
 	old := s.ways[j][c.endpoint.DataCentre]
 	if old != nil && old.cost <= cost {
@@ -137,13 +141,25 @@
 	return read, step
 }
 
-// crossing returns the cost of a hop to another data centre.
-func (s *search) crossing() time.Duration {
-	engine := s.r.Engine
+// crossing returns the cost of a hop from one data centre to another, and false if the link has no rate left. The hop to
+// the first endpoint carries only the request itself.
+func (s *search) crossing(from, to string, first bool) (time.Duration, bool) {
 	cost := crossCost + time.Duration(s.ask.Answer)*crossDelay
-	if engine.PipeMB > 0 {
-		seconds := float64(s.ask.Prompt+s.ask.Answer) * engine.ActivationMB / engine.PipeMB
-		cost += time.Duration(seconds * float64(time.Second))
+	engine := s.r.Engine
+	if first || engine.PipeMB <= 0 {
+		return cost, true
 	}
-	return cost
+	name := linkName(from, to)
+	used := (s.r.Own[name] + s.r.others[name]) / engine.PipeMB
+	if used+s.rate()/engine.PipeMB > linkLimit {
+		return 0, false
+	}
+	transfer := float64(s.ask.Prompt+s.ask.Answer) * engine.ActivationMB / engine.PipeMB
+	return cost + time.Duration(transfer/(1-used)*float64(time.Second)), true
+}
+
+// rate returns what the request sends over a link, in MB a second.
+func (s *search) rate() float64 {
+	took := max(usualStep*time.Duration(s.ask.Answer), time.Second)
+	return float64(s.ask.Prompt+s.ask.Answer) * s.r.Engine.ActivationMB / took.Seconds()
 }
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -117,7 +117,7 @@
 		cancel()
 	})
 	defer s.alloc.Done(s.q.ID)
-	s.note("path", describe(path))
+	s.note("path", describe(path), "expecting", path.First.Round(time.Millisecond).String(), "then", path.Step.Round(100*time.Microsecond).String())
 	m := s.message(Delivery{
 		Endpoint: first.ID, Left: s.left(s.f.clock()), LastEvent: s.last, Path: path.Parts, Priority: s.priority(),
 	})
