--- a/internal/serving/director/director.go
+++ b/internal/serving/director/director.go
@@ -454,3 +454,10 @@
 	}
 	d.pending[o.Endpoint] = p
 }
+
+// Holds reports whether this instance has the duty.
+func (d *Director) Holds() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.elector.Holds()
+}
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -113,6 +113,7 @@
 	covered   atomic.Bool
 	done      chan struct{}
 	wait      sync.WaitGroup
+	closing   sync.Once
 	// told is when the log last said what memory is short.
 	told time.Time
 
@@ -400,8 +401,13 @@
 	return cut
 }
 
-// Close ends the instance at once.
+// Close ends the instance at once. Closing it again does nothing.
 func (g *Gateway) Close() {
+	g.closing.Do(g.close)
+}
+
+// close ends the parts.
+func (g *Gateway) close() {
 	close(g.done)
 	for _, s := range g.servers {
 		if err := s.Close(); err != nil {
@@ -486,3 +492,9 @@
 	}
 	return out, present
 }
+
+// CutStore ends this instance's following of the store: it learns changes from its peers alone.
+func (g *Gateway) CutStore() { g.syncer.Detach() }
+
+// Directs reports whether this instance has the duty of placement.
+func (g *Gateway) Directs() bool { return g.director.Holds() }
--- a/internal/serving/syncer/syncer.go
+++ b/internal/serving/syncer/syncer.go
@@ -103,7 +103,10 @@
 	clock    func() time.Time
 	ctx      context.Context
 	stop     context.CancelFunc
-	wait     sync.WaitGroup
+	// direct ends when the store is no longer asked.
+	direct context.Context
+	detach context.CancelFunc
+	wait   sync.WaitGroup
 
 	mu     sync.Mutex
 	tables map[string]*followed
@@ -113,6 +116,7 @@
 func New(store Store, x *exchanger.Exchanger, log *slog.Logger, clock func() time.Time, tables ...Table) *Syncer {
 	s := &Syncer{store: store, exchange: x, log: log, clock: clock, tables: map[string]*followed{}}
 	s.ctx, s.stop = context.WithCancel(context.Background())
+	s.direct, s.detach = context.WithCancel(s.ctx)
 	for _, t := range tables {
 		s.tables[t.Name] = &followed{Table: t, copy: replicator.New(), lapsed: map[string]lapsed{}}
 	}
@@ -139,11 +143,14 @@
 	s.wait.Wait()
 }
 
+// Detach ends the asking of the store: changes come from peers alone.
+func (s *Syncer) Detach() { s.detach() }
+
 // loop follows one table until the syncer is closed.
 func (s *Syncer) loop(t *followed) {
 	defer s.wait.Done()
 	retry := firstRetry
-	for s.ctx.Err() == nil {
+	for s.direct.Err() == nil {
 		changed, err := s.read(t)
 		pause := time.Duration(0)
 		switch {
@@ -158,7 +165,7 @@
 			retry = firstRetry
 		}
 		select {
-		case <-s.ctx.Done():
+		case <-s.direct.Done():
 		case <-time.After(pause):
 		}
 	}
@@ -178,13 +185,13 @@
 		if failed {
 			wait = 0
 		}
-		ctx, cancel := context.WithTimeout(s.ctx, wait+callTime)
+		ctx, cancel := context.WithTimeout(s.direct, wait+callTime)
 		page, err = s.store.Changes(ctx, t.Name, version, wait)
 		cancel()
 		whole = errors.Is(err, ErrForgotten)
 	}
 	if whole {
-		ctx, cancel := context.WithTimeout(s.ctx, callTime)
+		ctx, cancel := context.WithTimeout(s.direct, callTime)
 		page, err = s.store.Rows(ctx, t.Name)
 		cancel()
 	}
