--- /dev/null
+++ b/internal/routing/monitor/monitor_test.go
@@ -0,0 +1,133 @@
+package monitor
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+)
+
+// start is the time at which the tests begin.
+var start = time.Unix(1000, 0)
+
+// play runs streams with an event each 30 ms, those of a path that dies fall silent, and returns the verdicts by stream
+// and the time from the death to the last of them.
+func play(m *Monitor, paths [][]string, dead string, until time.Duration) (map[string][]string, time.Duration) {
+	for i, p := range paths {
+		m.Open(start, fmt.Sprint("s", i), p, 50*time.Millisecond)
+	}
+	verdicts := map[string][]string{}
+	var last time.Duration
+	death := 600 * time.Millisecond
+	for at := time.Duration(0); at <= until; at += 10 * time.Millisecond {
+		now := start.Add(at)
+		if at%(30*time.Millisecond) == 0 {
+			for i, p := range paths {
+				if at < death || !contains(p, dead) {
+					m.Progress(now, fmt.Sprint("s", i))
+				}
+			}
+		}
+		if at%Interval == 0 {
+			for _, v := range m.Check(now) {
+				verdicts[v.ID] = v.Suspects
+				last = at - death
+			}
+		}
+	}
+	return verdicts, last
+}
+
+// contains reports whether a path passes an endpoint.
+func contains(path []string, id string) bool {
+	for _, e := range path {
+		if e == id {
+			return true
+		}
+	}
+	return false
+}
+
+func TestDeadEndpointIsNamed(t *testing.T) {
+	m := New()
+	verdicts, took := play(m, [][]string{{"a", "b"}, {"a", "c"}, {"d", "b"}, {"d", "c"}}, "b", 2*time.Second)
+	want := map[string][]string{"s0": {"b"}, "s2": {"b"}}
+	if diff := cmp.Diff(want, verdicts); diff != "" {
+		t.Errorf("verdicts (-want +got):\n%s", diff)
+	}
+	if took > 400*time.Millisecond {
+		t.Errorf("the last verdict came %v after the death", took)
+	}
+}
+
+func TestNothingSilent(t *testing.T) {
+	verdicts, _ := play(New(), [][]string{{"a", "b"}, {"a", "c"}}, "none", 5*time.Second)
+	if len(verdicts) > 0 {
+		t.Errorf("verdicts on streams in progress: %v", verdicts)
+	}
+}
+
+func TestLoneStreamBlamesItsPath(t *testing.T) {
+	verdicts, _ := play(New(), [][]string{{"a", "b"}}, "b", 2*time.Second)
+	if diff := cmp.Diff(map[string][]string{"s0": {"a", "b"}}, verdicts); diff != "" {
+		t.Errorf("verdicts (-want +got):\n%s", diff)
+	}
+}
+
+// TestPausedStreamIsNotBlamed leaves one stream waiting while others go on through the same endpoints: it was preempted.
+func TestPausedStreamIsNotBlamed(t *testing.T) {
+	m := New()
+	m.Open(start, "paused", []string{"a"}, 0)
+	m.Open(start, "other", []string{"a"}, 0)
+	for at := time.Duration(0); at < time.Second; at += Interval {
+		m.Progress(start.Add(at), "other")
+		if at < 200*time.Millisecond {
+			m.Progress(start.Add(at), "paused")
+		}
+		if v := m.Check(start.Add(at)); len(v) > 0 {
+			t.Fatalf("after %v: %v", at, v)
+		}
+	}
+}
+
+// TestOwnPauseBlamesNobody holds the process itself up for seconds: the events wait unread.
+func TestOwnPauseBlamesNobody(t *testing.T) {
+	m := New()
+	for i := range 5 {
+		m.Open(start, fmt.Sprint(i), []string{"a", "b"}, 0)
+	}
+	now := start
+	for range 10 {
+		now = now.Add(Interval)
+		for i := range 5 {
+			m.Progress(now, fmt.Sprint(i))
+		}
+		m.Check(now)
+	}
+	now = now.Add(4 * time.Second)
+	if v := m.Check(now); len(v) > 0 {
+		t.Errorf("after a pause of the process: %v", v)
+	}
+	now = now.Add(Interval)
+	for i := range 5 {
+		m.Progress(now, fmt.Sprint(i))
+	}
+	if v := m.Check(now); len(v) > 0 {
+		t.Errorf("after the events were read: %v", v)
+	}
+}
+
+func TestSilentFirstEvent(t *testing.T) {
+	m := New()
+	m.Open(start, "s", []string{"a"}, 100*time.Millisecond)
+	var got []Verdict
+	for at := time.Duration(0); at <= 2*time.Second; at += Interval {
+		got = append(got, m.Check(start.Add(at))...)
+	}
+	want := []Verdict{{ID: "s", Suspects: []string{"a"}}}
+	if diff := cmp.Diff(want, got, cmpopts.IgnoreFields(Verdict{}, "Silent")); diff != "" {
+		t.Errorf("verdicts (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/internal/routing/waiter/waiter_test.go
@@ -0,0 +1,63 @@
+package waiter
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// start is the time at which the tests begin.
+var start = time.Unix(1000, 0)
+
+// item returns a request that came in some time ago.
+func item(id, team string, priority int, age time.Duration) Item {
+	return Item{
+		ID: id, Team: team, Priority: priority, Target: 500 * time.Millisecond, Since: start.Add(-age), Until: start.Add(20 * time.Second),
+	}
+}
+
+func TestOrder(t *testing.T) {
+	l := New()
+	resumed := item("resumed", "large", 3, 0)
+	resumed.Resumed = true
+	for _, i := range []Item{
+		item("large-1", "large", 1, 90*time.Millisecond), item("large-2", "large", 1, 80*time.Millisecond),
+		item("large-3", "large", 1, 70*time.Millisecond), item("small-1", "small", 1, 10*time.Millisecond),
+		item("urgent", "large", 0, 0), resumed,
+	} {
+		if l.Push(start, i) <= 0 {
+			t.Fatalf("%s may not wait", i.ID)
+		}
+	}
+	var got []string
+	for _, i := range l.Order(start) {
+		got = append(got, i.ID)
+	}
+	want := []string{"resumed", "urgent", "large-1", "small-1", "large-2", "large-3"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("order (-want +got):\n%s", diff)
+	}
+}
+
+func TestWait(t *testing.T) {
+	l := New()
+	if got := l.Push(start, item("new", "t", 1, 0)); got != 250*time.Millisecond {
+		t.Errorf("a new request waits %v", got)
+	}
+	if got := l.Push(start, item("late", "t", 1, 300*time.Millisecond)); got != 0 || l.Len() != 1 {
+		t.Errorf("a late request waits %v, %d wait", got, l.Len())
+	}
+	short := item("short", "t", 1, 0)
+	short.Until = start.Add(100 * time.Millisecond)
+	if got := l.Push(start, short); got != 100*time.Millisecond {
+		t.Errorf("one with a short deadline waits %v", got)
+	}
+	for i := range 2 * most {
+		l.Push(start, item(fmt.Sprint(i), "t", 1, 0))
+	}
+	if l.Len() != most {
+		t.Errorf("%d wait, at most %d may", l.Len(), most)
+	}
+}
