Find a dead endpoint by the streams that stop together, and count prompts that wait

Ruled out: waiting for memory (75 were refused), slow paths (13 ms a token on either).

Change: three streams or more through one endpoint that are silent for 2.5 of their usual gaps, while another stream had an event in the last 60 ms, name it at once; the check comes each 20 ms. A path's cost counts the prompts that are being read there, and the time to the first event eight times. The event spacing of a test followed the interval of checks; it is 40 ms as before.

--- a/internal/routing/monitor/monitor.go
+++ b/internal/routing/monitor/monitor.go
@@ -9,7 +9,7 @@
 // The bounds of a verdict.
 const (
 	// Interval is the time between checks.
-	Interval = 40 * time.Millisecond
+	Interval = 20 * time.Millisecond
 	// lateness is how long after Interval a check may come before this process counts as having been held up.
 	lateness = 60 * time.Millisecond
 	// firstSilence is how long a stream may take to its first event beyond what was expected.
@@ -21,6 +21,13 @@
 	// aloneFactor is how much longer a silence has to be if other streams through the same endpoints go on: the
 	// stream may have been preempted or be waiting its turn.
 	aloneFactor = 5
+	// quickSilence and quickFactor are the silence that is suspicious if at least quickStreams streams through one
+	// endpoint fell silent together while others go on.
+	quickSilence = 80 * time.Millisecond
+	quickFactor  = 2.5
+	quickStreams = 3
+	// awake is how recent an event has to be to show that this process still reads what comes in.
+	awake = 60 * time.Millisecond
 	// smoothing is the weight of the newest gap in the usual gap.
 	smoothing = 0.2
 )
@@ -106,9 +113,15 @@
 		}
 	}
 	m.checked = now
+	stopped := m.stopped(now)
 	var out []Verdict
 	for id, s := range m.Streams {
 		silent := now.Sub(s.Last)
+		if dead := among(s.Path, stopped); len(dead) > 0 && s.Events > 1 {
+			out = append(out, Verdict{id, silent, dead})
+			delete(m.Streams, id)
+			continue
+		}
 		limit := s.limit()
 		if silent < limit {
 			continue
@@ -123,6 +136,48 @@
 	return out
 }
 
+// stopped returns the endpoints through which several streams fell silent together while others go on.
+func (m *Monitor) stopped(now time.Time) map[string]bool {
+	silent, alive := map[string]int{}, map[string]bool{}
+	recent := false
+	for _, s := range m.Streams {
+		if s.Events < 2 {
+			continue
+		}
+		quick := max(quickSilence, time.Duration(quickFactor*float64(s.Gap)))
+		passive := now.Sub(s.Last) >= quick
+		recent = recent || now.Sub(s.Last) < awake
+		for _, e := range s.Path {
+			if passive {
+				silent[e]++
+			} else {
+				alive[e] = true
+			}
+		}
+	}
+	if !recent {
+		return nil
+	}
+	out := map[string]bool{}
+	for e, n := range silent {
+		if n >= quickStreams && !alive[e] {
+			out[e] = true
+		}
+	}
+	return out
+}
+
+// among returns the endpoints of a path that are in a set.
+func among(path []string, set map[string]bool) []string {
+	var out []string
+	for _, e := range path {
+		if set[e] {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 // limit returns the silence that is suspicious.
 func (s *Stream) limit() time.Duration {
 	if s.Events == 0 {
--- a/internal/routing/monitor/monitor_test.go
+++ b/internal/routing/monitor/monitor_test.go
@@ -62,6 +62,19 @@
 	}
 }
 
+func TestStreamsThatStopTogetherAreFoundSoon(t *testing.T) {
+	paths := [][]string{{"a", "b"}, {"a", "b"}, {"d", "b"}, {"d", "c"}, {"a", "c"}}
+	verdicts, took := play(New(), paths, "b", 2*time.Second)
+	want := map[string][]string{"s0": {"b"}, "s1": {"b"}, "s2": {"b"}}
+	if diff := cmp.Diff(want, verdicts); diff != "" {
+		t.Errorf("verdicts (-want +got):\n%s", diff)
+	}
+	// A pause counts as short up to 200 ms, and another path needs some of it.
+	if took > 120*time.Millisecond {
+		t.Errorf("the last verdict came %v after the death", took)
+	}
+}
+
 func TestNothingSilent(t *testing.T) {
 	verdicts, _ := play(New(), [][]string{{"a", "b"}, {"a", "c"}}, "none", 5*time.Second)
 	if len(verdicts) > 0 {
@@ -82,9 +95,11 @@
 	m.Open(start, "paused", []string{"a"}, 0)
 	m.Open(start, "other", []string{"a"}, 0)
 	for at := time.Duration(0); at < time.Second; at += Interval {
-		m.Progress(start.Add(at), "other")
-		if at < 200*time.Millisecond {
-			m.Progress(start.Add(at), "paused")
+		if at%(2*Interval) == 0 {
+			m.Progress(start.Add(at), "other")
+			if at < 200*time.Millisecond {
+				m.Progress(start.Add(at), "paused")
+			}
 		}
 		if v := m.Check(start.Add(at)); len(v) > 0 {
 			t.Fatalf("after %v: %v", at, v)
--- a/internal/routing/reserver/reserver.go
+++ b/internal/routing/reserver/reserver.go
@@ -38,6 +38,8 @@
 	// First is the expected time to the first token, and Step the expected time of each token after it.
 	First time.Duration
 	Step  time.Duration
+	// Prompt is the number of tokens that are read on each part before the first event.
+	Prompt int
 	// Rate is what the request sends over each link between data centres on its path, in MB a second.
 	Rate float64
 }
@@ -84,6 +86,9 @@
 	usualStep = 12 * time.Millisecond
 	// hopDelay is the delay between two endpoints of a data centre.
 	hopDelay = 200 * time.Microsecond
+	// firstWeight is how much more the time to the first event counts than the time after it: an answer that begins
+	// late counts as late as a whole.
+	firstWeight = 8
 	// crossDelay is the delay between two data centres.
 	crossDelay = 500 * time.Microsecond
 	// peerExpiry is how long a peer's usage counts after it was last told.
@@ -122,6 +127,8 @@
 	Own Usage
 	// Suspects holds the endpoints that are not used until a time.
 	Suspects map[string]time.Time
+	// Reading holds the prompt tokens that this instance has sent to endpoints and for which no event has come yet.
+	Reading map[string]float64
 	// Factors holds how many times longer than expected endpoints take, if they were found slow.
 	Factors map[string]float64
 
@@ -139,6 +146,7 @@
 		Own:        Usage{},
 		Suspects:   map[string]time.Time{},
 		Factors:    map[string]float64{},
+		Reading:    map[string]float64{},
 		peers:      map[string]peer{},
 		others:     Usage{},
 		random:     random,
@@ -234,12 +242,13 @@
 	if !ok {
 		return Path{}, r.refuse(now, a, tokens)
 	}
-	p := Path{Parts: parts, Tokens: tokens, Rate: s.rate()}
+	p := Path{Parts: parts, Tokens: tokens, Rate: s.rate(), Prompt: a.Prompt}
 	for _, name := range p.links() {
 		r.Own[name] += p.Rate
 	}
 	for _, part := range parts {
 		r.Own[part.Endpoint.ID] += float64(tokens * part.Range.Len())
+		r.Reading[part.Endpoint.ID] += float64(a.Prompt)
 		read, step := s.times(part.Endpoint, part.Range)
 		p.First += read + step
 		p.Step += step + hopDelay
@@ -285,6 +294,16 @@
 	return out
 }
 
+// Read takes in that the prompt has been read on a path. It must be called once for each path, before its release.
+func (r *Reserver) Read(p Path) {
+	for _, part := range p.Parts {
+		id := part.Endpoint.ID
+		if r.Reading[id] -= float64(p.Prompt); r.Reading[id] <= 0 {
+			delete(r.Reading, id)
+		}
+	}
+}
+
 // Release gives back what was reserved on a path.
 func (r *Reserver) Release(p Path) {
 	for _, part := range p.Parts {
--- a/internal/routing/reserver/search.go
+++ b/internal/routing/reserver/search.go
@@ -110,7 +110,7 @@
 		return
 	}
 	read, step := s.times(c.endpoint, r)
-	seconds := (read + time.Duration(s.ask.Answer)*(step+hopDelay)).Seconds()
+	seconds := (firstWeight*(read+s.queue(c.endpoint, r)) + time.Duration(s.ask.Answer)*(step+hopDelay)).Seconds()
 	// The last memory is kept for those that have no other way.
 	room := s.r.room(c.endpoint)
 	fill := 1 - (c.free-need)/room
@@ -141,6 +141,20 @@
 	return read, step
 }
 
+// queue returns how long the prompts that wait at an endpoint take. What other instances have sent there of late is not
+// known yet: they are taken to send in proportion to what they have reserved.
+func (s *search) queue(e Endpoint, r placer.Range) time.Duration {
+	reading := s.r.Reading[e.ID]
+	if reading <= 0 {
+		return 0
+	}
+	if own := s.r.Own[e.ID]; own > 0 {
+		reading *= 1 + s.r.others[e.ID]/own
+	}
+	engine := s.r.Engine
+	return engine.ReadTime(engine.Cards[e.Card], r.Len(), int(reading))
+}
+
 // crossing returns the cost of a hop from one data centre to another, and false if the link has no rate left. The hop to
 // the first endpoint carries only the request itself.
 func (s *search) crossing(from, to string, first bool) (time.Duration, bool) {
--- a/internal/serving/forwarder/allocator.go
+++ b/internal/serving/forwarder/allocator.go
@@ -154,6 +154,13 @@
 	a.grant(now)
 }
 
+// Read takes in that the prompt has been read on a path.
+func (a *Allocator) Read(p reserver.Path) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.reserver.Read(p)
+}
+
 // grant gives paths to requests that wait, in their order. The lock is held.
 func (a *Allocator) grant(now time.Time) {
 	for _, i := range a.line.Order(now) {
--- a/internal/serving/forwarder/call.go
+++ b/internal/serving/forwarder/call.go
@@ -64,6 +64,8 @@
 	status   int
 	events   int
 	first    time.Duration
+	// pause is the longest time between two events.
+	pause time.Duration
 }
 
 // defaultTimeout bounds a request that names no deadline on a route without one.
@@ -161,7 +163,7 @@
 	}
 	k.f.log.Log(context.Background(), level, "request", "request", k.q.ID, "route", k.route.Name, "kind", k.route.Kind.String(),
 		"team", k.team.Name, "service", k.service, "configuration", k.config.Version, "outcome", outcome, "status", k.status,
-		"attempts", k.attempts, "events", k.events, "first", k.first.Seconds(), "took", now.Sub(k.began).Seconds(),
+		"attempts", k.attempts, "events", k.events, "first", k.first.Seconds(), "pause", k.pause.Seconds(), "took", now.Sub(k.began).Seconds(),
 		"trail", strings.Join(k.trail, "; "))
 }
 
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -37,8 +37,11 @@
 	avoid  map[string]bool
 	// begun is set once the head of the answer has gone to the caller.
 	begun bool
-	// last is the id of the last event delivered.
-	last string
+	// reading is set while the prompt is being read on a path.
+	reading bool
+	// last is the id of the last event delivered, and passed is when that was.
+	last   string
+	passed time.Time
 }
 
 // stream serves a request that is answered by a stream of events.
@@ -51,6 +54,7 @@
 			return
 		}
 		v := s.attempt(path)
+		s.read(path)
 		s.alloc.Release(k.f.clock(), path)
 		if v == answered {
 			return
@@ -62,6 +66,14 @@
 	s.giveUp("no whole answer")
 }
 
+// read takes in that the prompt has been read on a path, or no longer is.
+func (s *streaming) read(path reserver.Path) {
+	if s.reading {
+		s.reading = false
+		s.alloc.Read(path)
+	}
+}
+
 // item returns the request as it waits for memory.
 func (s *streaming) item() waiter.Item {
 	usual := float64(s.engine.Answer)
@@ -110,6 +122,7 @@
 func (s *streaming) attempt(path reserver.Path) verdict {
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
+	s.reading = true
 	first := path.Parts[0].Endpoint
 	var silent atomic.Pointer[monitor.Verdict]
 	s.alloc.Open(s.f.clock(), s.q.ID, path, func(v monitor.Verdict) {
@@ -154,7 +167,7 @@
 	if a.Status != http.StatusOK || !strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") {
 		return s.pass(a, path)
 	}
-	v, err := s.copyEvents(a)
+	v, err := s.copyEvents(a, path)
 	if err == nil {
 		a.Finish(true)
 		return v
@@ -211,7 +224,7 @@
 
 // copyEvents passes the events of an answer on until its end. Each leaves at once; those that came in together leave
 // together.
-func (s *streaming) copyEvents(a *connector.Answer) (verdict, error) {
+func (s *streaming) copyEvents(a *connector.Answer, path reserver.Path) (verdict, error) {
 	events := newReader(a.Body)
 	for {
 		e, err := events.next()
@@ -226,13 +239,17 @@
 		}
 		now := s.f.clock()
 		s.alloc.Progress(now, s.q.ID)
+		s.read(path)
 		if e.id != "" && s.last != "" && !after(e.id, s.last) {
 			continue
 		}
 		if !s.begun {
 			s.begin(a)
 			s.first = now.Sub(s.began)
+		} else if s.events > 0 {
+			s.pause = max(s.pause, now.Sub(s.passed))
 		}
+		s.passed = now
 		if _, err := s.w.Write(e.bytes); err != nil {
 			return lost, err
 		}
