Keep the accounts of reserved memory with a home in each data centre

Cause: what instances had reserved spread by gossip, a peer a round: with 30 instances in a data centre it arrived after the answers had ended, and each instance followed the store itself. Weighed: splitting the memory between instances (2 or 3 requests for each, too coarse), faster gossip (bytes grow with the fleet).

A home that reads the store also tells how far, so that the others rest their own reading and pull changes from it; without an answer for 600 ms an instance asks the store itself.

--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/heatherrock/heatherrock/internal/routing/matcher"
 	"github.com/heatherrock/heatherrock/internal/routing/monitor"
 	"github.com/heatherrock/heatherrock/internal/routing/reserver"
+	"github.com/heatherrock/heatherrock/internal/serving/accountant"
 	"github.com/heatherrock/heatherrock/internal/serving/director"
 	"github.com/heatherrock/heatherrock/internal/serving/exchanger"
 	"github.com/heatherrock/heatherrock/internal/serving/forwarder"
@@ -72,7 +73,7 @@
 	// suspectTime and expireTime are how long a peer may be silent until it is suspected and taken as gone.
 	suspectTime = 1500 * time.Millisecond
 	expireTime  = 3 * time.Second
-	// shareInterval is the time between tellings of what this instance has reserved.
+	// shareInterval is the time between looks at this instance's part of the fleet.
 	shareInterval = 250 * time.Millisecond
 	// startTime is how long an instance waits for a path through all layers before it takes requests all the same.
 	startTime = 9 * time.Second
@@ -91,9 +92,6 @@
 	listInterval = 30 * time.Second
 )
 
-// topicUsage carries what an instance has reserved, by service.
-const topicUsage = "usage"
-
 // Gateway is one instance.
 type Gateway struct {
 	settings Settings
@@ -107,6 +105,7 @@
 	exchange  *exchanger.Exchanger
 	syncer    *syncer.Syncer
 	director  *director.Director
+	accounts  *accountant.Accountant
 	servers   []*http.Server
 	begun     time.Time
 	leaving   atomic.Bool
@@ -139,11 +138,11 @@
 		exchanger.WithMetrics(g.meter.Scope()),
 		exchanger.WithGossip(gossiper.WithBeat(suspectTime/3, suspectTime/3), gossiper.WithExpiry(suspectTime, expireTime)),
 	)
-	g.exchange.Subscribe(topicUsage, g.heard)
 	g.syncer = syncer.New(p.Store, g.exchange, log, clock,
 		syncer.Table{Name: p.ConfigTable, News: g.configured},
 		syncer.Table{Name: p.EndpointTable, News: g.discovered, Lapses: true},
 	)
+	g.accounts = accountant.New(self, g.exchange, g.syncer, g.usages, g.merge, log, clock)
 	g.director = director.New(s.ID, p.Store, g.exchange, p.Orders, log, clock)
 	return g
 }
@@ -162,6 +161,7 @@
 	g.exchange.Start(peers)
 	g.syncer.Start()
 	g.director.Start()
+	g.accounts.Start()
 	if err := g.serve("ready", g.settings.Ready, http.HandlerFunc(g.ready)); err != nil {
 		return err
 	}
@@ -318,7 +318,7 @@
 	}
 }
 
-// loopShares tells peers what this instance has reserved until done is closed.
+// loopShares keeps this instance's part of the budget for retries, and its gauges, until done is closed.
 func (g *Gateway) loopShares() {
 	defer g.wait.Done()
 	t := time.NewTicker(shareInterval)
@@ -333,15 +333,9 @@
 	}
 }
 
-// share tells peers what this instance has reserved, and sets this instance's part of the budget for retries.
+// share sets this instance's part of the budget for retries, and its gauges.
 func (g *Gateway) share(now time.Time) {
 	for service, a := range g.forwarder.Allocators() {
-		b, err := json.Marshal(a.Usage())
-		if err != nil {
-			g.log.Error("usage not encoded", "error", err)
-			continue
-		}
-		g.exchange.Publish(topicUsage, service, b, 0)
 		load, waiting := a.Load(now)
 		g.meter.Gauge("memory_reserved", load)
 		g.meter.Gauge("waiting", float64(waiting))
@@ -359,20 +353,20 @@
 	g.meter.Gauge("flight", float64(g.forwarder.Flight()))
 }
 
-// heard takes in what a peer has reserved.
-func (g *Gateway) heard(e gossiper.Entry) {
-	now := g.clock()
-	a := g.forwarder.Allocator(e.Key)
-	if e.Deleted {
-		a.Forget(now, e.Owner)
-		return
+// usages returns what this instance has reserved.
+func (g *Gateway) usages() accountant.Usages {
+	out := accountant.Usages{}
+	for service, a := range g.forwarder.Allocators() {
+		out[service] = a.Usage()
 	}
-	var u reserver.Usage
-	if err := json.Unmarshal(e.Value, &u); err != nil {
-		g.log.Warn("usage of a peer not read", "peer", e.Owner, "error", err)
-		return
+	return out
+}
+
+// merge takes in what the other instances have reserved.
+func (g *Gateway) merge(now time.Time, others accountant.Usages) {
+	for service, a := range g.forwarder.Allocators() {
+		a.Merge(now, "fleet", others[service])
 	}
-	a.Merge(now, e.Owner, u)
 }
 
 // Drain ends the instance without cutting off a request: it is no longer ready, serves on until the balancer has noticed,
@@ -415,6 +409,7 @@
 		}
 	}
 	g.director.Close()
+	g.accounts.Close()
 	g.syncer.Close()
 	g.exchange.Close()
 	g.forwarder.Close()
--- a/internal/serving/syncer/syncer.go
+++ b/internal/serving/syncer/syncer.go
@@ -63,6 +63,10 @@
 	lastRetry  = 800 * time.Millisecond
 	// relayDelay is how long an instance waits for the store before it asks a peer that knows more.
 	relayDelay = 250 * time.Millisecond
+	// attachTime is how long after a peer that reads the store has answered the store is not asked, and restTime the
+	// time between looks whether it has.
+	attachTime = 600 * time.Millisecond
+	restTime   = 100 * time.Millisecond
 	// lapse is how long after the store's return a row that went meanwhile is kept: endpoints write theirs again.
 	lapse = 2200 * time.Millisecond
 )
@@ -110,6 +114,8 @@
 
 	mu     sync.Mutex
 	tables map[string]*followed
+	// attached is until when a peer that reads the store tells this instance of changes.
+	attached time.Time
 }
 
 // New returns a syncer that follows tables once started.
@@ -151,6 +157,13 @@
 	defer s.wait.Done()
 	retry := firstRetry
 	for s.direct.Err() == nil {
+		if s.rests(t) {
+			select {
+			case <-s.direct.Done():
+			case <-time.After(restTime):
+			}
+			continue
+		}
 		changed, err := s.read(t)
 		pause := time.Duration(0)
 		switch {
@@ -201,6 +214,45 @@
 	return s.take(t, page, whole, true), nil
 }
 
+// rests reports whether the store need not be asked, as a peer reads it and tells of changes.
+func (s *Syncer) rests(t *followed) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return t.copy.Version > 0 && s.clock().Before(s.attached)
+}
+
+// Heads returns up to which version each table is known, and whether all are read from the store.
+func (s *Syncer) Heads() (map[string]int64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	heads, fresh := map[string]int64{}, s.direct.Err() == nil
+	for name, t := range s.tables {
+		heads[name] = t.copy.Version
+		fresh = fresh && !t.failed && t.copy.Version > 0
+	}
+	return heads, fresh && !s.clock().Before(s.attached)
+}
+
+// Follow takes in up to which version a peer knows the tables. If it is fresh, it reads them from the store, and this
+// instance need not.
+func (s *Syncer) Follow(now time.Time, peer gossiper.Peer, heads map[string]int64, fresh bool) {
+	s.mu.Lock()
+	if fresh {
+		s.attached = now.Add(attachTime)
+	}
+	var behind []*followed
+	for name, version := range heads {
+		if t, ok := s.tables[name]; ok && version > t.copy.Version && fresh {
+			t.ahead, t.since = peer, now.Add(-relayDelay)
+			behind = append(behind, t)
+		}
+	}
+	s.mu.Unlock()
+	for _, t := range behind {
+		s.relay(t)
+	}
+}
+
 // lost takes in that the store could not be read.
 func (s *Syncer) lost(t *followed, err error) {
 	if s.ctx.Err() != nil {
