--- a/internal/serving/exchanger/exchanger.go
+++ b/internal/serving/exchanger/exchanger.go
@@ -324,3 +324,10 @@
 	s.Gauge("exchange_failed").Update(float64(x.Count.Failed.Load()))
 	s.Gauge("exchange_peers").Update(float64(len(x.Peers())))
 }
+
+// Meet adds a peer that was learnt of in another way than by the list.
+func (x *Exchanger) Meet(peer gossiper.Peer) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.gossip.Seed([]gossiper.Peer{peer})
+}
