Explain a request from the logs of the instances

Cause: on-call engineers have only logs and metrics; the story of a request was spread over lines and instances.

Change: heatherrock explain ID [FILE ...] prints what was decided of a request, the cause in a sentence, and what the instance believed when it ended; it exits with 3 if lines were torn or left out. Each line names its instance. A call that no endpoint took is now refused with a time to come back, not answered with the endpoint's own refusal.

Measured: TestEachFailureIsExplained finds the cause of ten kinds of failure from the id alone; it failed first on a call that all endpoints refused, whose cause was told as a failure.

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -33,11 +33,13 @@
 		log.Error("settings not read", "error", err)
 		return 2
 	}
+	own := gatewaySettings(settings)
+	log = log.With("instance", own.ID)
 	store := platform.NewStore(settings.Store.Address)
 	defer store.Close()
 	orders := platform.NewOrders()
 	defer orders.Close()
-	g := gateway.New(gatewaySettings(settings), gateway.Platform{
+	g := gateway.New(own, gateway.Platform{
 		Store:          store,
 		Orders:         orders,
 		Protocol:       platform.Protocol{},
--- a/internal/serving/forwarder/plain.go
+++ b/internal/serving/forwarder/plain.go
@@ -71,7 +71,7 @@
 		begun := k.f.clock()
 		r, v := k.try(s.ID, s.Address, final)
 		k.f.report(k.f.clock(), s.ID, v != answered && v != notRun, k.f.clock().Sub(begun))
-		if r != nil && (v == answered || v == failed || last == nil) {
+		if r != nil {
 			last = r
 		}
 		if v == answered || !k.again(v) {
@@ -115,7 +115,7 @@
 	}
 }
 
-// try sends the request to one endpoint of a plain service. The reply is set if a whole answer came.
+// try sends the request to one endpoint of a plain service. The reply is set if the endpoint ran it and answered whole.
 func (k *call) try(id, address string, final bool) (*reply, verdict) {
 	ctx, cancel := k.ctx, context.CancelFunc(func() {})
 	if !final && k.route.Kind == matcher.Safe && k.route.Target > 0 {
@@ -146,7 +146,7 @@
 	switch {
 	case reading.NotRun:
 		k.note("endpoint", id, "did not run it:", http.StatusText(a.Status))
-		return r, notRun
+		return nil, notRun
 	case a.Status >= 500:
 		k.ran = true
 		k.note("endpoint", id, "failed it:", http.StatusText(a.Status))
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -50,6 +51,9 @@
 	for n := 0; n < dials; n++ {
 		path, refusal := s.alloc.Acquire(k.ctx, k.f.clock(), s.item())
 		if refusal != reserver.Granted {
+			load, waiting := s.alloc.Load(s.f.clock())
+			s.note("no path:", string(refusal), "with", strconv.FormatFloat(load, 'f', 2, 64), "of the memory reserved,",
+				strconv.Itoa(waiting), "waiting")
 			s.giveUp(string(refusal))
 			return
 		}
--- a/internal/serving/launcher/launcher.go
+++ b/internal/serving/launcher/launcher.go
@@ -20,6 +20,8 @@
 	ExitFailed = 1
 	// ExitUsage means that the command line, a settings file or a record is at fault.
 	ExitUsage = 2
+	// ExitTorn means that a log could not be read whole, so that what was printed may lack something.
+	ExitTorn = 3
 )
 
 // Streams are a command's input and outputs, and the process's environment as NAME=VALUE.
@@ -61,6 +63,7 @@
 		{Name: "serve", Usage: "serve [-config FILE] [-NAME VALUE ...]", Help: "run an instance", Run: serve},
 		{Name: "check", Usage: "check FILE ...", Help: "check files of settings or records, without starting anything", Run: check},
 		{Name: "state", Usage: "state -addr HOST:PORT [-part NAME] [-token TOKEN] [-ca FILE]", Help: "print the state of a running instance", Run: state},
+		{Name: "explain", Usage: "explain ID [FILE ...]", Help: "print the story of a request from the instances' logs", Run: explain},
 		{Name: "record", Usage: "record COMMAND [ARGUMENT ...]", Help: "submit, accept, retire, list, show, diff and wait for records", Run: group("record")},
 		{Name: "call", Usage: "call COMMAND [ARGUMENT ...]", Help: "list, show and settle calls whose outcome is not known", Run: group("call")},
 	}
