Leave a silent path only for one that is reserved, and count repeats over the fleet

Ruled out: want of attempts (one of two was used) and the end of the grace.

Change: limiter.Window bounds repeats for each service over a sliding window by the fleet's counts, told with the accounts; an instance may use twice its even part before it hears of the others again. A silent stream keeps its path until another is reserved and the budget allows it, and is looked at again each 100 ms. What was written counts as prompt for the next path.

TestWindowHoldsOverAFleet holds at 1, 7 and 89 instances.

--- a/internal/routing/limiter/budget.go
+++ b/internal/routing/limiter/budget.go
@@ -6,12 +6,11 @@
 type Budget struct {
 	share   float64
 	floor   float64
-	size    float64
 	credit  float64
 	updated time.Time
 }
 
-// budgetSize bounds the retries that can be saved up unless set otherwise, in retries.
+// budgetSize bounds the retries that can be saved up, in retries.
 const budgetSize = 100
 
 // creditError is the rounding error of a sum of shares, in retries.
@@ -19,20 +18,13 @@
 
 // NewBudget returns a budget that allows retries for a share of the requests, and floor retries a second besides.
 func NewBudget(share, floor float64) *Budget {
-	return &Budget{share: share, floor: floor, size: budgetSize, credit: floor}
-}
-
-// SetFloor changes the retries a second that are allowed besides the share, and the bound of those saved up.
-func (b *Budget) SetFloor(now time.Time, floor, size float64) {
-	b.refill(now)
-	b.floor, b.size = floor, size
-	b.credit = min(b.credit, size)
+	return &Budget{share: share, floor: floor, credit: floor}
 }
 
 // Request counts a first attempt.
 func (b *Budget) Request(now time.Time) {
 	b.refill(now)
-	b.credit = min(b.size, b.credit+b.share)
+	b.credit = min(budgetSize, b.credit+b.share)
 }
 
 // Retry reports whether a retry is within the budget, and counts it if so.
@@ -48,7 +40,7 @@
 // refill adds the floor's part since the last call.
 func (b *Budget) refill(now time.Time) {
 	if !b.updated.IsZero() && now.After(b.updated) {
-		b.credit = min(b.size, b.credit+b.floor*now.Sub(b.updated).Seconds())
+		b.credit = min(budgetSize, b.credit+b.floor*now.Sub(b.updated).Seconds())
 	}
 	b.updated = now
 }
--- /dev/null
+++ b/internal/routing/limiter/window.go
@@ -0,0 +1,101 @@
+package limiter
+
+import (
+	"math"
+	"time"
+)
+
+// Tally counts requests and those sent again over a window.
+type Tally struct {
+	Requests float64
+	Repeats  float64
+}
+
+// windowSlices is the number of parts into which a window is divided.
+const windowSlices = 20
+
+// windowPart is the part of the bound that is used: what other instances have counted is known a fraction of a second late.
+const windowPart = 0.8
+
+// unseenFactor is how many times its even part of what is left an instance may use before it hears of the others again:
+// an endpoint that fails has its requests from few instances.
+const unseenFactor = 2
+
+// leastUnseen is what an instance may always use before it hears of the others again.
+const leastUnseen = 2
+
+// Window bounds the requests that a whole fleet sends again to a service within a time: to a share of its requests and a
+// number besides. Each instance counts its own and is told the others' sums. It is not safe for concurrent use.
+type Window struct {
+	Share float64
+	Slack float64
+	Span  time.Duration
+
+	parts     [windowSlices]Tally
+	at        int64
+	others    Tally
+	instances int
+	// unseen counts the repeats since the others were last heard of, of which allowance may be made.
+	unseen    float64
+	allowance float64
+}
+
+// NewWindow returns a window without counts.
+func NewWindow(share, slack float64, span time.Duration) *Window {
+	return &Window{Share: share, Slack: slack, Span: span, instances: 1, allowance: math.Inf(1)}
+}
+
+// move forgets the parts that have left the window at now, and returns the present one.
+func (w *Window) move(now time.Time) *Tally {
+	at := now.UnixNano() / int64(max(1, w.Span/windowSlices))
+	if at > w.at {
+		for i := max(w.at+1, at-windowSlices+1); i <= at; i++ {
+			w.parts[i%windowSlices] = Tally{}
+		}
+		w.at = at
+	}
+	return &w.parts[w.at%windowSlices]
+}
+
+// Request counts a request.
+func (w *Window) Request(now time.Time) {
+	w.move(now).Requests++
+}
+
+// Own returns what this instance has counted in the window.
+func (w *Window) Own(now time.Time) Tally {
+	w.move(now)
+	var out Tally
+	for _, p := range w.parts {
+		out.Requests += p.Requests
+		out.Repeats += p.Repeats
+	}
+	return out
+}
+
+// Merge takes in what the other instances have counted, and how many instances there are.
+func (w *Window) Merge(now time.Time, others Tally, instances int) {
+	w.others, w.instances, w.unseen = others, max(1, instances), 0
+	w.allowance = max(leastUnseen, unseenFactor*w.left(now)/float64(w.instances))
+}
+
+// left returns what is left of the fleet's bound, as far as this instance knows.
+func (w *Window) left(now time.Time) float64 {
+	own := w.Own(now)
+	return windowPart*(w.Share*(own.Requests+w.others.Requests)+w.Slack) - own.Repeats - w.others.Repeats
+}
+
+// Left returns how many requests this instance may send again at now.
+func (w *Window) Left(now time.Time) float64 {
+	return min(w.left(now), w.allowance-w.unseen)
+}
+
+// Repeat reports whether a request may be sent again at now, and counts it if so.
+func (w *Window) Repeat(now time.Time) bool {
+	if w.Left(now) < 1 {
+		return false
+	}
+	w.move(now).Repeats++
+	w.unseen++
+	return true
+}
--- /dev/null
+++ b/internal/routing/limiter/window_test.go
@@ -0,0 +1,103 @@
+package limiter
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// TestWindowHoldsOverAFleet lets instances that hear of each other late repeat as often as they may, in bursts, and counts
+// what a service gets in each span.
+func TestWindowHoldsOverAFleet(t *testing.T) {
+	for _, instances := range []int{1, 7, 89} {
+		for seed := range uint64(5) {
+			random := rand.New(rand.NewPCG(seed, 3))
+			share, slack, span := 0.2, 198.0, 10*time.Second
+			fleet := make([]*Window, instances)
+			for i := range fleet {
+				fleet[i] = NewWindow(share, slack, span)
+				fleet[i].Merge(time.Unix(1000, 0), Tally{}, instances)
+			}
+			var repeats, requests []time.Duration
+			for at := time.Duration(0); at < 40*time.Second; at += 20 * time.Millisecond {
+				now := time.Unix(1000, 0).Add(at)
+				for range 2 {
+					fleet[random.IntN(instances)].Request(now)
+					requests = append(requests, at)
+				}
+				// A failing endpoint has its requests from a few instances, each with 15 at once.
+				if at%(500*time.Millisecond) == 0 {
+					for range 1 + random.IntN(4) {
+						w := fleet[random.IntN(instances)]
+						for range 15 {
+							if w.Repeat(now) {
+								repeats = append(repeats, at)
+							}
+						}
+					}
+				}
+				if at%(240*time.Millisecond) == 0 {
+					merge(now, fleet)
+				}
+			}
+			check(t, instances, requests, repeats, share, slack, span)
+		}
+	}
+}
+
+// merge tells each instance what the others have counted.
+func merge(now time.Time, fleet []*Window) {
+	var sum Tally
+	for _, w := range fleet {
+		own := w.Own(now)
+		sum.Requests += own.Requests
+		sum.Repeats += own.Repeats
+	}
+	for _, w := range fleet {
+		own := w.Own(now)
+		w.Merge(now, Tally{sum.Requests - own.Requests, sum.Repeats - own.Repeats}, len(fleet))
+	}
+}
+
+// check counts requests and repeats in each span.
+func check(t *testing.T, instances int, requests, repeats []time.Duration, share, slack float64, span time.Duration) {
+	t.Helper()
+	count := func(times []time.Duration, from time.Duration) float64 {
+		n := 0.0
+		for _, at := range times {
+			if at >= from && at < from+span {
+				n++
+			}
+		}
+		return n
+	}
+	most := 0.0
+	for from := time.Duration(0); from < 30*time.Second; from += 100 * time.Millisecond {
+		again := count(repeats, from)
+		most = max(most, again)
+		if bound := share*count(requests, from) + slack; again > bound {
+			t.Fatalf("%d instances: %v requests sent again from %v on, bound %v", instances, again, from, bound)
+		}
+	}
+	if most < slack/2 {
+		t.Errorf("%d instances: at most %v were sent again of %v that may be", instances, most, slack)
+	}
+}
+
+func TestWindowForgets(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := NewWindow(0, 10, 10*time.Second)
+	n := 0
+	for w.Repeat(now) {
+		n++
+	}
+	if n != 8 {
+		t.Errorf("%d of 8 may be sent again", n)
+	}
+	if w.Left(now.Add(9*time.Second)) >= 1 {
+		t.Error("the window has forgotten too soon")
+	}
+	if w.Left(now.Add(11*time.Second)) < 8 {
+		t.Error("the window has not forgotten")
+	}
+}
--- a/internal/routing/monitor/monitor.go
+++ b/internal/routing/monitor/monitor.go
@@ -44,6 +44,8 @@
 	Gap time.Duration
 	// Events counts the events.
 	Events int
+	// Quiet is until when the stream is not reported again.
+	Quiet time.Time
 }
 
 // Verdict is a stream that has gone silent.
@@ -100,7 +102,10 @@
 	}
 }
 
-// Check returns the streams that have gone silent. A stream is reported once. A check that comes late tells that this
+// againTime is the time between two reports of a silent stream.
+const againTime = 100 * time.Millisecond
+
+// Check returns the streams that have gone silent. One that stays silent is reported again after againTime. A check that comes late tells that this
 // process was held up: the time counts for no stream, as events may wait unread.
 func (m *Monitor) Check(now time.Time) []Verdict {
 	late := now.Sub(m.checked) - Interval
@@ -116,10 +121,13 @@
 	stopped := m.stopped(now)
 	var out []Verdict
 	for id, s := range m.Streams {
+		if now.Before(s.Quiet) {
+			continue
+		}
 		silent := now.Sub(s.Last)
 		if dead := among(s.Path, stopped); len(dead) > 0 && s.Events > 1 {
 			out = append(out, Verdict{id, silent, dead})
-			delete(m.Streams, id)
+			s.Quiet = now.Add(againTime)
 			continue
 		}
 		limit := s.limit()
@@ -131,7 +139,7 @@
 			continue
 		}
 		out = append(out, Verdict{id, silent, suspects})
-		delete(m.Streams, id)
+		s.Quiet = now.Add(againTime)
 	}
 	return out
 }
--- a/internal/routing/monitor/monitor_test.go
+++ b/internal/routing/monitor/monitor_test.go
@@ -32,6 +32,7 @@
 		}
 		if at%Interval == 0 {
 			for _, v := range m.Check(now) {
+				m.Close(v.ID)
 				verdicts[v.ID] = v.Suspects
 				last = at - death
 			}
@@ -134,12 +135,27 @@
 	}
 }
 
+func TestSilentStreamIsReportedAgain(t *testing.T) {
+	m := New()
+	m.Open(start, "s", []string{"a"}, 0)
+	count := 0
+	for at := time.Duration(0); at <= firstSilence+4*againTime; at += Interval {
+		count += len(m.Check(start.Add(at)))
+	}
+	if count != 5 {
+		t.Errorf("reported %d times in four times the time between reports", count)
+	}
+}
+
 func TestSilentFirstEvent(t *testing.T) {
 	m := New()
 	m.Open(start, "s", []string{"a"}, 100*time.Millisecond)
 	var got []Verdict
 	for at := time.Duration(0); at <= 2*time.Second; at += Interval {
 		got = append(got, m.Check(start.Add(at))...)
+		if len(got) > 0 {
+			break
+		}
 	}
 	want := []Verdict{{ID: "s", Suspects: []string{"a"}}}
 	if diff := cmp.Diff(want, got, cmpopts.IgnoreFields(Verdict{}, "Silent")); diff != "" {
--- a/internal/serving/accountant/accountant.go
+++ b/internal/serving/accountant/accountant.go
@@ -16,12 +16,21 @@
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/control/gossiper"
+	"github.com/heatherrock/heatherrock/internal/routing/limiter"
 	"github.com/heatherrock/heatherrock/internal/routing/reserver"
 	"github.com/heatherrock/heatherrock/internal/serving/exchanger"
 )
 
-// Usages are what is reserved of each service's endpoints.
-type Usages map[string]reserver.Usage
+// Holding is what instances hold of one service, and what they have sent to it.
+type Holding struct {
+	// Memory is what is reserved of the endpoints.
+	Memory reserver.Usage
+	// Sent counts the requests and those sent again over the window of the budget for retries.
+	Sent limiter.Tally
+}
+
+// Usages are the holdings by service.
+type Usages map[string]Holding
 
 // Report is what an instance or a home tells a home.
 type Report struct {
@@ -220,13 +229,17 @@
 
 // add adds usages.
 func (u Usages) add(o Usages) {
-	for service, usage := range o {
-		if u[service] == nil {
-			u[service] = make(reserver.Usage, len(usage))
+	for service, other := range o {
+		h := u[service]
+		if h.Memory == nil {
+			h.Memory = make(reserver.Usage, len(other.Memory))
 		}
-		for name, n := range usage {
-			u[service][name] += math.Round(n)
+		for name, n := range other.Memory {
+			h.Memory[name] += math.Round(n)
 		}
+		h.Sent.Requests += other.Sent.Requests
+		h.Sent.Repeats += other.Sent.Repeats
+		u[service] = h
 	}
 }
 
--- a/internal/serving/accountant/accountant_test.go
+++ b/internal/serving/accountant/accountant_test.go
@@ -66,14 +66,14 @@
 func (b *book) usages() Usages {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return Usages{"s": b.own}
+	return Usages{"s": {Memory: b.own}}
 }
 
 // told notes what the others have reserved.
 func (b *book) told(_ time.Time, u Usages) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.others = u["s"]
+	b.others = u["s"].Memory
 }
 
 // until waits until an instance believes that the others have reserved an amount.
--- a/internal/serving/forwarder/allocator.go
+++ b/internal/serving/forwarder/allocator.go
@@ -22,7 +22,7 @@
 	// ready holds where a waiting request is told its path.
 	ready map[string]chan reserver.Path
 	// silent holds what to call when a stream has gone silent.
-	silent map[string]func(monitor.Verdict)
+	silent map[string]func(monitor.Verdict) bool
 }
 
 // NewAllocator returns an allocator of an instance in a data centre.
@@ -32,7 +32,7 @@
 		line:     waiter.New(),
 		monitor:  monitor.New(),
 		ready:    map[string]chan reserver.Path{},
-		silent:   map[string]func(monitor.Verdict){},
+		silent:   map[string]func(monitor.Verdict) bool{},
 	}
 }
 
@@ -177,8 +177,9 @@
 	}
 }
 
-// Open begins to watch a stream; silent is called once if it goes silent.
-func (a *Allocator) Open(now time.Time, id string, p reserver.Path, silent func(monitor.Verdict)) {
+// Open begins to watch a stream. Silent is called when it has gone silent, and again until it returns true or the watch
+// ends.
+func (a *Allocator) Open(now time.Time, id string, p reserver.Path, silent func(monitor.Verdict) bool) {
 	names := make([]string, len(p.Parts))
 	for i, part := range p.Parts {
 		names[i] = part.Endpoint.ID
@@ -207,25 +208,29 @@
 // suspectTime is how long an endpoint whose streams went silent is kept out of use, unless it comes back anew.
 const suspectTime = 4 * time.Second
 
+// Try returns a path for a request if there is one now.
+func (a *Allocator) Try(now time.Time, ask reserver.Ask) (reserver.Path, reserver.Refusal) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.reserver.Reserve(now, ask)
+}
+
 // Check looks for streams that have gone silent, and lets the requests that wait try again.
 func (a *Allocator) Check(now time.Time) {
 	a.mu.Lock()
 	verdicts := a.monitor.Check(now)
-	calls := make([]func(monitor.Verdict), len(verdicts))
+	calls := make([]func(monitor.Verdict) bool, len(verdicts))
 	for i, v := range verdicts {
 		calls[i] = a.silent[v.ID]
-		delete(a.silent, v.ID)
-		if len(v.Suspects) > 0 {
-			for _, id := range v.Suspects {
-				a.reserver.Suspect(now.Add(suspectTime), id)
-			}
+		for _, id := range v.Suspects {
+			a.reserver.Suspect(now.Add(suspectTime), id)
 		}
 	}
 	a.grant(now)
 	a.mu.Unlock()
 	for i, f := range calls {
-		if f != nil {
-			f(verdicts[i])
+		if f != nil && f(verdicts[i]) {
+			a.Done(verdicts[i].ID)
 		}
 	}
 }
--- a/internal/serving/forwarder/call.go
+++ b/internal/serving/forwarder/call.go
@@ -87,9 +87,7 @@
 		service: route.Service(q.ID),
 	}
 	k.ctx, k.stop = context.WithTimeout(r.Context(), wait)
-	f.mu.Lock()
-	f.budget.Request(now)
-	f.mu.Unlock()
+	f.request(now, k.service)
 	return k
 }
 
--- a/internal/serving/forwarder/forwarder.go
+++ b/internal/serving/forwarder/forwarder.go
@@ -46,8 +46,10 @@
 	mu         sync.Mutex
 	plain      *selector.Selector
 	allocators map[string]*Allocator
-	budget     *limiter.Budget
-	random     *rand.Rand
+	// windows hold the budgets for sending requests again, by service.
+	windows map[string]*limiter.Window
+	budget  Budget
+	random  *rand.Rand
 }
 
 // Option changes a Forwarder under construction.
@@ -62,8 +64,19 @@
 // WithScope sets the scope of the metrics.
 func WithScope(s tally.Scope) Option { return func(f *Forwarder) { f.scope = s } }
 
-// WithBudget sets the budget of this instance for sending requests again.
-func WithBudget(b *limiter.Budget) Option { return func(f *Forwarder) { f.budget = b } }
+// Budget bounds the requests that the fleet sends again to a service within a window: a share of those for it, and a number
+// besides.
+type Budget struct {
+	Share  float64
+	Slack  float64
+	Window time.Duration
+}
+
+// defaultBudget is the budget unless the settings give one.
+var defaultBudget = Budget{Share: 0.1, Slack: 10, Window: 10 * time.Second}
+
+// WithBudget sets the fleet's budget for sending requests again.
+func WithBudget(b Budget) Option { return func(f *Forwarder) { f.budget = b } }
 
 // WithSeed sets the seed of random choices.
 func WithSeed(seed uint64) Option {
@@ -81,7 +94,8 @@
 		centre:     centre,
 		plain:      selector.New(),
 		allocators: map[string]*Allocator{},
-		budget:     limiter.NewBudget(0.1, 1),
+		windows:    map[string]*limiter.Window{},
+		budget:     defaultBudget,
 		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, o := range options {
@@ -199,11 +213,46 @@
 	f.plain.Report(now, id, failed, took)
 }
 
-// repeat reports whether the budget allows to send a request again.
-func (f *Forwarder) repeat(now time.Time) bool {
+// window returns the budget of a service. The lock is held.
+func (f *Forwarder) window(service string) *limiter.Window {
+	w, ok := f.windows[service]
+	if !ok {
+		w = limiter.NewWindow(f.budget.Share, f.budget.Slack, f.budget.Window)
+		f.windows[service] = w
+	}
+	return w
+}
+
+// request counts a request for a service.
+func (f *Forwarder) request(now time.Time, service string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.budget.Retry(now)
+	f.window(service).Request(now)
+}
+
+// repeat reports whether the budget allows to send a request to a service again, and counts it if so.
+func (f *Forwarder) repeat(now time.Time, service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.window(service).Repeat(now)
+}
+
+// Sent returns what this instance has sent to each service over the window of the budget.
+func (f *Forwarder) Sent(now time.Time) map[string]limiter.Tally {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[string]limiter.Tally, len(f.windows))
+	for service, w := range f.windows {
+		out[service] = w.Own(now)
+	}
+	return out
+}
+
+// MergeSent takes in what the other instances have sent to a service, and how many instances there are.
+func (f *Forwarder) MergeSent(now time.Time, service string, others limiter.Tally, instances int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.window(service).Merge(now, others, instances)
 }
 
 // ServeHTTP serves one request of a caller.
@@ -273,10 +322,3 @@
 
 // gone reports whether a caller has left.
 func gone(ctx context.Context) bool { return ctx.Err() != nil }
-
-// SetBudget sets the requests a second that this instance may send again beside its share, and how many it may save up.
-func (f *Forwarder) SetBudget(now time.Time, rate, size float64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.budget.SetFloor(now, rate, size)
-}
--- a/internal/serving/forwarder/plain.go
+++ b/internal/serving/forwarder/plain.go
@@ -92,7 +92,11 @@
 	if v != notRun && !k.route.Repeatable() {
 		return false
 	}
-	return k.f.repeat(k.f.clock())
+	if !k.f.repeat(k.f.clock(), k.service) {
+		k.note("budget for sending again is spent")
+		return false
+	}
+	return true
 }
 
 // finish gives the caller the last reply, or says what is known if there is none.
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -5,10 +5,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/routing/monitor"
@@ -48,8 +49,8 @@
 // stream serves a request that is answered by a stream of events.
 func (k *call) stream(e *placer.Engine) {
 	s := &streaming{call: k, engine: e, alloc: k.f.Allocator(k.service), avoid: map[string]bool{}, last: k.q.LastEvent}
-	for n := 0; n < dials; n++ {
-		path, refusal := s.alloc.Acquire(k.ctx, k.f.clock(), s.item())
+	path, refusal := s.alloc.Acquire(k.ctx, k.f.clock(), s.item())
+	for n := 0; ; n++ {
 		if refusal != reserver.Granted {
 			load, waiting := s.alloc.Load(s.f.clock())
 			s.note("no path:", string(refusal), "with", strconv.FormatFloat(load, 'f', 2, 64), "of the memory reserved,",
@@ -57,17 +58,22 @@
 			s.giveUp(string(refusal))
 			return
 		}
-		v := s.attempt(path)
+		v, next := s.attempt(path)
 		s.read(path)
 		s.alloc.Release(k.f.clock(), path)
 		if v == answered {
 			return
 		}
-		if gone(k.ctx) || !k.again(v) {
-			break
+		if next != nil {
+			path = *next
+			continue
+		}
+		if n >= dials || gone(k.ctx) || !k.again(v) {
+			s.giveUp("no whole answer")
+			return
 		}
+		path, refusal = s.alloc.Acquire(k.ctx, k.f.clock(), s.item())
 	}
-	s.giveUp("no whole answer")
 }
 
 // read takes in that the prompt has been read on a path, or no longer is.
@@ -92,6 +98,10 @@
 	if prompt == 0 {
 		prompt = s.engine.Prompt
 	}
+	// What has been written is read by the endpoints that go on with the answer.
+	written := s.events * s.engine.Stride
+	prompt += written
+	answer = max(answer-float64(written), answerMargin*usual)
 	return waiter.Item{
 		ID:       s.q.ID,
 		Ask:      reserver.Ask{Prompt: prompt, Answer: int(answer), Avoid: s.avoid},
@@ -122,37 +132,100 @@
 	}
 }
 
-// attempt sends the request along a path and passes the events on.
-func (s *streaming) attempt(path reserver.Path) verdict {
+// handover is the change of a silent stream to another path, which is reserved before the silent one is given up.
+type handover struct {
+	mu sync.Mutex
+	// ended is set once the attempt has ended by itself.
+	ended   bool
+	verdict *monitor.Verdict
+	next    *reserver.Path
+}
+
+// end takes in that an attempt has ended, and returns the path to go on with, if it was handed over.
+func (h *handover) end() (*monitor.Verdict, *reserver.Path) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ended = true
+	return h.verdict, h.next
+}
+
+// move reserves another path for a stream that has gone silent, and then cancels its attempt. It returns false if the stream
+// has to stay where it is: for want of an attempt, memory or budget.
+func (s *streaming) move(h *handover, v monitor.Verdict, ask reserver.Ask, sent int, cancel context.CancelFunc) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ended || h.verdict != nil {
+		return true
+	}
+	if sent+1 >= s.route.Attempts || !s.route.Repeatable() {
+		return false
+	}
+	avoid := make(map[string]bool, len(ask.Avoid)+len(v.Suspects))
+	for id := range ask.Avoid {
+		avoid[id] = true
+	}
+	for _, id := range v.Suspects {
+		avoid[id] = true
+	}
+	ask.Avoid = avoid
+	now := s.f.clock()
+	path, refusal := s.alloc.Try(now, ask)
+	if refusal != reserver.Granted {
+		return false
+	}
+	if !s.f.repeat(now, s.service) {
+		s.alloc.Read(path)
+		s.alloc.Release(now, path)
+		return false
+	}
+	h.verdict, h.next = &v, &path
+	cancel()
+	return true
+}
+
+// attempt sends the request along a path and passes the events on. It returns the path to go on with if the stream was handed
+// over to one.
+func (s *streaming) attempt(path reserver.Path) (verdict, *reserver.Path) {
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
 	s.reading = true
 	first := path.Parts[0].Endpoint
-	var silent atomic.Pointer[monitor.Verdict]
-	s.alloc.Open(s.f.clock(), s.q.ID, path, func(v monitor.Verdict) {
-		silent.Store(&v)
-		cancel()
-	})
-	defer s.alloc.Done(s.q.ID)
-	s.note("path", describe(path), "expecting", path.First.Round(time.Millisecond).String(), "then", path.Step.Round(100*time.Microsecond).String())
+	h := &handover{}
+	ask, sent := s.item().Ask, s.attempts
+	ask.Avoid = maps.Clone(ask.Avoid)
+	s.alloc.Open(s.f.clock(), s.q.ID, path, func(v monitor.Verdict) bool { return s.move(h, v, ask, sent, cancel) })
+	s.note("path", describe(path), "expecting", path.First.Round(time.Millisecond).String(), "then",
+		path.Step.Round(100*time.Microsecond).String())
 	m := s.message(Delivery{
 		Endpoint: first.ID, Left: s.left(s.f.clock()), LastEvent: s.last, Path: path.Parts, Priority: s.priority(),
 	})
 	a, err := s.f.pool.Send(ctx, first.Address, m)
-	if err == nil {
-		return s.receive(a, path, &silent)
-	}
-	if errors.Is(err, connector.ErrNotSent) {
+	v := unsent
+	switch {
+	case err == nil:
+		v, err = s.receive(a, path)
+	case errors.Is(err, connector.ErrNotSent):
 		s.blame(first.ID, brokenTime)
 		s.note("not reached:", err.Error())
-		return unsent
+	default:
+		s.attempts++
+		v = lost
 	}
-	s.attempts++
-	return s.broke(path, err, silent.Load())
+	s.alloc.Done(s.q.ID)
+	silent, next := h.end()
+	if v == answered && next != nil {
+		s.alloc.Read(*next)
+		s.alloc.Release(s.f.clock(), *next)
+		return answered, nil
+	}
+	if v == lost {
+		s.broke(path, err, silent)
+	}
+	return v, next
 }
 
-// receive takes in the head of an answer and passes the events on.
-func (s *streaming) receive(a *connector.Answer, path reserver.Path, silent *atomic.Pointer[monitor.Verdict]) verdict {
+// receive takes in the head of an answer and passes the events on. The error says why a whole answer did not come.
+func (s *streaming) receive(a *connector.Answer, path reserver.Path) (verdict, error) {
 	s.attempts++
 	reading := s.f.protocol.Read(a.Status, a.Header)
 	if reading.NotRun {
@@ -165,42 +238,38 @@
 		id := s.alloc.Suspect(s.f.clock(), at, refusedTime)
 		s.avoid[id] = true
 		s.note("endpoint", id, "did not run it:", http.StatusText(a.Status))
-		return notRun
+		return notRun, nil
 	}
 	s.ran = true
 	if a.Status != http.StatusOK || !strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") {
 		return s.pass(a, path)
 	}
 	v, err := s.copyEvents(a, path)
-	if err == nil {
-		a.Finish(true)
-		return v
-	}
-	a.Finish(false)
-	return s.broke(path, err, silent.Load())
+	a.Finish(err == nil)
+	return v, err
 }
 
 // pass gives an answer that is no stream to the caller, unless it is a failure and another attempt is left.
-func (s *streaming) pass(a *connector.Answer, path reserver.Path) verdict {
+func (s *streaming) pass(a *connector.Answer, path reserver.Path) (verdict, error) {
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxReply))
 	a.Finish(err == nil && len(body) < maxReply)
 	if err != nil || len(body) >= maxReply {
-		return s.broke(path, err, nil)
+		return lost, errors.Join(errTorn, err)
 	}
 	s.note("endpoint", path.Parts[0].Endpoint.ID, "answered", http.StatusText(a.Status))
 	if s.begun || a.Status >= 500 && s.attempts < s.route.Attempts && s.route.Repeatable() {
 		s.avoid[path.Parts[0].Endpoint.ID] = true
-		return failed
+		return failed, nil
 	}
 	s.copyHeader(a.Status, a.Header)
 	if _, err := s.w.Write(body); err != nil {
 		s.outcome = "caller left"
 	}
-	return answered
+	return answered, nil
 }
 
 // broke takes in that an attempt ended without a whole answer.
-func (s *streaming) broke(path reserver.Path, err error, v *monitor.Verdict) verdict {
+func (s *streaming) broke(path reserver.Path, err error, v *monitor.Verdict) {
 	s.ran = true
 	switch {
 	case v != nil:
@@ -217,7 +286,6 @@
 		s.note("broke:", err.Error())
 		s.blame(path.Parts[0].Endpoint.ID, refusedTime)
 	}
-	return lost
 }
 
 // blame keeps an endpoint out of use for a time, and out of this request for good.
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -19,7 +19,6 @@
 	"github.com/heatherrock/heatherrock/internal/client/lister"
 	"github.com/heatherrock/heatherrock/internal/control/gossiper"
 	"github.com/heatherrock/heatherrock/internal/control/replicator"
-	"github.com/heatherrock/heatherrock/internal/routing/limiter"
 	"github.com/heatherrock/heatherrock/internal/routing/matcher"
 	"github.com/heatherrock/heatherrock/internal/routing/monitor"
 	"github.com/heatherrock/heatherrock/internal/routing/reserver"
@@ -73,7 +72,7 @@
 	// suspectTime and expireTime are how long a peer may be silent until it is suspected and taken as gone.
 	suspectTime = 1500 * time.Millisecond
 	expireTime  = 3 * time.Second
-	// shareInterval is the time between looks at this instance's part of the fleet.
+	// shareInterval is the time between settings of the gauges.
 	shareInterval = 250 * time.Millisecond
 	// startTime is how long an instance waits for a path through all layers before it takes requests all the same.
 	startTime = 9 * time.Second
@@ -100,7 +99,6 @@
 	clock    func() time.Time
 
 	meter     *meter.Meter
-	budget    *limiter.Budget
 	forwarder *forwarder.Forwarder
 	exchange  *exchanger.Exchanger
 	syncer    *syncer.Syncer
@@ -127,9 +125,10 @@
 		endpoints: map[string]director.Endpoint{},
 	}
 	g.meter = meter.New(s.Name, s.DataCentre)
-	g.budget = limiter.NewBudget(retryPart*s.RetryShare, 1)
 	g.forwarder = forwarder.New(p.Protocol, s.DataCentre, forwarder.WithLog(log), forwarder.WithClock(clock),
-		forwarder.WithScope(g.meter.Scope()), forwarder.WithBudget(g.budget))
+		forwarder.WithScope(g.meter.Scope()), forwarder.WithBudget(forwarder.Budget{
+			Share: s.RetryShare, Slack: s.RetrySlack, Window: s.RetryWindow,
+		}))
 	self := gossiper.Peer{ID: s.ID, Address: s.Peers, DataCentre: s.DataCentre, Region: s.Region}
 	g.exchange = exchanger.New(self,
 		exchanger.WithInterval(gossipInterval),
@@ -147,10 +146,6 @@
 	return g
 }
 
-// retryPart is the part of the fleet's budget for retries that the instances share out; the rest covers what one instance
-// does not know of the others.
-const retryPart = 0.7
-
 // Start opens the listeners and starts the parts. The error says which listener could not be opened.
 func (g *Gateway) Start() error {
 	g.begun = g.clock()
@@ -318,7 +313,7 @@
 	}
 }
 
-// loopShares keeps this instance's part of the budget for retries, and its gauges, until done is closed.
+// loopShares keeps this instance's gauges until done is closed.
 func (g *Gateway) loopShares() {
 	defer g.wait.Done()
 	t := time.NewTicker(shareInterval)
@@ -333,7 +328,7 @@
 	}
 }
 
-// share sets this instance's part of the budget for retries, and its gauges.
+// share sets this instance's gauges, and says in the log what memory is short.
 func (g *Gateway) share(now time.Time) {
 	for service, a := range g.forwarder.Allocators() {
 		load, waiting := a.Load(now)
@@ -346,26 +341,31 @@
 				"holders", t.Holders, "room", t.Room, "used", t.Used)
 		}
 	}
-	instances := float64(len(g.exchange.Peers()) + 1)
-	slack := retryPart * g.settings.RetrySlack / instances
-	window := max(1, g.settings.RetryWindow.Seconds())
-	g.forwarder.SetBudget(now, slack/2/window, slack/2)
 	g.meter.Gauge("flight", float64(g.forwarder.Flight()))
 }
 
 // usages returns what this instance has reserved.
 func (g *Gateway) usages() accountant.Usages {
 	out := accountant.Usages{}
+	for service, sent := range g.forwarder.Sent(g.clock()) {
+		out[service] = accountant.Holding{Sent: sent}
+	}
 	for service, a := range g.forwarder.Allocators() {
-		out[service] = a.Usage()
+		h := out[service]
+		h.Memory = a.Usage()
+		out[service] = h
 	}
 	return out
 }
 
 // merge takes in what the other instances have reserved.
 func (g *Gateway) merge(now time.Time, others accountant.Usages) {
+	instances := len(g.exchange.Peers()) + 1
+	for service, h := range others {
+		g.forwarder.MergeSent(now, service, h.Sent, instances)
+	}
 	for service, a := range g.forwarder.Allocators() {
-		a.Merge(now, "fleet", others[service])
+		a.Merge(now, "fleet", others[service].Memory)
 	}
 }
 
