Bound suspicion, reserve blindly after a restart, move endpoints to scarce layers

Change: an endpoint is kept from other requests only if several streams stopped together or it alone is silent and passed events before, and never if one of its layers would have no other holder. Until the accounts are heard each other instance is taken to reserve as much as this one. placer.Move moves one endpoint to the scarcest block if that raises the capacity by 12 in 100, once the layout has stayed for 2.5 s. What prompts wait for counts in the time to the first event.

--- a/internal/routing/monitor/monitor.go
+++ b/internal/routing/monitor/monitor.go
@@ -56,6 +56,9 @@
 	// Suspects holds the endpoints of its path through which no stream had an event meanwhile; it is empty if others
 	// go on through all of them.
 	Suspects []string
+	// Dead is set if the suspects are to be kept out of use for other requests too: they passed events before, and the
+	// silence points at them rather than at a long prompt.
+	Dead bool
 }
 
 // Monitor watches the streams of one instance. It is not safe for concurrent use.
@@ -126,7 +129,7 @@
 		}
 		silent := now.Sub(s.Last)
 		if dead := among(s.Path, stopped); len(dead) > 0 && s.Events > 1 {
-			out = append(out, Verdict{id, silent, dead})
+			out = append(out, Verdict{id, silent, dead, true})
 			s.Quiet = now.Add(againTime)
 			continue
 		}
@@ -138,7 +141,7 @@
 		if len(suspects) == 0 && silent < aloneFactor*limit {
 			continue
 		}
-		out = append(out, Verdict{id, silent, suspects})
+		out = append(out, Verdict{id, silent, suspects, len(suspects) == 1 && m.known(suspects[0])})
 		s.Quiet = now.Add(againTime)
 	}
 	return out
@@ -194,6 +197,12 @@
 	return max(leastSilence, gapFactor*s.Gap)
 }
 
+// known reports whether an endpoint has passed events to this instance.
+func (m *Monitor) known(id string) bool {
+	_, ok := m.heard[id]
+	return ok
+}
+
 // suspects returns the endpoints of a stream's path that passed no event since a time.
 func (m *Monitor) suspects(s *Stream, since time.Time) []string {
 	var out []string
--- a/internal/routing/placer/placer.go
+++ b/internal/routing/placer/placer.go
@@ -131,6 +131,40 @@
 	return out
 }
 
+// moveGain is the relative gain of capacity below which an endpoint that holds layers is not moved: a move costs a load, and
+// its endpoint serves nothing meanwhile.
+const moveGain = 0.12
+
+// Move returns the one endpoint whose move to other layers serves most, if it is worth a load. Only moves to the blocks that
+// the fewest endpoints hold are weighed.
+func Move(e *Engine, g Grid, holders []Holder) (Assignment, bool) {
+	c := newCoverage(g)
+	for _, h := range holders {
+		c.add(h.DataCentre, h.Held, 1)
+	}
+	if g.Blocks() < 1 {
+		return Assignment{}, false
+	}
+	weak := slices.Index(c.all, slices.Min(c.all))
+	before := Capacity(e, holders)
+	best, most := Assignment{}, before*(1+moveGain)
+	tried := slices.Clone(holders)
+	for i, h := range holders {
+		w := g.Widths[h.Card]
+		if w == 0 || h.Held.Empty() || h.Held.Covers(Range{g.Bounds[weak], g.Bounds[weak+1]}) {
+			continue
+		}
+		for at := max(0, weak-w+1); at <= weak && at+w <= g.Blocks(); at++ {
+			tried[i].Held = Range{g.Bounds[at], g.Bounds[at+w]}
+			if c := Capacity(e, tried); c > most && Covered(e, tried) >= Covered(e, holders) {
+				best, most = Assignment{h.ID, tried[i].Held}, c
+			}
+		}
+		tried[i].Held = h.Held
+	}
+	return best, best.ID != ""
+}
+
 // coverage counts the holders of each block, by data centre and in all.
 type coverage struct {
 	grid    Grid
--- a/internal/routing/placer/placer_test.go
+++ b/internal/routing/placer/placer_test.go
@@ -106,6 +106,36 @@
 	}
 }
 
+// TestMoveMendsALayoutThatLost takes away the endpoints that hold some layers, one after the other: moves bring capacity back.
+func TestMoveMendsALayoutThatLost(t *testing.T) {
+	e, holders := mixed()
+	g := NewGrid(e, holders)
+	placed := assign(holders, Plan(e, g, holders))
+	if a, ok := Move(e, g, placed); ok {
+		t.Errorf("a whole layout is changed: %v", a)
+	}
+	var left []Holder
+	lost := 0
+	for _, h := range placed {
+		if h.Held.Covers(Range{72, 80}) && lost < 3 {
+			lost++
+			continue
+		}
+		left = append(left, h)
+	}
+	before := Capacity(e, left)
+	moves := 0
+	for a, ok := Move(e, g, left); ok; a, ok = Move(e, g, left) {
+		left = assign(left, []Assignment{a})
+		if moves++; moves > 5 {
+			t.Fatal("the moves do not end")
+		}
+	}
+	if after := Capacity(e, left); moves == 0 || after < 1.12*before {
+		t.Errorf("%d moves raise the capacity from %.1f to %.1f", moves, before, after)
+	}
+}
+
 func TestRoom(t *testing.T) {
 	e, _ := mixed()
 	got := []int{e.Room(e.Cards["big"], 40), e.Room(e.Cards["big"], 20), e.Room(e.Cards["small"], 8), e.Room(e.Cards["small"], 13), e.Room(e.Cards["small"], 0)}
--- a/internal/routing/reserver/reserver.go
+++ b/internal/routing/reserver/reserver.go
@@ -132,6 +132,9 @@
 	// Factors holds how many times longer than expected endpoints take, if they were found slow.
 	Factors map[string]float64
 
+	// Instances is the number of instances of the fleet, this one included.
+	Instances int
+
 	peers  map[string]peer
 	others Usage
 	cuts   []int
@@ -208,13 +211,30 @@
 	}
 }
 
-// Suspect keeps an endpoint out of use until a time.
-func (r *Reserver) Suspect(until time.Time, id string) {
+// Suspect keeps an endpoint out of use until a time. It does nothing if one of the endpoint's layers would be left to no
+// other endpoint: a slow path is better than none.
+func (r *Reserver) Suspect(now, until time.Time, id string) {
+	e := r.Endpoints[id]
+	for l := e.Held.From; l < e.Held.To; l++ {
+		if !r.held(now, l, id) {
+			return
+		}
+	}
 	if until.After(r.Suspects[id]) {
 		r.Suspects[id] = until
 	}
 }
 
+// held reports whether a layer is held by a usable endpoint other than one.
+func (r *Reserver) held(now time.Time, layer int, but string) bool {
+	for _, e := range r.Endpoints {
+		if e.ID != but && e.Held.From <= layer && layer < e.Held.To && r.usable(now, e, nil) {
+			return true
+		}
+	}
+	return false
+}
+
 // Used returns the part of an endpoint's memory that is reserved.
 func (r *Reserver) Used(id string) float64 {
 	e := r.Endpoints[id]
@@ -222,7 +242,16 @@
 	if room <= 0 {
 		return 1
 	}
-	return (r.Own[id] + r.others[id]) / room
+	return r.used(id) / room
+}
+
+// used returns what is reserved under a name. While nothing has been heard of the other instances, as after a restart of all
+// of them, each is taken to reserve as much as this one.
+func (r *Reserver) used(name string) float64 {
+	if len(r.peers) == 0 {
+		return r.Own[name] * float64(max(1, r.Instances))
+	}
+	return r.Own[name] + r.others[name]
 }
 
 // room returns the memory of an endpoint, in tokens times layers.
@@ -250,7 +279,7 @@
 		r.Own[part.Endpoint.ID] += float64(tokens * part.Range.Len())
 		r.Reading[part.Endpoint.ID] += float64(a.Prompt)
 		read, step := s.times(part.Endpoint, part.Range)
-		p.First += read + step
+		p.First += read + step + s.queue(part.Endpoint, part.Range)
 		p.Step += step + hopDelay
 	}
 	return p, Granted
@@ -330,7 +359,7 @@
 	for _, e := range r.Endpoints {
 		if r.usable(now, e, nil) {
 			room += r.room(e)
-			used += r.Own[e.ID] + r.others[e.ID]
+			used += r.used(e.ID)
 		}
 	}
 	if room <= 0 {
@@ -375,7 +404,7 @@
 			n := float64(e.Held.Len())
 			s.Holders++
 			s.Room += r.room(e) / n
-			s.Used += (r.Own[e.ID] + r.others[e.ID]) / n
+			s.Used += r.used(e.ID) / n
 		}
 		if i == 0 || s.Room-s.Used < best.Room-best.Used {
 			best = s
--- a/internal/routing/reserver/search.go
+++ b/internal/routing/reserver/search.go
@@ -41,7 +41,7 @@
 		if !r.usable(now, e, a.Avoid) {
 			continue
 		}
-		free := fillLimit*r.room(e) - r.Own[e.ID] - r.others[e.ID]
+		free := fillLimit*r.room(e) - r.used(e.ID)
 		s.usable = append(s.usable, candidate{e, 1 + noise*(2*r.random.Float64()-1), free})
 	}
 	for i := range s.ways {
@@ -134,7 +134,7 @@
 	engine := s.r.Engine
 	card := engine.Cards[e.Card]
 	usual := max(1, engine.Prompt+engine.Answer/2)
-	writers := (s.r.Own[e.ID] + s.r.others[e.ID]) / float64(max(1, e.Held.Len())) / float64(usual)
+	writers := s.r.used(e.ID) / float64(max(1, e.Held.Len())) / float64(usual)
 	factor := max(1, s.r.Factors[e.ID])
 	read = time.Duration(factor * float64(engine.ReadTime(card, r.Len(), s.ask.Prompt)))
 	step = time.Duration(factor * float64(engine.StepTime(card, r.Len(), writers)))
@@ -149,7 +149,7 @@
 		return 0
 	}
 	if own := s.r.Own[e.ID]; own > 0 {
-		reading *= 1 + s.r.others[e.ID]/own
+		reading *= s.r.used(e.ID) / own
 	}
 	engine := s.r.Engine
 	return engine.ReadTime(engine.Cards[e.Card], r.Len(), int(reading))
@@ -164,7 +164,7 @@
 		return cost, true
 	}
 	name := linkName(from, to)
-	used := (s.r.Own[name] + s.r.others[name]) / engine.PipeMB
+	used := s.r.used(name) / engine.PipeMB
 	if used+s.rate()/engine.PipeMB > linkLimit {
 		return 0, false
 	}
--- a/internal/serving/director/director.go
+++ b/internal/serving/director/director.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"slices"
 	"strings"
@@ -82,6 +83,9 @@
 	settled = 1300 * time.Millisecond
 	// patience bounds the wait for endpoints before the first placement.
 	patience = 5 * time.Second
+	// rebalanceTime is how long a layout stays before an endpoint that holds layers is moved: one that crashed comes
+	// back within seconds, and is the cheaper remedy.
+	rebalanceTime = 2500 * time.Millisecond
 	// orderTime bounds an order.
 	orderTime = 1500 * time.Millisecond
 	// showTime is how long an endpoint takes to tell of a change beyond the time of the load.
@@ -122,6 +126,10 @@
 	begun   map[string]begun
 	elector *elector.Elector
 	leaving bool
+	// shape is the layout as last seen, since changed; weighed is set once a move in it has been weighed.
+	shape   string
+	changed time.Time
+	weighed bool
 }
 
 // New returns a director of an instance.
@@ -168,7 +176,7 @@
 		if _, ok := d.first[e.ID]; !ok {
 			d.first[e.ID] = now
 		}
-		if p, ok := d.pending[e.ID]; ok && (p.born != e.Born || !e.Held.Empty()) {
+		if p, ok := d.pending[e.ID]; ok && (p.born != e.Born || e.Held == p.order) {
 			delete(d.pending, e.ID)
 		}
 	}
@@ -345,7 +353,10 @@
 		}
 		holders = append(holders, h)
 	}
-	if empty == 0 || held == 0 && now.Sub(newest) < settled && now.Sub(oldest) < patience {
+	if empty == 0 {
+		return d.rebalance(now, holders)
+	}
+	if held == 0 && now.Sub(newest) < settled && now.Sub(oldest) < patience {
 		return nil
 	}
 	if held == 0 || d.grid.Blocks() < 1 {
@@ -369,6 +380,41 @@
 	return out
 }
 
+// rebalance returns the order that moves an endpoint to layers that have become scarce, once the layout has stayed as it is for
+// a while. The lock is held.
+func (d *Director) rebalance(now time.Time, holders []placer.Holder) []Order {
+	if len(d.pending) > 0 || len(holders) == 0 {
+		d.changed = now
+		return nil
+	}
+	if shape := layout(holders); shape != d.shape {
+		d.shape, d.changed, d.weighed = shape, now, false
+	}
+	if d.weighed || now.Sub(d.changed) < rebalanceTime {
+		return nil
+	}
+	d.weighed = true
+	if d.grid.Blocks() < 1 {
+		d.grid = placer.NewGrid(d.model.Engine, holders)
+	}
+	a, ok := placer.Move(d.model.Engine, d.grid, holders)
+	if !ok {
+		return nil
+	}
+	d.log.Info("endpoint moved to scarce layers", "endpoint", a.ID, "from", a.Range.From, "to", a.Range.To)
+	return []Order{d.order(now, a)}
+}
+
+// layout returns what endpoints hold as one text.
+func layout(holders []placer.Holder) string {
+	list := make([]string, len(holders))
+	for i, h := range holders {
+		list[i] = fmt.Sprint(h.ID, h.Held)
+	}
+	slices.Sort(list)
+	return strings.Join(list, " ")
+}
+
 // order returns the order of an assignment and marks it as pending. The lock is held.
 func (d *Director) order(now time.Time, a placer.Assignment) Order {
 	i := slices.IndexFunc(d.model.Endpoints, func(e Endpoint) bool { return e.ID == a.ID })
--- a/internal/serving/forwarder/allocator.go
+++ b/internal/serving/forwarder/allocator.go
@@ -45,6 +45,13 @@
 	a.grant(now)
 }
 
+// SetInstances tells how many instances there are.
+func (a *Allocator) SetInstances(n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.reserver.Instances = n
+}
+
 // Merge takes in what another instance has reserved.
 func (a *Allocator) Merge(now time.Time, peer string, u reserver.Usage) {
 	a.mu.Lock()
@@ -99,7 +106,7 @@
 	defer a.mu.Unlock()
 	for id, e := range a.reserver.Endpoints {
 		if id == name || e.Address == name {
-			a.reserver.Suspect(now.Add(d), id)
+			a.reserver.Suspect(now, now.Add(d), id)
 			return id
 		}
 	}
@@ -222,8 +229,11 @@
 	calls := make([]func(monitor.Verdict) bool, len(verdicts))
 	for i, v := range verdicts {
 		calls[i] = a.silent[v.ID]
+		if !v.Dead {
+			continue
+		}
 		for _, id := range v.Suspects {
-			a.reserver.Suspect(now.Add(suspectTime), id)
+			a.reserver.Suspect(now, now.Add(suspectTime), id)
 		}
 	}
 	a.grant(now)
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -330,7 +330,9 @@
 
 // share sets this instance's gauges, and says in the log what memory is short.
 func (g *Gateway) share(now time.Time) {
+	instances := len(g.exchange.Known()) + 1
 	for service, a := range g.forwarder.Allocators() {
+		a.SetInstances(instances)
 		load, waiting := a.Load(now)
 		g.meter.Gauge("memory_reserved", load)
 		g.meter.Gauge("waiting", float64(waiting))
