Ask endpoints that are suspected together, and begin again where a path began

Change: suspects of one verdict are each asked for their state, and those that answer are used again. The bound of attempts counts endpoints, as the operator states it: once it is reached, a path may still begin at one that had the request.

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -42,6 +42,7 @@
 	g := gateway.New(own, gateway.Platform{
 		Store:          store,
 		Orders:         orders,
+		Prober:         orders,
 		Protocol:       platform.Protocol{},
 		ConfigTable:    platform.TableConfig,
 		ConfigKey:      platform.KeyConfig,
--- a/internal/routing/reserver/reserver.go
+++ b/internal/routing/reserver/reserver.go
@@ -51,6 +51,8 @@
 	Answer int
 	// Avoid holds the endpoints that the path must not use.
 	Avoid map[string]bool
+	// First holds the endpoints that the path may begin at; nil allows each.
+	First map[string]bool
 }
 
 // Refusal says why there is no path.
@@ -225,6 +227,11 @@
 	}
 }
 
+// Trust takes an endpoint into use again.
+func (r *Reserver) Trust(id string) {
+	delete(r.Suspects, id)
+}
+
 // held reports whether a layer is held by a usable endpoint other than one.
 func (r *Reserver) held(now time.Time, layer int, but string) bool {
 	for _, e := range r.Endpoints {
--- a/internal/routing/reserver/reserver_test.go
+++ b/internal/routing/reserver/reserver_test.go
@@ -150,6 +150,17 @@
 	}
 }
 
+func TestReserveBeginsWhereItMay(t *testing.T) {
+	r := newReserver(1)
+	p, refusal := r.Reserve(start, Ask{Prompt: 10, Answer: 10, First: map[string]bool{"b0": true}})
+	if refusal != Granted || names(p)[0] != "b0" {
+		t.Errorf("%v, %q", names(p), refusal)
+	}
+	if _, refusal = r.Reserve(start, Ask{Prompt: 10, Answer: 10, First: map[string]bool{}}); refusal == Granted {
+		t.Error("a path begins where none may")
+	}
+}
+
 func TestSuspectComesBack(t *testing.T) {
 	r := newReserver(1)
 	r.Suspect(start, start.Add(time.Second), "a0")
--- a/internal/routing/reserver/search.go
+++ b/internal/routing/reserver/search.go
@@ -87,6 +87,9 @@
 		if e.Held.From > from || e.Held.To <= from || n.uses(e.ID) {
 			continue
 		}
+		if n.before == nil && s.ask.First != nil && !s.ask.First[e.ID] {
+			continue
+		}
 		for j := i + 1; j < len(s.r.cuts) && s.r.cuts[j] <= e.Held.To; j++ {
 			s.offer(j, n, c, placer.Range{From: from, To: s.r.cuts[j]})
 		}
--- a/internal/serving/forwarder/allocator.go
+++ b/internal/serving/forwarder/allocator.go
@@ -23,6 +23,10 @@
 	ready map[string]chan reserver.Path
 	// silent holds what to call when a stream has gone silent.
 	silent map[string]func(monitor.Verdict) bool
+	// probe reports whether an endpoint answers; nil leaves all suspects suspected.
+	probe func(id, address string) bool
+	// probed is when a suspect was last asked.
+	probed map[string]time.Time
 }
 
 // NewAllocator returns an allocator of an instance in a data centre.
@@ -33,6 +37,7 @@
 		monitor:  monitor.New(),
 		ready:    map[string]chan reserver.Path{},
 		silent:   map[string]func(monitor.Verdict) bool{},
+		probed:   map[string]time.Time{},
 	}
 }
 
@@ -227,6 +232,7 @@
 	a.mu.Lock()
 	verdicts := a.monitor.Check(now)
 	calls := make([]func(monitor.Verdict) bool, len(verdicts))
+	var doubted []reserver.Endpoint
 	for i, v := range verdicts {
 		calls[i] = a.silent[v.ID]
 		if !v.Dead {
@@ -235,12 +241,46 @@
 		for _, id := range v.Suspects {
 			a.reserver.Suspect(now, now.Add(suspectTime), id)
 		}
+		if len(v.Suspects) > 1 {
+			doubted = append(doubted, a.doubt(now, v.Suspects)...)
+		}
 	}
 	a.grant(now)
 	a.mu.Unlock()
+	for _, e := range doubted {
+		go a.run(e)
+	}
 	for i, f := range calls {
 		if f != nil && f(verdicts[i]) {
 			a.Done(verdicts[i].ID)
 		}
 	}
 }
+
+// probeInterval is the least time between two probes of a suspect: a probe costs the endpoint time.
+const probeInterval = 2 * time.Second
+
+// doubt returns the suspects that are to be asked, as only one of them may be dead. The lock is held.
+func (a *Allocator) doubt(now time.Time, suspects []string) []reserver.Endpoint {
+	if a.probe == nil {
+		return nil
+	}
+	var out []reserver.Endpoint
+	for _, id := range suspects {
+		if e, ok := a.reserver.Endpoints[id]; ok && now.Sub(a.probed[id]) >= probeInterval {
+			a.probed[id] = now
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// run asks a suspect whether it is there, and takes it into use again if it is.
+func (a *Allocator) run(e reserver.Endpoint) {
+	if !a.probe(e.ID, e.Address) {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.reserver.Trust(e.ID)
+}
--- a/internal/serving/forwarder/forwarder.go
+++ b/internal/serving/forwarder/forwarder.go
@@ -38,6 +38,7 @@
 	clock    func() time.Time
 	scope    tally.Scope
 	centre   string
+	prober   Prober
 
 	config  atomic.Pointer[matcher.Configuration]
 	leaving atomic.Bool
@@ -78,6 +79,14 @@
 // WithBudget sets the fleet's budget for sending requests again.
 func WithBudget(b Budget) Option { return func(f *Forwarder) { f.budget = b } }
 
+// Prober asks an endpoint whether it is there.
+type Prober interface {
+	Probe(ctx context.Context, endpoint, address string) error
+}
+
+// WithProber sets what asks endpoints that are suspected together. Without one, all stay suspected.
+func WithProber(p Prober) Option { return func(f *Forwarder) { f.prober = p } }
+
 // WithSeed sets the seed of random choices.
 func WithSeed(seed uint64) Option {
 	return func(f *Forwarder) { f.random = rand.New(rand.NewPCG(seed, seed)) }
@@ -162,11 +171,26 @@
 	a, ok := f.allocators[service]
 	if !ok {
 		a = NewAllocator(f.centre, rand.New(rand.NewPCG(f.random.Uint64(), f.random.Uint64())))
+		if f.prober != nil {
+			a.probe = f.alive
+		}
 		f.allocators[service] = a
 	}
 	return a
 }
 
+// probeTime bounds a probe. An endpoint that is there answers within a few milliseconds.
+const probeTime = 200 * time.Millisecond
+
+// alive reports whether an endpoint answers a probe.
+func (f *Forwarder) alive(id, address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
+	defer cancel()
+	err := f.prober.Probe(ctx, id, address)
+	f.log.Info("suspect asked", "endpoint", id, "address", address, "answers", err == nil)
+	return err == nil
+}
+
 // Allocators returns the allocators by service.
 func (f *Forwarder) Allocators() map[string]*Allocator {
 	f.mu.Lock()
--- a/internal/serving/forwarder/plain.go
+++ b/internal/serving/forwarder/plain.go
@@ -92,11 +92,16 @@
 	if v != notRun && !k.route.Repeatable() {
 		return false
 	}
-	if !k.f.repeat(k.f.clock(), k.service) {
-		k.note("budget for sending again is spent")
-		return false
+	return k.mayRepeat()
+}
+
+// mayRepeat reports whether the fleet's budget allows to send the request again, and counts it if so.
+func (k *call) mayRepeat() bool {
+	if k.f.repeat(k.f.clock(), k.service) {
+		return true
 	}
-	return true
+	k.note("budget for sending again is spent")
+	return false
 }
 
 // finish gives the caller the last reply, or says what is known if there is none.
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -37,6 +37,8 @@
 	engine *placer.Engine
 	alloc  *Allocator
 	avoid  map[string]bool
+	// firsts holds the endpoints that the request was sent to; each path begins at one.
+	firsts map[string]bool
 	// begun is set once the head of the answer has gone to the caller.
 	begun bool
 	// reading is set while the prompt is being read on a path.
@@ -48,7 +50,8 @@
 
 // stream serves a request that is answered by a stream of events.
 func (k *call) stream(e *placer.Engine) {
-	s := &streaming{call: k, engine: e, alloc: k.f.Allocator(k.service), avoid: map[string]bool{}, last: k.q.LastEvent}
+	s := &streaming{call: k, engine: e, alloc: k.f.Allocator(k.service), avoid: map[string]bool{},
+		firsts: map[string]bool{}, last: k.q.LastEvent}
 	path, refusal := s.alloc.Acquire(k.ctx, k.f.clock(), s.item())
 	for n := 0; ; n++ {
 		if refusal != reserver.Granted {
@@ -68,7 +71,7 @@
 			path = *next
 			continue
 		}
-		if n >= dials || gone(k.ctx) || !k.again(v) {
+		if n >= dials || gone(k.ctx) || !s.again(v) {
 			s.giveUp("no whole answer")
 			return
 		}
@@ -76,6 +79,15 @@
 	}
 }
 
+// again reports whether the stream may be sent once more. The bound of attempts counts endpoints: once it is reached, a path
+// may still begin at one that the request was sent to before.
+func (s *streaming) again(v verdict) bool {
+	if v == unsent {
+		return true
+	}
+	return s.attempts < dials && s.left(s.f.clock()) > 0 && (v == notRun || s.route.Repeatable()) && s.mayRepeat()
+}
+
 // read takes in that the prompt has been read on a path, or no longer is.
 func (s *streaming) read(path reserver.Path) {
 	if s.reading {
@@ -104,7 +116,7 @@
 	answer = max(answer-float64(written), answerMargin*usual)
 	return waiter.Item{
 		ID:       s.q.ID,
-		Ask:      reserver.Ask{Prompt: prompt, Answer: int(answer), Avoid: s.avoid},
+		Ask:      reserver.Ask{Prompt: prompt, Answer: int(answer), Avoid: s.avoid, First: s.begins()},
 		Team:     s.team.Name,
 		Priority: s.priority(),
 		Target:   s.route.Target,
@@ -114,6 +126,14 @@
 	}
 }
 
+// begins returns the endpoints that the next path may begin at; nil allows each.
+func (s *streaming) begins() map[string]bool {
+	if len(s.firsts) < s.route.Attempts {
+		return nil
+	}
+	return maps.Clone(s.firsts)
+}
+
 // giveUp ends a stream that is not whole: one that has begun is broken off, so that it does not look complete.
 func (s *streaming) giveUp(reason string) {
 	switch {
@@ -157,7 +177,7 @@
 	if h.ended || h.verdict != nil {
 		return true
 	}
-	if sent+1 >= s.route.Attempts || !s.route.Repeatable() {
+	if sent+1 >= dials || !s.route.Repeatable() {
 		return false
 	}
 	avoid := make(map[string]bool, len(ask.Avoid)+len(v.Suspects))
@@ -191,6 +211,7 @@
 	s.reading = true
 	first := path.Parts[0].Endpoint
 	h := &handover{}
+	s.firsts[first.ID] = true
 	ask, sent := s.item().Ask, s.attempts
 	ask.Avoid = maps.Clone(ask.Avoid)
 	s.alloc.Open(s.f.clock(), s.q.ID, path, func(v monitor.Verdict) bool { return s.move(h, v, ask, sent, cancel) })
@@ -205,6 +226,7 @@
 	case err == nil:
 		v, err = s.receive(a, path)
 	case errors.Is(err, connector.ErrNotSent):
+		delete(s.firsts, first.ID)
 		s.blame(first.ID, brokenTime)
 		s.note("not reached:", err.Error())
 	default:
@@ -257,7 +279,7 @@
 		return lost, errors.Join(errTorn, err)
 	}
 	s.note("endpoint", path.Parts[0].Endpoint.ID, "answered", http.StatusText(a.Status))
-	if s.begun || a.Status >= 500 && s.attempts < s.route.Attempts && s.route.Repeatable() {
+	if s.begun || a.Status >= 500 && len(s.firsts) < s.route.Attempts && s.route.Repeatable() {
 		s.avoid[path.Parts[0].Endpoint.ID] = true
 		return failed, nil
 	}
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -55,6 +55,7 @@
 type Platform struct {
 	Store    syncer.Store
 	Orders   director.Orderer
+	Prober   forwarder.Prober
 	Protocol forwarder.Protocol
 	// ConfigTable and ConfigKey name the row of the configuration, and EndpointTable the table of endpoints.
 	ConfigTable   string
@@ -126,7 +127,7 @@
 	}
 	g.meter = meter.New(s.Name, s.DataCentre)
 	g.forwarder = forwarder.New(p.Protocol, s.DataCentre, forwarder.WithLog(log), forwarder.WithClock(clock),
-		forwarder.WithScope(g.meter.Scope()), forwarder.WithBudget(forwarder.Budget{
+		forwarder.WithScope(g.meter.Scope()), forwarder.WithProber(p.Prober), forwarder.WithBudget(forwarder.Budget{
 			Share: s.RetryShare, Slack: s.RetrySlack, Window: s.RetryWindow,
 		}))
 	self := gossiper.Peer{ID: s.ID, Address: s.Peers, DataCentre: s.DataCentre, Region: s.Region}
