Ask endpoints whose streams stop together before they count as dead

Ruled out: this process's own delay (other streams had events).

Change: at 80 ms of common silence each endpoint in question is asked for its state, and only one that does not answer within 50 ms counts as dead; an answer counts for 600 ms.

TestAskedBeforeDead.

--- a/internal/routing/monitor/monitor.go
+++ b/internal/routing/monitor/monitor.go
@@ -64,6 +64,12 @@
 // Monitor watches the streams of one instance. It is not safe for concurrent use.
 type Monitor struct {
 	Streams map[string]*Stream
+	// Asks is set if endpoints through which several streams stopped together are to be asked before they count as dead.
+	Asks bool
+
+	// condemned and cleared hold until when endpoints count as dead or as alive, by their answers to a question.
+	condemned map[string]time.Time
+	cleared   map[string]time.Time
 
 	// heard is when an endpoint last passed an event of any stream.
 	heard   map[string]time.Time
@@ -72,7 +78,10 @@
 
 // New returns a monitor without streams.
 func New() *Monitor {
-	return &Monitor{Streams: map[string]*Stream{}, heard: map[string]time.Time{}}
+	return &Monitor{
+		Streams: map[string]*Stream{}, heard: map[string]time.Time{}, condemned: map[string]time.Time{},
+		cleared: map[string]time.Time{},
+	}
 }
 
 // Open begins to watch a stream.
@@ -122,6 +131,13 @@
 	}
 	m.checked = now
 	stopped := m.stopped(now)
+	if m.Asks {
+		for e := range stopped {
+			if !now.Before(m.condemned[e]) {
+				delete(stopped, e)
+			}
+		}
+	}
 	var out []Verdict
 	for id, s := range m.Streams {
 		if now.Before(s.Quiet) {
@@ -141,7 +157,8 @@
 		if len(suspects) == 0 && silent < aloneFactor*limit {
 			continue
 		}
-		out = append(out, Verdict{id, silent, suspects, len(suspects) == 1 && m.known(suspects[0])})
+		dead := len(suspects) == 1 && m.known(suspects[0]) && !now.Before(m.cleared[suspects[0]])
+		out = append(out, Verdict{id, silent, suspects, dead})
 		s.Quiet = now.Add(againTime)
 	}
 	return out
@@ -197,6 +214,33 @@
 	return max(leastSilence, gapFactor*s.Gap)
 }
 
+// answerTime is how long the answer to a question counts.
+const answerTime = 600 * time.Millisecond
+
+// Questions returns the endpoints that are to be asked whether they are there. It does not ask again while an answer counts.
+func (m *Monitor) Questions(now time.Time) []string {
+	var out []string
+	for e := range m.stopped(now) {
+		if now.Before(m.condemned[e]) || now.Before(m.cleared[e]) {
+			continue
+		}
+		// Until the answer comes the endpoint is not asked again.
+		m.cleared[e] = now.Add(answerTime)
+		out = append(out, e)
+	}
+	return out
+}
+
+// Answer takes in whether an endpoint has answered.
+func (m *Monitor) Answer(now time.Time, id string, alive bool) {
+	if alive {
+		m.cleared[id] = now.Add(answerTime)
+		return
+	}
+	delete(m.cleared, id)
+	m.condemned[id] = now.Add(answerTime)
+}
+
 // known reports whether an endpoint has passed events to this instance.
 func (m *Monitor) known(id string) bool {
 	_, ok := m.heard[id]
@@ -219,6 +263,8 @@
 	for e := range m.heard {
 		if !known(e) {
 			delete(m.heard, e)
+			delete(m.condemned, e)
+			delete(m.cleared, e)
 		}
 	}
 }
--- a/internal/routing/monitor/monitor_test.go
+++ b/internal/routing/monitor/monitor_test.go
@@ -76,6 +76,47 @@
 	}
 }
 
+// TestAskedBeforeDead lets all streams through two endpoints stop, of which one answers: only the other counts as dead.
+func TestAskedBeforeDead(t *testing.T) {
+	m := New()
+	m.Asks = true
+	for i := range 4 {
+		m.Open(start, fmt.Sprint("s", i), []string{"a", "b"}, 0)
+	}
+	m.Open(start, "other", []string{"c"}, 0)
+	asked := map[string]int{}
+	verdicts := map[string][]string{}
+	for at := time.Duration(0); at <= 320*time.Millisecond; at += 10 * time.Millisecond {
+		now := start.Add(at)
+		if at%(30*time.Millisecond) == 0 {
+			m.Progress(now, "other")
+			for i := range 4 {
+				if at < 180*time.Millisecond {
+					m.Progress(now, fmt.Sprint("s", i))
+				}
+			}
+		}
+		if at%Interval != 0 {
+			continue
+		}
+		for _, e := range m.Questions(now) {
+			asked[e]++
+			m.Answer(now, e, e == "a")
+		}
+		for _, v := range m.Check(now) {
+			m.Close(v.ID)
+			verdicts[v.ID] = v.Suspects
+		}
+	}
+	if diff := cmp.Diff(map[string]int{"a": 1, "b": 1}, asked); diff != "" {
+		t.Errorf("asked (-want +got):\n%s", diff)
+	}
+	want := map[string][]string{"s0": {"b"}, "s1": {"b"}, "s2": {"b"}, "s3": {"b"}}
+	if diff := cmp.Diff(want, verdicts); diff != "" {
+		t.Errorf("verdicts (-want +got):\n%s", diff)
+	}
+}
+
 func TestNothingSilent(t *testing.T) {
 	verdicts, _ := play(New(), [][]string{{"a", "b"}, {"a", "c"}}, "none", 5*time.Second)
 	if len(verdicts) > 0 {
--- a/internal/routing/reserver/reserver.go
+++ b/internal/routing/reserver/reserver.go
@@ -227,11 +227,6 @@
 	}
 }
 
-// Trust takes an endpoint into use again.
-func (r *Reserver) Trust(id string) {
-	delete(r.Suspects, id)
-}
-
 // held reports whether a layer is held by a usable endpoint other than one.
 func (r *Reserver) held(now time.Time, layer int, but string) bool {
 	for _, e := range r.Endpoints {
--- a/internal/serving/forwarder/allocator.go
+++ b/internal/serving/forwarder/allocator.go
@@ -23,10 +23,9 @@
 	ready map[string]chan reserver.Path
 	// silent holds what to call when a stream has gone silent.
 	silent map[string]func(monitor.Verdict) bool
-	// probe reports whether an endpoint answers; nil leaves all suspects suspected.
+	// probe reports whether an endpoint answers; nil if endpoints are not asked.
 	probe func(id, address string) bool
-	// probed is when a suspect was last asked.
-	probed map[string]time.Time
+	clock func() time.Time
 }
 
 // NewAllocator returns an allocator of an instance in a data centre.
@@ -37,7 +36,7 @@
 		monitor:  monitor.New(),
 		ready:    map[string]chan reserver.Path{},
 		silent:   map[string]func(monitor.Verdict) bool{},
-		probed:   map[string]time.Time{},
+		clock:    time.Now,
 	}
 }
 
@@ -230,9 +229,9 @@
 // Check looks for streams that have gone silent, and lets the requests that wait try again.
 func (a *Allocator) Check(now time.Time) {
 	a.mu.Lock()
+	asked := a.ask(now)
 	verdicts := a.monitor.Check(now)
 	calls := make([]func(monitor.Verdict) bool, len(verdicts))
-	var doubted []reserver.Endpoint
 	for i, v := range verdicts {
 		calls[i] = a.silent[v.ID]
 		if !v.Dead {
@@ -241,13 +240,10 @@
 		for _, id := range v.Suspects {
 			a.reserver.Suspect(now, now.Add(suspectTime), id)
 		}
-		if len(v.Suspects) > 1 {
-			doubted = append(doubted, a.doubt(now, v.Suspects)...)
-		}
 	}
 	a.grant(now)
 	a.mu.Unlock()
-	for _, e := range doubted {
+	for _, e := range asked {
 		go a.run(e)
 	}
 	for i, f := range calls {
@@ -257,30 +253,24 @@
 	}
 }
 
-// probeInterval is the least time between two probes of a suspect: a probe costs the endpoint time.
-const probeInterval = 2 * time.Second
-
-// doubt returns the suspects that are to be asked, as only one of them may be dead. The lock is held.
-func (a *Allocator) doubt(now time.Time, suspects []string) []reserver.Endpoint {
-	if a.probe == nil {
+// ask returns the endpoints that are to be asked whether they are there. The lock is held.
+func (a *Allocator) ask(now time.Time) []reserver.Endpoint {
+	if a.monitor.Asks = a.probe != nil; !a.monitor.Asks {
 		return nil
 	}
 	var out []reserver.Endpoint
-	for _, id := range suspects {
-		if e, ok := a.reserver.Endpoints[id]; ok && now.Sub(a.probed[id]) >= probeInterval {
-			a.probed[id] = now
+	for _, id := range a.monitor.Questions(now) {
+		if e, ok := a.reserver.Endpoints[id]; ok {
 			out = append(out, e)
 		}
 	}
 	return out
 }
 
-// run asks a suspect whether it is there, and takes it into use again if it is.
+// run asks an endpoint whether it is there, and takes its answer in.
 func (a *Allocator) run(e reserver.Endpoint) {
-	if !a.probe(e.ID, e.Address) {
-		return
-	}
+	alive := a.probe(e.ID, e.Address)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.reserver.Trust(e.ID)
+	a.monitor.Answer(a.clock(), e.ID, alive)
 }
--- a/internal/serving/forwarder/forwarder.go
+++ b/internal/serving/forwarder/forwarder.go
@@ -84,7 +84,8 @@
 	Probe(ctx context.Context, endpoint, address string) error
 }
 
-// WithProber sets what asks endpoints that are suspected together. Without one, all stay suspected.
+// WithProber sets what asks endpoints whose streams stopped together whether they are there. Without one, all of them count
+// as dead.
 func WithProber(p Prober) Option { return func(f *Forwarder) { f.prober = p } }
 
 // WithSeed sets the seed of random choices.
@@ -171,6 +172,7 @@
 	a, ok := f.allocators[service]
 	if !ok {
 		a = NewAllocator(f.centre, rand.New(rand.NewPCG(f.random.Uint64(), f.random.Uint64())))
+		a.clock = f.clock
 		if f.prober != nil {
 			a.probe = f.alive
 		}
@@ -179,15 +181,15 @@
 	return a
 }
 
-// probeTime bounds a probe. An endpoint that is there answers within a few milliseconds.
-const probeTime = 200 * time.Millisecond
+// probeTime bounds a probe. An endpoint that is there answers within a few milliseconds, and a pause of 200 ms counts as long.
+const probeTime = 50 * time.Millisecond
 
 // alive reports whether an endpoint answers a probe.
 func (f *Forwarder) alive(id, address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
 	defer cancel()
 	err := f.prober.Probe(ctx, id, address)
-	f.log.Info("suspect asked", "endpoint", id, "address", address, "answers", err == nil)
+	f.log.Info("endpoint asked", "endpoint", id, "address", address, "answers", err == nil)
 	return err == nil
 }
 
