--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"flag"
 	"fmt"
 	"log/slog"
 	"net"
@@ -25,6 +26,11 @@
 
 // run runs the instance until the process is told to stop, and returns the exit code.
 func run() int {
+	flags := flag.NewFlagSet("gateway", flag.ContinueOnError)
+	metrics := flags.Int("metrics", 0, "port of metrics and state; 0 takes the second internal port")
+	if err := flags.Parse(os.Args[1:]); err != nil {
+		return 2
+	}
 	lines := logger.New(os.Stdout)
 	defer lines.Close()
 	log := lines.Log(slog.LevelInfo)
@@ -34,6 +40,9 @@
 		return 2
 	}
 	own := gatewaySettings(settings)
+	if *metrics > 0 {
+		own.Metrics = net.JoinHostPort(settings.IP, strconv.Itoa(*metrics))
+	}
 	log = log.With("instance", own.ID)
 	store := platform.NewStore(settings.Store.Address)
 	defer store.Close()
