Tell peers of dead endpoints, and order moves again with the endpoint's own count

Change: a refused order is given again with the count that the endpoint reports, once; an endpoint that holds layers counts as having begun one order. Endpoints that did not answer are told with the accounts, and streams on them move whether or not they have had an event. Two silent streams, or one for long, are enough to ask.

--- a/internal/routing/monitor/monitor.go
+++ b/internal/routing/monitor/monitor.go
@@ -26,6 +26,10 @@
 	quickSilence = 80 * time.Millisecond
 	quickFactor  = 2.5
 	quickStreams = 3
+	// doubtStreams and doubtFactor bound a silence for which endpoints are asked: that of two streams, or of one that is
+	// longer by the factor.
+	doubtStreams = 2
+	doubtFactor  = 1.6
 	// awake is how recent an event has to be to show that this process still reads what comes in.
 	awake = 60 * time.Millisecond
 	// smoothing is the weight of the newest gap in the usual gap.
@@ -70,6 +74,8 @@
 	// condemned and cleared hold until when endpoints count as dead or as alive, by their answers to a question.
 	condemned map[string]time.Time
 	cleared   map[string]time.Time
+	// asked holds the condemned endpoints that this instance has asked itself.
+	asked map[string]time.Time
 
 	// heard is when an endpoint last passed an event of any stream.
 	heard   map[string]time.Time
@@ -80,7 +86,7 @@
 func New() *Monitor {
 	return &Monitor{
 		Streams: map[string]*Stream{}, heard: map[string]time.Time{}, condemned: map[string]time.Time{},
-		cleared: map[string]time.Time{},
+		cleared: map[string]time.Time{}, asked: map[string]time.Time{},
 	}
 }
 
@@ -130,21 +136,14 @@
 		}
 	}
 	m.checked = now
-	stopped := m.stopped(now)
-	if m.Asks {
-		for e := range stopped {
-			if !now.Before(m.condemned[e]) {
-				delete(stopped, e)
-			}
-		}
-	}
+	stopped := m.dead(now)
 	var out []Verdict
 	for id, s := range m.Streams {
 		if now.Before(s.Quiet) {
 			continue
 		}
 		silent := now.Sub(s.Last)
-		if dead := among(s.Path, stopped); len(dead) > 0 && s.Events > 1 {
+		if dead := among(s.Path, stopped); len(dead) > 0 && silent >= quickSilence {
 			out = append(out, Verdict{id, silent, dead, true})
 			s.Quiet = now.Add(againTime)
 			continue
@@ -164,20 +163,37 @@
 	return out
 }
 
-// stopped returns the endpoints through which several streams fell silent together while others go on.
-func (m *Monitor) stopped(now time.Time) map[string]bool {
-	silent, alive := map[string]int{}, map[string]bool{}
+// dead returns the endpoints that count as dead: those that did not answer, or if none is asked, those through which several
+// streams stopped together.
+func (m *Monitor) dead(now time.Time) map[string]bool {
+	if !m.Asks {
+		return m.stopped(now, func(n int, _ bool) bool { return n >= quickStreams })
+	}
+	out := map[string]bool{}
+	for e, until := range m.condemned {
+		if now.Before(until) {
+			out[e] = true
+		}
+	}
+	return out
+}
+
+// stopped returns the endpoints through which streams fell silent while others go on, and none goes on through them. Enough
+// says whether a number of silent streams counts, one of which may have been silent for long.
+func (m *Monitor) stopped(now time.Time, enough func(streams int, long bool) bool) map[string]bool {
+	silent, long, alive := map[string]int{}, map[string]bool{}, map[string]bool{}
 	recent := false
 	for _, s := range m.Streams {
 		if s.Events < 2 {
 			continue
 		}
 		quick := max(quickSilence, time.Duration(quickFactor*float64(s.Gap)))
-		passive := now.Sub(s.Last) >= quick
-		recent = recent || now.Sub(s.Last) < awake
+		age := now.Sub(s.Last)
+		recent = recent || age < awake
 		for _, e := range s.Path {
-			if passive {
+			if age >= quick {
 				silent[e]++
+				long[e] = long[e] || age >= time.Duration(doubtFactor*float64(quick))
 			} else {
 				alive[e] = true
 			}
@@ -188,7 +204,7 @@
 	}
 	out := map[string]bool{}
 	for e, n := range silent {
-		if n >= quickStreams && !alive[e] {
+		if !alive[e] && enough(n, long[e]) {
 			out[e] = true
 		}
 	}
@@ -220,7 +236,8 @@
 // Questions returns the endpoints that are to be asked whether they are there. It does not ask again while an answer counts.
 func (m *Monitor) Questions(now time.Time) []string {
 	var out []string
-	for e := range m.stopped(now) {
+	doubtful := func(n int, long bool) bool { return n >= doubtStreams || long }
+	for e := range m.stopped(now, doubtful) {
 		if now.Before(m.condemned[e]) || now.Before(m.cleared[e]) {
 			continue
 		}
@@ -239,6 +256,27 @@
 	}
 	delete(m.cleared, id)
 	m.condemned[id] = now.Add(answerTime)
+	m.asked[id] = now.Add(answerTime)
+}
+
+// Tell takes in that another instance had no answer of an endpoint.
+func (m *Monitor) Tell(now time.Time, id string) {
+	if until := now.Add(answerTime); until.After(m.condemned[id]) && !now.Before(m.cleared[id]) {
+		m.condemned[id] = until
+	}
+}
+
+// Dead returns the endpoints of which this instance had no answer of late.
+func (m *Monitor) Dead(now time.Time) []string {
+	var out []string
+	for e, until := range m.asked {
+		if now.Before(until) {
+			out = append(out, e)
+		} else {
+			delete(m.asked, e)
+		}
+	}
+	return out
 }
 
 // known reports whether an endpoint has passed events to this instance.
--- a/internal/routing/monitor/monitor_test.go
+++ b/internal/routing/monitor/monitor_test.go
@@ -117,6 +117,24 @@
 	}
 }
 
+// TestToldOfDead moves a stream that has had no event yet off an endpoint that another instance found dead.
+func TestToldOfDead(t *testing.T) {
+	m := New()
+	m.Asks = true
+	m.Open(start, "reading", []string{"a", "b"}, 400*time.Millisecond)
+	m.Tell(start.Add(50*time.Millisecond), "b")
+	if v := m.Check(start.Add(60 * time.Millisecond)); len(v) > 0 {
+		t.Errorf("moved after 60 ms: %v", v)
+	}
+	want := []Verdict{{ID: "reading", Silent: 100 * time.Millisecond, Suspects: []string{"b"}, Dead: true}}
+	if diff := cmp.Diff(want, m.Check(start.Add(100*time.Millisecond))); diff != "" {
+		t.Errorf("verdicts (-want +got):\n%s", diff)
+	}
+	if got := m.Dead(start.Add(100 * time.Millisecond)); len(got) > 0 {
+		t.Errorf("what was told is told on: %v", got)
+	}
+}
+
 func TestNothingSilent(t *testing.T) {
 	verdicts, _ := play(New(), [][]string{{"a", "b"}, {"a", "c"}}, "none", 5*time.Second)
 	if len(verdicts) > 0 {
--- a/internal/serving/accountant/accountant.go
+++ b/internal/serving/accountant/accountant.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +28,8 @@
 	Memory reserver.Usage
 	// Sent counts the requests and those sent again over the window of the budget for retries.
 	Sent limiter.Tally
+	// Dead holds endpoints that did not answer an instance of late.
+	Dead []string
 }
 
 // Usages are the holdings by service.
@@ -239,6 +242,11 @@
 		}
 		h.Sent.Requests += other.Sent.Requests
 		h.Sent.Repeats += other.Sent.Repeats
+		for _, id := range other.Dead {
+			if !slices.Contains(h.Dead, id) {
+				h.Dead = append(h.Dead, id)
+			}
+		}
 		u[service] = h
 	}
 }
--- a/internal/serving/director/director.go
+++ b/internal/serving/director/director.go
@@ -420,8 +420,13 @@
 	i := slices.IndexFunc(d.model.Endpoints, func(e Endpoint) bool { return e.ID == a.ID })
 	e := d.model.Endpoints[i]
 	load := time.Duration(d.model.Engine.Share(a.Range) * float64(d.model.Engine.Load))
-	if d.begun[a.ID].born != e.Born {
-		d.begun[a.ID] = begun{born: e.Born}
+	if b, ok := d.begun[a.ID]; !ok || b.born != e.Born {
+		b = begun{born: e.Born}
+		if !e.Held.Empty() {
+			// One order at least has led to what it holds.
+			b.orders = 1
+		}
+		d.begun[a.ID] = b
 	}
 	sequence := d.begun[a.ID].orders
 	d.pending[a.ID] = pending{order: a.Range, born: e.Born, until: now.Add(2*load + showTime)}
@@ -487,15 +492,14 @@
 	d.count(o.Endpoint, report.Sequence)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	p := d.pending[o.Endpoint]
-	if !report.Held.Empty() || report.Busy {
-		p.order = report.Held
-		if report.Held.Empty() {
-			p.order = o.Range
-		}
-	} else {
-		p.until = d.clock()
+	d.weighed = false
+	if !report.Busy && report.Held != o.Range && report.Sequence != o.Sequence {
+		// The next look decides anew, and its order fits.
+		delete(d.pending, o.Endpoint)
+		return
 	}
+	p := d.pending[o.Endpoint]
+	p.order = o.Range
 	d.pending[o.Endpoint] = p
 }
 
--- a/internal/serving/forwarder/allocator.go
+++ b/internal/serving/forwarder/allocator.go
@@ -253,6 +253,23 @@
 	}
 }
 
+// Dead returns the endpoints of which this instance had no answer of late.
+func (a *Allocator) Dead(now time.Time) []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.monitor.Dead(now)
+}
+
+// Tell takes in the endpoints of which other instances had no answer.
+func (a *Allocator) Tell(now time.Time, dead []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, id := range dead {
+		a.monitor.Tell(now, id)
+		a.reserver.Suspect(now, now.Add(suspectTime), id)
+	}
+}
+
 // ask returns the endpoints that are to be asked whether they are there. The lock is held.
 func (a *Allocator) ask(now time.Time) []reserver.Endpoint {
 	if a.monitor.Asks = a.probe != nil; !a.monitor.Asks {
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -355,7 +355,7 @@
 	}
 	for service, a := range g.forwarder.Allocators() {
 		h := out[service]
-		h.Memory = a.Usage()
+		h.Memory, h.Dead = a.Usage(), a.Dead(g.clock())
 		out[service] = h
 	}
 	return out
@@ -369,6 +369,7 @@
 	}
 	for service, a := range g.forwarder.Allocators() {
 		a.Merge(now, "fleet", others[service].Memory)
+		a.Tell(now, others[service].Dead)
 	}
 }
 
