Leave fast paths to answers that can be in time, and recover the division of layers

The instance that took the duty over divided the layers anew in 9 blocks beside 10, as the set of endpoints had changed.

Change: a request that goes on with a stream waits up to 1.5 s behind the others and takes no account of the time to its first event; placer.Recover finds the division that most ranges fit.

--- a/internal/routing/placer/placer.go
+++ b/internal/routing/placer/placer.go
@@ -57,6 +57,34 @@
 	return best
 }
 
+// Recover returns the division that endpoints were placed by: the one that most of the ranges they hold fit. An instance that
+// takes the placement over goes on with it. It returns false if under half of them fit any.
+func Recover(e *Engine, holders []Holder) (Grid, bool) {
+	held, most := 0, 0
+	var best Grid
+	for _, h := range holders {
+		if !h.Held.Empty() {
+			held++
+		}
+	}
+	for _, part := range roomSteps {
+		g, ok := e.grid(part*float64(e.Tokens), holders)
+		if !ok {
+			continue
+		}
+		fits := 0
+		for _, h := range holders {
+			if !h.Held.Empty() && slices.Contains(g.Bounds, h.Held.From) && slices.Contains(g.Bounds, h.Held.To) {
+				fits++
+			}
+		}
+		if fits > most {
+			best, most = g, fits
+		}
+	}
+	return best, 2*most > held
+}
+
 // gain is the relative gain below which a division with less room is not taken.
 const gain = 0.02
 
--- a/internal/routing/placer/placer_test.go
+++ b/internal/routing/placer/placer_test.go
@@ -106,6 +106,24 @@
 	}
 }
 
+// TestRecover finds the division again after endpoints were lost, or moved to odd ranges, and whatever set is left.
+func TestRecover(t *testing.T) {
+	e, holders := mixed()
+	g := NewGrid(e, holders)
+	placed := assign(holders, Plan(e, g, holders))
+	for lost := range 12 {
+		left := placed[lost:]
+		left[0].Held = Range{5, 9}
+		got, ok := Recover(e, left)
+		if diff := cmp.Diff(g.Bounds, got.Bounds); !ok || diff != "" {
+			t.Errorf("without %d endpoints: found %v (-want +got):\n%s", lost, ok, diff)
+		}
+	}
+	if _, ok := Recover(e, []Holder{{ID: "x", Card: "small", Held: Range{1, 3}}, {ID: "y", Card: "small", Held: Range{3, 5}}}); ok {
+		t.Error("a division is found that nothing fits")
+	}
+}
+
 // TestMoveMendsALayoutThatLost takes away the endpoints that hold some layers, one after the other: moves bring capacity back.
 func TestMoveMendsALayoutThatLost(t *testing.T) {
 	e, holders := mixed()
--- a/internal/routing/reserver/reserver.go
+++ b/internal/routing/reserver/reserver.go
@@ -51,6 +51,8 @@
 	Answer int
 	// Avoid holds the endpoints that the path must not use.
 	Avoid map[string]bool
+	// Late is set if the time to the first event no longer counts: fast paths are left to others.
+	Late bool
 	// First holds the endpoints that the path may begin at; nil allows each.
 	First map[string]bool
 }
--- a/internal/routing/reserver/search.go
+++ b/internal/routing/reserver/search.go
@@ -113,7 +113,11 @@
 		return
 	}
 	read, step := s.times(c.endpoint, r)
-	seconds := (firstWeight*(read+s.queue(c.endpoint, r)) + time.Duration(s.ask.Answer)*(step+hopDelay)).Seconds()
+	weight := time.Duration(firstWeight)
+	if s.ask.Late {
+		weight = 1
+	}
+	seconds := (weight*(read+s.queue(c.endpoint, r)) + time.Duration(s.ask.Answer)*(step+hopDelay)).Seconds()
 	// The last memory is kept for those that have no other way.
 	room := s.r.room(c.endpoint)
 	fill := 1 - (c.free-need)/room
--- a/internal/routing/waiter/waiter.go
+++ b/internal/routing/waiter/waiter.go
@@ -16,6 +16,8 @@
 const (
 	// targetPart is the part of its target for which a request waits: the rest is for the answer's beginning.
 	targetPart = 0.5
+	// lateWait is how long a request waits that is late already. Callers leave a stream after 2 s without an event.
+	lateWait = 1500 * time.Millisecond
 	// most bounds the requests that wait at one instance.
 	most = 256
 )
@@ -31,6 +33,8 @@
 	Target time.Duration
 	// Resumed is set for an answer in progress, which goes first.
 	Resumed bool
+	// Late is set if the answer counts as late whenever it comes: its caller has had a part of it before.
+	Late bool
 	// Until is when the request is given up whatever its target.
 	Until time.Time
 	// Since is when the caller's attempt came in.
@@ -53,8 +57,11 @@
 // Push adds a request and returns how long it may wait; nothing is added if that is not at all.
 func (l *Line) Push(now time.Time, i Item) time.Duration {
 	until := i.Since.Add(time.Duration(targetPart * float64(i.Target)))
-	if i.Resumed {
+	switch {
+	case i.Resumed:
 		until = i.Until
+	case i.Late:
+		until = i.Since.Add(lateWait)
 	}
 	if i.Until.Before(until) {
 		until = i.Until
@@ -72,8 +79,8 @@
 	delete(l.Items, id)
 }
 
-// Order returns the requests in the order in which they are served: answers in progress, then by priority, then teams in
-// turn by the number of requests of theirs before, then by age.
+// Order returns the requests in the order in which they are served: answers in progress, then by priority, those that can be
+// in time before those that are late, then teams in turn by the number of requests of theirs before, then by age.
 func (l *Line) Order(_ time.Time) []Item {
 	if len(l.Items) == 0 {
 		return nil
@@ -85,14 +92,22 @@
 	slices.SortFunc(items, func(a, b Item) int {
 		return cmp.Or(a.Since.Compare(b.Since), cmp.Compare(a.ID, b.ID))
 	})
-	turn := map[string]int{}
+	// Those that are late come after the others, and count for themselves.
+	turn := map[string][2]int{}
 	turns := make(map[string]int, len(items))
 	for _, i := range items {
-		turns[i.ID] = turn[i.Team]
-		turn[i.Team]++
+		class := 0
+		if i.Late {
+			class = 1
+		}
+		counts := turn[i.Team]
+		turns[i.ID] = counts[class]
+		counts[class]++
+		turn[i.Team] = counts
 	}
 	slices.SortStableFunc(items, func(a, b Item) int {
-		return cmp.Or(compareBool(b.Resumed, a.Resumed), cmp.Compare(a.Priority, b.Priority), cmp.Compare(turns[a.ID], turns[b.ID]))
+		return cmp.Or(compareBool(b.Resumed, a.Resumed), cmp.Compare(a.Priority, b.Priority), compareBool(a.Late, b.Late),
+			cmp.Compare(turns[a.ID], turns[b.ID]))
 	})
 	return items
 }
--- a/internal/routing/waiter/waiter_test.go
+++ b/internal/routing/waiter/waiter_test.go
@@ -22,10 +22,12 @@
 	l := New()
 	resumed := item("resumed", "large", 3, 0)
 	resumed.Resumed = true
+	late := item("late", "small", 1, 200*time.Millisecond)
+	late.Late = true
 	for _, i := range []Item{
 		item("large-1", "large", 1, 90*time.Millisecond), item("large-2", "large", 1, 80*time.Millisecond),
 		item("large-3", "large", 1, 70*time.Millisecond), item("small-1", "small", 1, 10*time.Millisecond),
-		item("urgent", "large", 0, 0), resumed,
+		item("urgent", "large", 0, 0), resumed, late,
 	} {
 		if l.Push(start, i) <= 0 {
 			t.Fatalf("%s may not wait", i.ID)
@@ -35,7 +37,7 @@
 	for _, i := range l.Order(start) {
 		got = append(got, i.ID)
 	}
-	want := []string{"resumed", "urgent", "large-1", "small-1", "large-2", "large-3"}
+	want := []string{"resumed", "urgent", "large-1", "small-1", "large-2", "large-3", "late"}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("order (-want +got):\n%s", diff)
 	}
@@ -49,6 +51,12 @@
 	if got := l.Push(start, item("late", "t", 1, 300*time.Millisecond)); got != 0 || l.Len() != 1 {
 		t.Errorf("a late request waits %v, %d wait", got, l.Len())
 	}
+	again := item("again", "t", 1, 300*time.Millisecond)
+	again.Late = true
+	if got := l.Push(start, again); got != 1200*time.Millisecond {
+		t.Errorf("one whose caller has had a part of it waits %v", got)
+	}
+	l.Remove("again")
 	short := item("short", "t", 1, 0)
 	short.Until = start.Add(100 * time.Millisecond)
 	if got := l.Push(start, short); got != 100*time.Millisecond {
--- a/internal/serving/director/director.go
+++ b/internal/serving/director/director.go
@@ -359,10 +359,7 @@
 	if held == 0 && now.Sub(newest) < settled && now.Sub(oldest) < patience {
 		return nil
 	}
-	if held == 0 || d.grid.Blocks() < 1 {
-		d.grid = placer.NewGrid(m.Engine, holders)
-		d.log.Info("layers divided", "blocks", d.grid.Blocks(), "widths", d.grid.Widths)
-	}
+	d.divide(holders, held > 0)
 	loading := 0
 	for id := range d.pending {
 		if now.Before(d.pending[id].until) {
@@ -380,6 +377,23 @@
 	return out
 }
 
+// divide divides the layers anew if no endpoint holds any, and otherwise finds the division that they were placed by. The lock
+// is held.
+func (d *Director) divide(holders []placer.Holder, held bool) {
+	if held && d.grid.Blocks() > 0 {
+		return
+	}
+	g, ok := placer.Grid{}, false
+	if held {
+		g, ok = placer.Recover(d.model.Engine, holders)
+	}
+	if !ok {
+		g = placer.NewGrid(d.model.Engine, holders)
+	}
+	d.grid = g
+	d.log.Info("layers divided", "blocks", g.Blocks(), "widths", g.Widths, "recovered", ok)
+}
+
 // rebalance returns the order that moves an endpoint to layers that have become scarce, once the layout has stayed as it is for
 // a while. The lock is held.
 func (d *Director) rebalance(now time.Time, holders []placer.Holder) []Order {
@@ -394,9 +408,7 @@
 		return nil
 	}
 	d.weighed = true
-	if d.grid.Blocks() < 1 {
-		d.grid = placer.NewGrid(d.model.Engine, holders)
-	}
+	d.divide(holders, true)
 	a, ok := placer.Move(d.model.Engine, d.grid, holders)
 	if !ok {
 		return nil
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -114,13 +114,15 @@
 	written := s.events * s.engine.Stride
 	prompt += written
 	answer = max(answer-float64(written), answerMargin*usual)
+	late := s.q.LastEvent != ""
 	return waiter.Item{
 		ID:       s.q.ID,
-		Ask:      reserver.Ask{Prompt: prompt, Answer: int(answer), Avoid: s.avoid, First: s.begins()},
+		Ask:      reserver.Ask{Prompt: prompt, Answer: int(answer), Avoid: s.avoid, First: s.begins(), Late: late},
 		Team:     s.team.Name,
 		Priority: s.priority(),
 		Target:   s.route.Target,
 		Resumed:  s.begun,
+		Late:     late,
 		Until:    s.until,
 		Since:    s.began,
 	}
