Keep a stream for 0.9 s on a path whose endpoints answer

Ruled out: the end of the grace (2.1 s after SIGTERM of 8 s).

Change: unless an endpoint did not answer its question, a stream counts as stuck after 0.9 s.

TestSlowPathIsKept.

--- a/internal/routing/monitor/monitor.go
+++ b/internal/routing/monitor/monitor.go
@@ -16,6 +16,9 @@
 	firstSilence = 700 * time.Millisecond
 	// leastSilence is the shortest silence between events that is suspicious.
 	leastSilence = 160 * time.Millisecond
+	// stuckSilence is how long a stream may be silent although the endpoints of its path answer: it was preempted, or
+	// waits for others' prompts, and another path would read its prompt again.
+	stuckSilence = 900 * time.Millisecond
 	// gapFactor is how many usual gaps long a silence is suspicious.
 	gapFactor = 6
 	// aloneFactor is how much longer a silence has to be if other streams through the same endpoints go on: the
@@ -149,6 +152,9 @@
 			continue
 		}
 		limit := s.limit()
+		if m.Asks {
+			limit = max(limit, stuckSilence)
+		}
 		if silent < limit {
 			continue
 		}
--- a/internal/routing/monitor/monitor_test.go
+++ b/internal/routing/monitor/monitor_test.go
@@ -117,6 +117,31 @@
 	}
 }
 
+// TestSlowPathIsKept lets all streams of a path pause for half a second while its endpoints answer.
+func TestSlowPathIsKept(t *testing.T) {
+	m := New()
+	m.Asks = true
+	for i := range 5 {
+		m.Open(start, fmt.Sprint("s", i), []string{"a", "b"}, 0)
+	}
+	m.Open(start, "other", []string{"c"}, 0)
+	for at := time.Duration(0); at <= 2*time.Second; at += Interval {
+		now := start.Add(at)
+		m.Progress(now, "other")
+		for i := range 5 {
+			if at < 500*time.Millisecond || at > time.Second {
+				m.Progress(now, fmt.Sprint("s", i))
+			}
+		}
+		for _, e := range m.Questions(now) {
+			m.Answer(now, e, true)
+		}
+		if v := m.Check(now); len(v) > 0 {
+			t.Fatalf("after %v: %v", at, v)
+		}
+	}
+}
+
 // TestToldOfDead moves a stream that has had no event yet off an endpoint that another instance found dead.
 func TestToldOfDead(t *testing.T) {
 	m := New()
