--- a/internal/serving/director/director.go
+++ b/internal/serving/director/director.go
@@ -83,9 +83,10 @@
 	settled = 1300 * time.Millisecond
 	// patience bounds the wait for endpoints before the first placement.
 	patience = 5 * time.Second
-	// rebalanceTime is how long a layout stays before an endpoint that holds layers is moved: one that crashed comes
-	// back within seconds, and is the cheaper remedy.
-	rebalanceTime = 2500 * time.Millisecond
+	// rebalanceTime is how long a layout stays before an endpoint that holds layers is moved, so that losses that come
+	// together are seen together; moveTime is the least time between two moves.
+	rebalanceTime = 800 * time.Millisecond
+	moveTime      = 3 * time.Second
 	// orderTime bounds an order.
 	orderTime = 1500 * time.Millisecond
 	// showTime is how long an endpoint takes to tell of a change beyond the time of the load.
@@ -130,6 +131,7 @@
 	shape   string
 	changed time.Time
 	weighed bool
+	moved   time.Time
 }
 
 // New returns a director of an instance.
@@ -397,14 +399,13 @@
 // rebalance returns the order that moves an endpoint to layers that have become scarce, once the layout has stayed as it is for
 // a while. The lock is held.
 func (d *Director) rebalance(now time.Time, holders []placer.Holder) []Order {
-	if len(d.pending) > 0 || len(holders) == 0 {
-		d.changed = now
+	if len(holders) == 0 {
 		return nil
 	}
 	if shape := layout(holders); shape != d.shape {
 		d.shape, d.changed, d.weighed = shape, now, false
 	}
-	if d.weighed || now.Sub(d.changed) < rebalanceTime {
+	if d.weighed || now.Sub(d.changed) < rebalanceTime || now.Sub(d.moved) < moveTime {
 		return nil
 	}
 	d.weighed = true
@@ -413,6 +414,7 @@
 	if !ok {
 		return nil
 	}
+	d.moved = now
 	d.log.Info("endpoint moved to scarce layers", "endpoint", a.ID, "from", a.Range.From, "to", a.Range.To)
 	return []Order{d.order(now, a)}
 }
