Keep the fleet's budget for repeats over a restart of all instances

Change: until an instance has counted for a whole span, only the part of the number that is kept unused is left; an instance uses its even part between two accounts.

Measured: TestRestartOfAllKeepsTheBound failed first with 396 of 316.

--- a/internal/routing/limiter/window.go
+++ b/internal/routing/limiter/window.go
@@ -9,6 +9,8 @@
 type Tally struct {
 	Requests float64
 	Repeats  float64
+	// Age is for how many seconds has been counted.
+	Age float64
 }
 
 // windowSlices is the number of parts into which a window is divided.
@@ -17,13 +19,6 @@
 // windowPart is the part of the bound that is used: what other instances have counted is known a fraction of a second late.
 const windowPart = 0.8
 
-// unseenFactor is how many times its even part of what is left an instance may use before it hears of the others again:
-// an endpoint that fails has its requests from few instances.
-const unseenFactor = 2
-
-// leastUnseen is what an instance may always use before it hears of the others again.
-const leastUnseen = 2
-
 // Window bounds the requests that a whole fleet sends again to a service within a time: to a share of its requests and a
 // number besides. Each instance counts its own and is told the others' sums. It is not safe for concurrent use.
 type Window struct {
@@ -31,6 +26,8 @@
 	Slack float64
 	Span  time.Duration
 
+	// begun is when the counts began. What was sent before a restart is not known.
+	begun     time.Time
 	parts     [windowSlices]Tally
 	at        int64
 	others    Tally
@@ -40,9 +37,9 @@
 	allowance float64
 }
 
-// NewWindow returns a window without counts.
-func NewWindow(share, slack float64, span time.Duration) *Window {
-	return &Window{Share: share, Slack: slack, Span: span, instances: 1, allowance: math.Inf(1)}
+// NewWindow returns a window whose counts begin at now.
+func NewWindow(now time.Time, share, slack float64, span time.Duration) *Window {
+	return &Window{Share: share, Slack: slack, Span: span, begun: now, instances: 1, allowance: math.Inf(1)}
 }
 
 // move forgets the parts that have left the window at now, and returns the present one.
@@ -65,7 +62,7 @@
 // Own returns what this instance has counted in the window.
 func (w *Window) Own(now time.Time) Tally {
 	w.move(now)
-	var out Tally
+	out := Tally{Age: now.Sub(w.begun).Seconds()}
 	for _, p := range w.parts {
 		out.Requests += p.Requests
 		out.Repeats += p.Repeats
@@ -73,16 +70,22 @@
 	return out
 }
 
-// Merge takes in what the other instances have counted, and how many instances there are.
+// Merge takes in what the other instances have counted, and how many instances there are. Until the next time this instance may
+// use its even part of what is left.
 func (w *Window) Merge(now time.Time, others Tally, instances int) {
 	w.others, w.instances, w.unseen = others, max(1, instances), 0
-	w.allowance = max(leastUnseen, unseenFactor*w.left(now)/float64(w.instances))
+	w.allowance = w.left(now) / float64(w.instances)
 }
 
-// left returns what is left of the fleet's bound, as far as this instance knows.
+// left returns what is left of the fleet's bound, as far as this instance knows. While no instance has counted for the whole
+// span, as after a restart of all, the part that is used may have been used before, and only the rest of the number is left.
 func (w *Window) left(now time.Time) float64 {
 	own := w.Own(now)
-	return windowPart*(w.Share*(own.Requests+w.others.Requests)+w.Slack) - own.Repeats - w.others.Repeats
+	slack := windowPart * w.Slack
+	if max(own.Age, w.others.Age) < w.Span.Seconds() {
+		slack = (1 - windowPart) * w.Slack
+	}
+	return windowPart*w.Share*(own.Requests+w.others.Requests) + slack - own.Repeats - w.others.Repeats
 }
 
 // Left returns how many requests this instance may send again at now.
--- a/internal/routing/limiter/window_test.go
+++ b/internal/routing/limiter/window_test.go
@@ -15,7 +15,7 @@
 			share, slack, span := 0.2, 198.0, 10*time.Second
 			fleet := make([]*Window, instances)
 			for i := range fleet {
-				fleet[i] = NewWindow(share, slack, span)
+				fleet[i] = NewWindow(time.Unix(1000, 0).Add(-span), share, slack, span)
 				fleet[i].Merge(time.Unix(1000, 0), Tally{}, instances)
 			}
 			var repeats, requests []time.Duration
@@ -55,7 +55,7 @@
 	}
 	for _, w := range fleet {
 		own := w.Own(now)
-		w.Merge(now, Tally{sum.Requests - own.Requests, sum.Repeats - own.Repeats}, len(fleet))
+		w.Merge(now, Tally{Requests: sum.Requests - own.Requests, Repeats: sum.Repeats - own.Repeats}, len(fleet))
 	}
 }
 
@@ -86,7 +86,7 @@
 
 func TestWindowForgets(t *testing.T) {
 	now := time.Unix(1000, 0)
-	w := NewWindow(0, 10, 10*time.Second)
+	w := NewWindow(now.Add(-10*time.Second), 0, 10, 10*time.Second)
 	n := 0
 	for w.Repeat(now) {
 		n++
@@ -101,3 +101,41 @@
 		t.Error("the window has not forgotten")
 	}
 }
+
+// TestRestartOfAllKeepsTheBound lets a fleet use its budget, restart, and use it again: in no span it sends more than it may.
+func TestRestartOfAllKeepsTheBound(t *testing.T) {
+	span, slack := 10*time.Second, 316.0
+	start := time.Unix(1000, 0)
+	var repeats []time.Duration
+	for _, life := range []struct{ from, to, known time.Duration }{{0, 12 * time.Second, -span}, {13 * time.Second, 30 * time.Second, 13 * time.Second}} {
+		fleet := make([]*Window, 66)
+		for i := range fleet {
+			fleet[i] = NewWindow(start.Add(life.known), 0.2, slack, span)
+			fleet[i].Merge(start.Add(life.from), Tally{}, len(fleet))
+		}
+		for at := life.from; at < life.to; at += 20 * time.Millisecond {
+			now := start.Add(at)
+			for _, w := range fleet {
+				if w.Repeat(now) {
+					repeats = append(repeats, at)
+				}
+			}
+			if at%(120*time.Millisecond) == 0 {
+				merge(now, fleet)
+			}
+		}
+	}
+	check(t, 66, nil, repeats, 0.2, slack, span)
+}
+
+// TestRestartOfOneGoesOn lets one instance restart beside others that have counted for long.
+func TestRestartOfOneGoesOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := NewWindow(now, 0.2, 316, 10*time.Second)
+	if most := (1 - windowPart) * 316; w.Left(now) > most {
+		t.Errorf("%v may be sent again before the others are heard of, want %v at most", w.Left(now), most)
+	}
+	if w.Merge(now, Tally{Age: 60}, 7); w.Left(now) < windowPart*316/7-0.01 {
+		t.Errorf("%v may be sent again beside others that have counted for long", w.Left(now))
+	}
+}
--- a/internal/serving/forwarder/forwarder.go
+++ b/internal/serving/forwarder/forwarder.go
@@ -50,6 +50,7 @@
 	// windows hold the budgets for sending requests again, by service.
 	windows map[string]*limiter.Window
 	budget  Budget
+	begun   time.Time
 	random  *rand.Rand
 }
 
@@ -111,6 +112,7 @@
 	for _, o := range options {
 		o(f)
 	}
+	f.begun = f.clock()
 	return f
 }
 
@@ -239,11 +241,11 @@
 	f.plain.Report(now, id, failed, took)
 }
 
-// window returns the budget of a service. The lock is held.
+// window returns the budget of a service, counted from this forwarder's start. The lock is held.
 func (f *Forwarder) window(service string) *limiter.Window {
 	w, ok := f.windows[service]
 	if !ok {
-		w = limiter.NewWindow(f.budget.Share, f.budget.Slack, f.budget.Window)
+		w = limiter.NewWindow(f.begun, f.budget.Share, f.budget.Slack, f.budget.Window)
 		f.windows[service] = w
 	}
 	return w
