Give each model a duty of its own, and split files by concept

Cause: an instance kept one model for placement; with two services that generate, the last one told of would have taken the other's place. The director's and gateway's files had grown large. Change: a director and a row of the duty for each service that generates; placing, updates, the list of instances and the handover of streams have files of their own.

--- a/internal/serving/director/director_test.go
+++ b/internal/serving/director/director_test.go
@@ -100,7 +100,7 @@
 func (e *engines) model() Model {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	m := Model{Service: "s", Engine: &placer.Engine{
+	m := Model{Engine: &placer.Engine{
 		Layers: 9, LayerMB: 1000, TokenMB: 0.9, Tokens: 10000, Step: time.Millisecond, ReadRate: 1e5, Load: time.Second, Loads: 5,
 		Prompt: 100, Answer: 100, Cards: map[string]placer.Card{"c": {Name: "c", MemoryMB: 6000, Pace: 1, Read: 1}},
 	}}
@@ -125,7 +125,7 @@
 func newDirector(t *testing.T, id string, store syncer.Store, e *engines) *Director {
 	t.Helper()
 	x := exchanger.New(gossiper.Peer{ID: id, DataCentre: "a"})
-	d := New(id, store, x, e, slog.New(slog.DiscardHandler), time.Now)
+	d := New(id, "s", store, x, e, slog.New(slog.DiscardHandler), time.Now)
 	d.Update(time.Now(), e.model())
 	d.Start()
 	t.Cleanup(d.Close)
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/routing/monitor"
@@ -154,57 +153,6 @@
 	}
 }
 
-// handover is the change of a silent stream to another path, which is reserved before the silent one is given up.
-type handover struct {
-	mu sync.Mutex
-	// ended is set once the attempt has ended by itself.
-	ended   bool
-	verdict *monitor.Verdict
-	next    *reserver.Path
-}
-
-// end takes in that an attempt has ended, and returns the path to go on with, if it was handed over.
-func (h *handover) end() (*monitor.Verdict, *reserver.Path) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.ended = true
-	return h.verdict, h.next
-}
-
-// move reserves another path for a stream that has gone silent, and then cancels its attempt. It returns false if the stream
-// has to stay where it is: for want of an attempt, memory or budget.
-func (s *streaming) move(h *handover, v monitor.Verdict, ask reserver.Ask, sent int, cancel context.CancelFunc) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.ended || h.verdict != nil {
-		return true
-	}
-	if sent+1 >= dials || !s.route.Repeatable() {
-		return false
-	}
-	avoid := make(map[string]bool, len(ask.Avoid)+len(v.Suspects))
-	for id := range ask.Avoid {
-		avoid[id] = true
-	}
-	for _, id := range v.Suspects {
-		avoid[id] = true
-	}
-	ask.Avoid = avoid
-	now := s.f.clock()
-	path, refusal := s.alloc.Try(now, ask)
-	if refusal != reserver.Granted {
-		return false
-	}
-	if !s.f.repeat(now, s.service) {
-		s.alloc.Read(path)
-		s.alloc.Release(now, path)
-		return false
-	}
-	h.verdict, h.next = &v, &path
-	cancel()
-	return true
-}
-
 // attempt sends the request along a path and passes the events on. It returns the path to go on with if the stream was handed
 // over to one.
 func (s *streaming) attempt(path reserver.Path) (verdict, *reserver.Path) {
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -9,19 +9,15 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/heatherrock/heatherrock/internal/client/lister"
 	"github.com/heatherrock/heatherrock/internal/control/gossiper"
-	"github.com/heatherrock/heatherrock/internal/control/replicator"
 	"github.com/heatherrock/heatherrock/internal/routing/matcher"
 	"github.com/heatherrock/heatherrock/internal/routing/monitor"
-	"github.com/heatherrock/heatherrock/internal/routing/reserver"
 	"github.com/heatherrock/heatherrock/internal/serving/accountant"
 	"github.com/heatherrock/heatherrock/internal/serving/director"
 	"github.com/heatherrock/heatherrock/internal/serving/exchanger"
@@ -103,7 +99,6 @@
 	forwarder *forwarder.Forwarder
 	exchange  *exchanger.Exchanger
 	syncer    *syncer.Syncer
-	director  *director.Director
 	accounts  *accountant.Accountant
 	servers   []*http.Server
 	begun     time.Time
@@ -117,13 +112,15 @@
 
 	mu        sync.Mutex
 	endpoints map[string]director.Endpoint
+	// directors place the models, by service.
+	directors map[string]*director.Director
 }
 
 // New returns an instance that is not yet started.
 func New(s Settings, p Platform, log *slog.Logger, clock func() time.Time) *Gateway {
 	g := &Gateway{
 		settings: s, platform: p, log: log, clock: clock, done: make(chan struct{}),
-		endpoints: map[string]director.Endpoint{},
+		endpoints: map[string]director.Endpoint{}, directors: map[string]*director.Director{},
 	}
 	g.meter = meter.New(s.Name, s.DataCentre)
 	g.forwarder = forwarder.New(p.Protocol, s.DataCentre, forwarder.WithLog(log), forwarder.WithClock(clock),
@@ -143,7 +140,6 @@
 		syncer.Table{Name: p.EndpointTable, News: g.discovered, Lapses: true},
 	)
 	g.accounts = accountant.New(self, g.exchange, g.syncer, g.usages, g.merge, log, clock)
-	g.director = director.New(s.ID, p.Store, g.exchange, p.Orders, log, clock)
 	return g
 }
 
@@ -156,7 +152,6 @@
 	}
 	g.exchange.Start(peers)
 	g.syncer.Start()
-	g.director.Start()
 	g.accounts.Start()
 	if err := g.serve("ready", g.settings.Ready, http.HandlerFunc(g.ready)); err != nil {
 		return err
@@ -230,75 +225,6 @@
 	return false
 }
 
-// configured takes in a change of the configuration's table.
-func (g *Gateway) configured(now time.Time, rows []replicator.Row) {
-	for _, r := range rows {
-		if r.Key != g.platform.ConfigKey || r.Deleted {
-			continue
-		}
-		c, err := g.platform.DecodeConfig(r.Value)
-		if err != nil {
-			g.log.Error("configuration not read: the one before stays in force", "row", r.Version, "error", err)
-			continue
-		}
-		if old := g.forwarder.Configuration(); old != nil && old.Version >= c.Version {
-			g.log.Warn("older configuration ignored", "configuration", c.Version, "inforce", old.Version)
-			continue
-		}
-		g.forwarder.Configure(c)
-		g.log.Info("configuration in force", "configuration", c.Version, "row", r.Version, "routes", c.Table.Routes(),
-			"services", len(c.Services), "credentials", len(c.Teams))
-		g.update(now)
-	}
-}
-
-// discovered takes in changes of the table of endpoints.
-func (g *Gateway) discovered(now time.Time, rows []replicator.Row) {
-	g.mu.Lock()
-	for _, r := range rows {
-		if r.Deleted {
-			delete(g.endpoints, r.Key)
-			g.log.Info("endpoint gone", "endpoint", r.Key, "row", r.Version)
-			continue
-		}
-		e, err := g.platform.DecodeEndpoint(r.Key, r.Value)
-		if err != nil {
-			delete(g.endpoints, r.Key)
-			g.log.Warn("endpoint not read", "row", r.Version, "error", err)
-			continue
-		}
-		g.endpoints[r.Key] = e
-		g.log.Info("endpoint", "endpoint", e.ID, "service", e.Service, "address", e.Address, "datacentre", e.DataCentre,
-			"card", e.Card, "from", e.Held.From, "to", e.Held.To, "leaving", e.Leaving, "row", r.Version)
-	}
-	g.mu.Unlock()
-	g.update(now)
-}
-
-// update passes the endpoints on to the parts.
-func (g *Gateway) update(now time.Time) {
-	c := g.forwarder.Configuration()
-	if c == nil {
-		return
-	}
-	g.mu.Lock()
-	list := make([]forwarder.Endpoint, 0, len(g.endpoints))
-	models := map[string][]director.Endpoint{}
-	for _, e := range g.endpoints {
-		list = append(list, forwarder.Endpoint{Service: e.Service, Endpoint: reserver.Endpoint{
-			ID: e.ID, Address: e.Address, DataCentre: e.DataCentre, Card: e.Card, Held: e.Held, Leaving: e.Leaving,
-		}})
-		models[e.Service] = append(models[e.Service], e)
-	}
-	g.mu.Unlock()
-	g.forwarder.Update(now, list)
-	for name, s := range c.Services {
-		if s.Engine != nil {
-			g.director.Update(now, director.Model{Service: name, Engine: s.Engine, Endpoints: models[name]})
-		}
-	}
-}
-
 // loopChecks looks for silent streams until done is closed.
 func (g *Gateway) loopChecks() {
 	defer g.wait.Done()
@@ -314,72 +240,15 @@
 	}
 }
 
-// loopShares keeps this instance's gauges until done is closed.
-func (g *Gateway) loopShares() {
-	defer g.wait.Done()
-	t := time.NewTicker(shareInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-g.done:
-			return
-		case <-t.C:
-			g.share(g.clock())
-		}
-	}
-}
-
-// share sets this instance's gauges, and says in the log what memory is short.
-func (g *Gateway) share(now time.Time) {
-	instances := len(g.exchange.Known()) + 1
-	for service, a := range g.forwarder.Allocators() {
-		a.SetInstances(instances)
-		load, waiting := a.Load(now)
-		g.meter.Gauge("memory_reserved", load)
-		g.meter.Gauge("waiting", float64(waiting))
-		if waiting > 0 && now.Sub(g.told) >= tellInterval {
-			g.told = now
-			t := a.Strait(now)
-			g.log.Info("requests wait for memory", "service", service, "waiting", waiting, "load", load, "layer", t.Layer,
-				"holders", t.Holders, "room", t.Room, "used", t.Used)
-		}
-	}
-	g.meter.Gauge("flight", float64(g.forwarder.Flight()))
-}
-
-// usages returns what this instance has reserved.
-func (g *Gateway) usages() accountant.Usages {
-	out := accountant.Usages{}
-	for service, sent := range g.forwarder.Sent(g.clock()) {
-		out[service] = accountant.Holding{Sent: sent}
-	}
-	for service, a := range g.forwarder.Allocators() {
-		h := out[service]
-		h.Memory, h.Dead = a.Usage(), a.Dead(g.clock())
-		out[service] = h
-	}
-	return out
-}
-
-// merge takes in what the other instances have reserved.
-func (g *Gateway) merge(now time.Time, others accountant.Usages) {
-	instances := len(g.exchange.Peers()) + 1
-	for service, h := range others {
-		g.forwarder.MergeSent(now, service, h.Sent, instances)
-	}
-	for service, a := range g.forwarder.Allocators() {
-		a.Merge(now, "fleet", others[service].Memory)
-		a.Tell(now, others[service].Dead)
-	}
-}
-
 // Drain ends the instance without cutting off a request: it is no longer ready, serves on until the balancer has noticed,
 // then takes no new connection and waits for the requests in flight. It returns the number of those that were cut off.
 func (g *Gateway) Drain(ctx context.Context) int64 {
 	deadline := g.clock().Add(g.settings.Grace - lastMoment)
 	g.leaving.Store(true)
 	g.forwarder.Leave()
-	g.director.Leave()
+	for _, d := range g.duties() {
+		d.Leave()
+	}
 	g.log.Info("instance leaving", "flight", g.forwarder.Flight(), "grace", g.settings.Grace.Seconds())
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
@@ -412,9 +281,12 @@
 			g.log.Debug("listener not closed", "error", err)
 		}
 	}
-	g.director.Close()
-	g.accounts.Close()
+	// The syncer goes first: a change that it tells may begin another duty.
 	g.syncer.Close()
+	for _, d := range g.duties() {
+		d.Close()
+	}
+	g.accounts.Close()
 	g.exchange.Close()
 	g.forwarder.Close()
 	g.wait.Wait()
@@ -439,61 +311,15 @@
 	}
 }
 
-// tableInstances is the store's table of instances.
-const tableInstances = "instance"
-
-// instances is the list of the fleet's instances in the store.
-type instances struct {
-	g *Gateway
-}
-
-// List writes this instance into the table and returns all that are in it.
-func (i *instances) List(ctx context.Context) ([]lister.Instance, error) {
-	s := i.g.settings
-	page, err := i.g.platform.Store.Rows(ctx, tableInstances)
-	if err != nil {
-		return nil, err
-	}
-	out, present := decodeInstances(page, s.ID)
-	if present {
-		return out, nil
-	}
-	b, err := json.Marshal(lister.Instance{
-		ID: s.ID, Role: lister.RoleEntry, Address: s.Peers, DataCentre: s.DataCentre, Region: s.Region,
-	})
-	if err != nil {
-		return nil, err
-	}
-	// The row is under the machine's name, so that a restart takes the place of the process before.
-	set := replicator.Row{Key: s.Name, Value: b}
-	if _, err := i.g.platform.Store.Commit(ctx, syncer.Change{Table: tableInstances, Set: []replicator.Row{set}}); err != nil {
-		return nil, err
-	}
-	// Read again: of two that write at once, at least one sees the other.
-	if page, err = i.g.platform.Store.Rows(ctx, tableInstances); err != nil {
-		return nil, err
-	}
-	out, _ = decodeInstances(page, s.ID)
-	return out, nil
-}
+// CutStore ends this instance's following of the store: it learns changes from its peers alone.
+func (g *Gateway) CutStore() { g.syncer.Detach() }
 
-// decodeInstances returns the instances of a table, and whether one is among them.
-func decodeInstances(page replicator.Page, self string) ([]lister.Instance, bool) {
-	var out []lister.Instance
-	present := false
-	for _, r := range page.Rows {
-		var e lister.Instance
-		if err := json.Unmarshal(r.Value, &e); err != nil || strings.TrimSpace(e.Address) == "" {
-			continue
+// Directs reports whether this instance has the duty of placement for a model.
+func (g *Gateway) Directs() bool {
+	for _, d := range g.duties() {
+		if d.Holds() {
+			return true
 		}
-		present = present || e.ID == self
-		out = append(out, e)
 	}
-	return out, present
+	return false
 }
-
-// CutStore ends this instance's following of the store: it learns changes from its peers alone.
-func (g *Gateway) CutStore() { g.syncer.Detach() }
-
-// Directs reports whether this instance has the duty of placement.
-func (g *Gateway) Directs() bool { return g.director.Holds() }
