Bound what a caller that does not read or send may hold

Change: an answer's bytes may leave until 1 s after the request's end, a body has 10 s and is answered 408, which promises that it has not run. The deadline is set anew for each request on a kept connection.

--- a/internal/serving/forwarder/call.go
+++ b/internal/serving/forwarder/call.go
@@ -71,6 +71,9 @@
 // defaultTimeout bounds a request that names no deadline on a route without one.
 const defaultTimeout = 60 * time.Second
 
+// writeTime is how long after the end of a request its last bytes may take to leave.
+const writeTime = time.Second
+
 // newCall returns a request in progress that came in at now.
 func newCall(f *Forwarder, w http.ResponseWriter, r *http.Request, now time.Time, c *matcher.Configuration, q Request,
 	route matcher.Route, team matcher.Team, body []byte,
@@ -87,6 +90,10 @@
 		service: route.Service(q.ID),
 	}
 	k.ctx, k.stop = context.WithTimeout(r.Context(), wait)
+	// A caller that does not read must not hold the request for longer than it waits.
+	if err := http.NewResponseController(w).SetWriteDeadline(k.until.Add(writeTime)); err != nil {
+		f.log.Warn("no deadline for the answer", "request", q.ID, "error", err)
+	}
 	f.request(now, k.service)
 	return k
 }
--- a/internal/serving/forwarder/forwarder.go
+++ b/internal/serving/forwarder/forwarder.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -288,6 +289,10 @@
 	f.flight.Add(1)
 	defer f.flight.Add(-1)
 	now := f.clock()
+	// The connection may have the deadline of an earlier request.
+	if err := http.NewResponseController(w).SetWriteDeadline(now.Add(defaultTimeout)); err != nil {
+		f.log.Warn("no deadline for the answer", "error", err)
+	}
 	if f.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -310,7 +315,7 @@
 		f.refuse(w, now, refusal{Status: http.StatusUnauthorized, Reason: "unknown credential"}, q.ID)
 		return
 	}
-	body, err := readBody(w, r, c.Limits)
+	body, err := readBody(now, w, r, c.Limits)
 	if err != nil {
 		f.refuse(w, now, bodyRefusal(err), q.ID)
 		return
@@ -325,7 +330,7 @@
 }
 
 // readBody reads a request's body within the limits.
-func readBody(w http.ResponseWriter, r *http.Request, l matcher.Limits) ([]byte, error) {
+func readBody(now time.Time, w http.ResponseWriter, r *http.Request, l matcher.Limits) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
@@ -333,9 +338,21 @@
 	if l.BodyBytes > 0 {
 		reader = http.MaxBytesReader(w, r.Body, l.BodyBytes)
 	}
-	return io.ReadAll(reader)
+	connection := http.NewResponseController(w)
+	if err := connection.SetReadDeadline(now.Add(bodyTime)); err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(reader)
+	if err != nil {
+		return nil, err
+	}
+	// The server goes on reading, to notice that the caller leaves.
+	return body, connection.SetReadDeadline(time.Time{})
 }
 
+// bodyTime bounds the reading of a body: the largest that a caller may send takes under a second on its link.
+const bodyTime = 10 * time.Second
+
 // errSlow is the error of a body that was not read.
 var errSlow = merry.New("body not read")
 
@@ -345,6 +362,9 @@
 	if errors.As(err, &large) {
 		return refusal{Status: http.StatusRequestEntityTooLarge, Reason: "body too large"}
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return refusal{Status: http.StatusRequestTimeout, Reason: "body too slow"}
+	}
 	return refusal{Status: http.StatusBadRequest, Reason: merry.Prepend(errSlow, err.Error()).Error()}
 }
 
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -311,6 +311,9 @@
 	}
 }
 
+// Flight returns the number of requests in progress.
+func (g *Gateway) Flight() int64 { return g.forwarder.Flight() }
+
 // CutStore ends this instance's following of the store: it learns changes from its peers alone.
 func (g *Gateway) CutStore() { g.syncer.Detach() }
 
