Let three instances of each data centre read the store themselves

Ruled out: gossip (no instance that read the store was left to tell).

Change: the first three living instances of a data centre read the store; the others rest while their home reads it. Heads that a home tells are followed by all.

--- a/internal/serving/accountant/accountant.go
+++ b/internal/serving/accountant/accountant.go
@@ -53,10 +53,10 @@
 	Fresh bool
 }
 
-// Tables tells how far tables have been read, and is told how far a peer has.
+// Tables tells how far tables have been read, and is told how far a peer has and whether the store need not be asked.
 type Tables interface {
 	Heads() (heads map[string]int64, fresh bool)
-	Follow(now time.Time, peer gossiper.Peer, heads map[string]int64, fresh bool)
+	Follow(now time.Time, peer gossiper.Peer, heads map[string]int64, rest bool)
 }
 
 // The intervals of an Accountant.
@@ -69,6 +69,9 @@
 	shunTime = 2 * time.Second
 	// expiry is how long a report counts.
 	expiry = 2 * time.Second
+	// readers is the number of instances in each data centre that read the store themselves. One that is cut off from the
+	// store without a sign goes on as if nothing changed; that all of them are at once is left to gossip.
+	readers = 3
 )
 
 // Accountant is one instance's part in the accounts.
@@ -157,7 +160,7 @@
 	}
 	a.mu.Unlock()
 	if home.ID != a.self.ID {
-		a.tell(now, home, Report{Owner: a.self.ID, Centre: a.self.DataCentre, Usages: a.own()})
+		a.tell(now, home, Report{Owner: a.self.ID, Centre: a.self.DataCentre, Usages: a.own()}, Rank(a.self, peers) >= readers)
 		return
 	}
 	sum := a.sum(now, "", false)
@@ -176,11 +179,11 @@
 // run tells one other home.
 func (a *Accountant) run(wait *sync.WaitGroup, now time.Time, peer gossiper.Peer, r Report) {
 	defer wait.Done()
-	a.tell(now, peer, r)
+	a.tell(now, peer, r, false)
 }
 
-// tell makes one report and takes the answer in.
-func (a *Accountant) tell(now time.Time, peer gossiper.Peer, r Report) {
+// tell makes one report and takes the answer in. If the peer reads the store, this instance may rest its own reading.
+func (a *Accountant) tell(now time.Time, peer gossiper.Peer, r Report, rest bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTime)
 	defer cancel()
 	var reply Reply
@@ -192,7 +195,7 @@
 		return
 	}
 	if !r.Home {
-		a.tables.Follow(a.clock(), peer, reply.Heads, reply.Fresh)
+		a.tables.Follow(a.clock(), peer, reply.Heads, reply.Fresh && rest)
 		a.told(a.clock(), reply.Usages)
 		return
 	}
@@ -267,6 +270,17 @@
 	return out
 }
 
+// Rank returns how many living instances of its data centre come before an instance.
+func Rank(self gossiper.Peer, peers []gossiper.Peer) int {
+	n := 0
+	for _, p := range peers {
+		if !p.Leaving && p.DataCentre == self.DataCentre && p.Region == self.Region && p.ID < self.ID {
+			n++
+		}
+	}
+	return n
+}
+
 // Accounts holds the methods that peers call.
 type Accounts struct {
 	a *Accountant
--- a/internal/serving/syncer/syncer.go
+++ b/internal/serving/syncer/syncer.go
@@ -233,16 +233,16 @@
 	return heads, fresh && !s.clock().Before(s.attached)
 }
 
-// Follow takes in up to which version a peer knows the tables. If it is fresh, it reads them from the store, and this
-// instance need not.
-func (s *Syncer) Follow(now time.Time, peer gossiper.Peer, heads map[string]int64, fresh bool) {
+// Follow takes in up to which version a peer knows the tables. If the instance may rest, the peer reads them from the store,
+// and this instance does not until the peer is silent.
+func (s *Syncer) Follow(now time.Time, peer gossiper.Peer, heads map[string]int64, rest bool) {
 	s.mu.Lock()
-	if fresh {
+	if rest {
 		s.attached = now.Add(attachTime)
 	}
 	var behind []*followed
 	for name, version := range heads {
-		if t, ok := s.tables[name]; ok && version > t.copy.Version && fresh {
+		if t, ok := s.tables[name]; ok && version > t.copy.Version {
 			t.ahead, t.since = peer, now.Add(-relayDelay)
 			behind = append(behind, t)
 		}
