Count no time for a silence in which the instance itself was held up

What an endpoint sends then waits unread. Ruled out: reads of the load (every ejection by them was of an endpoint that the experiment stageloss had crashed, with connections refused). Change: detector.Lag measures by a beat each 20 ms for how long the process was held up. That time counts for no silence of connections and endpoints, nor for the deadlines of an attempt.

--- a/internal/routing/detector/detector.go
+++ b/internal/routing/detector/detector.go
@@ -17,6 +17,7 @@
 	connections map[string]*connection
 	endpoints   map[string]*endpoint
 	parts       comparer
+	lag         Lag
 }
 
 // connection is one open connection.
@@ -181,6 +182,21 @@
 	return d.ejectEndpoint(now, id, e)
 }
 
+// Beat takes in that the process runs, as Lag.Beat does.
+func (d *Detector) Beat(now time.Time) {
+	d.lag.Beat(now)
+}
+
+// Held returns how much of the time from since until now the process was held up.
+func (d *Detector) Held(now, since time.Time) time.Duration {
+	return d.lag.Held(now, since)
+}
+
+// quiet returns for how long nothing was heard while the process could have heard it.
+func (d *Detector) quiet(now, heard time.Time) time.Duration {
+	return now.Sub(heard) - d.lag.Held(now, heard)
+}
+
 // Check returns what is due: pings, connections to replace, and endpoints that come back.
 func (d *Detector) Check(now time.Time) []Action {
 	var actions []Action
@@ -201,7 +217,7 @@
 
 // checkConnection returns what is due on one connection.
 func (d *Detector) checkConnection(now time.Time, id string, c *connection) []Action {
-	quiet := now.Sub(c.heard)
+	quiet := d.quiet(now, c.heard)
 	if c.awaited == 0 || quiet < time.Duration(pingPart*float64(d.progress)) {
 		return nil
 	}
@@ -214,7 +230,7 @@
 	}
 	delete(d.connections, id)
 	actions := []Action{{Kind: ActionReplace, Connection: id, Endpoint: c.endpoint, Reason: "silent"}}
-	if e := d.endpoint(c.endpoint); now.Sub(e.heard) >= d.progress {
+	if e := d.endpoint(c.endpoint); d.quiet(now, e.heard) >= d.progress {
 		return append(actions, d.Failed(now, c.endpoint, "silent on all connections")...)
 	}
 	return actions
--- a/internal/routing/tracker/tracker.go
+++ b/internal/routing/tracker/tracker.go
@@ -208,18 +208,19 @@
 	return Action{Verb: Drop, Why: w}
 }
 
-// Lapsed returns the deadline that has passed at now.
-func (t *Tracker) Lapsed(now time.Time) Lapse {
-	if now.Sub(t.Heard) >= t.Limits.Silence {
+// Lapsed returns the deadline that has passed at now. Held tells for how long of the time since another one this process
+// was held up itself: that time counts for no deadline.
+func (t *Tracker) Lapsed(now time.Time, held func(since time.Time) time.Duration) Lapse {
+	if now.Sub(t.Heard)-held(t.Heard) >= t.Limits.Silence {
 		return Silent
 	}
-	if now.Sub(t.Moved) >= t.Limits.Stall {
+	if now.Sub(t.Moved)-held(t.Moved) >= t.Limits.Stall {
 		return Stalled
 	}
 	return OnTime
 }
 
-// Deadline returns the time at which Lapsed should be asked next.
+// Deadline returns the earliest time at which a deadline may have passed.
 func (t *Tracker) Deadline() time.Time {
 	silence := t.Heard.Add(t.Limits.Silence)
 	stall := t.Moved.Add(t.Limits.Stall)
--- a/internal/serving/generator/attempt.go
+++ b/internal/serving/generator/attempt.go
@@ -126,20 +126,35 @@
 	go o.run(ctx)
 	timer := time.NewTimer(a.tracker.Deadline().Sub(a.clock()))
 	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		t.Ending = EndingLeft
-	case <-timer.C:
-		t.Ending = EndingSilent
-	case open := <-o.opened:
-		if open.err != nil {
-			a.unopened(ctx, t, open)
+	for {
+		select {
+		case <-ctx.Done():
+			t.Ending = EndingLeft
+			return
+		case <-timer.C:
+			if a.lapsed(t) {
+				return
+			}
+			timer.Reset(a.wake())
+		case open := <-o.opened:
+			if open.err != nil {
+				a.unopened(ctx, t, open)
+				return
+			}
+			a.take(ctx, t, open.stream)
 			return
 		}
-		a.take(ctx, t, open.stream)
 	}
 }
 
+// heldWait is the time between looks at an attempt whose deadline has passed only because the process was held up.
+const heldWait = 20 * time.Millisecond
+
+// wake returns how long to wait before the deadlines are looked at again.
+func (a *answer) wake() time.Duration {
+	return max(heldWait, a.tracker.Deadline().Sub(a.clock()))
+}
+
 // unopened records why a stream could not be opened.
 func (a *answer) unopened(ctx context.Context, t *Attempt, open opening) {
 	t.Outcome = open.outcome
@@ -198,18 +213,21 @@
 			if a.lapsed(t) {
 				return
 			}
+			timer.Reset(a.wake())
 		case v := <-r.steps:
 			if a.arrived(t, v) {
 				return
 			}
+			timer.Reset(a.tracker.Deadline().Sub(a.clock()))
 		}
-		timer.Reset(a.tracker.Deadline().Sub(a.clock()))
 	}
 }
 
 // lapsed ends the attempt if one of its deadlines has passed, and reports whether it did.
 func (a *answer) lapsed(t *Attempt) bool {
-	switch a.tracker.Lapsed(a.clock()) {
+	now := a.clock()
+	held := func(since time.Time) time.Duration { return a.router.Held(now, since) }
+	switch a.tracker.Lapsed(now, held) {
 	case tracker.Silent:
 		t.Ending = EndingSilent
 		t.Reason = "the connection carried nothing"
--- a/internal/serving/generator/bench_test.go
+++ b/internal/serving/generator/bench_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -71,6 +72,9 @@
 	retries  int
 	// mixed lets a plan take each stage from another chain, so that the surviving stages of an attempt go on.
 	mixed bool
+	// held is how long the process counts as held up, and looks counts how often that was asked for.
+	held  time.Duration
+	looks atomic.Int32
 }
 
 func newBench(t *testing.T) *bench {
@@ -160,6 +164,11 @@
 	return b.retries >= 0
 }
 
+func (b *bench) Held(time.Time, time.Time) time.Duration {
+	b.looks.Add(1)
+	return b.held
+}
+
 func (b *bench) Check(_ time.Time, f quarantiner.Fingerprint) quarantiner.Ruling { return b.rulings[f] }
 func (b *bench) Open(time.Time, quarantiner.Fingerprint, []string) bool          { return true }
 func (b *bench) Withdraw(time.Time, quarantiner.Fingerprint) {
--- a/internal/serving/generator/generator.go
+++ b/internal/serving/generator/generator.go
@@ -111,6 +111,8 @@
 	Ended(now time.Time, j Job, a Attempt)
 	// Retry reports whether the retry budget allows one more attempt.
 	Retry(now time.Time) bool
+	// Held returns how much of the time from since until now this process was held up.
+	Held(now, since time.Time) time.Duration
 }
 
 // Guard keeps requests that crash endpoints away from further ones.
--- a/internal/serving/generator/generator_test.go
+++ b/internal/serving/generator/generator_test.go
@@ -134,6 +134,15 @@
 		{name: "the connection is silent from the start", ending: EndingSilent, limits: silent, meddle: func(_ http.ResponseWriter, r *http.Request, _ int, _ []byte) {
 			<-r.Context().Done()
 		}},
+		{name: "nothing comes while the process itself is held up", ending: EndingComplete, limits: silent, prepare: func(b *bench) {
+			b.held = time.Hour
+			b.heads[0].meddle = func(w http.ResponseWriter, r *http.Request, line int, content []byte) {
+				for line == 4 && b.looks.Load() < 6 && r.Context().Err() == nil {
+					time.Sleep(time.Millisecond)
+				}
+				write(w, content)
+			}
+		}},
 		{name: "pings without a token", ending: EndingStalled, limits: stalled, meddle: func(w http.ResponseWriter, r *http.Request, line int, content []byte) {
 			if line < 4 {
 				write(w, content)
--- a/internal/serving/router/router.go
+++ b/internal/serving/router/router.go
@@ -341,6 +341,20 @@
 	return r.budget.Retry(now)
 }
 
+// Beat takes in that the process runs. It is to be called every detector.BeatInterval.
+func (r *Router) Beat(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.detector.Beat(now)
+}
+
+// Held returns how much of the time from since until now the process was held up.
+func (r *Router) Held(now, since time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.detector.Held(now, since)
+}
+
 // Check looks at the health of the endpoints at now: ejected ones come back after their time.
 func (r *Router) Check(now time.Time) {
 	r.mu.Lock()
--- a/internal/serving/runner/runner.go
+++ b/internal/serving/runner/runner.go
@@ -152,10 +152,11 @@
 		r.watcher.Start()
 		r.dumper.Add("endpoints", func(now time.Time) any { return r.watcher.State(now) })
 	}
-	r.wait.Add(4)
+	r.wait.Add(5)
 	go r.callers.run(&r.wait)
 	go r.operators.run(&r.wait)
 	go r.loopChecks()
+	go r.loopBeats()
 	go r.loopShares()
 	r.log.Info("instance started", "callers", r.CallerAddress(), "operators", r.OperatorAddress())
 	return nil
@@ -301,6 +302,21 @@
 	}
 }
 
+// loopBeats lets the router measure how late this process is itself, until done is closed.
+func (r *Runner) loopBeats() {
+	defer r.wait.Done()
+	t := time.NewTicker(detector.BeatInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-r.done:
+			return
+		case <-t.C:
+			r.router.Beat(r.clock())
+		}
+	}
+}
+
 // loopShares shares the teams' counts with the other instances until done is closed.
 func (r *Runner) loopShares() {
 	defer r.wait.Done()
