--- a/internal/bench/prover/overload.go
+++ b/internal/bench/prover/overload.go
@@ -10,6 +10,7 @@
 
 	"github.com/heatherrock/heatherrock/internal/bench/assembler"
 	"github.com/heatherrock/heatherrock/internal/bench/reporter"
+	"github.com/heatherrock/heatherrock/internal/serving/server"
 	"github.com/heatherrock/heatherrock/internal/standin/decoder"
 )
 
@@ -60,8 +61,10 @@
 	result.Set("alone", small.first(), "ms to the first token at the 95th percentile")
 	result.Set("crowded", crowded.first(), "ms to the first token at the 95th percentile")
 	result.Set("served", float64(o.tally.whole), "answers of the crowd")
-	result.Set("refused", float64(o.tally.refused), "requests of the crowd")
+	result.Set("refused", float64(o.tally.refused+o.tally.late), "requests of the crowd")
 	result.SetTarget("small_refused", float64(small.refused+crowded.refused), "requests refused", 0)
+	// Whether a place comes free in time depends on how long the machine takes for an answer.
+	result.SetTarget("small_late", float64(small.late+crowded.late), "requests for which no place came free in time", 0)
 	result.SetTarget("cut", float64(small.cut+crowded.cut+o.tally.cut), "answers", 0)
 	result.SetTarget("wrong", float64(small.wrong+crowded.wrong+o.tally.wrong), "answers", 0)
 	return result, nil
@@ -99,9 +102,11 @@
 
 // tally counts what callers got.
 type tally struct {
-	mu      sync.Mutex
-	whole   int
+	mu    sync.Mutex
+	whole int
+	// refused counts the requests that the queues or limits refused, and late those that would have begun too late.
 	refused int
+	late    int
 	cut     int
 	wrong   int
 	// firsts holds the times to the first token, in microseconds.
@@ -130,6 +135,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
+	case a.Code == string(server.CodeDeadline):
+		t.late++
+		return false
 	case a.Outcome == "not-run":
 		t.refused++
 		return false
@@ -151,7 +159,7 @@
 func (t *tally) answered() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.whole + t.refused
+	return t.whole + t.refused + t.late
 }
 
 // first returns the 95th percentile of the times to the first token, in milliseconds.
