Let instances in the drain experiment leave once the balancer has noticed them

The trace: two connections refused 1.3 s and an EOF 0.4 s after 'instance leaving', with a notice of 0.3 s: the experiment's own balancer, which looks each 0.1 s, got no processor for so long and sent requests to instances that had gone. Ruled out: that instances cut requests in flight; each logged 'instance drained' with cut 0. Change: runner.WithNoticed replaces the fixed notice by a condition. In the experiment it holds once the balancer no longer lists the instance and the instance has got all requests that were sent to it.

--- a/internal/bench/prover/drain.go
+++ b/internal/bench/prover/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -35,11 +36,15 @@
 
 	mu    sync.Mutex
 	ready []*runner.Runner
+	// picked counts the requests that were sent to each instance.
+	picked map[*runner.Runner]int64
 }
 
 // newBalancer returns a balancer that has looked once.
 func newBalancer(s *assembler.Fleet) *balancer {
-	b := &balancer{fleet: s, client: &http.Client{Timeout: time.Second}, done: make(chan struct{})}
+	b := &balancer{
+		fleet: s, client: &http.Client{Timeout: time.Second}, done: make(chan struct{}), picked: map[*runner.Runner]int64{},
+	}
 	b.look()
 	b.wait.Add(1)
 	go b.loop()
@@ -86,6 +91,29 @@
 	return b.ready
 }
 
+// pick returns the instance for one request, or nil if none is ready.
+func (b *balancer) pick(random *rand.Rand) *runner.Runner {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.ready) == 0 {
+		return nil
+	}
+	r := b.ready[random.IntN(len(b.ready))]
+	b.picked[r]++
+	return r
+}
+
+// noticed waits until the balancer has seen that an instance leaves, and the instance has got every request that was sent
+// to it before.
+func (b *balancer) noticed(ctx context.Context, r *runner.Runner) {
+	// The wait ends early only with the context, and then the experiment does.
+	_ = assembler.Until(ctx, func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return !slices.Contains(b.ready, r) && b.picked[r] == r.Received()
+	})
+}
+
 // close ends the balancer.
 func (b *balancer) close() {
 	close(b.done)
@@ -98,13 +126,15 @@
 	result := reporter.NewResult("drain", seed)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	s, err := open(ctx, drainNodes, 3, 200*time.Microsecond)
+	var b *balancer
+	noticed := func(ctx context.Context, r *runner.Runner) { b.noticed(ctx, r) }
+	s, err := open(ctx, drainNodes, 3, 200*time.Microsecond, assembler.WithRunner(runner.WithNoticed(noticed)))
 	if err != nil {
 		return result, err
 	}
 	defer s.Close()
-	b := newBalancer(s)
-	load := startLoad(ctx, b.nodes, 12, seed)
+	b = newBalancer(s)
+	load := startLoad(ctx, b.pick, 12, seed)
 	cut, err := replace(ctx, s, b)
 	if err != nil {
 		return result, err
@@ -134,12 +164,7 @@
 		}
 		// The new instance takes requests before the old one leaves.
 		err = assembler.Until(ctx, func() bool {
-			for _, r := range b.nodes() {
-				if r == joined {
-					return true
-				}
-			}
-			return false
+			return slices.Contains(b.nodes(), joined)
 		})
 		if err != nil {
 			return cut, err
--- a/internal/bench/prover/poison.go
+++ b/internal/bench/prover/poison.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,7 +37,8 @@
 		return result, err
 	}
 	defer s.Close()
-	load := startLoad(ctx, s.Live, poisonCallers, seed)
+	pick := func(random *rand.Rand) *runner.Runner { return s.Nodes[random.IntN(len(s.Nodes))] }
+	load := startLoad(ctx, pick, poisonCallers, seed)
 	refused, codes := resend(ctx, s)
 	err = assembler.Until(ctx, func() bool { return load.sent.Load() >= innocents })
 	load.stop()
@@ -95,12 +97,12 @@
 	wait        sync.WaitGroup
 }
 
-// startLoad starts callers on the instances that nodes returns.
-func startLoad(ctx context.Context, nodes func() []*runner.Runner, callers int, seed uint64) *load {
+// startLoad starts callers whose requests go to the instances that pick returns. Pick may return nil if there is none.
+func startLoad(ctx context.Context, pick func(*rand.Rand) *runner.Runner, callers int, seed uint64) *load {
 	l := &load{done: make(chan struct{})}
 	for i := range callers {
 		l.wait.Add(1)
-		go l.loop(ctx, nodes, seed+uint64(i)+1)
+		go l.loop(ctx, pick, seed+uint64(i)+1)
 	}
 	return l
 }
@@ -112,7 +114,7 @@
 }
 
 // loop asks one request after another until done is closed.
-func (l *load) loop(ctx context.Context, nodes func() []*runner.Runner, seed uint64) {
+func (l *load) loop(ctx context.Context, pick func(*rand.Rand) *runner.Runner, seed uint64) {
 	defer l.wait.Done()
 	c := assembler.NewCaller(team)
 	defer c.Close()
@@ -127,11 +129,11 @@
 		if err != nil {
 			return
 		}
-		live := nodes()
-		if len(live) == 0 {
+		node := pick(random)
+		if node == nil {
 			continue
 		}
-		a := ask(ctx, c, live[random.IntN(len(live))], prompt, 30)
+		a := ask(ctx, c, node, prompt, 30)
 		<-a.done
 		l.count(a)
 	}
--- a/internal/serving/runner/front.go
+++ b/internal/serving/runner/front.go
@@ -19,6 +19,7 @@
 	handler  http.Handler
 	phase    *phase
 	flight   atomic.Int64
+	received atomic.Int64
 }
 
 // newFront returns a front on a listener with the limits of the settings. While the phase is leaving, each answer closes
@@ -45,6 +46,7 @@
 
 // ServeHTTP counts a request and passes it on.
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.received.Add(1)
 	f.flight.Add(1)
 	defer f.flight.Add(-1)
 	if f.phase != nil && f.phase.leaving() {
--- a/internal/serving/runner/runner.go
+++ b/internal/serving/runner/runner.go
@@ -63,6 +63,8 @@
 	wait    sync.WaitGroup
 
 	generator []generator.Option
+	// noticed waits until the balancer has noticed that this instance leaves.
+	noticed   func(ctx context.Context, r *Runner)
 	phase     phase
 	secrets   secrets
 	engines   *streamer.Client
@@ -92,6 +94,11 @@
 // WithLog sets the log.
 func WithLog(l *slog.Logger) Option { return func(r *Runner) { r.log = l } }
 
+// WithNoticed replaces the time that a leaving instance serves on by a wait until the balancer has noticed it.
+func WithNoticed(wait func(ctx context.Context, r *Runner)) Option {
+	return func(r *Runner) { r.noticed = wait }
+}
+
 // WithGenerator adds options of the part that runs answers.
 func WithGenerator(options ...generator.Option) Option {
 	return func(r *Runner) { r.generator = append(r.generator, options...) }
@@ -107,6 +114,7 @@
 		owner:    s.ID + "-" + suffix(),
 		done:     make(chan struct{}),
 		engines:  streamer.NewClient(),
+		noticed:  waitNotice,
 	}
 	for _, o := range options {
 		o(r)
@@ -358,16 +366,26 @@
 	r.phase.leave()
 	r.exchange.Leave(ctx)
 	r.log.Info("instance leaving", "notice", r.settings.Times.Notice)
-	select {
-	case <-time.After(r.settings.Times.Notice):
-	case <-ctx.Done():
-	}
+	r.noticed(ctx, r)
 	cut := r.callers.drain(ctx) + r.calls.Drain(ctx)
 	r.log.Info("instance drained", "cut", cut)
 	r.Close()
 	return cut
 }
 
+// waitNotice waits for the time in which the balancer notices a leaving instance, by the settings.
+func waitNotice(ctx context.Context, r *Runner) {
+	select {
+	case <-time.After(r.settings.Times.Notice):
+	case <-ctx.Done():
+	}
+}
+
+// Received returns the number of requests of callers that this instance has got.
+func (r *Runner) Received() int64 {
+	return r.callers.received.Load()
+}
+
 // Close ends the instance at once. Closing it again, or one that did not start, does nothing.
 func (r *Runner) Close() {
 	r.closing.Do(r.close)
