Show metrics by class and service, waits, repeats, store calls, orders and ages

Cause: the metrics told outcomes by kind and status only. Which class or service suffers, how long requests wait for memory, what the budget for repeats has left, and how old an instance's beliefs are could not be read from them. Change: a recorder in the forwarder with bounded labels; counted calls of the store and orders; gauges of the tables' age and reach. -level sets the least level of the lines.

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -28,12 +28,14 @@
 func run() int {
 	flags := flag.NewFlagSet("gateway", flag.ContinueOnError)
 	metrics := flags.Int("metrics", 0, "port of metrics and state; 0 takes the second internal port")
+	level := slog.LevelInfo
+	flags.TextVar(&level, "level", level, "least level of the lines logged: debug, info, warn or error")
 	if err := flags.Parse(os.Args[1:]); err != nil {
 		return 2
 	}
 	lines := logger.New(os.Stdout)
 	defer lines.Close()
-	log := lines.Log(slog.LevelInfo)
+	log := lines.Log(level)
 	settings, err := platform.Load(os.Getenv(platform.Variable))
 	if err != nil {
 		log.Error("settings not read", "error", err)
--- a/internal/serving/forwarder/call.go
+++ b/internal/serving/forwarder/call.go
@@ -23,7 +23,7 @@
 
 // refuse answers a request that no endpoint has run. A status of 408, 421, 429 or 503 promises that none will.
 func (f *Forwarder) refuse(w http.ResponseWriter, began time.Time, r refusal, id string) {
-	f.scope.Tagged(map[string]string{"reason": r.Reason}).Counter("refusals").Inc(1)
+	f.recorder.refused(r.Reason)
 	f.log.Warn("request refused", "request", id, "status", r.Status, "reason", r.Reason, "after", r.After.Seconds(),
 		"took", f.clock().Sub(began).Seconds())
 	writeRefusal(w, r)
@@ -64,8 +64,9 @@
 	status   int
 	events   int
 	first    time.Duration
-	// pause is the longest time between two events.
-	pause time.Duration
+	// pause is the longest time between two events, and waited the time spent waiting for memory.
+	pause  time.Duration
+	waited time.Duration
 }
 
 // defaultTimeout bounds a request that names no deadline on a route without one.
@@ -135,7 +136,7 @@
 // answer gives an answer of the router's own.
 func (k *call) answer(r refusal) {
 	k.outcome, k.status = r.Reason, r.Status
-	k.f.scope.Tagged(map[string]string{"reason": r.Reason}).Counter("refusals").Inc(1)
+	k.f.recorder.refused(r.Reason)
 	if r.After > 0 {
 		k.note("come back in", r.After.String())
 	}
@@ -162,10 +163,7 @@
 	if outcome == "" {
 		outcome = "answered"
 	}
-	k.f.scope.Tagged(map[string]string{"kind": k.route.Kind.String(), "status": strconv.Itoa(k.status)}).Counter("requests").Inc(1)
-	if k.first > 0 {
-		k.f.scope.Tagged(map[string]string{"kind": k.route.Kind.String()}).Histogram("first", latencies).RecordDuration(k.first)
-	}
+	k.f.recorder.ended(now, k)
 	k.f.log.Log(context.Background(), level, "request", "request", k.q.ID, "route", k.route.Name, "kind", k.route.Kind.String(),
 		"team", k.team.Name, "service", k.service, "configuration", k.config.Version, "outcome", outcome, "status", k.status,
 		"attempts", k.attempts, "events", k.events, "first", k.first.Seconds(), "pause", k.pause.Seconds(), "took", now.Sub(k.began).Seconds(),
--- a/internal/serving/forwarder/forwarder.go
+++ b/internal/serving/forwarder/forwarder.go
@@ -38,6 +38,7 @@
 	log      *slog.Logger
 	clock    func() time.Time
 	scope    tally.Scope
+	recorder *recorder
 	centre   string
 	prober   Prober
 
@@ -114,6 +115,7 @@
 		o(f)
 	}
 	f.begun = f.clock()
+	f.recorder = newRecorder(f.scope)
 	return f
 }
 
@@ -277,6 +279,17 @@
 	return out
 }
 
+// Left returns how many requests this instance may send again at now, by service.
+func (f *Forwarder) Left(now time.Time) map[string]float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[string]float64, len(f.windows))
+	for service, w := range f.windows {
+		out[service] = max(0, w.Left(now))
+	}
+	return out
+}
+
 // MergeSent takes in what the other instances have sent to a service, and how many instances there are.
 func (f *Forwarder) MergeSent(now time.Time, service string, others limiter.Tally, instances int) {
 	f.mu.Lock()
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -51,7 +51,7 @@
 func (k *call) stream(e *placer.Engine) {
 	s := &streaming{call: k, engine: e, alloc: k.f.Allocator(k.service), avoid: map[string]bool{},
 		firsts: map[string]bool{}, last: k.q.LastEvent}
-	path, refusal := s.alloc.Acquire(k.ctx, k.f.clock(), s.item())
+	path, refusal := s.acquire()
 	for n := 0; ; n++ {
 		if refusal != reserver.Granted {
 			load, waiting := s.alloc.Load(s.f.clock())
@@ -74,10 +74,18 @@
 			s.giveUp("no whole answer")
 			return
 		}
-		path, refusal = s.alloc.Acquire(k.ctx, k.f.clock(), s.item())
+		path, refusal = s.acquire()
 	}
 }
 
+// acquire waits for a path.
+func (s *streaming) acquire() (reserver.Path, reserver.Refusal) {
+	now := s.f.clock()
+	path, refusal := s.alloc.Acquire(s.ctx, now, s.item())
+	s.waited += s.f.clock().Sub(now)
+	return path, refusal
+}
+
 // again reports whether the stream may be sent once more. The bound of attempts counts endpoints: once it is reached, a path
 // may still begin at one that the request was sent to before.
 func (s *streaming) again(v verdict) bool {
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -123,6 +123,8 @@
 		endpoints: map[string]director.Endpoint{}, directors: map[string]*director.Director{},
 	}
 	g.meter = meter.New(s.Name, s.DataCentre)
+	g.platform.Store = &countedStore{p.Store, g.meter.Scope()}
+	g.platform.Orders = &countedOrders{p.Orders, g.meter.Scope()}
 	g.forwarder = forwarder.New(p.Protocol, s.DataCentre, forwarder.WithLog(log), forwarder.WithClock(clock),
 		forwarder.WithScope(g.meter.Scope()), forwarder.WithProber(p.Prober), forwarder.WithBudget(forwarder.Budget{
 			Share: s.RetryShare, Slack: s.RetrySlack, Window: s.RetryWindow,
@@ -135,7 +137,7 @@
 		exchanger.WithMetrics(g.meter.Scope()),
 		exchanger.WithGossip(gossiper.WithBeat(suspectTime/3, suspectTime/3), gossiper.WithExpiry(suspectTime, expireTime)),
 	)
-	g.syncer = syncer.New(p.Store, g.exchange, log, clock,
+	g.syncer = syncer.New(g.platform.Store, g.exchange, log, clock,
 		syncer.Table{Name: p.ConfigTable, News: g.configured},
 		syncer.Table{Name: p.EndpointTable, News: g.discovered, Lapses: true},
 	)
--- a/internal/serving/gateway/updates.go
+++ b/internal/serving/gateway/updates.go
@@ -127,8 +127,9 @@
 	for service, a := range g.forwarder.Allocators() {
 		a.SetInstances(instances)
 		load, waiting := a.Load(now)
-		g.meter.Gauge("memory_reserved", load)
-		g.meter.Gauge("waiting", float64(waiting))
+		scope := g.meter.Scope().Tagged(map[string]string{"service": service})
+		scope.Gauge("memory_reserved").Update(load)
+		scope.Gauge("waiting").Update(float64(waiting))
 		if waiting > 0 && now.Sub(g.told) >= tellInterval {
 			g.told = now
 			t := a.Strait(now)
@@ -136,6 +137,19 @@
 				"holders", t.Holders, "room", t.Room, "used", t.Used)
 		}
 	}
+	for service, left := range g.forwarder.Left(now) {
+		g.meter.Scope().Tagged(map[string]string{"service": service}).Gauge("repeats_left").Update(left)
+	}
+	for _, table := range []string{g.platform.ConfigTable, g.platform.EndpointTable} {
+		age, reached := g.syncer.Age(now, table)
+		scope := g.meter.Scope().Tagged(map[string]string{"table": table})
+		scope.Gauge("table_age").Update(age.Seconds())
+		scope.Gauge("store_reached").Update(number(reached))
+	}
+	if c := g.forwarder.Configuration(); c != nil {
+		g.meter.Gauge("configuration", float64(c.Version))
+	}
+	g.meter.Gauge("instances", float64(instances))
 	g.meter.Gauge("flight", float64(g.forwarder.Flight()))
 }
 
@@ -164,3 +178,11 @@
 		a.Tell(now, others[service].Dead)
 	}
 }
+
+// number returns 1 for true and 0 for false.
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
