Give an endpoint that moves the time to finish its streams

What shows earlier ends it as before. Measured: TestMovedEndpointMayDrain fails before and passes after.

--- a/internal/serving/director/placing.go
+++ b/internal/serving/director/placing.go
@@ -148,7 +148,11 @@
 		d.begun[a.ID] = b
 	}
 	sequence := d.begun[a.ID].orders
-	d.pending[a.ID] = pending{order: a.Range, born: e.Born, until: now.Add(2*load + showTime)}
+	until := now.Add(2*load + showTime)
+	if !e.Held.Empty() {
+		until = until.Add(drainTime)
+	}
+	d.pending[a.ID] = pending{order: a.Range, born: e.Born, until: until}
 	return Order{Endpoint: a.ID, Address: e.Address, Range: a.Range, Token: d.elector.Duty.Token, Sequence: sequence}
 }
 
