Keep the budget for repeats while news is late and fleets are large

Ruled out: plain services; the repeats are of the model's service. Change: what an instance has used in the present part of the window and the one before is set against its part; a repeat counts for the whole span; accounts carry the number of instances; nothing is sent again in the first 2 s after a start of all. The tests of the platform wait for that time to be over before they begin: what they check is not the start.

--- a/internal/routing/limiter/window.go
+++ b/internal/routing/limiter/window.go
@@ -11,10 +11,20 @@
 	Repeats  float64
 	// Age is for how many seconds has been counted.
 	Age float64
+	// Instances is the number of instances that have counted.
+	Instances float64
 }
 
-// windowSlices is the number of parts into which a window is divided.
-const windowSlices = 20
+// windowSlices is the number of parts into which a window is divided. One more is kept of what was sent again, so that it counts
+// for the whole span whenever in its part it was sent.
+const (
+	windowSlices = 20
+	windowParts  = windowSlices + 1
+)
+
+// BlindTime is how long after a start of all instances nothing is sent again: what they used before is forgotten, and they do not
+// yet know how many they are. Membership spreads to 89 instances in 7 rounds of 250 ms.
+const BlindTime = 2 * time.Second
 
 // windowPart is the part of the bound that is used: what other instances have counted is known a fraction of a second late.
 const windowPart = 0.8
@@ -28,11 +38,11 @@
 
 	// begun is when the counts began. What was sent before a restart is not known.
 	begun     time.Time
-	parts     [windowSlices]Tally
+	parts     [windowParts]Tally
 	at        int64
 	others    Tally
 	instances int
-	// unseen counts the repeats since the others were last heard of, of which allowance may be made.
+	// unseen counts the repeats since the others were last heard of. Allowance is this instance's part of what is left.
 	unseen    float64
 	allowance float64
 }
@@ -46,12 +56,12 @@
 func (w *Window) move(now time.Time) *Tally {
 	at := now.UnixNano() / int64(max(1, w.Span/windowSlices))
 	if at > w.at {
-		for i := max(w.at+1, at-windowSlices+1); i <= at; i++ {
-			w.parts[i%windowSlices] = Tally{}
+		for i := max(w.at+1, at-windowParts+1); i <= at; i++ {
+			w.parts[i%windowParts] = Tally{}
 		}
 		w.at = at
 	}
-	return &w.parts[w.at%windowSlices]
+	return &w.parts[w.at%windowParts]
 }
 
 // Request counts a request.
@@ -62,18 +72,21 @@
 // Own returns what this instance has counted in the window.
 func (w *Window) Own(now time.Time) Tally {
 	w.move(now)
-	out := Tally{Age: now.Sub(w.begun).Seconds()}
-	for _, p := range w.parts {
-		out.Requests += p.Requests
+	out := Tally{Age: now.Sub(w.begun).Seconds(), Instances: 1}
+	oldest := (w.at + 1) % windowParts
+	for i, p := range w.parts {
+		if int64(i) != oldest {
+			out.Requests += p.Requests
+		}
 		out.Repeats += p.Repeats
 	}
 	return out
 }
 
-// Merge takes in what the other instances have counted, and how many instances there are. Until the next time this instance may
-// use its even part of what is left.
+// Merge takes in what the other instances have counted, and how many instances are known, this one included; the others' counts
+// may be of more. Until the next time this instance may use its even part of what is left.
 func (w *Window) Merge(now time.Time, others Tally, instances int) {
-	w.others, w.instances, w.unseen = others, max(1, instances), 0
+	w.others, w.instances, w.unseen = others, max(1, instances, int(others.Instances)+1), 0
 	w.allowance = w.left(now) / float64(w.instances)
 }
 
@@ -82,15 +95,22 @@
 func (w *Window) left(now time.Time) float64 {
 	own := w.Own(now)
 	slack := windowPart * w.Slack
-	if max(own.Age, w.others.Age) < w.Span.Seconds() {
+	age := max(own.Age, w.others.Age)
+	if age < BlindTime.Seconds() {
+		return 0
+	}
+	if age < w.Span.Seconds() {
 		slack = (1 - windowPart) * w.Slack
 	}
 	return windowPart*w.Share*(own.Requests+w.others.Requests) + slack - own.Repeats - w.others.Repeats
 }
 
-// Left returns how many requests this instance may send again at now.
+// Left returns how many requests this instance may send again at now. What is left of the fleet's bound is known late: the
+// others may have used as much of it as this instance has in the present part of the window and the one before, and no news of
+// that has come. News passes through two homes of the accounts and is up to 0.4 s old, less than a part of the window.
 func (w *Window) Left(now time.Time) float64 {
-	return min(w.left(now), w.allowance-w.unseen)
+	recent := w.move(now).Repeats + w.parts[(w.at+windowParts-1)%windowParts].Repeats
+	return min(w.left(now), w.allowance-max(w.unseen, recent))
 }
 
 // Repeat reports whether a request may be sent again at now, and counts it if so.
--- a/internal/routing/limiter/window_test.go
+++ b/internal/routing/limiter/window_test.go
@@ -139,3 +139,101 @@
 		t.Errorf("%v may be sent again beside others that have counted for long", w.Left(now))
 	}
 }
+
+// TestWindowHoldsWhileNewsIsLate lets all instances want to repeat at once, as when many endpoints fail, while what they hear
+// of each other has passed through two homes: it comes every 120 ms and is 360 ms old.
+func TestWindowHoldsWhileNewsIsLate(t *testing.T) {
+	const step, every, late = 20 * time.Millisecond, 120 * time.Millisecond, 360 * time.Millisecond
+	for _, instances := range []int{7, 66, 89} {
+		share, slack, span := 0.2, 362.0, 10*time.Second
+		start := time.Unix(1000, 0)
+		fleet := make([]*Window, instances)
+		for i := range fleet {
+			fleet[i] = NewWindow(start.Add(-span), share, slack, span)
+			fleet[i].Merge(start, Tally{Age: span.Seconds()}, instances)
+		}
+		// news holds what each instance had counted, the newest last.
+		var news [][]Tally
+		var repeats, requests []time.Duration
+		for at := time.Duration(0); at < 40*time.Second; at += step {
+			now := start.Add(at)
+			for _, w := range fleet[:min(7, instances)] {
+				w.Request(now)
+				requests = append(requests, at)
+			}
+			for _, w := range fleet {
+				for at > 10*time.Second && w.Repeat(now) {
+					repeats = append(repeats, at)
+				}
+			}
+			var told []Tally
+			for _, w := range fleet {
+				told = append(told, w.Own(now))
+			}
+			news = append(news, told)
+			if n := len(news) - int(late/step); at%every == 0 && n >= 0 {
+				old := news[n]
+				for i, w := range fleet {
+					others := Tally{Age: span.Seconds()}
+					for j := range old {
+						if j != i {
+							others.Requests += old[j].Requests
+							others.Repeats += old[j].Repeats
+						}
+					}
+					w.Merge(now, others, instances)
+				}
+			}
+		}
+		check(t, instances, requests, repeats, share, slack, span)
+	}
+}
+
+// TestRestartOfAllIsBlindAtFirst lets 89 instances start that know nobody at first: each learns of more peers in each round of
+// gossip, and wants to send as much again as it may.
+func TestRestartOfAllIsBlindAtFirst(t *testing.T) {
+	const instances = 89
+	span, slack := 10*time.Second, 362.0
+	start := time.Unix(1000, 0)
+	fleet := make([]*Window, instances)
+	for i := range fleet {
+		fleet[i] = NewWindow(start, 0.2, slack, span)
+	}
+	var repeats []time.Duration
+	requests := 0
+	for at := time.Duration(0); at < 9*time.Second; at += 20 * time.Millisecond {
+		now := start.Add(at)
+		for n, w := range fleet {
+			if n < 7 {
+				w.Request(now)
+				requests++
+			}
+			for w.Repeat(now) {
+				repeats = append(repeats, at)
+			}
+		}
+		if at%(120*time.Millisecond) == 0 {
+			known := min(instances, 1<<(at/(250*time.Millisecond)))
+			for i := 0; i < instances; i += known {
+				group := fleet[i:min(instances, i+known)]
+				merge(now, group)
+			}
+		}
+	}
+	if bound := slack + 0.2*float64(requests); float64(len(repeats)) > bound {
+		t.Errorf("%d sent again in the first 9 s, bound %v", len(repeats), bound)
+	}
+	if len(repeats) == 0 {
+		t.Error("nothing was sent again")
+	}
+}
+
+// TestAllMayCountMoreThanAreKnown lets an instance that has just started know of one peer, whose accounts are of 88 instances.
+func TestAllMayCountMoreThanAreKnown(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := NewWindow(now, 0.2, 362, 10*time.Second)
+	w.Merge(now, Tally{Age: 60, Instances: 88}, 2)
+	if got, most := w.Left(now), windowPart*362/89+0.01; got > most {
+		t.Errorf("%v may be sent again, want %v at most", got, most)
+	}
+}
--- a/internal/serving/accountant/accountant.go
+++ b/internal/serving/accountant/accountant.go
@@ -246,6 +246,7 @@
 		h.Sent.Requests += other.Sent.Requests
 		h.Sent.Repeats += other.Sent.Repeats
 		h.Sent.Age = max(h.Sent.Age, other.Sent.Age)
+		h.Sent.Instances += other.Sent.Instances
 		for _, id := range other.Dead {
 			if !slices.Contains(h.Dead, id) {
 				h.Dead = append(h.Dead, id)
--- a/internal/serving/forwarder/forwarder.go
+++ b/internal/serving/forwarder/forwarder.go
@@ -51,9 +51,11 @@
 	allocators map[string]*Allocator
 	// windows hold the budgets for sending requests again, by service.
 	windows map[string]*limiter.Window
-	budget  Budget
-	begun   time.Time
-	random  *rand.Rand
+	// instances is the number of instances known, this one included.
+	instances int
+	budget    Budget
+	begun     time.Time
+	random    *rand.Rand
 }
 
 // Option changes a Forwarder under construction.
@@ -245,10 +247,11 @@
 }
 
 // window returns the budget of a service, counted from this forwarder's start. The lock is held.
-func (f *Forwarder) window(service string) *limiter.Window {
+func (f *Forwarder) window(now time.Time, service string) *limiter.Window {
 	w, ok := f.windows[service]
 	if !ok {
 		w = limiter.NewWindow(f.begun, f.budget.Share, f.budget.Slack, f.budget.Window)
+		w.Merge(now, limiter.Tally{}, f.instances)
 		f.windows[service] = w
 	}
 	return w
@@ -258,14 +261,14 @@
 func (f *Forwarder) request(now time.Time, service string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.window(service).Request(now)
+	f.window(now, service).Request(now)
 }
 
 // repeat reports whether the budget allows to send a request to a service again, and counts it if so.
 func (f *Forwarder) repeat(now time.Time, service string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.window(service).Repeat(now)
+	return f.window(now, service).Repeat(now)
 }
 
 // Sent returns what this instance has sent to each service over the window of the budget.
@@ -290,11 +293,17 @@
 	return out
 }
 
-// MergeSent takes in what the other instances have sent to a service, and how many instances there are.
-func (f *Forwarder) MergeSent(now time.Time, service string, others limiter.Tally, instances int) {
+// MergeSent takes in what the other instances have sent to each service, and how many instances are known.
+func (f *Forwarder) MergeSent(now time.Time, others map[string]limiter.Tally, instances int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.window(service).Merge(now, others, instances)
+	f.instances = instances
+	for service := range others {
+		f.window(now, service)
+	}
+	for service, w := range f.windows {
+		w.Merge(now, others[service], instances)
+	}
 }
 
 // ServeHTTP serves one request of a caller.
--- a/internal/serving/gateway/updates.go
+++ b/internal/serving/gateway/updates.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/control/replicator"
+	"github.com/heatherrock/heatherrock/internal/routing/limiter"
 	"github.com/heatherrock/heatherrock/internal/routing/reserver"
 	"github.com/heatherrock/heatherrock/internal/serving/accountant"
 	"github.com/heatherrock/heatherrock/internal/serving/director"
@@ -170,9 +171,11 @@
 // merge takes in what the other instances have reserved.
 func (g *Gateway) merge(now time.Time, others accountant.Usages) {
 	instances := len(g.exchange.Peers()) + 1
+	sent := make(map[string]limiter.Tally, len(others))
 	for service, h := range others {
-		g.forwarder.MergeSent(now, service, h.Sent, instances)
+		sent[service] = h.Sent
 	}
+	g.forwarder.MergeSent(now, sent, instances)
 	for service, a := range g.forwarder.Allocators() {
 		a.Merge(now, "fleet", others[service].Memory)
 		a.Tell(now, others[service].Dead)
