Soak the real programs in random faults

Cause: nothing played overlapping faults on the programs as they run, as processes with links and signals between them. Change: bench soak draws faults from a seed (kills, stops, pauses, a failing store, links, endpoints, configurations), plays them on three instances of cmd/gateway before the stand-in, and judges what callers and endpoints saw. The stand-in tells arrivals, keeps a pace and makes settings and callers' requests.

--- a/internal/bench/runner/command.go
+++ b/internal/bench/runner/command.go
@@ -37,6 +37,8 @@
 		{"list", "", "list the experiments", list},
 		{"run", "NAME [--seed N] [-o json|text] [--plot FILE]", "run an experiment", run},
 		{"compare", "BEFORE.json AFTER.json", "compare two results", compare},
+		{"soak", "--program FILE [--seed N] [--count N] [--length D] [--jobs N] [--dir DIR]",
+			"play random faults on instances as processes", soak},
 		{"report", "FILE.json ...", "print the figures of results that have a target as a table in Markdown", report},
 	}
 }
--- /dev/null
+++ b/internal/bench/soaker/soaker.go
@@ -0,0 +1,433 @@
+// Package soaker plays random faults on the real programs: instances as processes of their own before a stand-in of the
+// platform, with loopback links between them. It checks what was promised to callers by what callers and endpoints see.
+package soaker
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/heatherrock/heatherrock/internal/standin/hoster"
+)
+
+// Options are those of a run.
+type Options struct {
+	// Binary is the program of an instance, and Dir where settings and logs go.
+	Binary string
+	Dir    string
+	Seed   uint64
+	Length time.Duration
+	// Net tells runs at the same time apart: instances have the addresses 127.Net.x.1.
+	Net int
+}
+
+// Report is the result of a run.
+type Report struct {
+	Seed   uint64
+	Faults []Fault
+	// Requests counts the requests, and Served those that were served whole.
+	Requests int
+	Served   int
+	// Broken holds the promises that were broken.
+	Broken []string
+}
+
+// The size of a run.
+const (
+	instances = 3
+	engines   = 6
+	desks     = 3
+	callers   = 8
+	// starting bounds the time until all instances are ready, and recovery that after the last fault, as the platform asks.
+	starting = 20 * time.Second
+	recovery = 15 * time.Second
+	// eventPace and workTime make requests last long enough for faults to strike them.
+	eventPace = 40 * time.Millisecond
+	workTime  = 30 * time.Millisecond
+	// linger is how long endpoints are watched after the last answer: what was refused must not run later.
+	linger = 500 * time.Millisecond
+)
+
+// soak is a run in progress.
+type soak struct {
+	options   Options
+	world     *hoster.World
+	instances []*instance
+	watch     watch
+	wait      sync.WaitGroup
+
+	mu        sync.Mutex
+	endpoints []*endpoint
+	links     []*Proxy
+	spans     []Span
+	keyed     []time.Time
+	version   int
+	exits     []string
+}
+
+// endpoint is one place of an endpoint, in which a new one starts after a crash.
+type endpoint struct {
+	service string
+	zone    string
+	kind    string
+	number  int
+	server  *hoster.Server
+	link    *Proxy
+}
+
+// Run plays one seed.
+func Run(o Options) (Report, error) {
+	s := &soak{options: o, world: hoster.NewWorld()}
+	report := Report{Seed: o.Seed, Faults: Plan(o.Seed, o.Length, instances, engines+desks)}
+	defer s.close()
+	if err := s.open(); err != nil {
+		return report, err
+	}
+	if !s.until(starting, s.serves) {
+		return report, merry.New("the instances do not serve before the first fault")
+	}
+	requests := s.load(report.Faults)
+	if !s.until(recovery, s.serves) {
+		s.exits = append(s.exits, "not every instance serves again after the last fault")
+	}
+	time.Sleep(linger)
+	e := Evidence{Requests: requests, Arrivals: s.world.Arrivals(), Runs: map[string]int{}, Spans: s.spans, Keyed: s.keyed, Exits: s.exits}
+	for _, r := range requests {
+		e.Runs[r.ID] = s.world.Runs(r.ID)
+		if r.Status == http.StatusOK && r.Err == "" {
+			report.Served++
+		}
+	}
+	for _, i := range s.instances {
+		i.mu.Lock()
+		e.Exits = append(e.Exits, i.exits...)
+		i.mu.Unlock()
+	}
+	report.Requests = len(requests)
+	report.Broken = Judge(e)
+	return report, nil
+}
+
+// open starts the platform and the instances.
+func (s *soak) open() error {
+	if err := os.MkdirAll(s.options.Dir, 0o755); err != nil {
+		return err
+	}
+	s.world.Pace, s.world.Work, s.world.Public = eventPace, workTime, s.public
+	s.configure(time.Now())
+	for n := range engines + desks {
+		e := &endpoint{service: "pool", zone: zone(n), kind: "card", number: n}
+		if n >= engines {
+			e.service, e.kind = "desk", ""
+		}
+		s.endpoints = append(s.endpoints, e)
+		s.enter(e, 0)
+	}
+	for n := range instances {
+		link, err := NewProxy(s.world.Store.Address())
+		if err != nil {
+			return err
+		}
+		m := hoster.Machine{
+			Name: fmt.Sprint("edge-", n), Zone: zone(n), IP: fmt.Sprintf("127.%d.%d.1", s.options.Net, n+1), Store: link.Address(),
+		}
+		front, err := NewProxy(m.Callers())
+		if err != nil {
+			link.Close()
+			return err
+		}
+		i := &instance{binary: s.options.Binary, dir: s.options.Dir, machine: m, link: link, callers: front}
+		s.instances = append(s.instances, i)
+		if err := i.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// zone returns the data centre of the nth instance or endpoint.
+func zone(n int) string { return string(rune('a' + n%2)) }
+
+// public returns the address under which an endpoint registers: that of its link.
+func (s *soak) public(_, address string) string {
+	p, err := NewProxy(address)
+	if err != nil {
+		panic(err) // No port is free on this machine.
+	}
+	s.links = append(s.links, p)
+	return p.Address()
+}
+
+// enter starts an endpoint. The lock is held, or nothing else runs.
+func (s *soak) enter(e *endpoint, life int) {
+	id := fmt.Sprintf("%s-%d", e.service, e.number)
+	if life > 0 {
+		id += fmt.Sprint("-", life)
+	}
+	e.server = s.world.AddServer(id, e.service, e.zone, e.kind)
+	e.link = s.links[len(s.links)-1]
+}
+
+// close ends everything.
+func (s *soak) close() {
+	for _, i := range s.instances {
+		i.close()
+	}
+	s.wait.Wait()
+	s.world.Close()
+	for _, p := range s.links {
+		p.Close()
+	}
+}
+
+// until waits for a condition, and reports whether it came in time.
+func (s *soak) until(limit time.Duration, met func() bool) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if met() {
+			return true
+		}
+	}
+	return false
+}
+
+// serves reports whether each instance serves each kind of request.
+func (s *soak) serves() bool {
+	for n, i := range s.instances {
+		response, err := http.Get("http://" + i.machine.Ready() + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			return false
+		}
+		for _, route := range []string{routeModel, routeHold, routeLook} {
+			c := newCaller(0, n, i.callers.Address(), 0, &s.watch, nil)
+			r := c.ask(Request{ID: fmt.Sprintf("probe-%d", time.Now().UnixNano()), Route: route, Key: firstKey, Instance: n})
+			c.client.CloseIdleConnections()
+			if r.Status != http.StatusOK || r.Err != "" {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// load lets callers send requests while the faults strike, and returns the requests.
+func (s *soak) load(faults []Fault) []Request {
+	done := make(chan struct{})
+	var beats, asking, striking sync.WaitGroup
+	beats.Add(1)
+	go s.watch.run(&beats, done)
+	stop := make(chan struct{})
+	var all []*caller
+	for n := range callers {
+		c := newCaller(n, n%instances, s.instances[n%instances].callers.Address(), s.options.Seed, &s.watch, stop)
+		all = append(all, c)
+		asking.Add(1)
+		go c.run(&asking)
+	}
+	began := time.Now()
+	for _, f := range faults {
+		time.Sleep(time.Until(began.Add(f.At)))
+		striking.Add(1)
+		go s.run(&striking, f)
+	}
+	striking.Wait()
+	time.Sleep(time.Until(began.Add(s.options.Length)))
+	close(stop)
+	asking.Wait()
+	close(done)
+	beats.Wait()
+	var out []Request
+	for _, c := range all {
+		out = append(out, c.requests...)
+	}
+	return out
+}
+
+// run plays one fault, and notes when it acted on which instances.
+func (s *soak) run(wait *sync.WaitGroup, f Fault) {
+	defer wait.Done()
+	span := Span{From: time.Now(), Instance: every, Fault: f}
+	switch f.Kind {
+	case CallerLink, StoreLink, Kill, Stop, Pause:
+		span.Instance = f.Target
+	}
+	s.strike(f)
+	if f.Kind == Hangup || f.Kind == Configure {
+		// Planned work that nobody may notice.
+		return
+	}
+	span.To = time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spans = append(s.spans, span)
+}
+
+// strike plays one fault until it is over.
+func (s *soak) strike(f Fault) {
+	switch f.Kind {
+	case Kill, KillAll, Stop, Pause, Hangup:
+		s.strikeInstances(f)
+	case StoreDown:
+		s.faulty(hoster.Faults{Status: http.StatusServiceUnavailable}, f.For)
+	case StoreSilent:
+		s.faulty(hoster.Faults{Silent: true}, f.For)
+	case StoreLossy:
+		s.faulty(hoster.Faults{LoseWrites: true}, f.For)
+	case StoreForget:
+		s.faulty(hoster.Faults{Forget: map[string]bool{"servers": true, "op": true}}, f.For)
+	case StoreLink:
+		s.linked(s.instances[f.Target].link, f)
+	case CallerLink:
+		s.linked(s.instances[f.Target].callers, f)
+	case EndpointLink:
+		s.mu.Lock()
+		link := s.endpoints[f.Target].link
+		s.mu.Unlock()
+		s.linked(link, f)
+	case Crash:
+		s.crash(f)
+	case Trouble:
+		s.mu.Lock()
+		server := s.endpoints[f.Target].server
+		s.mu.Unlock()
+		if server == nil {
+			return
+		}
+		server.SetTrouble(troubles[f.Ill])
+		time.Sleep(f.For)
+		server.SetTrouble(hoster.Sound)
+	case Configure:
+		s.configure(time.Now())
+	}
+}
+
+// strikeInstances plays a fault of one instance or all.
+func (s *soak) strikeInstances(f Fault) {
+	struck := s.instances[f.Target : f.Target+1]
+	if f.Kind == KillAll {
+		struck = s.instances
+	}
+	ended := make([]<-chan struct{}, len(struck))
+	for n, i := range struck {
+		switch f.Kind {
+		case Hangup:
+			i.signal(syscall.SIGHUP)
+			return
+		case Pause:
+			i.signal(syscall.SIGSTOP)
+		case Stop:
+			ended[n] = i.signal(syscall.SIGTERM)
+		default:
+			ended[n] = i.signal(syscall.SIGKILL)
+		}
+	}
+	time.Sleep(f.For)
+	for n, i := range struck {
+		if f.Kind == Pause {
+			i.signal(syscall.SIGCONT)
+			continue
+		}
+		// A process that is held up by another fault ends once that is over.
+		if !endsWithin(ended[n], hoster.Grace+longest+time.Second) {
+			s.broke(i.machine.Name + " has not ended at the end of its grace")
+			<-i.signal(syscall.SIGKILL)
+		}
+		if err := i.start(); err != nil {
+			s.broke(err.Error())
+		}
+		i := i
+		s.until(starting, func() bool {
+			response, err := http.Get("http://" + i.machine.Ready() + "/readyz")
+			if err != nil {
+				return false
+			}
+			_ = response.Body.Close()
+			return response.StatusCode == http.StatusOK
+		})
+	}
+}
+
+// broke notes a broken promise that no request shows.
+func (s *soak) broke(what string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.exits = append(s.exits, what)
+}
+
+// faulty lets the store fail for a time.
+func (s *soak) faulty(f hoster.Faults, d time.Duration) {
+	s.world.Store.SetFaults(f)
+	time.Sleep(d)
+	s.world.Store.SetFaults(hoster.Faults{})
+}
+
+// linked lets a link fail for a time.
+func (s *soak) linked(p *Proxy, f Fault) {
+	p.Set(f.Mode)
+	if f.Mode == Reset {
+		p.Set(Sound)
+		return
+	}
+	time.Sleep(f.For)
+	p.Set(Sound)
+}
+
+// crash ends an endpoint, and starts another one in its place.
+func (s *soak) crash(f Fault) {
+	s.mu.Lock()
+	e := s.endpoints[f.Target]
+	server, link := e.server, e.link
+	e.server = nil
+	s.mu.Unlock()
+	if server == nil {
+		return
+	}
+	server.Crash()
+	link.Set(Refused)
+	time.Sleep(f.For)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.enter(e, int(f.At/time.Millisecond))
+}
+
+// configure puts the next version of the configuration in force: each other one has the second key.
+func (s *soak) configure(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	keys := []string{firstKey}
+	if s.version%2 == 1 {
+		keys = append(keys, secondKey)
+	}
+	s.world.Store.Put("op", "config", hoster.Config(s.version, keys...))
+	s.keyed = append(s.keyed, now)
+}
+
+// String returns the report as printed.
+func (r Report) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "seed %d: %d requests, %d served, %d faults, %d promises broken\n", r.Seed, r.Requests, r.Served, len(r.Faults), len(r.Broken))
+	if len(r.Broken) == 0 {
+		return b.String()
+	}
+	for _, f := range r.Faults {
+		fmt.Fprintln(&b, "  fault ", f)
+	}
+	for _, w := range r.Broken {
+		fmt.Fprintln(&b, "  broken", w)
+	}
+	return b.String()
+}
+
+// Dir returns the directory of a seed's logs below another.
+func Dir(root string, seed uint64) string { return filepath.Join(root, fmt.Sprint("seed-", seed)) }
--- a/internal/standin/hoster/server.go
+++ b/internal/standin/hoster/server.go
@@ -47,15 +47,32 @@
 type World struct {
 	Store *Store
 
-	mu      sync.Mutex
-	servers map[string]*Server
-	runs    map[string]int
-	bodies  map[string]string
+	// Pace is the time between two events of a stream, and Work that of a plain answer.
+	Pace time.Duration
+	Work time.Duration
+	// Public returns the address under which a server with an address registers; nil if it is the same.
+	Public func(id, address string) string
+
+	mu       sync.Mutex
+	servers  map[string]*Server
+	runs     map[string]int
+	bodies   map[string]string
+	arrivals []Arrival
+}
+
+// Arrival is a request that reached a server.
+type Arrival struct {
+	At      time.Time
+	ID      string
+	Service string
 }
 
 // NewWorld returns a world with a store and no server.
 func NewWorld() *World {
-	return &World{Store: NewStore(), servers: map[string]*Server{}, runs: map[string]int{}, bodies: map[string]string{}}
+	return &World{
+		Store: NewStore(), Pace: 2 * time.Millisecond, servers: map[string]*Server{}, runs: map[string]int{},
+		bodies: map[string]string{},
+	}
 }
 
 // Close ends all servers and the store.
@@ -77,6 +94,13 @@
 	return w.runs[id]
 }
 
+// Arrivals returns the requests that have reached servers, in order.
+func (w *World) Arrivals() []Arrival {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]Arrival(nil), w.arrivals...)
+}
+
 // Body returns the body with which a request was run.
 func (w *World) Body(id string) string {
 	w.mu.Lock()
@@ -92,6 +116,7 @@
 	Kind    string
 	world   *World
 	http    *httptest.Server
+	address string
 	born    int64
 
 	mu       sync.Mutex
@@ -111,6 +136,10 @@
 	mux.HandleFunc("POST /order", s.order)
 	mux.HandleFunc("/", s.serve)
 	s.http = httptest.NewServer(mux)
+	s.address = s.http.Listener.Addr().String()
+	if w.Public != nil {
+		s.address = w.Public(id, s.address)
+	}
 	w.mu.Lock()
 	w.servers[s.Address()] = s
 	w.mu.Unlock()
@@ -118,8 +147,8 @@
 	return s
 }
 
-// Address returns the server's host and port.
-func (s *Server) Address() string { return s.http.Listener.Addr().String() }
+// Address returns the host and port under which the server is registered.
+func (s *Server) Address() string { return s.address }
 
 // SetTrouble changes what the server does wrong.
 func (s *Server) SetTrouble(t Trouble) {
@@ -233,6 +262,9 @@
 	s.seen = append(s.seen, r.Header.Clone())
 	s.mu.Unlock()
 	id := r.Header.Get("X-Heatherrock-Attempt-Id")
+	s.world.mu.Lock()
+	s.world.arrivals = append(s.world.arrivals, Arrival{time.Now(), id, s.Service})
+	s.world.mu.Unlock()
 	if expect := r.Header.Get("X-Heatherrock-Expect-Instance"); expect != "" && expect != s.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -347,6 +379,11 @@
 			s.stream(w, r, id, trouble)
 			return
 		}
+		select {
+		case <-time.After(s.world.Work):
+		case <-s.released:
+			return
+		}
 		s.head(w, id)
 		_, _ = io.WriteString(w, "answer of "+s.Service+" to "+r.URL.RequestURI())
 	}
@@ -380,6 +417,11 @@
 			return
 		}
 		_ = http.NewResponseController(w).Flush()
-		time.Sleep(2 * time.Millisecond)
+		select {
+		case <-time.After(s.world.Pace):
+		case <-s.released:
+			cut(w)
+			return
+		}
 	}
 }
