Read the list of instances again soon after a read that failed

Cause: grown agency, all instances lost power while the store was away: the list of instances was read once at the start, failed, and was read again 30 s later only. Each of 89 instances knew itself alone for all that time (trace: known 1, no accounts of others, 72 to 290 repeats left at each), so that the budget for repeats, accounts and the passing on of the store's news did not hold. Change: after a read that failed or told of no other instance the next one comes after 250 ms, then after twice as long each time, spread by chance; a line tells that the list is lost or back.

--- a/internal/serving/exchanger/exchanger.go
+++ b/internal/serving/exchanger/exchanger.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,7 @@
 	// Count counts the traffic with peers.
 	Count Count
 
+	self    string
 	options options
 	server  *rpc.Server
 	done    chan struct{}
@@ -57,6 +59,7 @@
 		done:        make(chan struct{}),
 		wake:        make(chan struct{}, 1),
 		urgent:      make(chan struct{}, 1),
+		self:        self.ID,
 		gossip:      gossiper.New(time.Now(), self, o.gossip...),
 		subscribers: map[string][]func(gossiper.Entry){},
 		clients:     map[string]*rpc.Client{},
@@ -275,33 +278,58 @@
 	}
 }
 
+// firstList is the pause before the list is read again after a read that failed or told of no peer. It doubles up to the usual
+// time between reads, so that a platform which is away is not pressed.
+const firstList = 250 * time.Millisecond
+
 // loopList learns peers from the platform's list until done is closed.
 func (x *Exchanger) loopList() {
 	defer x.wait.Done()
-	ticker := time.NewTicker(x.options.list)
-	defer ticker.Stop()
+	pause := firstList
+	failed := false
 	for {
-		x.learn()
+		alone, err := x.learn()
+		if (err != nil) != failed {
+			failed = err != nil
+			x.options.logger.Warn("instance list", "reached", !failed, "error", err)
+		}
+		wait := x.options.list
+		if alone || failed {
+			wait = min(wait, x.spread(pause))
+			pause = min(x.options.list, 2*pause)
+		} else {
+			pause = firstList
+		}
+		t := time.NewTimer(wait)
 		select {
 		case <-x.done:
+			t.Stop()
 			return
-		case <-ticker.C:
+		case <-t.C:
 		}
 	}
 }
 
-// learn reads the platform's list once.
-func (x *Exchanger) learn() {
+// spread returns a time between half of a pause and all of it, so that instances that start together do not ask together.
+func (x *Exchanger) spread(pause time.Duration) time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return pause/2 + time.Duration(x.r.Float64()*float64(pause/2))
+}
+
+// learn reads the platform's list once, and reports whether it tells of no other instance.
+func (x *Exchanger) learn() (bool, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), x.options.timeout)
 	defer cancel()
 	instances, err := x.options.lister.List(ctx)
 	if err != nil {
-		x.options.logger.Debug("instance list not read", "error", err)
-		return
+		return false, err
 	}
+	peers := entryPeers(instances)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.gossip.List(entryPeers(instances))
+	x.gossip.List(peers)
+	return !slices.ContainsFunc(peers, func(p gossiper.Peer) bool { return p.ID != x.self }), nil
 }
 
 // entryPeers returns the entry instances of the platform's list as peers.
