--- a/internal/bench/soaker/process.go
+++ b/internal/bench/soaker/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -110,6 +111,16 @@
 	}
 }
 
+// ready reports whether the instance says that it takes requests.
+func (i *instance) ready() bool {
+	response, err := http.Get("http://" + i.machine.Ready() + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
 // close ends the process and the links.
 func (i *instance) close() {
 	i.signal(syscall.SIGCONT)
--- a/internal/bench/soaker/soaker.go
+++ b/internal/bench/soaker/soaker.go
@@ -9,7 +9,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -61,7 +60,6 @@
 	world     *hoster.World
 	instances []*instance
 	watch     watch
-	wait      sync.WaitGroup
 
 	mu        sync.Mutex
 	endpoints []*endpoint
@@ -180,7 +178,6 @@
 	for _, i := range s.instances {
 		i.close()
 	}
-	s.wait.Wait()
 	s.world.Close()
 	for _, p := range s.links {
 		p.Close()
@@ -200,12 +197,7 @@
 // serves reports whether each instance serves each kind of request.
 func (s *soak) serves() bool {
 	for n, i := range s.instances {
-		response, err := http.Get("http://" + i.machine.Ready() + "/readyz")
-		if err != nil {
-			return false
-		}
-		_ = response.Body.Close()
-		if response.StatusCode != http.StatusOK {
+		if !i.ready() {
 			return false
 		}
 		for _, route := range []string{routeModel, routeHold, routeLook} {
@@ -253,166 +245,6 @@
 	return out
 }
 
-// run plays one fault, and notes when it acted on which instances.
-func (s *soak) run(wait *sync.WaitGroup, f Fault) {
-	defer wait.Done()
-	span := Span{From: time.Now(), Instance: every, Fault: f}
-	switch f.Kind {
-	case CallerLink, StoreLink, Kill, Stop, Pause:
-		span.Instance = f.Target
-	}
-	s.strike(f)
-	if f.Kind == Hangup || f.Kind == Configure {
-		// Planned work that nobody may notice.
-		return
-	}
-	span.To = time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.spans = append(s.spans, span)
-}
-
-// strike plays one fault until it is over.
-func (s *soak) strike(f Fault) {
-	switch f.Kind {
-	case Kill, KillAll, Stop, Pause, Hangup:
-		s.strikeInstances(f)
-	case StoreDown:
-		s.faulty(hoster.Faults{Status: http.StatusServiceUnavailable}, f.For)
-	case StoreSilent:
-		s.faulty(hoster.Faults{Silent: true}, f.For)
-	case StoreLossy:
-		s.faulty(hoster.Faults{LoseWrites: true}, f.For)
-	case StoreForget:
-		s.faulty(hoster.Faults{Forget: map[string]bool{"servers": true, "op": true}}, f.For)
-	case StoreLink:
-		s.linked(s.instances[f.Target].link, f)
-	case CallerLink:
-		s.linked(s.instances[f.Target].callers, f)
-	case EndpointLink:
-		s.mu.Lock()
-		link := s.endpoints[f.Target].link
-		s.mu.Unlock()
-		s.linked(link, f)
-	case Crash:
-		s.crash(f)
-	case Trouble:
-		s.mu.Lock()
-		server := s.endpoints[f.Target].server
-		s.mu.Unlock()
-		if server == nil {
-			return
-		}
-		server.SetTrouble(troubles[f.Ill])
-		time.Sleep(f.For)
-		server.SetTrouble(hoster.Sound)
-	case Configure:
-		s.configure(time.Now())
-	}
-}
-
-// strikeInstances plays a fault of one instance or all.
-func (s *soak) strikeInstances(f Fault) {
-	struck := s.instances[f.Target : f.Target+1]
-	if f.Kind == KillAll {
-		struck = s.instances
-	}
-	ended := make([]<-chan struct{}, len(struck))
-	for n, i := range struck {
-		switch f.Kind {
-		case Hangup:
-			i.signal(syscall.SIGHUP)
-			return
-		case Pause:
-			i.signal(syscall.SIGSTOP)
-		case Stop:
-			ended[n] = i.signal(syscall.SIGTERM)
-		default:
-			ended[n] = i.signal(syscall.SIGKILL)
-		}
-	}
-	time.Sleep(f.For)
-	for n, i := range struck {
-		if f.Kind == Pause {
-			i.signal(syscall.SIGCONT)
-			continue
-		}
-		// A process that is held up by another fault ends once that is over.
-		if !endsWithin(ended[n], hoster.Grace+longest+time.Second) {
-			s.broke(i.machine.Name + " has not ended at the end of its grace")
-			<-i.signal(syscall.SIGKILL)
-		}
-		if err := i.start(); err != nil {
-			s.broke(err.Error())
-		}
-		i := i
-		s.until(starting, func() bool {
-			response, err := http.Get("http://" + i.machine.Ready() + "/readyz")
-			if err != nil {
-				return false
-			}
-			_ = response.Body.Close()
-			return response.StatusCode == http.StatusOK
-		})
-	}
-}
-
-// broke notes a broken promise that no request shows.
-func (s *soak) broke(what string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.exits = append(s.exits, what)
-}
-
-// faulty lets the store fail for a time.
-func (s *soak) faulty(f hoster.Faults, d time.Duration) {
-	s.world.Store.SetFaults(f)
-	time.Sleep(d)
-	s.world.Store.SetFaults(hoster.Faults{})
-}
-
-// linked lets a link fail for a time.
-func (s *soak) linked(p *Proxy, f Fault) {
-	p.Set(f.Mode)
-	if f.Mode == Reset {
-		p.Set(Sound)
-		return
-	}
-	time.Sleep(f.For)
-	p.Set(Sound)
-}
-
-// crash ends an endpoint, and starts another one in its place.
-func (s *soak) crash(f Fault) {
-	s.mu.Lock()
-	e := s.endpoints[f.Target]
-	server, link := e.server, e.link
-	e.server = nil
-	s.mu.Unlock()
-	if server == nil {
-		return
-	}
-	server.Crash()
-	link.Set(Refused)
-	time.Sleep(f.For)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.enter(e, int(f.At/time.Millisecond))
-}
-
-// configure puts the next version of the configuration in force: each other one has the second key.
-func (s *soak) configure(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.version++
-	keys := []string{firstKey}
-	if s.version%2 == 1 {
-		keys = append(keys, secondKey)
-	}
-	s.world.Store.Put("op", "config", hoster.Config(s.version, keys...))
-	s.keyed = append(s.keyed, now)
-}
-
 // String returns the report as printed.
 func (r Report) String() string {
 	var b strings.Builder
