Close the connection after a request in chunks

Cause: a request with a length and chunks whose body hides another one had the hidden one run: net/http goes by the chunks, drops the length without a word and takes what follows as the next request. Ruled out: other framings; two lengths, odd lengths, unknown codings and broken chunks are refused with 4xx and 5xx (TestBadRequests). Change: the answer to a request in chunks closes its connection.

--- a/internal/serving/forwarder/forwarder.go
+++ b/internal/serving/forwarder/forwarder.go
@@ -315,7 +315,9 @@
 	if err := http.NewResponseController(w).SetWriteDeadline(now.Add(defaultTimeout)); err != nil {
 		f.log.Warn("no deadline for the answer", "error", err)
 	}
-	if f.leaving.Load() {
+	// net/http goes by the chunks of a request that has a length too, and does not tell. What follows on the connection may be
+	// part of the body to the caller, so nothing more is read from it.
+	if f.leaving.Load() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	c := f.config.Load()
