Let the soak check the time to come back, and measure its own lateness

Read as a stranger: the soak took a tick's own time for the time at which it ran, so that a hold-up after the tick did not show; it recorded Retry-After and did not look at it; and a name of the platform's stood outside the stand-in. Change: the present time is taken when the loop runs; a 503 without a time to come back is a broken promise, with a case in the judge's test; the stand-in makes the environment of an instance.

--- a/internal/bench/soaker/caller.go
+++ b/internal/bench/soaker/caller.go
@@ -131,9 +131,10 @@
 		select {
 		case <-done:
 			return
-		case now := <-t.C:
+		case <-t.C:
+			// A tick tells when it was due, not when this goroutine runs.
 			w.mu.Lock()
-			w.lag.Beat(now)
+			w.lag.Beat(time.Now())
 			w.mu.Unlock()
 		}
 	}
--- a/internal/bench/soaker/checker.go
+++ b/internal/bench/soaker/checker.go
@@ -19,7 +19,8 @@
 	Instance int
 	Sent     time.Time
 	Ended    time.Time
-	// Status is 0 if no answer came, and Err is why the answer is not whole.
+	// Status is 0 if no answer came, and Err is why the answer is not whole. Stamped is set if the answer bears a server's stamp
+	// and the request's id, and After is when the caller is told to come back.
 	Status  int
 	Stamped bool
 	After   string
@@ -94,6 +95,9 @@
 	if refused && r.Route == routeHold && runs > 0 {
 		out = append(out, "was refused and had run")
 	}
+	if r.Status == http.StatusServiceUnavailable && r.After == "" {
+		out = append(out, "was refused without a time to come back")
+	}
 	if r.Status == http.StatusOK {
 		out = append(out, wholeness(r)...)
 	}
--- a/internal/bench/soaker/checker_test.go
+++ b/internal/bench/soaker/checker_test.go
@@ -31,7 +31,9 @@
 
 // TestJudge breaks each promise, and shows what is allowed beside it.
 func TestJudge(t *testing.T) {
-	refuse := func(r *Request) { r.Status, r.Stamped, r.Body = http.StatusServiceUnavailable, false, "" }
+	refuse := func(r *Request) {
+		r.Status, r.Stamped, r.Body, r.After = http.StatusServiceUnavailable, false, "", "1.50"
+	}
 	cut := func(r *Request) { r.Status, r.Err = 0, "EOF" }
 	during := func(k Kind) []Span {
 		return []Span{{From: begin.Add(-time.Second), To: begin.Add(time.Second), Fault: Fault{Kind: k}}}
@@ -49,6 +51,8 @@
 		{"an unsafe request runs twice", served(routeHold, nil), 2, nil, nil, "ran too often"},
 		{"a safe request runs three times", served(routeLook, nil), 3, during(Crash), nil, "ran too often"},
 		{"refused and had run", served(routeHold, refuse), 1, during(Crash), nil, "was refused and had run"},
+		{"refused without a time", served(routeHold, func(r *Request) { refuse(r); r.After = "" }), 0, during(Crash), nil,
+			"was refused without a time to come back"},
 		{"refused in trouble", served(routeHold, refuse), 0, during(Crash), nil, ""},
 		{"refused in calm", served(routeHold, refuse), 0, nil, nil, "was not served in calm"},
 		{"trouble of another instance", served(routeHold, refuse), 0,
--- a/internal/bench/soaker/process.go
+++ b/internal/bench/soaker/process.go
@@ -55,7 +55,7 @@
 	}
 	defer out.Close()
 	c := exec.Command(i.binary, "-metrics", "9464")
-	c.Env = []string{"HEATHERROCK_NODE_FILE=" + path}
+	c.Env = hoster.Environment(path)
 	c.Stdout, c.Stderr = out, out
 	if err := c.Start(); err != nil {
 		return merry.Prepend(err, "starting an instance")
--- a/internal/standin/hoster/operator.go
+++ b/internal/standin/hoster/operator.go
@@ -105,6 +105,9 @@
 	})
 }
 
+// Environment returns the environment of an instance whose settings file is at a path.
+func Environment(path string) []string { return []string{"HEATHERROCK_NODE_FILE=" + path} }
+
 // The bounds that the settings give.
 const (
 	// Grace is the time between the order to stop and the end of the process.
