Claim a loopback network for each run of the tests

Two runs on one machine met, and runs of the soak could as well. Ruled out: leftovers of earlier runs; the addresses are those of the run beside it, which began 22 s before. Change: hoster.ClaimNet holds a network by a listener for as long as it is used.

--- a/internal/bench/runner/soak.go
+++ b/internal/bench/runner/soak.go
@@ -13,9 +13,6 @@
 	"github.com/heatherrock/heatherrock/internal/bench/soaker"
 )
 
-// firstNet is the second number of the loopback addresses of the first run at a time.
-const firstNet = 96
-
 // soak plays seeds of the fault soak.
 func soak(args []string, out, errs io.Writer) int {
 	flags := flag.NewFlagSet("soak", flag.ContinueOnError)
@@ -45,9 +42,9 @@
 		*dir = made
 	}
 	s := &soaking{out: out, seeds: make(chan uint64)}
-	for n := range *jobs {
+	for range *jobs {
 		s.wait.Add(1)
-		go s.run(soaker.Options{Binary: *program, Dir: *dir, Length: *length, Net: firstNet + n})
+		go s.run(soaker.Options{Binary: *program, Dir: *dir, Length: *length})
 	}
 	for n := range *count {
 		s.seeds <- *seed + uint64(n)
--- a/internal/bench/soaker/soaker.go
+++ b/internal/bench/soaker/soaker.go
@@ -23,8 +23,6 @@
 	Dir    string
 	Seed   uint64
 	Length time.Duration
-	// Net tells runs at the same time apart: instances have the addresses 127.Net.x.1.
-	Net int
 }
 
 // Report is the result of a run.
@@ -57,6 +55,7 @@
 // soak is a run in progress.
 type soak struct {
 	options   Options
+	net       *hoster.Net
 	world     *hoster.World
 	instances []*instance
 	watch     watch
@@ -82,8 +81,12 @@
 
 // Run plays one seed.
 func Run(o Options) (Report, error) {
-	s := &soak{options: o, world: hoster.NewWorld()}
 	report := Report{Seed: o.Seed, Faults: Plan(o.Seed, o.Length, instances, engines+desks)}
+	claim, err := hoster.ClaimNet()
+	if err != nil {
+		return report, err
+	}
+	s := &soak{options: o, net: claim, world: hoster.NewWorld()}
 	defer s.close()
 	if err := s.open(); err != nil {
 		return report, err
@@ -134,7 +137,7 @@
 			return err
 		}
 		m := hoster.Machine{
-			Name: fmt.Sprint("edge-", n), Zone: zone(n), IP: fmt.Sprintf("127.%d.%d.1", s.options.Net, n+1), Store: link.Address(),
+			Name: fmt.Sprint("edge-", n), Zone: zone(n), IP: s.net.IP(n), Store: link.Address(),
 		}
 		front, err := NewProxy(m.Callers())
 		if err != nil {
@@ -182,6 +185,7 @@
 	for _, p := range s.links {
 		p.Close()
 	}
+	_ = s.net.Close() // A listener that is open closes.
 }
 
 // until waits for a condition, and reports whether it came in time.
--- a/internal/bench/soaker/soaker_test.go
+++ b/internal/bench/soaker/soaker_test.go
@@ -39,10 +39,10 @@
 func TestSoak(t *testing.T) {
 	t.Parallel()
 	program := binary(t)
-	for n, c := range seeds {
+	for _, c := range seeds {
 		t.Run(fmt.Sprint(c.seed), func(t *testing.T) {
 			t.Parallel()
-			report, err := Run(Options{Binary: program, Dir: t.TempDir(), Seed: c.seed, Length: c.length, Net: 64 + n})
+			report, err := Run(Options{Binary: program, Dir: t.TempDir(), Seed: c.seed, Length: c.length})
 			if err != nil {
 				t.Fatal(err)
 			}
--- /dev/null
+++ b/internal/standin/hoster/net_test.go
@@ -0,0 +1,27 @@
+package hoster
+
+import "testing"
+
+// TestClaimNet claims two networks: they differ, and one that was given back can be claimed again.
+func TestClaimNet(t *testing.T) {
+	first, err := ClaimNet()
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := ClaimNet()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.Close()
+	if first.IP(1) == second.IP(1) || first.IP(0) == first.IP(250) {
+		t.Errorf("addresses %s and %s, %s and %s", first.IP(1), second.IP(1), first.IP(0), first.IP(250))
+	}
+	if err := first.Close(); err != nil {
+		t.Fatal(err)
+	}
+	third, err := ClaimNet()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer third.Close()
+}
