Tell the router of pings, and let the generator's tests count tokens

With pings each 100 us the case fails in 5 of 5 runs, and with it three others that count lines. Ruled out: the tracker; it takes a stream without the ping for whole, as it is. Change: the tests' faults count tokens and ends, with pings between all steps; each step that arrives is told to the router, which takes it as a sign of life.

--- a/internal/serving/generator/attempt.go
+++ b/internal/serving/generator/attempt.go
@@ -277,6 +277,8 @@
 	case tracker.Abandon:
 		a.abandoned(t, action)
 		return true
+	default:
+		a.router.Heard(now, a.job)
 	}
 	return false
 }
--- a/internal/serving/generator/bench_test.go
+++ b/internal/serving/generator/bench_test.go
@@ -1,6 +1,7 @@
 package generator
 
 import (
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -38,7 +39,7 @@
 	m.engine.ServeHTTP(&lines{ResponseWriter: w, request: r, meddle: meddle}, r)
 }
 
-// lines calls meddle with each line written.
+// lines calls meddle with each line written but the pings: how many of these come depends on the machine's load.
 type lines struct {
 	http.ResponseWriter
 	request *http.Request
@@ -48,6 +49,10 @@
 
 // Write passes on one line.
 func (l *lines) Write(content []byte) (int, error) {
+	var s streamer.Step
+	if json.Unmarshal(content, &s) == nil && s.Kind == streamer.KindPing {
+		return l.ResponseWriter.Write(content)
+	}
 	l.meddle(l.ResponseWriter, l.request, l.line, content)
 	l.line++
 	return len(content), nil
@@ -58,6 +63,9 @@
 	l.ResponseWriter.(http.Flusher).Flush()
 }
 
+// frequentPing makes pings come between any two steps, as they do from an engine that is held up by load.
+const frequentPing = 100 * time.Microsecond
+
 // bench is three chains of engines with a router that takes the first plan without an endpoint to avoid.
 type bench struct {
 	plans   []planner.Plan
@@ -75,6 +83,8 @@
 	// held is how long the process counts as held up, and looks counts how often that was asked for.
 	held  time.Duration
 	looks atomic.Int32
+	// heard counts the steps that were not tokens to deliver.
+	heard int
 }
 
 func newBench(t *testing.T) *bench {
@@ -85,7 +95,7 @@
 		for i, id := range chain {
 			from, to := i*layers/3, (i+1)*layers/3
 			held := streamer.Held{Model: "m", Version: "v", From: from, To: to}
-			engine := decoder.New(decoder.WithEndpoint(id), decoder.WithHeld(held), decoder.WithPing(10*time.Millisecond),
+			engine := decoder.New(decoder.WithEndpoint(id), decoder.WithHeld(held), decoder.WithPing(frequentPing),
 				decoder.WithPoison("POISON"))
 			m := &meddler{engine: engine}
 			server := httptest.NewServer(m)
@@ -157,6 +167,7 @@
 }
 
 func (b *bench) Started(time.Time, Job, planner.Plan) {}
+func (b *bench) Heard(time.Time, Job)                 { b.heard++ }
 func (b *bench) Moved(time.Time, Job, planner.Plan)   {}
 func (b *bench) Ended(_ time.Time, _ Job, a Attempt)  { b.endings = append(b.endings, a.Ending) }
 func (b *bench) Retry(time.Time) bool {
--- a/internal/serving/generator/generator.go
+++ b/internal/serving/generator/generator.go
@@ -105,6 +105,8 @@
 	Route(now time.Time, j Job, a Ask) Route
 	// Started tells that an attempt at a plan began.
 	Started(now time.Time, j Job, p planner.Plan)
+	// Heard tells that a step other than a token to deliver arrived: the first endpoint of the attempt lives.
+	Heard(now time.Time, j Job)
 	// Moved tells that an attempt delivered a token.
 	Moved(now time.Time, j Job, p planner.Plan)
 	// Ended tells that an attempt ended.
--- a/internal/serving/generator/generator_test.go
+++ b/internal/serving/generator/generator_test.go
@@ -305,3 +305,23 @@
 		})
 	}
 }
+
+// TestPingsAreHeard checks that an engine which pings and has no token yet is known to be alive.
+func TestPingsAreHeard(t *testing.T) {
+	b := newBench(t)
+	b.heads[0].meddle = func(w http.ResponseWriter, _ *http.Request, line int, content []byte) {
+		if line == 0 {
+			edit(w, content, func(s *streamer.Step) { s.Kind = streamer.KindPing })
+		}
+		write(w, content)
+	}
+	client := streamer.NewClient()
+	defer client.Close()
+	r := New(b, b, client).Run(context.Background(), job(prompt), func(string) error { return nil })
+	if diff := cmp.Diff(FailureNone, r.Failure); diff != "" {
+		t.Errorf("failure mismatch (-want +got):\n%s", diff)
+	}
+	if b.heard == 0 {
+		t.Error("no ping was heard")
+	}
+}
--- a/internal/serving/router/router.go
+++ b/internal/serving/router/router.go
@@ -281,6 +281,13 @@
 	r.detector.Await(now, j.Request)
 }
 
+// Heard takes in that something other than a token arrived on an attempt's stream: its first endpoint is not silent.
+func (r *Router) Heard(now time.Time, j generator.Job) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.detector.Progress(now, j.Request)
+}
+
 // Moved takes in that an attempt delivered a token.
 func (r *Router) Moved(now time.Time, j generator.Job, p planner.Plan) {
 	r.mu.Lock()
