Watch a stream on its next path while the verdict on the last one is taken in

Change: the watch ends with its attempt alone, and a move that is ordered is not ordered again, as before. Measured: TestStreamIsWatchedOnItsNextPath fails before (told of e1 alone) and passes after.

--- a/internal/serving/forwarder/allocator.go
+++ b/internal/serving/forwarder/allocator.go
@@ -22,7 +22,7 @@
 	// ready holds where a waiting request is told its path.
 	ready map[string]chan reserver.Path
 	// silent holds what to call when a stream has gone silent.
-	silent map[string]func(monitor.Verdict) bool
+	silent map[string]func(monitor.Verdict)
 	// probe reports whether an endpoint answers; nil if endpoints are not asked.
 	probe func(id, address string) bool
 	clock func() time.Time
@@ -35,7 +35,7 @@
 		line:     waiter.New(),
 		monitor:  monitor.New(),
 		ready:    map[string]chan reserver.Path{},
-		silent:   map[string]func(monitor.Verdict) bool{},
+		silent:   map[string]func(monitor.Verdict){},
 		clock:    time.Now,
 	}
 }
@@ -196,9 +196,8 @@
 	}
 }
 
-// Open begins to watch a stream. Silent is called when it has gone silent, and again until it returns true or the watch
-// ends.
-func (a *Allocator) Open(now time.Time, id string, p reserver.Path, silent func(monitor.Verdict) bool) {
+// Open begins to watch a stream. Silent is called when it has gone silent, and again until the watch ends.
+func (a *Allocator) Open(now time.Time, id string, p reserver.Path, silent func(monitor.Verdict)) {
 	names := make([]string, len(p.Parts))
 	for i, part := range p.Parts {
 		names[i] = part.Endpoint.ID
@@ -239,7 +238,7 @@
 	a.mu.Lock()
 	asked := a.ask(now)
 	verdicts := a.monitor.Check(now)
-	calls := make([]func(monitor.Verdict) bool, len(verdicts))
+	calls := make([]func(monitor.Verdict), len(verdicts))
 	for i, v := range verdicts {
 		calls[i] = a.silent[v.ID]
 		if !v.Dead {
@@ -255,8 +254,8 @@
 		go a.run(e)
 	}
 	for i, f := range calls {
-		if f != nil && f(verdicts[i]) {
-			a.Done(verdicts[i].ID)
+		if f != nil {
+			f(verdicts[i])
 		}
 	}
 }
--- a/internal/serving/forwarder/handover.go
+++ b/internal/serving/forwarder/handover.go
@@ -25,16 +25,16 @@
 	return h.verdict, h.next
 }
 
-// move reserves another path for a stream that has gone silent, and then cancels its attempt. It returns false if the stream
-// has to stay where it is: for want of an attempt, memory or budget.
-func (s *streaming) move(h *handover, v monitor.Verdict, ask reserver.Ask, sent int, cancel context.CancelFunc) bool {
+// move reserves another path for a stream that has gone silent, and then cancels its attempt. The stream stays where
+// it is for want of an attempt, memory or budget.
+func (s *streaming) move(h *handover, v monitor.Verdict, ask reserver.Ask, sent int, cancel context.CancelFunc) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.ended || h.verdict != nil {
-		return true
+		return
 	}
 	if sent+1 >= dials || !s.route.Repeatable() {
-		return false
+		return
 	}
 	avoid := make(map[string]bool, len(ask.Avoid)+len(v.Suspects))
 	for id := range ask.Avoid {
@@ -47,14 +47,13 @@
 	now := s.f.clock()
 	path, refusal := s.alloc.Try(now, ask)
 	if refusal != reserver.Granted {
-		return false
+		return
 	}
 	if !s.f.repeat(now, s.service) {
 		s.alloc.Read(path)
 		s.alloc.Release(now, path)
-		return false
+		return
 	}
 	h.verdict, h.next = &v, &path
 	cancel()
-	return true
 }
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -172,7 +172,7 @@
 	s.firsts[first.ID] = true
 	ask, sent := s.item().Ask, s.attempts
 	ask.Avoid = maps.Clone(ask.Avoid)
-	s.alloc.Open(s.f.clock(), s.q.ID, path, func(v monitor.Verdict) bool { return s.move(h, v, ask, sent, cancel) })
+	s.alloc.Open(s.f.clock(), s.q.ID, path, func(v monitor.Verdict) { s.move(h, v, ask, sent, cancel) })
 	s.note("path", describe(path), "expecting", path.First.Round(time.Millisecond).String(), "then",
 		path.Step.Round(100*time.Microsecond).String())
 	m := s.message(Delivery{
