List that a new holder of the duty believes orders that were refused

Ruled out: lost orders; each refusal is in the lines, and the rows show the earlier holder's ranges. Measured: the test fails on each run: e0 counts as holding 3 to 6 while its row tells 0 to 3.

--- /dev/null
+++ b/internal/serving/director/foreign_test.go
@@ -0,0 +1,38 @@
+package director
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/heatherrock/heatherrock/internal/control/gossiper"
+	"github.com/heatherrock/heatherrock/internal/routing/placer"
+	"github.com/heatherrock/heatherrock/internal/serving/exchanger"
+)
+
+// loading are endpoints of which each is still carrying out the order of an earlier holder of the duty.
+type loading struct {
+	*engines
+}
+
+// Report returns an endpoint's state: it has begun one order, and holds nothing yet.
+func (l loading) Report(context.Context, string, string) (Report, error) {
+	return Report{Sequence: 1, Busy: true}, nil
+}
+
+// TestOrderOfEarlierHolderIsBelieved takes the duty over while an endpoint loads what the holder before has ordered. The new holder's
+// own order is refused; once the endpoint's row tells what it holds, that counts, not what was ordered in vain.
+func TestOrderOfEarlierHolderIsBelieved(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e := newEngines()
+	x := exchanger.New(gossiper.Peer{ID: "a", DataCentre: "a"})
+	d := New("a", "s", nil, x, loading{e}, slog.New(slog.DiscardHandler), func() time.Time { return now })
+	d.Update(now, e.model())
+	d.ask(context.Background(), d.order(now, placer.Assignment{ID: "e0", Range: placer.Range{From: 3, To: 6}}))
+	e.held["e0"] = placer.Range{From: 0, To: 3}
+	d.Update(now.Add(time.Second), e.model())
+	if p, ok := d.pending["e0"]; ok {
+		t.Errorf("counts as holding %v, which it has refused, while its row tells %v", p.order, e.held["e0"])
+	}
+}
