Believe an endpoint's row when it has refused an order

Cause: Director.ask kept the order as pending when the endpoint was busy with an order of the holder before. Now such an order is marked as refused: the endpoint counts as unknown while its row tells nothing, is neither placed on nor counted, and its row counts as soon as it tells of other layers. While there is an unknown endpoint nothing is moved. Ruled out: dropping the pending order at once, which gives the same order again at each look while the endpoint loads.

The test failed before and passes now, with a further check that the endpoint does not count as holding anything meanwhile.

--- a/internal/serving/director/director.go
+++ b/internal/serving/director/director.go
@@ -99,6 +99,18 @@
 	order placer.Range
 	born  int64
 	until time.Time
+	// before is what the endpoint's row told when the order was given, and refused is set if the endpoint did not take it.
+	before  placer.Range
+	refused bool
+}
+
+// over reports whether an order is no longer pending, by the row of its endpoint: it shows, the endpoint has started anew, or it
+// was refused and what another holder of the duty ordered shows.
+func (p pending) over(e Endpoint) bool {
+	if p.born != e.Born || e.Held == p.order {
+		return true
+	}
+	return p.refused && !e.Held.Empty() && e.Held != p.before
 }
 
 // begun is how many orders an endpoint has begun since it started, as far as this instance knows.
@@ -178,7 +190,7 @@
 		if _, ok := d.first[e.ID]; !ok {
 			d.first[e.ID] = now
 		}
-		if p, ok := d.pending[e.ID]; ok && (p.born != e.Born || e.Held == p.order) {
+		if p, ok := d.pending[e.ID]; ok && p.over(e) {
 			delete(d.pending, e.ID)
 		}
 	}
--- a/internal/serving/director/foreign_test.go
+++ b/internal/serving/director/foreign_test.go
@@ -30,6 +30,15 @@
 	d := New("a", "s", nil, x, loading{e}, slog.New(slog.DiscardHandler), func() time.Time { return now })
 	d.Update(now, e.model())
 	d.ask(context.Background(), d.order(now, placer.Assignment{ID: "e0", Range: placer.Range{From: 3, To: 6}}))
+	holders, unknown := d.holders(now)
+	if unknown != 1 {
+		t.Errorf("%d endpoints unknown, want 1", unknown)
+	}
+	for _, h := range holders {
+		if h.ID == "e0" {
+			t.Errorf("counts as holding %v while it carries out an unknown order", h.Held)
+		}
+	}
 	e.held["e0"] = placer.Range{From: 0, To: 3}
 	d.Update(now.Add(time.Second), e.model())
 	if p, ok := d.pending["e0"]; ok {
--- a/internal/serving/director/placing.go
+++ b/internal/serving/director/placing.go
@@ -26,41 +26,56 @@
 	wait.Wait()
 }
 
-// due returns the orders that are due, and marks them as pending.
-func (d *Director) due() []Order {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.clock()
-	m := d.model
-	var holders []placer.Holder
-	empty, held := 0, 0
-	newest, oldest := time.Time{}, now
-	for _, e := range m.Endpoints {
+// holders returns the endpoints that may be placed on, with what each holds or has been ordered to hold. One that refused its
+// order and whose row tells nothing carries out another holder's: it counts as unknown until that shows. The lock is held.
+func (d *Director) holders(now time.Time) (out []placer.Holder, unknown int) {
+	for _, e := range d.model.Endpoints {
 		if e.Leaving {
 			continue
 		}
 		h := e.Holder
 		if p, ok := d.pending[e.ID]; ok {
-			if now.Before(p.until) {
-				h.Held = p.order
-			} else {
+			switch {
+			case !now.Before(p.until):
 				delete(d.pending, e.ID)
+			case !p.refused:
+				h.Held = p.order
+			case h.Held.Empty():
+				unknown++
+				continue
 			}
 		}
+		out = append(out, h)
+	}
+	return out, unknown
+}
+
+// due returns the orders that are due, and marks them as pending.
+func (d *Director) due() []Order {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock()
+	m := d.model
+	holders, unknown := d.holders(now)
+	empty, held := 0, 0
+	newest, oldest := time.Time{}, now
+	for _, h := range holders {
 		if h.Held.Empty() {
 			empty++
 		} else {
 			held++
 		}
-		if t := d.first[e.ID]; t.After(newest) {
+		if t := d.first[h.ID]; t.After(newest) {
 			newest = t
 		}
-		if t := d.first[e.ID]; t.Before(oldest) {
+		if t := d.first[h.ID]; t.Before(oldest) {
 			oldest = t
 		}
-		holders = append(holders, h)
 	}
 	if empty == 0 {
+		if unknown > 0 {
+			return nil
+		}
 		return d.rebalance(now, holders)
 	}
 	if held == 0 && now.Sub(newest) < settled && now.Sub(oldest) < patience {
@@ -152,7 +167,7 @@
 	if !e.Held.Empty() {
 		until = until.Add(drainTime)
 	}
-	d.pending[a.ID] = pending{order: a.Range, born: e.Born, until: until}
+	d.pending[a.ID] = pending{order: a.Range, born: e.Born, until: until, before: e.Held}
 	return Order{Endpoint: a.ID, Address: e.Address, Range: a.Range, Token: d.elector.Duty.Token, Sequence: sequence}
 }
 
@@ -222,6 +237,6 @@
 		return
 	}
 	p := d.pending[o.Endpoint]
-	p.order = o.Range
+	p.order, p.refused = o.Range, report.Held != o.Range
 	d.pending[o.Endpoint] = p
 }
