Let a stream that has begun wait for the budget rather than break it off

Now a stream that has begun waits for memory and for the budget until its caller no longer does; only endpoints that ran it and failed count towards the bound of four. A refusal without a run is named "no endpoint took the request".

--- a/internal/serving/forwarder/handover.go
+++ b/internal/serving/forwarder/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 
 	"github.com/heatherrock/heatherrock/internal/routing/monitor"
@@ -27,13 +28,13 @@
 
 // move reserves another path for a stream that has gone silent, and then cancels its attempt. The stream stays where
 // it is for want of an attempt, memory or budget.
-func (s *streaming) move(h *handover, v monitor.Verdict, ask reserver.Ask, sent int, cancel context.CancelFunc) {
+func (s *streaming) move(h *handover, v monitor.Verdict, ask reserver.Ask, failures int, cancel context.CancelFunc) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.ended || h.verdict != nil {
 		return
 	}
-	if sent+1 >= dials || !s.route.Repeatable() {
+	if failures+1 >= dials || !s.route.Repeatable() {
 		return
 	}
 	avoid := make(map[string]bool, len(ask.Avoid)+len(v.Suspects))
@@ -44,6 +45,9 @@
 		avoid[id] = true
 	}
 	ask.Avoid = avoid
+	if v.Lost {
+		ask.First = s.within(without(ask.First, v.Suspects))
+	}
 	now := s.f.clock()
 	path, refusal := s.alloc.Try(now, ask)
 	if refusal != reserver.Granted {
@@ -57,3 +61,12 @@
 	h.verdict, h.next = &v, &path
 	cancel()
 }
+
+// without returns the endpoints of a set but for some of them.
+func without(set map[string]bool, some []string) map[string]bool {
+	out := maps.Clone(set)
+	for _, id := range some {
+		delete(out, id)
+	}
+	return out
+}
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -26,6 +26,8 @@
 	brokenTime = 2 * time.Second
 	// comeBackFull is when a caller is told to come back at the earliest if the endpoints have no memory left.
 	comeBackFull = 1500 * time.Millisecond
+	// budgetTime is the time between two looks at the budget: half of the 250 ms between the news of what others have sent.
+	budgetTime = 125 * time.Millisecond
 	// answerMargin is the part of the usual answer that is added to a caller's own estimate, which is often too low.
 	answerMargin = 0.25
 )
@@ -38,6 +40,8 @@
 	avoid  map[string]bool
 	// firsts holds the endpoints that the request was sent to; each path begins at one.
 	firsts map[string]bool
+	// unsent counts the endpoints that were not reached, and failures those that ran the request without a whole answer.
+	unsent, failures int
 	// begun is set once the head of the answer has gone to the caller.
 	begun bool
 	// reading is set while the prompt is being read on a path.
@@ -52,7 +56,7 @@
 	s := &streaming{call: k, engine: e, alloc: k.f.Allocator(k.service), avoid: map[string]bool{},
 		firsts: map[string]bool{}, last: k.q.LastEvent}
 	path, refusal := s.acquire()
-	for n := 0; ; n++ {
+	for {
 		if refusal != reserver.Granted {
 			load, waiting := s.alloc.Load(s.f.clock())
 			s.note("no path:", string(refusal), "with", strconv.FormatFloat(load, 'f', 2, 64), "of the memory reserved,",
@@ -70,8 +74,12 @@
 			path = *next
 			continue
 		}
-		if n >= dials || gone(k.ctx) || !s.again(v) {
-			s.giveUp("no whole answer")
+		if gone(k.ctx) || !s.again(v) {
+			reason := "no whole answer"
+			if !s.ran {
+				reason = "no endpoint took the request"
+			}
+			s.giveUp(reason)
 			return
 		}
 		path, refusal = s.acquire()
@@ -86,13 +94,45 @@
 	return path, refusal
 }
 
-// again reports whether the stream may be sent once more. The bound of attempts counts endpoints: once it is reached, a path
-// may still begin at one that the request was sent to before.
+// again reports whether the stream may be sent once more, and counts it against the budget if it is so. One that has begun is
+// broken off only if several endpoints have failed with it or its time is over: for memory and for the budget it waits.
 func (s *streaming) again(v verdict) bool {
 	if v == unsent {
+		s.unsent++
+	} else if v != notRun {
+		s.failures++
+	}
+	switch {
+	case s.failures >= dials || s.left(s.f.clock()) <= 0:
+		return false
+	case s.begun:
+		return v == unsent || s.route.Repeatable() && s.await()
+	case s.attempts+s.unsent >= dials:
+		return false
+	case v == unsent:
 		return true
 	}
-	return s.attempts < dials && s.left(s.f.clock()) > 0 && (v == notRun || s.route.Repeatable()) && s.mayRepeat()
+	return (v == notRun || s.route.Repeatable()) && s.mayRepeat()
+}
+
+// await waits until the budget allows to send the request again, and counts it. It reports false once the caller no longer waits.
+func (k *call) await() bool {
+	if k.f.repeat(k.f.clock(), k.service) {
+		return true
+	}
+	k.note("waits for the budget for sending again")
+	ticker := time.NewTicker(budgetTime)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-k.ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+		if k.f.repeat(k.f.clock(), k.service) {
+			return true
+		}
+	}
 }
 
 // read takes in that the prompt has been read on a path, or no longer is.
@@ -124,7 +164,7 @@
 	late := s.q.LastEvent != ""
 	return waiter.Item{
 		ID:       s.q.ID,
-		Ask:      reserver.Ask{Prompt: prompt, Answer: int(answer), Avoid: s.avoid, First: s.begins(), Late: late},
+		Ask:      reserver.Ask{Prompt: prompt, Answer: int(answer), Avoid: s.avoid, First: s.within(s.firsts), Late: late},
 		Team:     s.team.Name,
 		Priority: s.priority(),
 		Target:   s.route.Target,
@@ -135,12 +175,12 @@
 	}
 }
 
-// begins returns the endpoints that the next path may begin at; nil allows each.
-func (s *streaming) begins() map[string]bool {
-	if len(s.firsts) < s.route.Attempts {
+// within returns the endpoints that the next path may begin at, of those that the request was sent to; nil allows each.
+func (s *streaming) within(firsts map[string]bool) map[string]bool {
+	if len(firsts) < s.route.Attempts {
 		return nil
 	}
-	return maps.Clone(s.firsts)
+	return maps.Clone(firsts)
 }
 
 // giveUp ends a stream that is not whole: one that has begun is broken off, so that it does not look complete.
@@ -170,9 +210,9 @@
 	first := path.Parts[0].Endpoint
 	h := &handover{}
 	s.firsts[first.ID] = true
-	ask, sent := s.item().Ask, s.attempts
+	ask, failures := s.item().Ask, s.failures
 	ask.Avoid = maps.Clone(ask.Avoid)
-	s.alloc.Open(s.f.clock(), s.q.ID, path, func(v monitor.Verdict) { s.move(h, v, ask, sent, cancel) })
+	s.alloc.Open(s.f.clock(), s.q.ID, path, func(v monitor.Verdict) { s.move(h, v, ask, failures, cancel) })
 	s.note("path", describe(path), "expecting", path.First.Round(time.Millisecond).String(), "then",
 		path.Step.Round(100*time.Microsecond).String())
 	m := s.message(Delivery{
@@ -215,8 +255,8 @@
 		if at == "" {
 			at = path.Parts[0].Endpoint.Address
 		}
+		// It is out of use for a while and not out of this request for good: it may have memory later.
 		id := s.alloc.Suspect(s.f.clock(), at, refusedTime)
-		s.avoid[id] = true
 		s.note("endpoint", id, "did not run it:", http.StatusText(a.Status))
 		return notRun, nil
 	}
@@ -256,6 +296,8 @@
 		verb := "suspects"
 		if v.Lost {
 			verb = "lost"
+			// An endpoint whose process has ended does not count against the bound of attempts.
+			s.firsts = without(s.firsts, v.Suspects)
 		}
 		s.note("silent for", v.Silent.String(), verb, strings.Join(v.Suspects, ","))
 		for _, id := range v.Suspects {
