Decide when a watched endpoint counts as gone in a plain value

Sentry's goroutine mixed the decision (refusals in a row, brief connections, pauses) with clock, dial and sleep, so its cases could be tested only with real connections and waits. Now record.end takes in how a connection ended and returns the pause and whether the endpoint counts as gone; the goroutine dials, sleeps and tells. No change in behaviour: nine orders of endings in a table, the tests with connections are as before and pass.

--- a/internal/serving/sentry/sentry.go
+++ b/internal/serving/sentry/sentry.go
@@ -4,28 +4,14 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 )
 
-// The bounds of a watch.
-const (
-	// dialTimeout bounds the opening of a connection within a region.
-	dialTimeout = 700 * time.Millisecond
-	// refusals is how often in a row a connection is refused until the endpoint counts as gone, refusalPause apart.
-	refusals     = 2
-	refusalPause = 5 * time.Millisecond
-	// firstPause is the time between two connections where the first one did not last; it doubles up to longestPause. It
-	// is short beside the seconds after which a crashed endpoint is back.
-	firstPause   = 500 * time.Millisecond
-	longestPause = 8 * time.Second
-	// lasting is how long a connection is open that ended for a reason of its own, such as an endpoint's bound on idle ones.
-	lasting = time.Second
-)
+// dialTimeout bounds the opening of a connection within a region.
+const dialTimeout = 700 * time.Millisecond
 
 // Sentry watches endpoints. Its methods may be called from any goroutine.
 type Sentry struct {
@@ -104,36 +90,19 @@
 // run holds a connection until the watch ends.
 func (w *watch) run() {
 	defer w.sentry.wait.Done()
-	refused, brief, pause := 0, 0, firstPause
+	r := record{pause: firstPause}
 	for !w.ended() {
 		begun := w.sentry.clock()
 		err := w.hold()
-		now := w.sentry.clock()
-		switch {
-		case w.ended():
+		if w.ended() {
 			return
-		case errors.Is(err, syscall.ECONNREFUSED):
-			if refused++; refused < refusals {
-				w.sleep(refusalPause)
-				continue
-			}
-			if refused == refusals {
-				w.sentry.gone(now, w.endpoint, w.address)
-			}
-		case err == nil:
-			refused = 0
-			if now.Sub(begun) >= lasting {
-				brief, pause = 0, firstPause
-			}
-			// The next connection shows whether the process has ended too.
-			if brief++; brief <= 1 {
-				continue
-			}
-		default:
-			refused = 0
+		}
+		now := w.sentry.clock()
+		pause, gone := r.end(now.Sub(begun), err)
+		if gone {
+			w.sentry.gone(now, w.endpoint, w.address)
 		}
 		w.sleep(pause)
-		pause = min(2*pause, longestPause)
 	}
 }
 
