Let an endpoint's events go before what others tell of it

The instances beside the homes get no answer to their questions within 50 ms, of endpoints that are sound (some 30 of them, two or three finders each). What one finds is told to all, and all keep the endpoint out of use for 4 s: layer 62 has 13 holders, and all 89 instances believe in 4 of them from 27 to 31.5 s. Requests are refused for want of memory of which 65% is reserved. Ruled out: endpoints that leave or move (three of 13), refusals for memory (out of use for 500 ms at one instance only), crashes told by watchers (three endpoints).

Now what an instance knows itself goes first: an endpoint that has passed an event within 80 ms, or answered a question, is not taken for dead; one that passes an event later is used again; and an instance that has such an event tells so with its accounts, which acquits the endpoint everywhere but at instances that asked in vain themselves. "endpoint asked" tells how long it took. Alternatives: two finders before an endpoint counts as dead (four told of one sound endpoint here), a longer bound (all real crashes are found later).

--- a/internal/routing/monitor/monitor.go
+++ b/internal/routing/monitor/monitor.go
@@ -83,6 +83,11 @@
 	// asked holds the condemned endpoints that this instance has asked itself.
 	asked map[string]time.Time
 
+	// told holds the endpoints that count as dead by what other instances told alone, and refuted until when this instance tells
+	// that one of those lives: an event has passed it.
+	told    map[string]bool
+	refuted map[string]time.Time
+
 	// lost is when the process of an endpoint ended.
 	lost map[string]time.Time
 
@@ -96,6 +101,7 @@
 	return &Monitor{
 		Streams: map[string]*Stream{}, heard: map[string]time.Time{}, condemned: map[string]time.Time{},
 		cleared: map[string]time.Time{}, asked: map[string]time.Time{}, lost: map[string]time.Time{},
+		told: map[string]bool{}, refuted: map[string]time.Time{},
 	}
 }
 
@@ -109,11 +115,11 @@
 	delete(m.Streams, id)
 }
 
-// Progress records events of a stream.
-func (m *Monitor) Progress(now time.Time, id string) {
+// Progress records events of a stream. It returns the endpoints of its path that counted as dead by what others told, and live.
+func (m *Monitor) Progress(now time.Time, id string) (alive []string) {
 	s, ok := m.Streams[id]
 	if !ok {
-		return
+		return nil
 	}
 	if s.Events > 0 {
 		gap := now.Sub(s.Last)
@@ -126,6 +132,20 @@
 	s.Last = now
 	for _, e := range s.Path {
 		m.heard[e] = now
+		if m.told[e] {
+			m.refuted[e] = now.Add(answerTime)
+			m.acquit(now, e)
+			alive = append(alive, e)
+		}
+	}
+	return alive
+}
+
+// acquit forgets what others told of an endpoint. What this instance found itself stays.
+func (m *Monitor) acquit(now time.Time, id string) {
+	delete(m.told, id)
+	if !now.Before(m.asked[id]) {
+		delete(m.condemned, id)
 	}
 }
 
@@ -285,9 +305,9 @@
 	return out
 }
 
-// Answer takes in whether an endpoint has answered.
+// Answer takes in whether an endpoint has answered. One that has passed an event meanwhile lives all the same.
 func (m *Monitor) Answer(now time.Time, id string, alive bool) {
-	if alive {
+	if alive || now.Sub(m.heard[id]) < quickSilence {
 		m.cleared[id] = now.Add(answerTime)
 		return
 	}
@@ -296,11 +316,49 @@
 	m.asked[id] = now.Add(answerTime)
 }
 
-// Tell takes in that another instance had no answer of an endpoint.
-func (m *Monitor) Tell(now time.Time, id string) {
-	if until := now.Add(answerTime); until.After(m.condemned[id]) && !now.Before(m.cleared[id]) {
+// Tell takes in that another instance had no answer of an endpoint, and reports whether it counts as dead for that. An instance
+// that is starved or cut off has no answer of any: what this one knows itself goes first.
+func (m *Monitor) Tell(now time.Time, id string) bool {
+	if now.Sub(m.heard[id]) < quickSilence {
+		m.refuted[id] = now.Add(answerTime)
+		return false
+	}
+	if now.Before(m.refuted[id]) || now.Before(m.cleared[id]) {
+		return false
+	}
+	if until := now.Add(answerTime); until.After(m.condemned[id]) {
 		m.condemned[id] = until
 	}
+	m.told[id] = true
+	return true
+}
+
+// Refute takes in that another instance has an event of an endpoint that counts as dead, and reports whether that was for what
+// others told.
+func (m *Monitor) Refute(now time.Time, id string) bool {
+	if !m.told[id] {
+		return false
+	}
+	m.acquit(now, id)
+	return true
+}
+
+// Alive returns the endpoints that others took for dead and that have passed an event to this instance of late.
+func (m *Monitor) Alive(now time.Time) []string {
+	var out []string
+	for e, until := range m.refuted {
+		if now.Before(until) {
+			out = append(out, e)
+		} else {
+			delete(m.refuted, e)
+		}
+	}
+	return out
+}
+
+// Doubt takes in that the answer of an endpoint was waited for in vain by a process that was held up itself: it may be asked again.
+func (m *Monitor) Doubt(id string) {
+	delete(m.cleared, id)
 }
 
 // Dead returns the endpoints of which this instance had no answer of late.
@@ -342,6 +400,11 @@
 			delete(m.cleared, e)
 		}
 	}
+	for e := range m.told {
+		if !known(e) {
+			delete(m.told, e)
+		}
+	}
 	for e, at := range m.lost {
 		if !known(e) && now.Sub(at) > lostTime {
 			delete(m.lost, e)
--- a/internal/serving/accountant/accountant.go
+++ b/internal/serving/accountant/accountant.go
@@ -28,8 +28,9 @@
 	Memory reserver.Usage
 	// Sent counts the requests and those sent again over the window of the budget for retries.
 	Sent limiter.Tally
-	// Dead holds endpoints that did not answer an instance of late.
-	Dead []string
+	// Dead holds endpoints that did not answer an instance of late, and Alive those that passed an event to one nonetheless.
+	Dead  []string
+	Alive []string
 }
 
 // Usages are the holdings by service.
@@ -247,15 +248,21 @@
 		h.Sent.Repeats += other.Sent.Repeats
 		h.Sent.Age = max(h.Sent.Age, other.Sent.Age)
 		h.Sent.Instances += other.Sent.Instances
-		for _, id := range other.Dead {
-			if !slices.Contains(h.Dead, id) {
-				h.Dead = append(h.Dead, id)
-			}
-		}
+		h.Dead, h.Alive = union(h.Dead, other.Dead), union(h.Alive, other.Alive)
 		u[service] = h
 	}
 }
 
+// union returns the names of both lists, each once.
+func union(a, b []string) []string {
+	for _, name := range b {
+		if !slices.Contains(a, name) {
+			a = append(a, name)
+		}
+	}
+	return a
+}
+
 // Homes returns the home of each data centre: the living instance with the lowest id that is not shunned. An instance that
 // shuns all others of its data centre is its own home.
 func Homes(self gossiper.Peer, peers []gossiper.Peer, shunned func(id string) bool) map[string]gossiper.Peer {
--- a/internal/serving/forwarder/allocator.go
+++ b/internal/serving/forwarder/allocator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +24,8 @@
 	ready map[string]chan reserver.Path
 	// silent holds what to call when a stream has gone silent.
 	silent map[string]func(monitor.Verdict)
+	// told is until when endpoints are out of use for what other instances told.
+	told map[string]time.Time
 	// probe reports whether an endpoint answers; nil if endpoints are not asked.
 	probe func(id, address string) bool
 	clock func() time.Time
@@ -36,6 +39,7 @@
 		monitor:  monitor.New(),
 		ready:    map[string]chan reserver.Path{},
 		silent:   map[string]func(monitor.Verdict){},
+		told:     map[string]time.Time{},
 		clock:    time.Now,
 	}
 }
@@ -212,7 +216,17 @@
 func (a *Allocator) Progress(now time.Time, id string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.monitor.Progress(now, id)
+	for _, e := range a.monitor.Progress(now, id) {
+		a.acquit(e)
+	}
+}
+
+// acquit lets an endpoint be used again that was out of use for what other instances told, and for nothing else. The lock is held.
+func (a *Allocator) acquit(id string) {
+	if until, ok := a.told[id]; ok && until.Equal(a.reserver.Suspects[id]) {
+		delete(a.reserver.Suspects, id)
+	}
+	delete(a.told, id)
 }
 
 // Done ends the watch on a stream.
@@ -267,13 +281,28 @@
 	return a.monitor.Dead(now)
 }
 
-// Tell takes in the endpoints of which other instances had no answer.
-func (a *Allocator) Tell(now time.Time, dead []string) {
+// Alive returns the endpoints that others took for dead and that live.
+func (a *Allocator) Alive(now time.Time) []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.monitor.Alive(now)
+}
+
+// Tell takes in the endpoints of which other instances had no answer, and those that have passed an event to one nonetheless.
+func (a *Allocator) Tell(now time.Time, dead, alive []string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	for _, id := range alive {
+		if a.monitor.Refute(now, id) {
+			a.acquit(id)
+		}
+	}
 	for _, id := range dead {
-		a.monitor.Tell(now, id)
-		a.reserver.Suspect(now, now.Add(suspectTime), id)
+		if slices.Contains(alive, id) || !a.monitor.Tell(now, id) {
+			continue
+		}
+		a.told[id] = now.Add(suspectTime)
+		a.reserver.Suspect(now, a.told[id], id)
 	}
 }
 
@@ -302,10 +331,20 @@
 	return out
 }
 
+// lateProbe is how long after its bound a question may end before this process counts as having been held up: its answer may
+// have come and not been read.
+const lateProbe = 10 * time.Millisecond
+
 // run asks an endpoint whether it is there, and takes its answer in.
 func (a *Allocator) run(e reserver.Endpoint) {
+	begun := a.clock()
 	alive := a.probe(e.ID, e.Address)
+	now := a.clock()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.monitor.Answer(a.clock(), e.ID, alive)
+	if !alive && now.Sub(begun) > probeTime+lateProbe {
+		a.monitor.Doubt(e.ID)
+		return
+	}
+	a.monitor.Answer(now, e.ID, alive)
 }
--- a/internal/serving/forwarder/forwarder.go
+++ b/internal/serving/forwarder/forwarder.go
@@ -195,8 +195,9 @@
 func (f *Forwarder) alive(id, address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
 	defer cancel()
+	begun := f.clock()
 	err := f.prober.Probe(ctx, id, address)
-	f.log.Info("endpoint asked", "endpoint", id, "address", address, "answers", err == nil)
+	f.log.Info("endpoint asked", "endpoint", id, "address", address, "answers", err == nil, "took", f.clock().Sub(begun).Seconds())
 	return err == nil
 }
 
--- a/internal/serving/gateway/updates.go
+++ b/internal/serving/gateway/updates.go
@@ -164,7 +164,7 @@
 	}
 	for service, a := range g.forwarder.Allocators() {
 		h := out[service]
-		h.Memory, h.Dead = a.Usage(), a.Dead(g.clock())
+		h.Memory, h.Dead, h.Alive = a.Usage(), a.Dead(g.clock()), a.Alive(g.clock())
 		out[service] = h
 	}
 	return out
@@ -185,7 +185,7 @@
 	g.meter.Gauge("instances_counted", most+1)
 	for service, a := range g.forwarder.Allocators() {
 		a.Merge(now, "fleet", others[service].Memory)
-		a.Tell(now, others[service].Dead)
+		a.Tell(now, others[service].Dead, others[service].Alive)
 	}
 }
 
