Count a stream's moves among the endpoints that failed with it

Found by reading the diff: since streams wait for the budget, only ends of attempts counted towards the bound of four, and a stream whose later stage is lost is handed over without one. Ruled out: the bound of attempts (it is on the servers that a path begins at).

--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -99,8 +99,6 @@
 func (s *streaming) again(v verdict) bool {
 	if v == unsent {
 		s.unsent++
-	} else if v != notRun {
-		s.failures++
 	}
 	switch {
 	case s.failures >= dials || s.left(s.f.clock()) <= 0:
@@ -231,6 +229,9 @@
 		s.attempts++
 		v = lost
 	}
+	if v == failed || v == lost {
+		s.failures++
+	}
 	s.alloc.Done(s.q.ID)
 	silent, next := h.end()
 	if v == answered && next != nil {
