Name the origin of the time between two looks at the budget

Found on a last reading: the comment named news each 250 ms, which is the rounds of gossip; the accounts come each 120 ms.

--- a/internal/serving/forwarder/plain.go
+++ b/internal/serving/forwarder/plain.go
@@ -23,7 +23,7 @@
 const (
 	// maxReply bounds the answer of a plain service, in bytes.
 	maxReply = 16 << 20
-	// dials bounds the endpoints that are tried while no byte has left.
+	// dials bounds the endpoints that are tried while no byte has left, and those that run a stream without a whole answer.
 	dials = 4
 	// firstPart is the part of its target after which an idempotent call is given to another endpoint.
 	firstPart = 0.6
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -26,7 +26,7 @@
 	brokenTime = 2 * time.Second
 	// comeBackFull is when a caller is told to come back at the earliest if the endpoints have no memory left.
 	comeBackFull = 1500 * time.Millisecond
-	// budgetTime is the time between two looks at the budget: half of the 250 ms between the news of what others have sent.
+	// budgetTime is the time between two looks at the budget: about the 120 ms between the accounts that tell what others have sent.
 	budgetTime = 125 * time.Millisecond
 	// answerMargin is the part of the usual answer that is added to a caller's own estimate, which is often too low.
 	answerMargin = 0.25
@@ -133,7 +133,7 @@
 	}
 }
 
-// read takes in that the prompt has been read on a path, or no longer is.
+// read takes in that the prompt on a path has been read, or that the path is given up.
 func (s *streaming) read(path reserver.Path) {
 	if s.reading {
 		s.reading = false
