--- a/internal/control/assigner/assigner.go
+++ b/internal/control/assigner/assigner.go
@@ -43,17 +43,43 @@
 	return best(scores, count)
 }
 
-// Assignments returns the endpoints that an instance watches among those given, in their order.
+// Assignments returns the endpoints that an instance watches among those given, in their order. Each is as Watchers
+// states it.
 func Assignments(self string, endpoints, instances []Node, count int) []Assignment {
+	type place struct{ dataCentre, region string }
+	nearby := map[place][]Node{}
 	var out []Assignment
 	for _, e := range endpoints {
-		if rank := slices.Index(Watchers(e, instances, count), self); rank >= 0 {
+		at := place{e.DataCentre, e.Region}
+		near, ok := nearby[at]
+		if !ok {
+			near = nearest(e, instances)
+			nearby[at] = near
+		}
+		if rank := rankOf(self, e, near, count); rank < count {
 			out = append(out, Assignment{e.ID, rank})
 		}
 	}
 	return out
 }
 
+// rankOf returns the rank of an instance among the watchers of an endpoint, or count if it is not one of the first count.
+func rankOf(self string, endpoint Node, near []Node, count int) int {
+	if !slices.ContainsFunc(near, func(n Node) bool { return n.ID == self }) {
+		return count
+	}
+	own := weight(endpoint.ID, self)
+	rank := 0
+	for _, n := range near {
+		if w := weight(endpoint.ID, n.ID); w > own || w == own && n.ID < self {
+			if rank++; rank == count {
+				break
+			}
+		}
+	}
+	return rank
+}
+
 // Subset returns the IDs, in order, of the count endpoints that an instance routes to. Endpoints of its data centre
 // come first, then those of its region, then all others. Within each of these groups every instance has its own order,
 // so that the instances together use all endpoints evenly. All endpoints are returned if there are no more than count.
--- a/internal/control/gossiper/exchange.go
+++ b/internal/control/gossiper/exchange.go
@@ -174,7 +174,7 @@
 	if p, ok := decodePeer(c.Value); ok && c.Topic == TopicMember && c.Key == s.Owner {
 		m := g.Members[s.Owner]
 		m.Peer = p
-		g.Members[s.Owner] = m
+		g.setMember(s.Owner, m)
 	}
 	return s.toEntry(now, n, h)
 }
--- a/internal/control/gossiper/gossiper.go
+++ b/internal/control/gossiper/gossiper.go
@@ -16,6 +16,9 @@
 const (
 	urgentRoundCount = 3
 	urgentSpeedup    = 5
+	// maxUrgentBurst is the number of urgent rounds in a row. After that, one is allowed for each usual round: while a
+	// large fleet starts, changes come all the time, and each round carries those of many instances.
+	maxUrgentBurst = 12
 )
 
 // expireInterval is the time between scans for expired entries.
@@ -78,7 +81,10 @@
 
 	byOwner map[streamKey]*Stream
 	byID    map[uint64]*Stream
+	index   memberIndex
 	options options
+	// urgentAllowance is the number of urgent rounds that may follow now.
+	urgentAllowance int
 	// isUrgentRound reports whether the present round is one for urgent changes.
 	isUrgentRound bool
 	// heartbeatAt holds the times of the last heartbeats by scope, and lastExpireAt is when expired entries were last
@@ -102,6 +108,8 @@
 		byID:        map[uint64]*Stream{},
 		options:     o,
 		heartbeatAt: [2]time.Time{now, now},
+
+		urgentAllowance: maxUrgentBurst,
 	}
 	g.announceSelf(now)
 	g.ownStream(ScopeRegion)
@@ -131,11 +139,13 @@
 func (g *Gossiper) BeginRound(now time.Time) []Entry {
 	g.Round++
 	g.advanceHeartbeats(now)
-	g.isUrgentRound = g.UrgentRounds > 0
+	g.isUrgentRound = g.HasUrgentRound()
 	if g.isUrgentRound {
 		g.UrgentRounds--
+		g.urgentAllowance--
 		return g.Expire(now)
 	}
+	g.urgentAllowance = min(g.urgentAllowance+1, maxUrgentBurst)
 	for _, s := range g.Streams {
 		if s.HotRounds > 0 {
 			s.HotRounds--
@@ -146,12 +156,15 @@
 
 // RoundInterval returns the time until the next round, given the usual interval.
 func (g *Gossiper) RoundInterval(usual time.Duration) time.Duration {
-	if g.UrgentRounds > 0 {
+	if g.HasUrgentRound() {
 		return usual / urgentSpeedup
 	}
 	return usual
 }
 
+// HasUrgentRound reports whether the next round is one for urgent changes.
+func (g *Gossiper) HasUrgentRound() bool { return g.UrgentRounds > 0 && g.urgentAllowance > 0 }
+
 // startUrgentRounds shortens the interval of the next rounds if a topic is urgent.
 func (g *Gossiper) startUrgentRounds(topic string) {
 	if urgentTopics[topic] {
@@ -211,7 +224,7 @@
 // advanceHeartbeats advances the streams of this instance whose heartbeats are due.
 func (g *Gossiper) advanceHeartbeats(now time.Time) {
 	for scope, interval := range [...]time.Duration{ScopeFleet: g.options.fleetHeartbeat, ScopeRegion: g.options.regionHeartbeat} {
-		if now.Sub(g.heartbeatAt[scope]) >= interval {
+		if interval > 0 && now.Sub(g.heartbeatAt[scope]) >= interval {
 			g.heartbeatAt[scope] = now
 			g.advanceStream(now, g.ownStream(Scope(scope)))
 		}
--- a/internal/control/gossiper/options.go
+++ b/internal/control/gossiper/options.go
@@ -37,7 +37,7 @@
 // Option changes an option of a Gossiper.
 type Option func(*options)
 
-// WithHeartbeat sets the time between heartbeats within the region and over the whole fleet.
+// WithHeartbeat sets the time between heartbeats within the region and over the whole fleet. 0 sends none.
 func WithHeartbeat(region, fleet time.Duration) Option {
 	return func(o *options) { o.regionHeartbeat, o.fleetHeartbeat = region, fleet }
 }
--- a/internal/serving/exchanger/exchanger.go
+++ b/internal/serving/exchanger/exchanger.go
@@ -122,18 +122,26 @@
 	return x.gossip.Self
 }
 
-// LivePeers returns the other instances that are alive or suspected.
+// LivePeers returns the other instances that are alive or suspected. The caller must not change the result.
 func (x *Exchanger) LivePeers() []gossiper.Peer {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	return x.gossip.LivePeers(time.Now())
 }
 
-// KnownPeers returns all other instances that may respond, those known only from the platform's list included.
+// LivePeer returns the instance with an ID, and whether it is among the live peers.
+func (x *Exchanger) LivePeer(id string) (gossiper.Peer, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.gossip.LivePeer(time.Now(), id)
+}
+
+// KnownPeers returns all other instances that may respond, those known only from the platform's list included. The
+// caller must not change the result.
 func (x *Exchanger) KnownPeers() []gossiper.Peer {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.gossip.KnownPeers()
+	return x.gossip.KnownPeers(time.Now())
 }
 
 // Dump returns the gossip state for the state dump.
@@ -161,7 +169,7 @@
 func (x *Exchanger) Leave(ctx context.Context) {
 	x.mu.Lock()
 	x.gossip.Leave(time.Now())
-	peers := x.gossip.LivePeers(time.Now())
+	peers := slices.Clone(x.gossip.LivePeers(time.Now()))
 	x.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	x.mu.Unlock()
 	x.exchangeAll(ctx, peers[:min(maxLeaveNotices, len(peers))])
@@ -222,7 +230,7 @@
 // startUrgentRound starts the next round at once if urgent rounds have become due and none were before. The lock is
 // held.
 func (x *Exchanger) startUrgentRound(urgentRoundsBefore int) {
-	if urgentRoundsBefore > 0 || x.gossip.UrgentRounds == 0 {
+	if urgentRoundsBefore > 0 || !x.gossip.HasUrgentRound() {
 		return
 	}
 	select {
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -146,7 +146,7 @@
 		exchanger.WithLogger(log),
 		exchanger.WithLister(&instanceTable{g}, listInterval),
 		exchanger.WithMetrics(g.meter.Scope()),
-		exchanger.WithGossip(gossiper.WithHeartbeat(suspectTimeout/3, suspectTimeout/3), gossiper.WithExpiry(suspectTimeout, expireTimeout)),
+		exchanger.WithGossip(gossiper.WithHeartbeat(0, suspectTimeout/3), gossiper.WithExpiry(suspectTimeout, expireTimeout)),
 	)
 	g.syncer = syncer.New(g.platform.Store, g.exchange, log, clock,
 		syncer.Table{Name: p.ConfigTable, OnChange: g.handleConfigRows},
@@ -332,6 +332,9 @@
 	}
 }
 
+// PeerBytesSent returns the number of bytes sent to other instances.
+func (g *Gateway) PeerBytesSent() int64 { return g.exchange.Traffic.Sent.Load() }
+
 // InFlight returns the number of requests in progress.
 func (g *Gateway) InFlight() int64 { return g.forwarder.InFlight() }
 
--- a/internal/serving/poller/peers.go
+++ b/internal/serving/poller/peers.go
@@ -157,7 +157,7 @@
 
 // randomPeers returns up to n peers at random.
 func (p *Poller) randomPeers(n int) []gossiper.Peer {
-	peers := p.exchange.LivePeers()
+	peers := slices.Clone(p.exchange.LivePeers())
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
