Read the store by few instances from the start on, and keep accounts incrementally

Cause: while all instances start, each takes itself for one of the three readers of its data centre, reads both tables, follows their changes and gossips each version: 13 store calls an instance for a start of 100. A home walks the reports of all its members for each report that it receives, and asks the forwarder for its own reservations each time.

Change: until 4 s after the start, listed instances count for the choice of readers, and others wait up to 1.5 s for the tables from a peer. A version is gossiped only by instances that read the store. A ledger changes sums by the difference of a report from the one before. Instances with nothing reserved report three times less often.

--- a/internal/serving/accountant/accountant.go
+++ b/internal/serving/accountant/accountant.go
@@ -11,7 +11,6 @@
 	"context"
 	"log/slog"
 	"maps"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -64,12 +63,17 @@
 	// RecordPeerHeads records up to which version a peer has read the tables, and whether this instance shall pause its
 	// own reads of the store while the peer reads it.
 	RecordPeerHeads(now time.Time, peer gossiper.Peer, heads map[string]int64, pauseReads bool)
+	// SetReader states whether this instance is one of those that read the store in any case.
+	SetReader(isReader bool)
 }
 
 // The intervals of an Accountant.
 const (
 	// reportInterval is the time between reports: a twentieth of the duration of a typical generated answer.
 	reportInterval = 120 * time.Millisecond
+	// idleReportInterval is the time between reports while neither this instance nor the rest of the fleet has reserved
+	// anything. It is less than the time for which a home's response pauses reads of the store.
+	idleReportInterval = 360 * time.Millisecond
 	// callTimeout bounds the call that sends a report. A call within a region takes a few milliseconds.
 	callTimeout = 400 * time.Millisecond
 	// peerCooldown is how long a peer that did not respond is not chosen as a home.
@@ -79,6 +83,11 @@
 	// storeReaders is the number of instances in each data centre that read the store themselves. One whose reads hang
 	// without an error continues as if nothing had changed. If all of them hang at once, changes still spread by gossip.
 	storeReaders = 3
+	// listTime is how long after its start an instance may not have read the list of instances, and discoveryTime how
+	// long it may not have heard of all that started with it. Until then, listed instances count as live for the choice
+	// of readers: otherwise all would read the store while a fleet starts.
+	listTime      = 300 * time.Millisecond
+	discoveryTime = 4 * time.Second
 )
 
 // Accountant exchanges the reservations of one instance with those of the fleet.
@@ -94,18 +103,21 @@
 
 	done chan struct{}
 	wait sync.WaitGroup
+	// sentAt is when the last report was sent, and othersIdle whether its response stated that the others have reserved
+	// nothing. Only loop uses them.
+	sentAt     time.Time
+	othersIdle bool
 
-	mu            sync.Mutex
-	memberReports map[string]receivedReport
-	centreReports map[string]receivedReport
-	cooldowns     map[string]time.Time
-	home          string
-}
-
-// receivedReport is the latest report of an instance or of a data centre.
-type receivedReport struct {
-	usages     Usages
-	receivedAt time.Time
+	mu sync.Mutex
+	// members holds the reports of the instances of this data centre, this one included, and centres those of the other
+	// data centres.
+	members   *ledger
+	centres   *ledger
+	cooldowns map[string]time.Time
+	home      string
+	startedAt time.Time
+	// refreshedAt is when the report of this instance was last recorded in members.
+	refreshedAt time.Time
 }
 
 // New returns the accountant of an instance. The function ownUsages returns what the instance has reserved, and onUpdate
@@ -115,7 +127,7 @@
 ) *Accountant {
 	a := &Accountant{
 		self: self, exchange: x, tables: t, ownUsages: ownUsages, onUpdate: onUpdate, log: log, clock: clock, done: make(chan struct{}),
-		memberReports: map[string]receivedReport{}, centreReports: map[string]receivedReport{}, cooldowns: map[string]time.Time{},
+		members: newLedger(), centres: newLedger(), cooldowns: map[string]time.Time{},
 	}
 	if err := x.Register("Accounts", &Accounts{a}); err != nil {
 		panic(err) // The methods have the form that net/rpc requires.
@@ -125,6 +137,7 @@
 
 // Start starts sending reports.
 func (a *Accountant) Start() {
+	a.startedAt = a.clock()
 	a.wait.Add(1)
 	go a.loop()
 }
@@ -167,11 +180,24 @@
 		a.home = home.ID
 	}
 	a.mu.Unlock()
+	if now.Sub(a.startedAt) < discoveryTime {
+		peers = a.exchange.KnownPeers()
+	}
+	isReader := Rank(a.self, peers) < storeReaders
+	if now.Sub(a.startedAt) >= listTime {
+		a.tables.SetReader(isReader)
+	}
 	if home.ID != a.self.ID {
-		a.sendReport(now, home, Report{Owner: a.self.ID, Centre: a.self.DataCentre, Usages: a.ownUsages()}, Rank(a.self, peers) >= storeReaders)
+		own := a.ownUsages()
+		if own.isIdle() && a.othersIdle && now.Sub(a.sentAt) < idleReportInterval-reportInterval/2 {
+			return
+		}
+		a.sentAt = now
+		a.sendReport(now, home, Report{Owner: a.self.ID, Centre: a.self.DataCentre, Usages: own}, !isReader)
 		return
 	}
-	sum := a.sum(now, "", false)
+	a.refresh(now)
+	sum := a.sumOfCentre()
 	var wait sync.WaitGroup
 	for centre, peer := range homes {
 		if centre == a.self.DataCentre {
@@ -181,7 +207,7 @@
 		go a.run(&wait, now, peer, Report{Owner: a.self.ID, Centre: a.self.DataCentre, Home: true, Usages: sum})
 	}
 	wait.Wait()
-	a.onUpdate(a.clock(), a.sum(a.clock(), a.self.ID, true))
+	a.onUpdate(a.clock(), a.sumOfOthers(a.self.ID))
 }
 
 // run sends a report to one other home.
@@ -204,61 +230,59 @@
 		return
 	}
 	if !r.Home {
+		a.othersIdle = reply.Usages.isIdle()
 		a.tables.RecordPeerHeads(a.clock(), peer, reply.Heads, reply.Fresh && mayPauseReads)
 		a.onUpdate(a.clock(), reply.Usages)
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.centreReports[peer.DataCentre] = receivedReport{reply.Usages, now}
+	a.centres.record(now, peer.DataCentre, reply.Usages)
 }
 
-// sum returns what all instances of the data centre but one have reserved, and with otherCentres also what the other
-// data centres have reserved. It drops expired reports. Sums are rounded to whole numbers, which take few bytes.
-func (a *Accountant) sum(now time.Time, except string, otherCentres bool) Usages {
+// refresh records what this instance has reserved and drops expired reports. It does nothing if it did so within
+// half of reportInterval.
+func (a *Accountant) refresh(now time.Time) {
+	a.mu.Lock()
+	due := now.Sub(a.refreshedAt) >= reportInterval/2
+	a.mu.Unlock()
+	if !due {
+		return
+	}
 	own := a.ownUsages()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	out := Usages{}
-	if except != a.self.ID {
-		out.add(own)
-	}
-	for id, m := range a.memberReports {
-		if now.Sub(m.receivedAt) > reportExpiry {
-			delete(a.memberReports, id)
-		} else if id != except {
-			out.add(m.usages)
-		}
-	}
-	if otherCentres {
-		for name, c := range a.centreReports {
-			if now.Sub(c.receivedAt) > reportExpiry {
-				delete(a.centreReports, name)
-			} else {
-				out.add(c.usages)
-			}
-		}
-	}
+	a.refreshedAt = now
+	a.members.record(now, a.self.ID, own)
+	a.members.expire(now)
+	a.centres.expire(now)
+}
+
+// sumOfCentre returns what all instances of this data centre have reserved.
+func (a *Accountant) sumOfCentre() Usages {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.members.sum("")
+}
+
+// sumOfOthers returns what all instances of the fleet but one of this data centre have reserved.
+func (a *Accountant) sumOfOthers(except string) Usages {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := a.members.sum(except)
+	out.merge(a.centres.sum(""))
 	return out
 }
 
-// add adds other usages to u.
-func (u Usages) add(o Usages) {
-	for service, other := range o {
-		h := u[service]
-		if h.Memory == nil {
-			h.Memory = make(reserver.Usage, len(other.Memory))
-		}
-		for name, n := range other.Memory {
-			h.Memory[name] += math.Round(n)
+// isIdle reports whether nothing is reserved, has been sent within the window of the retry budget or was found out about
+// endpoints.
+func (u Usages) isIdle() bool {
+	for _, h := range u {
+		if len(h.Memory) > 0 || h.Sent.Requests > 0 || h.Sent.Repeats > 0 || len(h.Dead) > 0 || len(h.Alive) > 0 {
+			return false
 		}
-		h.Sent.Requests += other.Sent.Requests
-		h.Sent.Repeats += other.Sent.Repeats
-		h.Sent.Age = max(h.Sent.Age, other.Sent.Age)
-		h.Sent.Instances += other.Sent.Instances
-		h.Dead, h.Alive = union(h.Dead, other.Dead), union(h.Alive, other.Alive)
-		u[service] = h
 	}
+	return true
 }
 
 // union returns the names of both lists, each once.
@@ -306,18 +330,19 @@
 func (s *Accounts) Report(r Report, reply *Reply) error {
 	a := s.a
 	now := a.clock()
+	a.refresh(now)
 	a.mu.Lock()
 	if r.Home {
-		a.centreReports[r.Centre] = receivedReport{r.Usages, now}
+		a.centres.record(now, r.Centre, r.Usages)
 	} else {
-		a.memberReports[r.Owner] = receivedReport{r.Usages, now}
+		a.members.record(now, r.Owner, r.Usages)
 	}
 	a.mu.Unlock()
 	if r.Home {
-		reply.Usages = a.sum(now, "", false)
+		reply.Usages = a.sumOfCentre()
 		return nil
 	}
-	reply.Usages = a.sum(now, r.Owner, true)
+	reply.Usages = a.sumOfOthers(r.Owner)
 	heads, fresh := a.tables.Heads()
 	reply.Heads, reply.Fresh = maps.Clone(heads), fresh
 	return nil
--- a/internal/serving/accountant/accountant_test.go
+++ b/internal/serving/accountant/accountant_test.go
@@ -62,6 +62,9 @@
 	}
 }
 
+// SetReader does nothing.
+func (ti *testInstance) SetReader(bool) {}
+
 // usages returns what the instance has reserved.
 func (ti *testInstance) usages() Usages {
 	ti.mu.Lock()
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -144,7 +144,7 @@
 	g.exchange = exchanger.New(self,
 		exchanger.WithInterval(gossipInterval),
 		exchanger.WithLogger(log),
-		exchanger.WithLister(&instanceTable{g}, listInterval),
+		exchanger.WithLister(&instanceTable{gateway: g}, listInterval),
 		exchanger.WithMetrics(g.meter.Scope()),
 		exchanger.WithGossip(gossiper.WithHeartbeat(0, suspectTimeout/3), gossiper.WithExpiry(suspectTimeout, expireTimeout)),
 	)
--- a/internal/serving/syncer/syncer.go
+++ b/internal/serving/syncer/syncer.go
@@ -64,6 +64,9 @@
 	maxRetryDelay = 800 * time.Millisecond
 	// peerFetchDelay is how long an instance waits for a change from the store before it fetches it from a peer.
 	peerFetchDelay = 250 * time.Millisecond
+	// maxStartDelay is how long after its start an instance that is no reader waits for the tables from a peer before it
+	// reads the store for the first time.
+	maxStartDelay = 1500 * time.Millisecond
 	// readPauseTime is how long reads of the store are paused after a response of a peer that reads it.
 	// pauseCheckInterval is the time between checks whether the pause has ended.
 	readPauseTime      = 600 * time.Millisecond
@@ -89,8 +92,10 @@
 	replica *replicator.Copy
 	// lastFailureAt is when a read of the store last failed, and storeFailed reports whether the latest one did.
 	// delayedDeletions holds the deletions that OnChange has not been called with yet, by key.
-	lastFailureAt    time.Time
-	storeFailed      bool
+	lastFailureAt time.Time
+	storeFailed   bool
+	// publishedVersion is the version that gossip last announced.
+	publishedVersion int64
 	delayedDeletions map[string]delayedDeletion
 	// aheadPeer is a peer with a newer version of the table, since aheadSince; a zero time means that there is none.
 	aheadPeer  gossiper.Peer
@@ -121,6 +126,10 @@
 	// readsPausedUntil is when reads of the store resume if the peer that reads it in place of this instance does not
 	// respond again.
 	readsPausedUntil time.Time
+	// startedAt is when the syncer was started, and isReader is true once this instance is one of those that read the
+	// store in any case.
+	startedAt time.Time
+	isReader  bool
 }
 
 // New returns a syncer that keeps tables up to date once started.
@@ -140,6 +149,9 @@
 
 // Start starts reading the tables.
 func (s *Syncer) Start() {
+	s.mu.Lock()
+	s.startedAt = s.clock()
+	s.mu.Unlock()
 	for _, t := range s.tables {
 		s.wait.Add(1)
 		go s.loop(t)
@@ -221,11 +233,23 @@
 	return page.Version > version || len(page.Rows) > 0, nil
 }
 
-// readsPaused reports whether reads of the store are paused because a peer reads it and relays changes.
+// readsPaused reports whether reads of the store are paused because a peer reads it and relays changes, or may do so
+// shortly after the start.
 func (s *Syncer) readsPaused(t *followedTable) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return t.replica.Version > 0 && s.clock().Before(s.readsPausedUntil)
+	now := s.clock()
+	if t.replica.Version == 0 {
+		return !s.isReader && now.Sub(s.startedAt) < maxStartDelay
+	}
+	return now.Before(s.readsPausedUntil)
+}
+
+// SetReader states whether this instance is one of those that read the store in any case.
+func (s *Syncer) SetReader(isReader bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isReader = isReader
 }
 
 // Heads returns the version of each table's copy, and whether all of them are being read from the store.
@@ -285,7 +309,6 @@
 		t.storeFailed = false
 		s.log.Info("store regained", "table", t.Name, "version", page.Version)
 	}
-	before := t.replica.Version
 	var changed []replicator.Row
 	if full {
 		changed = t.replica.Replace(now, page)
@@ -297,9 +320,7 @@
 		s.log.Info("table changed", "table", t.Name, "version", t.replica.Version, "rows", len(changed), "direct", fromStore)
 		t.OnChange(now, changed)
 	}
-	if t.replica.Version > before {
-		s.publishHead(t)
-	}
+	s.publishHead(now, t)
 }
 
 // delayDeletions holds back deletions that arrive shortly after a failure of the store. It returns the other changed
@@ -326,8 +347,14 @@
 	return out
 }
 
-// publishHead gossips the version of a table's copy. The lock is held.
-func (s *Syncer) publishHead(t *followedTable) {
+// publishHead gossips the version of a table's copy if it has not been published, unless a peer that reads the store
+// relays changes to this instance: such a peer publishes them, and a version from each instance would cost all others a
+// message. The lock is held.
+func (s *Syncer) publishHead(now time.Time, t *followedTable) {
+	if t.replica.Version <= t.publishedVersion || now.Before(s.readsPausedUntil) {
+		return
+	}
+	t.publishedVersion = t.replica.Version
 	b, err := json.Marshal(t.replica.Version)
 	if err != nil {
 		panic(err) // An integer can always be encoded as JSON.
@@ -351,13 +378,13 @@
 	if !ok || version <= t.replica.Version {
 		return
 	}
-	for _, p := range s.exchange.LivePeers() {
-		if p.ID == e.Owner {
-			t.aheadPeer = p
-			if t.aheadSince.IsZero() {
-				t.aheadSince = s.clock()
-			}
-		}
+	p, ok := s.exchange.LivePeer(e.Owner)
+	if !ok {
+		return
+	}
+	t.aheadPeer = p
+	if t.aheadSince.IsZero() {
+		t.aheadSince = s.clock()
 	}
 }
 
@@ -378,7 +405,8 @@
 	}
 }
 
-// fetchFromPeer reports the deletions of a table whose delay has passed. Then, if a peer has had a newer version for
+// fetchFromPeer reports the deletions of a table whose delay has passed, and publishes a version that has not been
+// published because a peer that no longer responds did so. Then, if a peer has had a newer version for
 // peerFetchDelay, it fetches the changes from that peer.
 func (s *Syncer) fetchFromPeer(t *followedTable) {
 	s.mu.Lock()
@@ -386,6 +414,7 @@
 	if changed := t.delayDeletions(now, nil); len(changed) > 0 {
 		t.OnChange(now, changed)
 	}
+	s.publishHead(now, t)
 	due := !t.aheadSince.IsZero() && now.Sub(t.aheadSince) >= peerFetchDelay
 	peer, version := t.aheadPeer, t.replica.Version
 	if due {
