Rest while no request is in progress

Cause: an idle instance checks its streams 50 times a second and lists all endpoints four times a second.

Change: checks rest until a request begins, and watches are assigned only when instances or endpoints have changed. The time without streams no longer counts as a pause of the process.

--- a/internal/routing/monitor/monitor.go
+++ b/internal/routing/monitor/monitor.go
@@ -107,8 +107,12 @@
 	}
 }
 
-// Open adds a stream with the endpoints of its path and the expected time to its first event.
+// Open adds a stream with the endpoints of its path and the expected time to its first event. Checks may stop while there
+// are no streams.
 func (m *Monitor) Open(now time.Time, id string, path []string, expected time.Duration) {
+	if len(m.Streams) == 0 && !m.lastCheckAt.IsZero() {
+		m.lastCheckAt = now
+	}
 	m.Streams[id] = &Stream{Path: path, ExpectedTimeToFirstEvent: expected, OpenedAt: now, LastEventAt: now}
 }
 
--- a/internal/routing/monitor/monitor_test.go
+++ b/internal/routing/monitor/monitor_test.go
@@ -269,3 +269,19 @@
 		t.Errorf("verdicts of the next check (-want +got):\n%s", diff)
 	}
 }
+
+// TestChecksMayStopWithoutStreams lets checks rest until the first stream comes: the time without checks does not count as
+// a pause of the process, and the stream's silence is found as soon as that of any other.
+func TestChecksMayStopWithoutStreams(t *testing.T) {
+	m := New()
+	m.Check(start)
+	now := start.Add(10 * time.Second)
+	m.Open(now, "s", []string{"a"}, 50*time.Millisecond)
+	limit := firstEventGrace + 100*time.Millisecond
+	for at := CheckInterval; at <= limit+CheckInterval; at += CheckInterval {
+		if verdicts := m.Check(now.Add(at)); len(verdicts) > 0 {
+			return
+		}
+	}
+	t.Errorf("the silence of the first stream was not found within %v", limit+CheckInterval)
+}
--- a/internal/serving/forwarder/forwarder.go
+++ b/internal/serving/forwarder/forwarder.go
@@ -45,6 +45,8 @@
 	config   atomic.Pointer[matcher.Configuration]
 	leaving  atomic.Bool
 	inFlight atomic.Int64
+	// busy receives a value when a request begins while none is in progress.
+	busy chan struct{}
 
 	mu sync.Mutex
 	// plainSelector selects endpoints of plain services; allocators holds an allocator for each service with streams.
@@ -111,6 +113,7 @@
 		allocators:    map[string]*Allocator{},
 		retryWindows:  map[string]*limiter.RetryWindow{},
 		budget:        defaultBudget,
+		busy:          make(chan struct{}, 1),
 		random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, o := range options {
@@ -137,6 +140,9 @@
 // InFlight returns the number of requests in progress.
 func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
 
+// Busy returns a channel that receives a value when a request begins while none is in progress.
+func (f *Forwarder) Busy() <-chan struct{} { return f.busy }
+
 // Close closes the idle connections to endpoints.
 func (f *Forwarder) Close() { f.pool.Close() }
 
@@ -318,7 +324,12 @@
 
 // ServeHTTP serves one request of a caller.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	f.inFlight.Add(1)
+	if f.inFlight.Add(1) == 1 {
+		select {
+		case f.busy <- struct{}{}:
+		default:
+		}
+	}
 	defer f.inFlight.Add(-1)
 	now := f.clock()
 	// The connection may still have the write deadline of an earlier request.
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -243,12 +243,21 @@
 	return false
 }
 
-// loopChecks checks for silent streams until done is closed.
+// loopChecks checks for silent streams until done is closed. It sleeps while no request is in progress.
 func (g *Gateway) loopChecks() {
 	defer g.wait.Done()
 	t := time.NewTicker(monitor.CheckInterval)
 	defer t.Stop()
 	for {
+		if g.forwarder.InFlight() == 0 {
+			t.Stop()
+			select {
+			case <-g.done:
+				return
+			case <-g.forwarder.Busy():
+				t.Reset(monitor.CheckInterval)
+			}
+		}
 		select {
 		case <-g.done:
 			return
--- a/internal/serving/gateway/losses.go
+++ b/internal/serving/gateway/losses.go
@@ -49,21 +49,22 @@
 	if c == nil {
 		return
 	}
+	g.mu.Lock()
+	changed := g.endpointsChanged || !slices.Equal(instances, g.watcherNodes)
+	g.endpointsChanged, g.watcherNodes = false, instances
+	if !changed {
+		g.mu.Unlock()
+		return
+	}
 	addresses := map[string]string{}
 	var endpoints []assigner.Node
-	g.mu.Lock()
 	for _, e := range g.endpoints {
 		if s, ok := c.Services[e.Service]; ok && s.Engine != nil {
 			addresses[e.ID] = e.Address
 			endpoints = append(endpoints, assigner.Node{ID: e.ID, DataCentre: e.DataCentre, Region: g.settings.Region})
 		}
 	}
-	changed := g.endpointsChanged || !slices.Equal(instances, g.watcherNodes)
-	g.endpointsChanged, g.watcherNodes = false, instances
 	g.mu.Unlock()
-	if !changed {
-		return
-	}
 	watched := map[string]string{}
 	for _, a := range assigner.Assignments(g.settings.ID, endpoints, instances, watchersPerEndpoint) {
 		watched[a.Endpoint] = addresses[a.Endpoint]
