Bound what an endpoint or the store may send

Three informational responses counted as responses to others. Any event counted as progress: a stream of comments was sound for ever.

Change: a limiter below a connection's buffer bounds the head with what comes before it (64 KiB) and what is skipped (1 MiB). A body that is not used is given 100 ms. Progress of a stream is the next event by its id. A response that states that the request did not run counts before its body has been read.

--- a/internal/serving/connector/connector.go
+++ b/internal/serving/connector/connector.go
@@ -26,6 +26,12 @@
 	idleMargin = 500 * time.Millisecond
 	// readBufferSize is the size of a connection's read buffer in bytes, which holds a few events.
 	readBufferSize = 4 << 10
+	// maxHeadBytes bounds the head of a response, with the informational responses before it.
+	maxHeadBytes = 64 << 10
+	// maxSkippedBytes bounds the body of a response that is skipped, as it belongs to another request or is not used.
+	maxSkippedBytes = 1 << 20
+	// discardTimeout bounds the time to read a body that is not used. A new connection costs less than a longer wait.
+	discardTimeout = 100 * time.Millisecond
 	// maxForeignResponses is the number of responses to other requests that are skipped before a response.
 	maxForeignResponses = 2
 )
@@ -81,7 +87,9 @@
 // conn is a pooled connection to an endpoint.
 type conn struct {
 	net.Conn
+	// reader reads from limiter, and limiter from the connection.
 	reader  *bufio.Reader
+	limiter *limiter
 	address string
 	// usableUntil is when the connection may no longer be reused.
 	usableUntil time.Time
@@ -189,7 +197,10 @@
 // read reads the head of the response to a message. It skips informational responses, and those to other requests.
 func (x *exchange) read(m Message) (*Response, error) {
 	request := &http.Request{Method: m.Method}
-	for range maxForeignResponses + 1 {
+	limiter := x.conn.limiter
+	defer limiter.lift()
+	limiter.limit(maxHeadBytes)
+	for foreign := 0; foreign <= maxForeignResponses; {
 		r, err := http.ReadResponse(x.conn.reader, request)
 		if err != nil {
 			return nil, err
@@ -199,9 +210,12 @@
 		}
 		if m.Accepts != nil && !m.Accepts(r.StatusCode, r.Header) {
 			// A late second response to an earlier request on this connection.
+			foreign++
+			limiter.limit(maxSkippedBytes)
 			if _, err := io.Copy(io.Discard, r.Body); err != nil || r.Close {
 				return nil, errors.Join(errForeignResponse, err)
 			}
+			limiter.limit(maxHeadBytes)
 			continue
 		}
 		x.body = r.Body
@@ -215,6 +229,29 @@
 // errForeignResponse means that a response belongs to another request.
 var errForeignResponse = merry.New("answer to another request")
 
+// Discard reads the rest of the body, which is not used, and ends the use of the response. The connection is reused unless
+// the body is longer than maxSkippedBytes or does not end within discardTimeout of now.
+func (r *Response) Discard(now time.Time) {
+	conn := r.exchange.conn
+	err := conn.SetReadDeadline(now.Add(discardTimeout))
+	n := int64(0)
+	if err == nil {
+		n, err = io.Copy(io.Discard, io.LimitReader(r.Body, maxSkippedBytes))
+	}
+	if err == nil {
+		err = conn.SetReadDeadline(time.Time{})
+	}
+	r.Finish(err == nil && n < maxSkippedBytes)
+}
+
+// ReadAll reads the whole body, of at most limit bytes, and ends the use of the response. The error is ErrTooLong if the
+// body is longer.
+func (r *Response) ReadAll(limit int64) ([]byte, error) {
+	body, err := ReadAll(r.Body, limit)
+	r.Finish(err == nil)
+	return body, err
+}
+
 // Finish ends the use of the response. Its connection is reused only if bodyRead states that the body was read whole.
 func (r *Response) Finish(bodyRead bool) {
 	r.exchange.finish(bodyRead && r.exchange.reusable)
@@ -269,7 +306,8 @@
 	p.mu.Lock()
 	p.dialled++
 	p.mu.Unlock()
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize), address: address}, nil
+	l := &limiter{reader: raw}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(l, readBufferSize), limiter: l, address: address}, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection to an address, or nil if there is none.
--- a/internal/serving/forwarder/call.go
+++ b/internal/serving/forwarder/call.go
@@ -59,6 +59,8 @@
 	// attempts counts the sends to endpoints, and mayHaveRun is true if one of them may have run the request.
 	attempts   int
 	mayHaveRun bool
+	// heldBytes is the memory reserved for the bodies of the request and of its replies.
+	heldBytes int64
 	// trail holds the steps of the request, with the time of each, for its log line.
 	trail           []string
 	outcome         string
@@ -89,7 +91,7 @@
 	}
 	k := &call{
 		forwarder: f, writer: w, httpRequest: r, request: request, config: c, route: route, team: team, body: body,
-		startedAt: now, deadline: now.Add(timeout), service: route.Service(request.ID),
+		startedAt: now, deadline: now.Add(timeout), service: route.Service(request.ID), heldBytes: int64(len(body)),
 	}
 	k.ctx, k.cancel = context.WithTimeout(r.Context(), timeout)
 	// A caller that does not read must not hold the request beyond its deadline.
@@ -155,6 +157,7 @@
 // end logs the request and releases its resources.
 func (k *call) end() {
 	k.cancel()
+	k.forwarder.memory.release(k.heldBytes)
 	now := k.forwarder.clock()
 	level := slog.LevelInfo
 	if k.status >= 500 || k.outcome != "" || k.attempts > 1 {
@@ -172,6 +175,15 @@
 		"trail", strings.Join(k.trail, "; "))
 }
 
+// readReply reads the whole body of a response and ends the use of the response.
+func (k *call) readReply(resp *connector.Response) ([]byte, error) {
+	r := &bodyReader{body: resp.Body, budget: &k.forwarder.memory}
+	resp.Body = r
+	body, err := resp.ReadAll(maxReplyBytes)
+	k.heldBytes += r.taken
+	return body, err
+}
+
 // copyHeader writes the status and headers of an endpoint's response.
 func (k *call) copyHeader(status int, h http.Header) {
 	out := k.writer.Header()
--- a/internal/serving/forwarder/events.go
+++ b/internal/serving/forwarder/events.go
@@ -10,16 +10,20 @@
 	"github.com/ansel1/merry/v2"
 )
 
-// maxEventBytes bounds one event.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds one event. Each stream in progress may hold one.
+const maxEventBytes = 256 << 10
+
+// errEventTooLong means that an event is longer than maxEventBytes.
+var errEventTooLong = merry.New("event longer than the limit")
 
 // errTruncated means that a stream ends in the middle of an event.
 var errTruncated = merry.New("stream ends in the middle of an event")
 
-// event is one event of a stream: its bytes, and its id.
+// event is one event of a stream: its bytes, and its id. HasData is false for an event of comments alone.
 type event struct {
-	bytes []byte
-	id    string
+	bytes   []byte
+	id      string
+	hasData bool
 }
 
 // eventReader reads whole events of a stream.
@@ -41,10 +45,10 @@
 	for {
 		line, err := r.lines.ReadSlice('\n')
 		r.buffer = append(r.buffer, line...)
+		if len(r.buffer) > maxEventBytes {
+			return event{}, errEventTooLong
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
-			if len(r.buffer) > maxEventBytes {
-				return event{}, merry.Prepend(err, "event too large")
-			}
 			continue
 		}
 		if err != nil {
@@ -61,6 +65,7 @@
 		if value, ok := bytes.CutPrefix(content, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(value))
 		}
+		e.hasData = e.hasData || bytes.HasPrefix(content, []byte("data"))
 		start = len(r.buffer)
 	}
 }
@@ -68,9 +73,21 @@
 // buffered reports whether more of the stream has been received already.
 func (r *eventReader) buffered() bool { return r.lines.Buffered() > 0 }
 
-// isAfter reports whether an event id is later than another in a stream. Ids that are not numbers always count as
-// later.
+// isProgress reports whether the event continues a stream whose last event had the id last: it has a later id or, in a
+// stream without ids, data. An endpoint that sends comments or events again makes no progress.
+func (e event) isProgress(last string) bool {
+	if e.id == "" {
+		return last == "" && e.hasData
+	}
+	return last == "" || isAfter(e.id, last)
+}
+
+// isAfter reports whether an event id is later than another in a stream. Ids that are not numbers count as later unless
+// they are the same.
 func isAfter(id, last string) bool {
+	if id == last {
+		return false
+	}
 	a, errA := strconv.ParseInt(id, 10, 64)
 	b, errB := strconv.ParseInt(last, 10, 64)
 	return errA != nil || errB != nil || a > b
--- a/internal/serving/forwarder/events_test.go
+++ b/internal/serving/forwarder/events_test.go
@@ -50,6 +50,49 @@
 	}
 }
 
+// repeatingReader returns a text again and again.
+type repeatingReader struct {
+	text string
+	read int
+}
+
+// Read returns as much of the text as fits.
+func (r *repeatingReader) Read(b []byte) (int, error) {
+	n := copy(b, r.text[r.read%len(r.text):])
+	r.read += n
+	return n, nil
+}
+
+// TestEndlessEvents reads events that never end, in one line and in many.
+func TestEndlessEvents(t *testing.T) {
+	for _, text := range []string{"x", "data: x\n", "\r", ": comment\n"} {
+		source := &repeatingReader{text: text}
+		if _, err := newEventReader(source).next(); !errors.Is(err, errEventTooLong) {
+			t.Errorf("%q: error %v, want %v", text, err, errEventTooLong)
+		}
+		if source.read > 2*maxEventBytes {
+			t.Errorf("%q: %d bytes were read, want about %d", text, source.read, maxEventBytes)
+		}
+	}
+}
+
+// TestProgress checks which events continue a stream.
+func TestProgress(t *testing.T) {
+	for _, c := range []struct {
+		text, last string
+		want       bool
+	}{
+		{"id: 1\ndata: a\n\n", "", true}, {"id: 2\ndata: a\n\n", "1", true}, {"id: 2\ndata: a\n\n", "2", false},
+		{"id: 1\ndata: a\n\n", "2", false}, {"id: x\ndata: a\n\n", "x", false}, {": comment\n\n", "", false},
+		{": comment\n\n", "1", false}, {"data: a\n\n", "", true}, {"data: a\n\n", "1", false}, {"\n", "", false},
+	} {
+		e, err := newEventReader(strings.NewReader(c.text)).next()
+		if err != nil || e.isProgress(c.last) != c.want {
+			t.Errorf("%q after %q: %v, %v, want %v", c.text, c.last, e.isProgress(c.last), err, c.want)
+		}
+	}
+}
+
 func TestIsAfter(t *testing.T) {
 	for _, c := range []struct {
 		id, last string
--- a/internal/serving/forwarder/forwarder.go
+++ b/internal/serving/forwarder/forwarder.go
@@ -45,6 +45,7 @@
 	config   atomic.Pointer[matcher.Configuration]
 	leaving  atomic.Bool
 	inFlight atomic.Int64
+	memory   memoryBudget
 	// busy receives a value when a request begins while none is in progress.
 	busy chan struct{}
 
@@ -114,6 +115,7 @@
 		retryWindows:  map[string]*limiter.RetryWindow{},
 		budget:        defaultBudget,
 		busy:          make(chan struct{}, 1),
+		memory:        memoryBudget{limit: maxBufferedBytes},
 		random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, o := range options {
@@ -341,6 +343,10 @@
 	if f.leaving.Load() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
+	if !f.memory.acceptsRequests() {
+		f.refuse(w, now, refusal{Status: http.StatusServiceUnavailable, Reason: errMemoryFull.Error(), RetryAfter: time.Second}, "")
+		return
+	}
 	c := f.config.Load()
 	if c == nil {
 		f.refuse(w, now, refusal{Status: http.StatusServiceUnavailable, Reason: "no configuration", RetryAfter: time.Second}, "")
@@ -365,6 +371,10 @@
 		f.refuse(w, now, bodyRefusal(err), request.ID)
 		return
 	}
+	if !f.memory.take(int64(len(body))) {
+		f.refuse(w, now, refusal{Status: http.StatusServiceUnavailable, Reason: errMemoryFull.Error(), RetryAfter: time.Second}, request.ID)
+		return
+	}
 	k := newCall(f, w, r, now, c, request, route, team, body)
 	defer k.end()
 	if e := c.Services[k.service].Engine; e != nil && route.Kind == matcher.Stream {
--- a/internal/serving/forwarder/plain.go
+++ b/internal/serving/forwarder/plain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -21,8 +20,8 @@
 
 // The limits of a plain call.
 const (
-	// maxReplyBytes bounds the response of a plain service.
-	maxReplyBytes = 16 << 20
+	// maxReplyBytes bounds the response of a plain service, which is held in memory as a whole.
+	maxReplyBytes = 4 << 20
 	// maxEndpointTries bounds the endpoints that are tried before the response to the caller begins, and the attempts
 	// at a stream that end without a whole response.
 	maxEndpointTries = 4
@@ -147,24 +146,23 @@
 		k.addToTrail("endpoint", id, "lost:", err.Error())
 		return nil, lost
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
-	resp.Finish(err == nil && len(body) < maxReplyBytes)
-	if err != nil || len(body) >= maxReplyBytes {
-		k.mayHaveRun = true
-		k.addToTrail("endpoint", id, "broke its answer off")
-		return nil, lost
-	}
 	head := k.forwarder.protocol.Read(resp.Status, resp.Header)
-	r := &reply{resp.Status, resp.Header, body}
-	switch {
-	case head.NotRun:
+	if head.NotRun {
+		resp.Discard(k.forwarder.clock())
 		k.addToTrail("endpoint", id, "did not run it:", http.StatusText(resp.Status))
 		return nil, notRun
-	case resp.Status >= 500:
+	}
+	body, err := k.readReply(resp)
+	if err != nil {
 		k.mayHaveRun = true
+		k.addToTrail("endpoint", id, "broke its answer off:", err.Error())
+		return nil, lost
+	}
+	r := &reply{resp.Status, resp.Header, body}
+	k.mayHaveRun = true
+	if resp.Status >= 500 {
 		k.addToTrail("endpoint", id, "failed it:", http.StatusText(resp.Status))
 		return r, failed
 	}
-	k.mayHaveRun = true
 	return r, answered
 }
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -262,8 +262,7 @@
 	s.attempts++
 	head := s.forwarder.protocol.Read(resp.Status, resp.Header)
 	if head.NotRun {
-		_, err := io.Copy(io.Discard, resp.Body)
-		resp.Finish(err == nil)
+		resp.Discard(s.forwarder.clock())
 		address := head.FaultAddress
 		if address == "" {
 			address = path.Stages[0].Endpoint.Address
@@ -285,9 +284,8 @@
 // forwardNonStream forwards a response that is no stream to the caller, unless it is a failure and another attempt is
 // left.
 func (s *streamCall) forwardNonStream(resp *connector.Response, path reserver.Path) (attemptResult, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
-	resp.Finish(err == nil && len(body) < maxReplyBytes)
-	if err != nil || len(body) >= maxReplyBytes {
+	body, err := s.readReply(resp)
+	if err != nil {
 		return lost, errors.Join(errTruncated, err)
 	}
 	s.addToTrail("endpoint", path.Stages[0].Endpoint.ID, "answered", http.StatusText(resp.Status))
@@ -350,22 +348,26 @@
 			return lost, err
 		}
 		now := s.forwarder.clock()
-		s.allocator.RecordEvent(now, s.request.ID)
-		s.markPromptRead(path)
-		if e.id != "" && s.lastEventID != "" && !isAfter(e.id, s.lastEventID) {
+		progress := e.isProgress(s.lastEventID)
+		if progress {
+			s.allocator.RecordEvent(now, s.request.ID)
+			s.markPromptRead(path)
+		} else if e.id != "" {
 			continue
 		}
 		if !s.headSent {
 			s.sendHead(resp)
 			s.timeToFirstByte = now.Sub(s.startedAt)
-		} else if s.eventCount > 0 {
+		} else if s.eventCount > 0 && progress {
 			s.longestGap = max(s.longestGap, now.Sub(s.lastEventAt))
 		}
-		s.lastEventAt = now
 		if _, err := s.writer.Write(e.bytes); err != nil {
 			return lost, err
 		}
-		s.eventCount++
+		if progress {
+			s.lastEventAt = now
+			s.eventCount++
+		}
 		if e.id != "" {
 			s.lastEventID = e.id
 		}
--- a/internal/standin/hoster/server.go
+++ b/internal/standin/hoster/server.go
@@ -41,6 +41,14 @@
 	AnsweringEarly
 	// Stalling servers stop sending a stream after the second event and keep the connection open.
 	Stalling
+	// Commenting servers send comments without end after the second event of a stream.
+	Commenting
+	// EndlessEvent servers send lines without end, and no end of the event, after the second event of a stream.
+	EndlessEvent
+	// EndlessBody servers run the request and send a body without end.
+	EndlessBody
+	// EndlessRefusal servers state that they did not run the request, with a body without end.
+	EndlessRefusal
 )
 
 // Platform holds the store and the servers by address, so that a server can check the other servers on a path.
@@ -286,6 +294,12 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if fault == EndlessRefusal {
+		w.Header().Set("X-Heatherrock-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		s.repeat(w, strings.Repeat("x", 1000), 0)
+		return
+	}
 	if fault == AnsweringEarly {
 		s.setHeaders(w, id)
 		w.WriteHeader(http.StatusBadRequest)
@@ -375,6 +389,9 @@
 		_, _ = io.WriteString(w, "an answer to another")
 	case Garbling:
 		writeRaw(w, "\x00\x01 this is no answer\r\n\r\n", false)
+	case EndlessBody:
+		s.setHeaders(w, id)
+		s.repeat(w, strings.Repeat("x", 1000), 0)
 	case WithoutLength:
 		writeRaw(w, "HTTP/1.1 200 OK\r\n"+stamp+"Content-Type: text/plain\r\nConnection: close\r\n\r\nwhole", false)
 	case AnsweringTwice:
@@ -401,6 +418,23 @@
 	}
 }
 
+// repeat writes a text again and again, with a pause after each, until the connection or the server ends.
+func (s *Server) repeat(w http.ResponseWriter, text string, pause time.Duration) {
+	for {
+		if _, err := io.WriteString(w, text); err != nil {
+			return
+		}
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			return
+		}
+		select {
+		case <-time.After(pause):
+		case <-s.stopped:
+			return
+		}
+	}
+}
+
 // EventsPerStream is the number of events of a complete stream.
 const EventsPerStream = 12
 
@@ -417,6 +451,13 @@
 				_ = http.NewResponseController(w).Flush()
 				resetConnection(w)
 				return
+			case Commenting:
+				s.repeat(w, ": still here\n\n", s.platform.EventInterval)
+				return
+			case EndlessEvent:
+				_, _ = fmt.Fprintf(w, "id: %d\n", n)
+				s.repeat(w, strings.Repeat("data: x\n", 100), 0)
+				return
 			case Stalling:
 				select {
 				case <-s.stopped:
