Leave endpoints alone that fail requests, over the whole fleet

Cause: an endpoint that fails streams with 500 within a millisecond, while it is healthy by its own report, is avoided for that request alone.

Change: routing/ejector. One failure excludes an endpoint for 1 s on the instance that saw it, a further one in a row for twice as long, up to 8 s; a first event ends it. Accounts carry how many instances exclude an endpoint, and two of them are enough for the others, unless that is more than 0.3 of all endpoints. The last holder of a layer stays in use as before. A 504 does not count.

--- a/internal/serving/accountant/accountant.go
+++ b/internal/serving/accountant/accountant.go
@@ -31,6 +31,8 @@
 	// an event to one.
 	Dead  []string
 	Alive []string
+	// Failing holds the endpoints that instances do not use because of failures, with the number of these instances.
+	Failing map[string]int
 }
 
 // Usages holds what is reserved, by service.
@@ -278,7 +280,7 @@
 // endpoints.
 func (u Usages) isIdle() bool {
 	for _, h := range u {
-		if len(h.Memory) > 0 || h.Sent.Requests > 0 || h.Sent.Repeats > 0 || len(h.Dead) > 0 || len(h.Alive) > 0 {
+		if len(h.Memory) > 0 || h.Sent.Requests > 0 || h.Sent.Repeats > 0 || len(h.Dead) > 0 || len(h.Alive) > 0 || len(h.Failing) > 0 {
 			return false
 		}
 	}
--- a/internal/serving/accountant/ledger.go
+++ b/internal/serving/accountant/ledger.go
@@ -1,6 +1,7 @@
 package accountant
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -29,6 +30,8 @@
 	// dead and alive hold the number of owners that reported each endpoint.
 	dead  map[string]int
 	alive map[string]int
+	// failing holds the endpoints that instances do not use because of failures, with the number of these instances.
+	failing map[string]int
 }
 
 // newLedger returns a ledger without reports.
@@ -66,7 +69,7 @@
 	for service, h := range u {
 		s, ok := l.sums[service]
 		if !ok {
-			s = &serviceSum{memory: reserver.Usage{}, dead: map[string]int{}, alive: map[string]int{}}
+			s = &serviceSum{memory: reserver.Usage{}, dead: map[string]int{}, alive: map[string]int{}, failing: map[string]int{}}
 			l.sums[service] = s
 		}
 		for name, n := range h.Memory {
@@ -82,7 +85,8 @@
 		}
 		count(s.dead, h.Dead, int(sign))
 		count(s.alive, h.Alive, int(sign))
-		if len(s.memory) == 0 && s.sent.Instances == 0 && len(s.dead) == 0 && len(s.alive) == 0 {
+		addCounts(s.failing, h.Failing, int(sign))
+		if len(s.memory) == 0 && s.sent.Instances == 0 && len(s.dead) == 0 && len(s.alive) == 0 && len(s.failing) == 0 {
 			delete(l.sums, service)
 		}
 	}
@@ -111,6 +115,15 @@
 	}
 }
 
+// addCounts adds other counts, multiplied by n, and drops counts of 0.
+func addCounts(counts, others map[string]int, n int) {
+	for name, other := range others {
+		if counts[name] += n * other; counts[name] == 0 {
+			delete(counts, name)
+		}
+	}
+}
+
 // sum returns the sum of all reports but those of one owner. The age is the highest of all owners.
 func (l *ledger) sum(except string) Usages {
 	own := l.reports[except].usages
@@ -127,6 +140,8 @@
 		h.Sent.Repeats -= o.Sent.Repeats
 		h.Sent.Instances -= o.Sent.Instances
 		h.Dead, h.Alive = namesWithout(s.dead, o.Dead), namesWithout(s.alive, o.Alive)
+		h.Failing = maps.Clone(s.failing)
+		addCounts(h.Failing, o.Failing, -1)
 		out[service] = h
 	}
 	return out
@@ -179,6 +194,10 @@
 		h.Sent.Age = max(h.Sent.Age, other.Sent.Age)
 		h.Sent.Instances += other.Sent.Instances
 		h.Dead, h.Alive = union(h.Dead, other.Dead), union(h.Alive, other.Alive)
+		if h.Failing == nil {
+			h.Failing = make(map[string]int, len(other.Failing))
+		}
+		addCounts(h.Failing, other.Failing, 1)
 		u[service] = h
 	}
 }
--- a/internal/serving/accountant/ledger_test.go
+++ b/internal/serving/accountant/ledger_test.go
@@ -28,6 +28,9 @@
 		}
 		h.Dead = slices.Clone(names[:rapid.IntRange(0, 2).Draw(t, "dead")])
 		h.Alive = slices.Clone(names[:rapid.IntRange(0, 2).Draw(t, "alive")])
+		for _, name := range names[:rapid.IntRange(0, 2).Draw(t, "failing")] {
+			h.Failing = map[string]int{name: rapid.IntRange(1, 3).Draw(t, "instances")}
+		}
 		u[fmt.Sprint("s", n)] = h
 	}
 	return u
--- a/internal/serving/forwarder/allocator.go
+++ b/internal/serving/forwarder/allocator.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/heatherrock/heatherrock/internal/routing/ejector"
 	"github.com/heatherrock/heatherrock/internal/routing/monitor"
 	"github.com/heatherrock/heatherrock/internal/routing/placer"
 	"github.com/heatherrock/heatherrock/internal/routing/reserver"
@@ -20,6 +21,7 @@
 	reserver *reserver.Reserver
 	queue    *waiter.Queue
 	monitor  *monitor.Monitor
+	ejector  *ejector.Ejector
 	// pathChannels holds, by request id, the channel on which a queued request receives its path.
 	pathChannels map[string]chan reserver.Path
 	// onSilent holds, by request id, the function to call when its stream has gone silent.
@@ -37,6 +39,7 @@
 		reserver:      reserver.New(centre, random),
 		queue:         waiter.New(),
 		monitor:       monitor.New(),
+		ejector:       ejector.New(),
 		pathChannels:  map[string]chan reserver.Path{},
 		onSilent:      map[string]func(monitor.Verdict){},
 		reportedUntil: map[string]time.Time{},
@@ -49,7 +52,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.reserver.UpdateEndpoints(now, e, endpoints)
-	a.monitor.RetainEndpoints(now, func(id string) bool { _, ok := a.reserver.Endpoints[id]; return ok })
+	isListed := func(id string) bool { _, ok := a.reserver.Endpoints[id]; return ok }
+	a.monitor.RetainEndpoints(now, isListed)
+	a.ejector.Retain(isListed)
 	a.grantWaiting(now)
 }
 
@@ -313,6 +318,38 @@
 	}
 }
 
+// RecordFailure records that an endpoint failed a request that it ran, and excludes it for a time.
+func (a *Allocator) RecordFailure(now time.Time, endpoint, request string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.reserver.Suspect(now, a.ejector.RecordFailure(now, endpoint, request), endpoint)
+}
+
+// RecordSuccess records that an endpoint began to answer a request.
+func (a *Allocator) RecordSuccess(endpoint string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ejector.RecordSuccess(endpoint)
+}
+
+// FailingEndpoints returns the endpoints that this instance excludes because they failed requests.
+func (a *Allocator) FailingEndpoints(now time.Time) []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ejector.Report(now)
+}
+
+// RecordFailingReports records how many other instances exclude endpoints because of failures, and excludes them as well if
+// enough do.
+func (a *Allocator) RecordFailingReports(now time.Time, reporters map[string]int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	ejected, ttl := a.ejector.EjectedByOthers(reporters, len(a.reserver.Endpoints))
+	for _, id := range ejected {
+		a.reserver.Suspect(now, now.Add(ttl), id)
+	}
+}
+
 // RecordLoss records that the process of an endpoint has ended.
 func (a *Allocator) RecordLoss(now time.Time, id string) {
 	a.mu.Lock()
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -289,6 +289,10 @@
 		return lost, errors.Join(errTruncated, err)
 	}
 	s.addToTrail("endpoint", path.Stages[0].Endpoint.ID, "answered", http.StatusText(resp.Status))
+	// A response at the deadline says nothing of the endpoint.
+	if resp.Status >= 500 && resp.Status != http.StatusGatewayTimeout {
+		s.allocator.RecordFailure(s.forwarder.clock(), path.Stages[0].Endpoint.ID, s.request.ID)
+	}
 	if s.headSent || resp.Status >= 500 && len(s.firstEndpoints) < s.route.MaxAttempts && s.route.Repeatable() {
 		s.avoid[path.Stages[0].Endpoint.ID] = true
 		return failed, nil
@@ -351,6 +355,9 @@
 		progress := e.isProgress(s.lastEventID)
 		if progress {
 			s.allocator.RecordEvent(now, s.request.ID)
+			if s.readingPrompt {
+				s.allocator.RecordSuccess(path.Stages[0].Endpoint.ID)
+			}
 			s.markPromptRead(path)
 		} else if e.id != "" {
 			continue
--- a/internal/serving/gateway/updates.go
+++ b/internal/serving/gateway/updates.go
@@ -165,6 +165,12 @@
 	for service, a := range g.forwarder.Allocators() {
 		h := out[service]
 		h.Memory, h.Dead, h.Alive = a.Usage(), a.UnresponsiveEndpoints(g.clock()), a.RefutedEndpoints(g.clock())
+		for _, id := range a.FailingEndpoints(g.clock()) {
+			if h.Failing == nil {
+				h.Failing = map[string]int{}
+			}
+			h.Failing[id] = 1
+		}
 		out[service] = h
 	}
 	return out
@@ -187,6 +193,7 @@
 		// The sum of all other instances is recorded as that of one peer.
 		a.SetPeerUsage(now, "fleet", others[service].Memory)
 		a.RecordReports(now, others[service].Dead, others[service].Alive)
+		a.RecordFailingReports(now, others[service].Failing)
 	}
 }
 
