Report a lost endpoint through others instead of to each instance

Cause: the two watchers of an endpoint call every instance of the region when its process ends: 388 calls for one of 195 instances, and for seven that crash together 2,700, each with a new connection that compiles the types of net/rpc at both ends, from machines with 0.19 of a core, while the streams through the endpoint stand still.

Change: a watcher calls eight instances, grouped by data centre, and each passes the report on to its part of the others. If one does not respond, the next of its group gets the report. Each watcher has its own order, so that two reports take different ways.

--- a/internal/serving/gateway/losses.go
+++ b/internal/serving/gateway/losses.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/heatherrock/heatherrock/internal/control/assigner"
 	"github.com/heatherrock/heatherrock/internal/control/gossiper"
 )
@@ -15,6 +18,10 @@
 	// lossReportTimeout bounds the call that reports a loss to a peer. A response within a region takes a few
 	// milliseconds.
 	lossReportTimeout = 400 * time.Millisecond
+	// lossFanOut is the number of peers to which one instance reports a loss. Each passes it on to a part of the others, so
+	// that a report reaches a thousand instances in three calls one after another, and a small machine does not open a
+	// connection to each.
+	lossFanOut = 8
 )
 
 // Loss reports an endpoint whose process has ended to other instances.
@@ -23,6 +30,8 @@
 	Address  string
 	// Finder is the instance that watched the endpoint and detected the loss.
 	Finder string
+	// Forward holds the ids of the instances to which the receiver passes the report on.
+	Forward []string
 }
 
 // Losses is the net/rpc service that peers call.
@@ -30,8 +39,15 @@
 	gateway *Gateway
 }
 
-// Tell handles a peer's report of a loss, and answers whether the endpoint is known.
+// Tell handles a peer's report of a loss, passes it on, and answers whether the endpoint is known.
 func (l *Losses) Tell(loss Loss, known *bool) error {
+	var targets []gossiper.Peer
+	for _, id := range loss.Forward {
+		if p, ok := l.gateway.exchange.LivePeer(id); ok {
+			targets = append(targets, p)
+		}
+	}
+	l.gateway.spreadLoss(loss, targets)
 	*known = l.gateway.recordLoss(l.gateway.clock(), loss)
 	return nil
 }
@@ -78,24 +94,62 @@
 }
 
 // reportLoss handles the end of an endpoint that this instance watches, and reports it to the other instances of the
-// region. Each receives a call of its own: gossip takes some rounds, while the streams through the endpoint are
-// stopped.
+// region by calls: gossip takes some rounds, while the streams through the endpoint are stopped.
 func (g *Gateway) reportLoss(now time.Time, endpoint, address string) {
 	loss := Loss{Endpoint: endpoint, Address: address, Finder: g.settings.ID}
 	g.recordLoss(now, loss)
+	var targets []gossiper.Peer
 	for _, p := range g.exchange.LivePeers() {
 		if p.Region == g.settings.Region {
-			go g.runReport(p, loss)
+			targets = append(targets, p)
+		}
+	}
+	g.spreadLoss(loss, orderTargets(g.settings.ID, targets))
+}
+
+// orderTargets orders the instances to which a loss is reported by data centre, so that most calls stay within one, and
+// within it in an order of the reporter's own: the two watchers of an endpoint do not depend on the same instances.
+func orderTargets(self string, targets []gossiper.Peer) []gossiper.Peer {
+	slices.SortFunc(targets, func(a, b gossiper.Peer) int {
+		return cmp.Or(cmp.Compare(a.DataCentre, b.DataCentre),
+			cmp.Compare(xxhash.Sum64String(self+a.ID), xxhash.Sum64String(self+b.ID)))
+	})
+	return targets
+}
+
+// fanOut splits instances into up to n groups of about the same size. The first of each passes a report on to the rest.
+func fanOut(targets []gossiper.Peer, n int) [][]gossiper.Peer {
+	var out [][]gossiper.Peer
+	for i := range n {
+		if group := targets[i*len(targets)/n : (i+1)*len(targets)/n]; len(group) > 0 {
+			out = append(out, group)
 		}
 	}
+	return out
 }
 
-// runReport reports a loss to one peer. A peer that does not answer detects by itself that its streams are silent.
-func (g *Gateway) runReport(p gossiper.Peer, loss Loss) {
-	ctx, cancel := context.WithTimeout(context.Background(), lossReportTimeout)
-	defer cancel()
-	var known bool
-	if err := g.exchange.Call(ctx, p, "Losses.Tell", loss, &known); err != nil {
+// spreadLoss reports a loss to instances, most of them through others.
+func (g *Gateway) spreadLoss(loss Loss, targets []gossiper.Peer) {
+	for _, group := range fanOut(targets, lossFanOut) {
+		go g.runReport(group, loss)
+	}
+}
+
+// runReport reports a loss to the first of a group of instances, which passes it on to the rest. If it does not respond,
+// the next one gets the report.
+func (g *Gateway) runReport(group []gossiper.Peer, loss Loss) {
+	for i, p := range group {
+		loss.Forward = nil
+		for _, next := range group[i+1:] {
+			loss.Forward = append(loss.Forward, next.ID)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), lossReportTimeout)
+		var known bool
+		err := g.exchange.Call(ctx, p, "Losses.Tell", loss, &known)
+		cancel()
+		if err == nil {
+			return
+		}
 		g.log.Debug("peer not told of a loss", "peer", p.ID, "endpoint", loss.Endpoint, "error", err)
 	}
 }
--- /dev/null
+++ b/internal/serving/gateway/losses_test.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/heatherrock/heatherrock/internal/control/gossiper"
+)
+
+// TestReportsReachEachInstanceOnce passes a report on through fleets of different sizes: each instance gets it once, after a
+// bounded number of calls one after another, and none calls more than lossFanOut others.
+func TestReportsReachEachInstanceOnce(t *testing.T) {
+	for _, c := range []struct{ instances, maxDepth int }{{0, 0}, {1, 1}, {7, 1}, {72, 2}, {195, 3}, {390, 3}} {
+		var targets []gossiper.Peer
+		for i := range c.instances {
+			targets = append(targets, gossiper.Peer{ID: fmt.Sprint("i", i), DataCentre: fmt.Sprint("d", i%5)})
+		}
+		received := map[string]int{}
+		maxDepth := 0
+		var spread func(targets []gossiper.Peer, depth int)
+		spread = func(targets []gossiper.Peer, depth int) {
+			groups := fanOut(targets, lossFanOut)
+			if len(groups) > lossFanOut {
+				t.Errorf("%d instances: %d calls by one", c.instances, len(groups))
+			}
+			for _, group := range groups {
+				maxDepth = max(maxDepth, depth)
+				received[group[0].ID]++
+				spread(group[1:], depth+1)
+			}
+		}
+		spread(orderTargets("self", targets), 1)
+		for _, p := range targets {
+			if received[p.ID] != 1 {
+				t.Errorf("%d instances: %s got the report %d times", c.instances, p.ID, received[p.ID])
+			}
+		}
+		if maxDepth > c.maxDepth {
+			t.Errorf("%d instances: %d calls one after another, want %d at most", c.instances, maxDepth, c.maxDepth)
+		}
+	}
+}
