Read the tables once at the start of each instance, whoever follows them

Change: each instance reads both tables once at its start, at once. Only following their changes, and gossiping their versions, waits for the readers, for 1.5 s at most. TestChangesFromPeersCauseNoMoreReads, whose clock stands, states that its instance is a reader.

TestOthersThanReadersWaitAfterTheFirstRead fails before.

--- a/internal/serving/accountant/accountant.go
+++ b/internal/serving/accountant/accountant.go
@@ -85,10 +85,8 @@
 	// storeReaders is the number of instances in each data centre that read the store themselves. One whose reads hang
 	// without an error continues as if nothing had changed. If all of them hang at once, changes still spread by gossip.
 	storeReaders = 3
-	// listTime is how long after its start an instance may not have read the list of instances, and discoveryTime how
-	// long it may not have heard of all that started with it. Until then, listed instances count as live for the choice
-	// of readers: otherwise all would read the store while a fleet starts.
-	listTime      = 300 * time.Millisecond
+	// discoveryTime is how long after its start an instance may not have heard of all that started with it. Until then,
+	// listed instances count as live for the choice of readers: otherwise all would follow the store while a fleet starts.
 	discoveryTime = 4 * time.Second
 )
 
@@ -186,9 +184,7 @@
 		peers = a.exchange.KnownPeers()
 	}
 	isReader := Rank(a.self, peers) < storeReaders
-	if now.Sub(a.startedAt) >= listTime {
-		a.tables.SetReader(isReader)
-	}
+	a.tables.SetReader(isReader)
 	if home.ID != a.self.ID {
 		own := a.ownUsages()
 		if own.isIdle() && a.othersIdle && now.Sub(a.sentAt) < idleReportInterval-reportInterval/2 {
--- a/internal/serving/syncer/syncer.go
+++ b/internal/serving/syncer/syncer.go
@@ -64,8 +64,8 @@
 	maxRetryDelay = 800 * time.Millisecond
 	// peerFetchDelay is how long an instance waits for a change from the store before it fetches it from a peer.
 	peerFetchDelay = 250 * time.Millisecond
-	// maxStartDelay is how long after its start an instance that is no reader waits for the tables from a peer before it
-	// reads the store for the first time.
+	// maxStartDelay is how long after its start an instance that is no reader waits for a peer that relays changes before
+	// it follows the store itself.
 	maxStartDelay = 1500 * time.Millisecond
 	// readPauseTime is how long reads of the store are paused after a response of a peer that reads it.
 	// pauseCheckInterval is the time between checks whether the pause has ended.
@@ -234,15 +234,19 @@
 }
 
 // readsPaused reports whether reads of the store are paused because a peer reads it and relays changes, or may do so
-// shortly after the start.
+// shortly after the start. The first read is never paused: callers are refused until it is done.
 func (s *Syncer) readsPaused(t *followedTable) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.clock()
+	return s.isPaused(s.clock(), t)
+}
+
+// isPaused is readsPaused at now. The lock is held.
+func (s *Syncer) isPaused(now time.Time, t *followedTable) bool {
 	if t.replica.Version == 0 {
-		return !s.isReader && now.Sub(s.startedAt) < maxStartDelay
+		return false
 	}
-	return now.Before(s.readsPausedUntil)
+	return now.Before(s.readsPausedUntil) || !s.isReader && now.Sub(s.startedAt) < maxStartDelay
 }
 
 // SetReader states whether this instance is one of those that read the store in any case.
@@ -351,7 +355,7 @@
 // relays changes to this instance: such a peer publishes them, and a version from each instance would cost all others a
 // message. The lock is held.
 func (s *Syncer) publishHead(now time.Time, t *followedTable) {
-	if t.replica.Version <= t.publishedVersion || now.Before(s.readsPausedUntil) {
+	if t.replica.Version <= t.publishedVersion || s.isPaused(now, t) {
 		return
 	}
 	t.publishedVersion = t.replica.Version
--- a/internal/serving/syncer/syncer_test.go
+++ b/internal/serving/syncer/syncer_test.go
@@ -146,6 +146,32 @@
 	}
 }
 
+// TestOthersThanReadersWaitAfterTheFirstRead checks that the first read is never paused, that an instance which is no
+// reader follows the store only once no peer has relayed changes for a while after the start, and that it publishes no
+// version meanwhile.
+func TestOthersThanReadersWaitAfterTheFirstRead(t *testing.T) {
+	c := &clock{now: startTime}
+	s, f, _ := newSyncer(c, false)
+	s.startedAt = startTime
+	if s.readsPaused(f) {
+		t.Error("the first read is paused")
+	}
+	s.apply(f, page(1, replicator.Row{Key: "a", Version: 1}), true, true)
+	if !s.readsPaused(f) || f.publishedVersion != 0 {
+		t.Errorf("paused %v, version %d published, want a pause and none", s.readsPaused(f), f.publishedVersion)
+	}
+	c.advance(maxStartDelay)
+	s.fetchFromPeer(f)
+	if s.readsPaused(f) || f.publishedVersion != 1 {
+		t.Errorf("paused %v, version %d published without a peer that relays changes", s.readsPaused(f), f.publishedVersion)
+	}
+	s.startedAt = c.get()
+	s.SetReader(true)
+	if s.readsPaused(f) {
+		t.Error("a reader is paused at the start")
+	}
+}
+
 // changingStore is a store whose table changes all the time. A peer relays each change just before the store returns
 // it.
 type changingStore struct {
@@ -176,6 +202,7 @@
 	s.apply(f, page(1, replicator.Row{Key: "a", Version: 1}), true, true)
 	cs := &changingStore{syncer: s, table: f, version: 1, calledAt: make(chan time.Time, 5)}
 	s.store = cs
+	s.SetReader(true)
 	s.Start()
 	defer s.Close()
 	first := <-cs.calledAt
