Let few instances read the store while their home does not reach it

Cause: an instance pauses its reads of the store only while its home reads it.

Change: while the home does not reach the store, three further instances of its data centre read it in addition to the three that always do. The others wait for changes, which the home and they hear of by gossip from readers of any data centre.

--- a/internal/serving/accountant/accountant.go
+++ b/internal/serving/accountant/accountant.go
@@ -85,6 +85,10 @@
 	// storeReaders is the number of instances in each data centre that read the store themselves. One whose reads hang
 	// without an error continues as if nothing had changed. If all of them hang at once, changes still spread by gossip.
 	storeReaders = 3
+	// spareReaders is the number of further instances in each data centre that read the store while the home does not reach
+	// it. The others wait for changes from peers: if all of a large fleet asked an unreachable store, the calls would cost
+	// more than they could bring.
+	spareReaders = 3
 	// discoveryTime is how long after its start an instance may not have heard of all that started with it. Until then,
 	// listed instances count as live for the choice of readers: otherwise all would follow the store while a fleet starts.
 	discoveryTime = 4 * time.Second
@@ -183,15 +187,15 @@
 	if now.Sub(a.startedAt) < discoveryTime {
 		peers = a.exchange.KnownPeers()
 	}
-	isReader := Rank(a.self, peers) < storeReaders
-	a.tables.SetReader(isReader)
+	rank := Rank(a.self, peers)
+	a.tables.SetReader(rank < storeReaders)
 	if home.ID != a.self.ID {
 		own := a.ownUsages()
 		if own.isIdle() && a.othersIdle && now.Sub(a.sentAt) < idleReportInterval-reportInterval/2 {
 			return
 		}
 		a.sentAt = now
-		a.sendReport(now, home, Report{Owner: a.self.ID, Centre: a.self.DataCentre, Usages: own}, !isReader)
+		a.sendReport(now, home, Report{Owner: a.self.ID, Centre: a.self.DataCentre, Usages: own}, rank)
 		return
 	}
 	a.refresh(now)
@@ -211,12 +215,12 @@
 // run sends a report to one other home.
 func (a *Accountant) run(wait *sync.WaitGroup, now time.Time, peer gossiper.Peer, r Report) {
 	defer wait.Done()
-	a.sendReport(now, peer, r, false)
+	a.sendReport(now, peer, r, 0)
 }
 
-// sendReport sends a report to a home and records the reply. With mayPauseReads, this instance pauses its own reads of
-// the store if the home reads it.
-func (a *Accountant) sendReport(now time.Time, peer gossiper.Peer, r Report, mayPauseReads bool) {
+// sendReport sends a report to a home and records the reply, which may pause this instance's own reads of the store,
+// depending on its rank.
+func (a *Accountant) sendReport(now time.Time, peer gossiper.Peer, r Report, rank int) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	var reply Reply
@@ -229,7 +233,7 @@
 	}
 	if !r.Home {
 		a.othersIdle = reply.Usages.isIdle()
-		a.tables.RecordPeerHeads(a.clock(), peer, reply.Heads, reply.Fresh && mayPauseReads)
+		a.tables.RecordPeerHeads(a.clock(), peer, reply.Heads, pausesReads(rank, reply.Fresh))
 		a.onUpdate(a.clock(), reply.Usages)
 		return
 	}
@@ -319,6 +323,12 @@
 	return n
 }
 
+// pausesReads reports whether an instance with a rank pauses its reads of the store after a reply of its home. Fresh states
+// whether the home reads the store itself.
+func pausesReads(rank int, fresh bool) bool {
+	return rank >= storeReaders+spareReaders || rank >= storeReaders && fresh
+}
+
 // Accounts holds the methods that peers call over net/rpc.
 type Accounts struct {
 	a *Accountant
--- a/internal/serving/accountant/accountant_test.go
+++ b/internal/serving/accountant/accountant_test.go
@@ -126,6 +126,22 @@
 	ti.exchange.Close()
 }
 
+// TestPausesReads checks which instances read the store while the home reaches it and while it does not.
+func TestPausesReads(t *testing.T) {
+	for _, c := range []struct {
+		rank  int
+		fresh bool
+		want  bool
+	}{
+		{0, true, false}, {2, true, false}, {3, true, true}, {38, true, true},
+		{0, false, false}, {2, false, false}, {3, false, false}, {5, false, false}, {6, false, true}, {38, false, true},
+	} {
+		if got := pausesReads(c.rank, c.fresh); got != c.want {
+			t.Errorf("rank %d, home reads the store %v: pauses %v, want %v", c.rank, c.fresh, got, c.want)
+		}
+	}
+}
+
 func TestEachReceivesTheReservationsOfTheOthers(t *testing.T) {
 	instances := newInstances(t, "x", "x", "y", "y", "x", "x")
 	for i, want := range []float64{111110, 111101, 111011, 110111, 101111, 11111} {
