Split the report of an accountant, and share one loop

Cause: report had grown to choose homes, rank and both kinds of reports, and two loops of the gateway were the same.

Change: chooseHomes, reportToHome and reportToHomes; loop takes its interval and function. No change of behaviour.

Measured: the tests of accountant and gateway with the race detector, and those of platform, pass.

--- a/internal/serving/accountant/accountant.go
+++ b/internal/serving/accountant/accountant.go
@@ -171,40 +171,53 @@
 func (a *Accountant) report() {
 	now := a.clock()
 	peers := a.exchange.LivePeers()
+	homes := a.chooseHomes(now, peers)
+	if now.Sub(a.startedAt) < discoveryTime {
+		peers = a.exchange.KnownPeers()
+	}
+	rank := Rank(a.self, peers)
+	a.tables.SetReader(rank < storeReaders)
+	if home := homes[a.self.DataCentre]; home.ID != a.self.ID {
+		a.reportToHome(now, home, rank)
+		return
+	}
+	delete(homes, a.self.DataCentre)
+	a.reportToHomes(now, homes)
+}
+
+// chooseHomes returns the home of each data centre, and logs a change of this instance's home.
+func (a *Accountant) chooseHomes(now time.Time, peers []gossiper.Peer) map[string]gossiper.Peer {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	for id, until := range a.cooldowns {
 		if now.After(until) {
 			delete(a.cooldowns, id)
 		}
 	}
 	homes := Homes(a.self, peers, func(id string) bool { return now.Before(a.cooldowns[id]) })
-	home := homes[a.self.DataCentre]
-	if home.ID != a.home {
+	if home := homes[a.self.DataCentre]; home.ID != a.home {
 		a.log.Info("data centre has a new home", "centre", a.self.DataCentre, "home", home.ID, "before", a.home)
 		a.home = home.ID
 	}
-	a.mu.Unlock()
-	if now.Sub(a.startedAt) < discoveryTime {
-		peers = a.exchange.KnownPeers()
-	}
-	rank := Rank(a.self, peers)
-	a.tables.SetReader(rank < storeReaders)
-	if home.ID != a.self.ID {
-		own := a.ownUsages()
-		if own.isIdle() && a.othersIdle && now.Sub(a.sentAt) < idleReportInterval-reportInterval/2 {
-			return
-		}
-		a.sentAt = now
-		a.sendReport(now, home, Report{Owner: a.self.ID, Centre: a.self.DataCentre, Usages: own}, rank)
+	return homes
+}
+
+// reportToHome sends a report to the home of the data centre, less often while nothing is reserved.
+func (a *Accountant) reportToHome(now time.Time, home gossiper.Peer, rank int) {
+	own := a.ownUsages()
+	if own.isIdle() && a.othersIdle && now.Sub(a.sentAt) < idleReportInterval-reportInterval/2 {
 		return
 	}
+	a.sentAt = now
+	a.sendReport(now, home, Report{Owner: a.self.ID, Centre: a.self.DataCentre, Usages: own}, rank)
+}
+
+// reportToHomes sends the sum of this data centre to the homes of the others.
+func (a *Accountant) reportToHomes(now time.Time, homes map[string]gossiper.Peer) {
 	a.refresh(now)
 	sum := a.sumOfCentre()
 	var wait sync.WaitGroup
-	for centre, peer := range homes {
-		if centre == a.self.DataCentre {
-			continue
-		}
+	for _, peer := range homes {
 		wait.Add(1)
 		go a.run(&wait, now, peer, Report{Owner: a.self.ID, Centre: a.self.DataCentre, Home: true, Usages: sum})
 	}
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -188,8 +188,8 @@
 	}
 	g.wait.Add(3)
 	go g.loopChecks()
-	go g.loopMembers()
-	go g.loopGauges()
+	go g.loop(memberInterval, g.followMembers)
+	go g.loop(gaugeInterval, g.updateGauges)
 	g.log.Info("instance started", "name", g.settings.Name, "id", g.settings.ID, "callers", g.settings.CallersAddress,
 		"peers", g.settings.PeersAddress, "datacentre", g.settings.DataCentre)
 	return nil
--- a/internal/serving/gateway/updates.go
+++ b/internal/serving/gateway/updates.go
@@ -108,38 +108,28 @@
 	return out
 }
 
-// loopGauges updates the gauges until done is closed.
-func (g *Gateway) loopGauges() {
+// loop calls f at each interval until done is closed.
+func (g *Gateway) loop(interval time.Duration, f func(now time.Time)) {
 	defer g.wait.Done()
-	t := time.NewTicker(gaugeInterval)
+	t := time.NewTicker(interval)
 	defer t.Stop()
 	for {
 		select {
 		case <-g.done:
 			return
 		case <-t.C:
-			g.updateGauges(g.clock())
+			f(g.clock())
 		}
 	}
 }
 
-// loopMembers follows the number of instances and assigns the watches until done is closed.
-func (g *Gateway) loopMembers() {
-	defer g.wait.Done()
-	t := time.NewTicker(memberInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-g.done:
-			return
-		case <-t.C:
-			instances := len(g.exchange.KnownPeers()) + 1
-			for _, a := range g.forwarder.Allocators() {
-				a.SetInstanceCount(instances)
-			}
-			g.assignWatches()
-		}
+// followMembers passes on the number of instances and assigns the watches among them.
+func (g *Gateway) followMembers(time.Time) {
+	instances := len(g.exchange.KnownPeers()) + 1
+	for _, a := range g.forwarder.Allocators() {
+		a.SetInstanceCount(instances)
 	}
+	g.assignWatches()
 }
 
 // updateGauges sets this instance's gauges, and logs which layer is short of memory.
