--- a/internal/serving/gateway/losses.go
+++ b/internal/serving/gateway/losses.go
@@ -15,6 +15,9 @@
 const (
 	// watchersPerEndpoint is the number of instances that watch an endpoint: one of them may be partitioned or down.
 	watchersPerEndpoint = 2
+	// watchDelay is how long after its start an instance watches no endpoint: it may not know the other instances yet, and
+	// would open a connection to each endpoint. Those of a data centre that starts anew as a whole are not watched meanwhile.
+	watchDelay = 2 * time.Second
 	// lossReportTimeout bounds the call that reports a loss to a peer. A response within a region takes a few
 	// milliseconds.
 	lossReportTimeout = 400 * time.Millisecond
@@ -54,7 +57,10 @@
 
 // assignWatches sets the endpoints that this instance watches. The endpoints of services that generate streams are
 // assigned to the instances of their data centres. Nothing is done while neither instances nor endpoints have changed.
-func (g *Gateway) assignWatches() {
+func (g *Gateway) assignWatches(now time.Time) {
+	if now.Sub(g.startedAt) < watchDelay {
+		return
+	}
 	instances := []assigner.Node{g.assignerNode(g.exchange.Self())}
 	for _, p := range g.exchange.LivePeers() {
 		if !p.Leaving && p.Region == g.settings.Region {
--- a/internal/serving/gateway/losses_test.go
+++ b/internal/serving/gateway/losses_test.go
@@ -2,11 +2,36 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"testing"
+	"time"
 
 	"github.com/heatherrock/heatherrock/internal/control/gossiper"
+	"github.com/heatherrock/heatherrock/internal/routing/matcher"
+	"github.com/heatherrock/heatherrock/internal/routing/placer"
+	"github.com/heatherrock/heatherrock/internal/serving/director"
 )
 
+// TestEndpointsAreWatchedOnceInstancesAreKnown checks that an instance opens no connections to endpoints before it can know
+// which of them it is to watch.
+func TestEndpointsAreWatchedOnceInstancesAreKnown(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := New(Settings{ID: "a", DataCentre: "d", Region: "r"}, Platform{}, slog.New(slog.DiscardHandler), func() time.Time { return now })
+	defer g.sentry.Close()
+	g.startedAt, g.endpointsChanged = now, true
+	g.forwarder.Configure(&matcher.Configuration{Services: map[string]matcher.Service{"s": {Engine: &placer.Engine{}}}})
+	g.endpoints["e"] = director.Endpoint{Holder: placer.Holder{ID: "e", DataCentre: "d"}, Service: "s", Address: "127.0.0.1:1"}
+	for _, c := range []struct {
+		after time.Duration
+		want  int
+	}{{250 * time.Millisecond, 0}, {watchDelay - time.Millisecond, 0}, {watchDelay, 1}} {
+		g.assignWatches(now.Add(c.after))
+		if got := g.sentry.Watched(); got != c.want {
+			t.Errorf("%v after the start %d endpoints are watched, want %d", c.after, got, c.want)
+		}
+	}
+}
+
 // TestReportsReachEachInstanceOnce passes a report on through fleets of different sizes: each instance gets it once, after a
 // bounded number of calls one after another, and none calls more than lossFanOut others.
 func TestReportsReachEachInstanceOnce(t *testing.T) {
--- a/internal/serving/gateway/updates.go
+++ b/internal/serving/gateway/updates.go
@@ -124,12 +124,12 @@
 }
 
 // followMembers passes on the number of instances and assigns the watches among them.
-func (g *Gateway) followMembers(time.Time) {
+func (g *Gateway) followMembers(now time.Time) {
 	instances := len(g.exchange.KnownPeers()) + 1
 	for _, a := range g.forwarder.Allocators() {
 		a.SetInstanceCount(instances)
 	}
-	g.assignWatches()
+	g.assignWatches(now)
 }
 
 // updateGauges sets this instance's gauges, and logs which layer is short of memory.
