--- a/internal/control/gossiper/member.go
+++ b/internal/control/gossiper/member.go
@@ -29,7 +29,7 @@
 	LastFailedAt time.Time
 }
 
-// memberIndex holds what is derived from the members, so that a caller does not pay for each of them at each call.
+// memberIndex holds what is derived from the members, so that a call does not walk all of them.
 type memberIndex struct {
 	// ids holds the IDs of the members in order; nil if a member has been added or removed since.
 	ids []string
@@ -48,9 +48,9 @@
 const (
 	// maxPartners is the number of members of each kind among which rounds choose.
 	maxPartners = 8
-	// strangerEvery is the number of rounds among which one also exchanges with any live peer: an instance that few have
-	// among their partners would learn of changes late.
-	strangerEvery = 16
+	// randomPeerEvery is the number of rounds among which one also exchanges with a random live peer: an instance that few
+	// have among their partners would learn of changes late.
+	randomPeerEvery = 16
 )
 
 // retryAfter is the time without exchanges with a peer after one has failed.
@@ -152,15 +152,20 @@
 // LivePeers returns the other instances that are alive or suspected, ordered by ID. The caller must not change the
 // result.
 func (g *Gossiper) LivePeers(now time.Time) []Peer {
+	g.refreshIndex(now)
+	return g.index.live
+}
+
+// refreshIndex derives the index anew if it does not hold at now.
+func (g *Gossiper) refreshIndex(now time.Time) {
 	if !g.index.isLiveKnown || now.After(g.index.liveUntil) {
 		g.indexLive(now)
 	}
-	return g.index.live
 }
 
 // LivePeer returns the instance with an ID, and whether it is among the live peers.
 func (g *Gossiper) LivePeer(now time.Time, id string) (Peer, bool) {
-	g.LivePeers(now)
+	g.refreshIndex(now)
 	return g.Members[id].Peer, g.index.liveIDs[id]
 }
 
@@ -188,16 +193,16 @@
 // KnownPeers returns the other instances that have not announced that they are leaving, ordered by ID. It includes
 // those that are gone and those known only from a list. The caller must not change the result.
 func (g *Gossiper) KnownPeers(now time.Time) []Peer {
-	g.LivePeers(now)
+	g.refreshIndex(now)
 	return g.index.known
 }
 
 // PickPeers returns the peers of a round: some of the partners of the own data centre, in one of three rounds one of
 // those of another data centre of the region, in one of four one of another region, in one of eight a peer that is gone or
-// only listed, so that partitions of the fleet merge again, and in one of strangerEvery any live peer. With urgent changes,
+// only listed, so that partitions of the fleet merge again, and in one of randomPeerEvery any live peer. With urgent changes,
 // each round reaches another data centre and every second one another region.
 func (g *Gossiper) PickPeers(now time.Time, r *rand.Rand) []Peer {
-	g.LivePeers(now)
+	g.refreshIndex(now)
 	near := g.reachable(now, g.index.near)
 	region := g.reachable(now, g.index.region)
 	far := g.reachable(now, g.index.far)
@@ -211,9 +216,8 @@
 	picked = append(picked, sample(r, region, drawCount(r, regionEvery, len(near) == 0))...)
 	picked = append(picked, sample(r, far, drawCount(r, farEvery, len(near)+len(region) == 0))...)
 	picked = append(picked, sample(r, gone, drawCount(r, 8, count == 0))...)
-	if live := g.index.live; len(live) > 0 && drawCount(r, strangerEvery, false) > 0 {
-		stranger := live[r.IntN(len(live))].ID
-		picked = append(picked, g.reachable(now, []string{stranger})...)
+	if live := g.index.live; len(live) > 0 && drawCount(r, randomPeerEvery, false) > 0 {
+		picked = append(picked, g.reachable(now, []string{live[r.IntN(len(live))].ID})...)
 	}
 	out := make([]Peer, len(picked))
 	for i, id := range picked {
--- a/internal/control/gossiper/member_test.go
+++ b/internal/control/gossiper/member_test.go
@@ -108,7 +108,7 @@
 		f.round()
 	}
 	for id, ps := range partners {
-		// The partners of two kinds, and some strangers.
+		// The partners of two kinds, and some random peers.
 		if want := 3 * maxPartners; len(ps) > want {
 			t.Errorf("%s exchanged with %d instances, want %d at most", id, len(ps), want)
 		}
