Tell an unanswered read of the store from a paused one and from a change not in force

Cause: between the last change that was in force and the loss of the store 17 s later the logs have no line, and the gauges read as usual: a lost read, a pause for a peer and a change that is not applied look alike.

Change: the line of the loss says how long the read was pending; gauges for the pending read, the pause and the version of the copy. TestStatusTellsAnUnansweredReadFromAPause.

--- a/internal/serving/gateway/updates.go
+++ b/internal/serving/gateway/updates.go
@@ -151,10 +151,13 @@
 		g.meter.Scope().Tagged(map[string]string{"service": service}).Gauge("repeats_left").Update(left)
 	}
 	for _, table := range []string{g.platform.ConfigTable, g.platform.EndpointTable} {
-		age, reached := g.syncer.Age(now, table)
+		status, _ := g.syncer.Status(now, table)
 		scope := g.meter.Scope().Tagged(map[string]string{"table": table})
-		scope.Gauge("table_age").Update(age.Seconds())
-		scope.Gauge("store_reached").Update(boolGauge(reached))
+		scope.Gauge("table_age").Update(status.Age.Seconds())
+		scope.Gauge("table_version").Update(float64(status.Version))
+		scope.Gauge("store_reached").Update(boolGauge(status.Reached))
+		scope.Gauge("read_pending").Update(status.Pending.Seconds())
+		scope.Gauge("reads_paused").Update(boolGauge(status.Paused))
 	}
 	if c := g.forwarder.Configuration(); c != nil {
 		g.meter.SetGauge("configuration", float64(c.Version))
--- a/internal/serving/syncer/syncer.go
+++ b/internal/serving/syncer/syncer.go
@@ -94,6 +94,8 @@
 	// delayedDeletions holds the deletions that OnChange has not been called with yet, by key.
 	lastFailureAt time.Time
 	storeFailed   bool
+	// readStartedAt is when the read of the store in progress was sent; a zero time means that there is none.
+	readStartedAt time.Time
 	// publishedVersion is the version that gossip last announced.
 	publishedVersion int64
 	delayedDeletions map[string]delayedDeletion
@@ -185,7 +187,6 @@
 		pause := time.Duration(0)
 		switch {
 		case err != nil:
-			s.recordFailure(t, err)
 			pause = retry
 			retry = min(2*retry, maxRetryDelay)
 		case changed:
@@ -207,6 +208,7 @@
 	s.mu.Lock()
 	version := t.replica.Version
 	failed := t.storeFailed
+	t.readStartedAt = s.clock()
 	s.mu.Unlock()
 	full := version == 0
 	var page replicator.Page
@@ -227,6 +229,7 @@
 		cancel()
 	}
 	if err != nil {
+		s.recordFailure(t, err)
 		return false, err
 	}
 	s.apply(t, page, full, true)
@@ -296,11 +299,22 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t.lastFailureAt = s.clock()
+	now := s.clock()
+	pending := t.pendingTime(now)
+	t.readStartedAt = time.Time{}
+	t.lastFailureAt = now
 	if !t.storeFailed {
 		t.storeFailed = true
-		s.log.Warn("store lost", "table", t.Name, "version", t.replica.Version, "error", err)
+		s.log.Warn("store lost", "table", t.Name, "version", t.replica.Version, "pending", pending.Seconds(), "error", err)
+	}
+}
+
+// pendingTime returns how long the read of the store in progress has been unanswered, and 0 if there is none.
+func (t *followedTable) pendingTime(now time.Time) time.Duration {
+	if t.readStartedAt.IsZero() {
+		return 0
 	}
+	return now.Sub(t.readStartedAt)
 }
 
 // apply applies a page from the store or a peer to the copy of a table, and reports the changes. A full page replaces
@@ -309,6 +323,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
+	if fromStore {
+		t.readStartedAt = time.Time{}
+	}
 	if fromStore && t.storeFailed {
 		t.storeFailed = false
 		s.log.Info("store regained", "table", t.Name, "version", page.Version)
@@ -461,13 +478,29 @@
 	return nil
 }
 
-// Age returns how long ago a table was last read from the store or a peer, and whether the store is reachable.
-func (s *Syncer) Age(now time.Time, table string) (time.Duration, bool) {
+// Status is what is known of an instance's copy of a table.
+type Status struct {
+	// Version is the version of the copy, and Age how long ago a read of the store or a peer confirmed it.
+	Version int64
+	Age     time.Duration
+	// Reached is true if the last read of the store succeeded.
+	Reached bool
+	// Pending is how long the read of the store in progress has been unanswered; 0 means that there is none.
+	Pending time.Duration
+	// Paused is true while this instance leaves the reads of the store to a peer.
+	Paused bool
+}
+
+// Status returns the status of a table at now, and whether it has been read.
+func (s *Syncer) Status(now time.Time, table string) (Status, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t, ok := s.tables[table]
 	if !ok || t.replica.ConfirmedAt.IsZero() {
-		return 0, false
+		return Status{}, false
 	}
-	return now.Sub(t.replica.ConfirmedAt), !t.storeFailed
+	return Status{
+		Version: t.replica.Version, Age: now.Sub(t.replica.ConfirmedAt), Reached: !t.storeFailed,
+		Pending: t.pendingTime(now), Paused: s.isPaused(now, t),
+	}, true
 }
--- a/internal/serving/syncer/syncer_test.go
+++ b/internal/serving/syncer/syncer_test.go
@@ -214,3 +214,42 @@
 		first = last
 	}
 }
+
+// silentStore is a store that does not respond to reads of changes.
+type silentStore struct {
+	unusedStore
+	called chan struct{}
+}
+
+// Changes waits for the end of the context.
+func (ss *silentStore) Changes(ctx context.Context, _ string, _ int64, _ time.Duration) (replicator.Page, error) {
+	ss.called <- struct{}{}
+	<-ctx.Done()
+	return replicator.Page{}, ctx.Err()
+}
+
+// TestStatusTellsAnUnansweredReadFromAPause checks what the status says of a read without a response, and of a table that
+// a peer reads.
+func TestStatusTellsAnUnansweredReadFromAPause(t *testing.T) {
+	c := &clock{now: startTime}
+	s, f, _ := newSyncer(c, false)
+	if _, ok := s.Status(c.get(), "t"); ok {
+		t.Error("there is a status before the first read")
+	}
+	s.apply(f, page(3, replicator.Row{Key: "a", Version: 3}), true, true)
+	store := &silentStore{called: make(chan struct{}, 1)}
+	s.store = store
+	s.SetReader(true)
+	s.Start()
+	<-store.called
+	c.advance(4 * time.Second)
+	want := Status{Version: 3, Age: 4 * time.Second, Reached: true, Pending: 4 * time.Second}
+	if got, _ := s.Status(c.get(), "t"); got != want {
+		t.Errorf("status of an unanswered read: %+v, want %+v", got, want)
+	}
+	s.Close()
+	s.RecordPeerHeads(c.get(), gossiper.Peer{ID: "home"}, map[string]int64{"t": 3}, true)
+	if got, _ := s.Status(c.get(), "t"); !got.Paused {
+		t.Errorf("status while a peer reads: %+v, want a pause", got)
+	}
+}
