End each read of the store within the time in which its changes must be in force

What callers saw: after a silence of the store of 2.5 s they got 404 and 401 for routes and keys that the confirmed configuration had, and requests ran with a key that it had dropped, until 15 s later.

Cause: a wait that no evidence bounds. The store held a read of changes for up to 15 s and the client waited 2 s more. A read that the store had lost looked like a table that does not change; all instances had just read the same change, so all lost their reads, and gossip had nothing to tell. Both tables were read in the same way.

Evidence: pending 17.00 s on all seven instances, none paused.

Change: a table states the longest delay of its changes, from the platform's bounds for configurations and for endpoints that leave. The store is asked to hold a read for half of that, and the read counts as lost after three quarters; the one after it is not held and ends after 1 s. The loss is noticed within the delay, whatever else is read meanwhile.

Ruled out: keep-alive probes, which the connection passes; more readers, as all lose their reads at once.

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -96,18 +96,20 @@
 func gatewaySettings(s platform.Settings) gateway.Settings {
 	internalAddress := func(offset int) string { return net.JoinHostPort(s.IP, strconv.Itoa(s.Ports[0]+offset)) }
 	return gateway.Settings{
-		ID:             fmt.Sprintf("%s-%s", s.Name, randomSuffix()),
-		Name:           s.Name,
-		DataCentre:     s.DataCentre,
-		Region:         s.Region,
-		CallersAddress: s.Listen.Callers,
-		ReadyAddress:   s.Listen.Ready,
-		PeersAddress:   internalAddress(0),
-		MetricsAddress: internalAddress(1),
-		GracePeriod:    s.Grace(),
-		RetryShare:     s.Bounds.BudgetRatio,
-		RetrySlack:     s.Bounds.BudgetSlack,
-		RetryWindow:    time.Duration(s.Bounds.BudgetWindow * float64(time.Second)),
+		ID:               fmt.Sprintf("%s-%s", s.Name, randomSuffix()),
+		Name:             s.Name,
+		DataCentre:       s.DataCentre,
+		Region:           s.Region,
+		CallersAddress:   s.Listen.Callers,
+		ReadyAddress:     s.Listen.Ready,
+		PeersAddress:     internalAddress(0),
+		MetricsAddress:   internalAddress(1),
+		GracePeriod:      s.Grace(),
+		MaxConfigDelay:   s.ConfigDelay(),
+		MaxEndpointDelay: s.DrainDelay(),
+		RetryShare:       s.Bounds.BudgetRatio,
+		RetrySlack:       s.Bounds.BudgetSlack,
+		RetryWindow:      time.Duration(s.Bounds.BudgetWindow * float64(time.Second)),
 	}
 }
 
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -43,6 +43,10 @@
 	MetricsAddress string
 	// GracePeriod is the time between the request to stop and the end of the process.
 	GracePeriod time.Duration
+	// MaxConfigDelay and MaxEndpointDelay are the maximum delays with which changes of the configuration and of the
+	// endpoints come into force. Zero means the default of the syncer.
+	MaxConfigDelay   time.Duration
+	MaxEndpointDelay time.Duration
 	// RetryShare and RetrySlack bound the retries of the whole fleet within RetryWindow: a share of the requests, plus
 	// a fixed number.
 	RetryShare  float64
@@ -151,8 +155,8 @@
 		exchanger.WithGossip(gossiper.WithHeartbeat(0, suspectTimeout/3), gossiper.WithExpiry(suspectTimeout, expireTimeout)),
 	)
 	g.syncer = syncer.New(g.platform.Store, g.exchange, log, clock,
-		syncer.Table{Name: p.ConfigTable, OnChange: g.handleConfigRows},
-		syncer.Table{Name: p.EndpointTable, OnChange: g.handleEndpointRows, DelaysDeletions: true},
+		syncer.Table{Name: p.ConfigTable, OnChange: g.handleConfigRows, MaxDelay: s.MaxConfigDelay},
+		syncer.Table{Name: p.EndpointTable, OnChange: g.handleEndpointRows, DelaysDeletions: true, MaxDelay: s.MaxEndpointDelay},
 	)
 	g.sentry = sentry.New(log, clock, g.reportLoss)
 	if err := g.exchange.Register("Losses", &Losses{g}); err != nil {
--- a/internal/serving/syncer/syncer.go
+++ b/internal/serving/syncer/syncer.go
@@ -3,6 +3,7 @@
 package syncer
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -52,10 +53,12 @@
 
 // The intervals of a Syncer.
 const (
-	// pollTimeout is how long the store holds a request for changes open.
-	pollTimeout = 15 * time.Second
-	// callTimeout bounds any other call.
-	callTimeout = 2 * time.Second
+	// defaultMaxDelay is the maximum delay of changes of a table that states none.
+	defaultMaxDelay = 2 * time.Second
+	// callTimeout bounds a read of a whole table and a call of a peer, and changesTimeout a read of changes that the store
+	// does not hold.
+	callTimeout    = 2 * time.Second
+	changesTimeout = time.Second
 	// coalesceInterval is the pause after a read that returned changes, so that changes in quick succession cost one
 	// call.
 	coalesceInterval = 150 * time.Millisecond
@@ -84,6 +87,16 @@
 	// DelaysDeletions reports whether rows may be lost during an outage of the store and written again after it, so that
 	// OnChange is called with deletions only after a delay.
 	DelaysDeletions bool
+	// MaxDelay is how long after the store's acknowledgement a change may arrive here, also if the store has lost a read of
+	// changes that it held. Zero means defaultMaxDelay.
+	MaxDelay time.Duration
+}
+
+// pollTimes returns how long the store is asked to hold a read of changes, and after what time the read counts as lost:
+// a lost read looks like a table that does not change.
+func (t Table) pollTimes() (hold, timeout time.Duration) {
+	d := cmp.Or(t.MaxDelay, defaultMaxDelay)
+	return d / 2, d * 3 / 4
 }
 
 // followedTable is a table with its local copy.
@@ -214,12 +227,12 @@
 	var page replicator.Page
 	var err error
 	if !full {
-		wait := pollTimeout
+		hold, timeout := t.pollTimes()
 		if failed {
-			wait = 0
+			hold, timeout = 0, changesTimeout
 		}
-		ctx, cancel := context.WithTimeout(s.readCtx, wait+callTimeout)
-		page, err = s.store.Changes(ctx, t.Name, version, wait)
+		ctx, cancel := context.WithTimeout(s.readCtx, timeout)
+		page, err = s.store.Changes(ctx, t.Name, version, hold)
 		cancel()
 		full = errors.Is(err, ErrHistoryDropped)
 	}
--- a/internal/standin/hoster/store.go
+++ b/internal/standin/hoster/store.go
@@ -30,6 +30,9 @@
 	Status int
 	// Silent makes calls hang until the fault is cleared.
 	Silent bool
+	// LoseCalls makes the store ignore calls, also those that it holds: it never responds to them, not even once the
+	// fault is cleared.
+	LoseCalls bool
 	// LoseWrites applies writes but resets the connection instead of responding.
 	LoseWrites bool
 	// DropHistory holds the tables for which the store responds, once each, that it has dropped the history.
@@ -46,6 +49,7 @@
 	changed    chan struct{}
 	faults     Faults
 	callCounts map[string]int
+	lostCalls  int
 }
 
 // NewStore starts a store.
@@ -84,6 +88,21 @@
 	return s.callCounts[name]
 }
 
+// LostCalls returns the number of calls that LoseCalls has made the store ignore.
+func (s *Store) LostCalls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lostCalls
+}
+
+// loseCall counts a lost call and waits until the client has given it up.
+func (s *Store) loseCall(r *http.Request) {
+	s.mu.Lock()
+	s.lostCalls++
+	s.mu.Unlock()
+	<-r.Context().Done()
+}
+
 // Put writes a row as the operator or a server does. A value other than []byte is encoded as JSON.
 func (s *Store) Put(table, key string, value any) {
 	content, ok := value.([]byte)
@@ -141,6 +160,10 @@
 				w.WriteHeader(f.Status)
 				return
 			}
+			if f.LoseCalls {
+				s.loseCall(r)
+				return
+			}
 			if !f.Silent {
 				break
 			}
@@ -191,6 +214,11 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		}
+		if s.faults.LoseCalls {
+			s.mu.Unlock()
+			s.loseCall(r)
+			return
+		}
 		rows, changed := s.rowsSince(q.Get("table"), after, true), s.changed
 		if len(rows) > 0 || timedOut || s.faults.Status != 0 {
 			s.writePage(w, rows)
