Let the soak's store lose calls for good, and write up the changes that were not in force

Cause: the stand-in's silent store answered the calls that it held once it was back, so no test or soak could lose a read.

Change: half of the soak's silent stores lose the calls; faults of earlier seeds are drawn as before. The bound of a configuration stands in the stand-in's settings.

--- a/internal/bench/soaker/checker.go
+++ b/internal/bench/soaker/checker.go
@@ -50,8 +50,6 @@
 	timeoutSlack = 500 * time.Millisecond
 	// maxPause is the pause of the soak process itself from which durations are no longer checked.
 	maxPause = 100 * time.Millisecond
-	// activationTime is how long after its acknowledgement a configuration may not be in force on every instance.
-	activationTime = 3 * time.Second
 )
 
 // Observations are what callers, endpoints and the operator recorded during a run.
@@ -171,13 +169,13 @@
 }
 
 // secondKeyViolations checks a request with the second key that no fault affected. It must be rejected once the key has
-// been dropped, and served once the key has been in force, for activationTime plus settleTime.
+// been dropped, and served once the key has been in force, for hoster.ConfigDelay plus settleTime.
 func (e Observations) secondKeyViolations(r Request) []string {
 	n := 0
 	for n < len(e.KeyChanges) && e.KeyChanges[n].Before(r.EndedAt) {
 		n++
 	}
-	if n == 0 || r.SentAt.Sub(e.KeyChanges[n-1]) < activationTime+settleTime {
+	if n == 0 || r.SentAt.Sub(e.KeyChanges[n-1]) < hoster.ConfigDelay+settleTime {
 		return nil
 	}
 	if inForce := n%2 == 1; inForce && r.Status != http.StatusOK {
--- a/internal/bench/soaker/faults.go
+++ b/internal/bench/soaker/faults.go
@@ -36,7 +36,7 @@
 	case StoreDown:
 		s.failStore(hoster.Faults{Status: http.StatusServiceUnavailable}, f.ActiveTime)
 	case StoreSilent:
-		s.failStore(hoster.Faults{Silent: true}, f.ActiveTime)
+		s.failStore(hoster.Faults{Silent: !f.LosesCalls, LoseCalls: f.LosesCalls}, f.ActiveTime)
 	case StoreLossy:
 		s.failStore(hoster.Faults{LoseWrites: true}, f.ActiveTime)
 	case StoreDropHistory:
--- a/internal/bench/soaker/plan.go
+++ b/internal/bench/soaker/plan.go
@@ -54,13 +54,20 @@
 	// LinkMode is the mode of a faulty link, and ServerFaultIndex the index of an endpoint's fault in serverFaults.
 	LinkMode         LinkMode
 	ServerFaultIndex int
+	// LosesCalls makes a silent store never answer the calls that it gets meanwhile and those that it held.
+	LosesCalls bool
 }
 
 // String returns the fault as a line of a report.
 func (f Fault) String() string {
 	s := fmt.Sprintf("%5.1fs %4.1fs %s", f.StartAfter.Seconds(), f.ActiveTime.Seconds(), f.Kind)
 	switch f.Kind {
-	case KillAll, StoreDown, StoreSilent, StoreLossy, StoreDropHistory, Configure:
+	case StoreSilent:
+		if f.LosesCalls {
+			s += " for good"
+		}
+		return s
+	case KillAll, StoreDown, StoreLossy, StoreDropHistory, Configure:
 		return s
 	case StoreLink, EndpointLink, CallerLink:
 		return fmt.Sprintf("%s %d %s", s, f.Target, f.LinkMode)
@@ -101,6 +108,8 @@
 // Plan draws the faults of a run of some length. The fault rate differs between seeds.
 func Plan(seed uint64, length time.Duration, instances, endpoints int) []Fault {
 	r := rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15))
+	// Draws of their own for what was added later keep the faults of earlier seeds.
+	variants := rand.New(rand.NewPCG(seed, 1))
 	totalWeight := 0
 	for _, w := range weights {
 		totalWeight += w.weight
@@ -119,6 +128,7 @@
 		}
 		f.LinkMode = linkModes[1+r.IntN(len(linkModes)-1)]
 		f.ServerFaultIndex = r.IntN(len(serverFaults))
+		f.LosesCalls = variants.IntN(2) == 0
 		if f.StartAfter+f.ActiveTime > length-quietTime {
 			break
 		}
--- a/internal/standin/hoster/operator.go
+++ b/internal/standin/hoster/operator.go
@@ -103,7 +103,7 @@
 		"listen":         map[string]any{"front": m.CallersAddress(), "ready": m.ReadyAddress()},
 		"internal_ports": []int{7340, 7355}, "limits": map[string]any{"memory_mb": 284}, "heartbeat_ms": 1200,
 		"bounds": map[string]any{
-			"grace_s": GracePeriod.Seconds(), "drain_ms": 3000, "stall_ms": 2500, "budget_ratio": BudgetRatio,
+			"grace_s": GracePeriod.Seconds(), "config_ms": ConfigDelay.Milliseconds(), "drain_ms": 3000, "stall_ms": 2500, "budget_ratio": BudgetRatio,
 			"budget_window_s": BudgetWindow.Seconds(), "budget_slack": BudgetSlack,
 		},
 		"platform": map[string]any{"address": m.StoreAddress},
@@ -117,6 +117,8 @@
 const (
 	// GracePeriod is the time between the request to stop and the end of the process.
 	GracePeriod = 8 * time.Second
+	// ConfigDelay is how long after its acknowledgement a configuration may not be in force on every instance.
+	ConfigDelay = 3 * time.Second
 	// BudgetRatio, BudgetSlack and BudgetWindow set the retry budget of a service: they bound the arrivals of each
 	// request beyond the first.
 	BudgetRatio  = 0.2
