--- a/internal/serving/forwarder/call.go
+++ b/internal/serving/forwarder/call.go
@@ -172,7 +172,7 @@
 		"kind", k.route.Kind.String(), "team", k.team.Name, "service", k.service, "configuration", k.config.Version,
 		"outcome", outcome, "status", k.status, "attempts", k.attempts, "events", k.eventCount,
 		"first", k.timeToFirstByte.Seconds(), "pause", k.longestGap.Seconds(), "took", now.Sub(k.startedAt).Seconds(),
-		"trail", strings.Join(k.trail, "; "))
+		"parts", strings.Join(k.request.PromptParts, ","), "trail", strings.Join(k.trail, "; "))
 }
 
 // readReply reads the whole body of a response and ends the use of the response.
--- a/internal/serving/forwarder/protocol.go
+++ b/internal/serving/forwarder/protocol.go
@@ -21,6 +21,8 @@
 	PromptTokens   int
 	MaxTokens      int
 	ExpectedTokens int
+	// PromptParts identifies the parts of the prompt that other requests may share, in their order: all but the last.
+	PromptParts []string
 }
 
 // Delivery holds what an endpoint receives in addition to the caller's own headers.
