Keep requests with a part that crashes endpoints away from them

Cause: an instance remembered nothing of a request under which an endpoint crashed. It sent it to another endpoint, its caller sent it again, and other requests with the same part came at other instances. Each loss moved all streams of an endpoint, which spent the budget for sending again, until no endpoint with the first layers was left.

Evidence: of 181 parts one was in 100 requests without an event, beside 42 sends that broke off; the first parts and callers of the same requests had events in others.

Change: routing/screener finds the parts under which endpoints crash and no request begins, forwarder tries one request with a suspected part at a time and refuses those with a part that is found, and instances tell each other at once. A request that begins clears its parts, which is why sound ones that share the other parts and callers run. The spread of loss reports is shared with that of suspicions.

--- a/internal/routing/reserver/reserver.go
+++ b/internal/routing/reserver/reserver.go
@@ -45,6 +45,15 @@
 	LinkRate float64
 }
 
+// EndpointIDs returns the ids of the endpoints of the stages, in their order.
+func (p Path) EndpointIDs() []string {
+	ids := make([]string, len(p.Stages))
+	for i, stage := range p.Stages {
+		ids[i] = stage.Endpoint.ID
+	}
+	return ids
+}
+
 // PathRequest asks for a path.
 type PathRequest struct {
 	// PromptTokens is the number of tokens to read, and AnswerTokens the number expected to be generated.
--- a/internal/serving/forwarder/allocator.go
+++ b/internal/serving/forwarder/allocator.go
@@ -211,13 +211,9 @@
 // WatchStream begins to monitor a stream. The function onSilent is called when it has gone silent, and again while it
 // stays silent until UnwatchStream is called.
 func (a *Allocator) WatchStream(now time.Time, id string, p reserver.Path, onSilent func(monitor.Verdict)) {
-	ids := make([]string, len(p.Stages))
-	for i, stage := range p.Stages {
-		ids[i] = stage.Endpoint.ID
-	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.monitor.Open(now, id, ids, p.TimeToFirstToken)
+	a.monitor.Open(now, id, p.EndpointIDs(), p.TimeToFirstToken)
 	a.onSilent[id] = onSilent
 }
 
--- a/internal/serving/forwarder/forwarder.go
+++ b/internal/serving/forwarder/forwarder.go
@@ -21,6 +21,7 @@
 	"github.com/heatherrock/heatherrock/internal/routing/limiter"
 	"github.com/heatherrock/heatherrock/internal/routing/matcher"
 	"github.com/heatherrock/heatherrock/internal/routing/reserver"
+	"github.com/heatherrock/heatherrock/internal/routing/screener"
 	"github.com/heatherrock/heatherrock/internal/routing/selector"
 	"github.com/heatherrock/heatherrock/internal/serving/connector"
 )
@@ -46,6 +47,8 @@
 	leaving  atomic.Bool
 	inFlight atomic.Int64
 	memory   memoryBudget
+	// screening keeps requests that crash endpoints away from further ones.
+	screening *screening
 	// busy receives a value when a request begins while none is in progress.
 	busy chan struct{}
 
@@ -101,6 +104,12 @@
 	return func(f *Forwarder) { f.random = rand.New(rand.NewPCG(seed, seed)) }
 }
 
+// WithReporter sets the function that passes on to the other instances what this one has found out about requests that crash
+// endpoints. It must not wait for them.
+func WithReporter(report func(screener.Report)) Option {
+	return func(f *Forwarder) { f.screening.report = report }
+}
+
 // New returns a forwarder of an instance in a data centre. It refuses all requests until it has a configuration.
 func New(p Protocol, centre string, options ...Option) *Forwarder {
 	f := &Forwarder{
@@ -116,11 +125,13 @@
 		budget:        defaultBudget,
 		busy:          make(chan struct{}, 1),
 		memory:        memoryBudget{limit: maxBufferedBytes},
+		screening:     newScreening(),
 		random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, o := range options {
 		o(f)
 	}
+	f.screening.log, f.screening.clock = f.log, f.clock
 	f.startedAt = f.clock()
 	f.recorder = newRecorder(f.scope)
 	return f
@@ -236,14 +247,32 @@
 
 // RecordLoss records that the process of an endpoint has ended: streams through it are moved at once.
 func (f *Forwarder) RecordLoss(now time.Time, endpoint string) {
+	f.screening.recordLoss(now, endpoint)
 	for _, a := range f.Allocators() {
 		a.RecordLoss(now, endpoint)
 		a.Check(now)
 	}
 }
 
+// MergeReport records what another instance has found out about requests that crash endpoints, and returns which of the keys under
+// which an endpoint crashed are proven here.
+func (f *Forwarder) MergeReport(now time.Time, r screener.Report) []string {
+	return f.screening.merge(now, r)
+}
+
+// ProvenKeys returns those of the keys with which a request is known to have begun.
+func (f *Forwarder) ProvenKeys(now time.Time, keys []string) []string {
+	return f.screening.proven(now, keys)
+}
+
+// Suspects returns the number of keys of requests under which endpoints have crashed, and how many of them are refused.
+func (f *Forwarder) Suspects(now time.Time) (suspected, refused int) {
+	return f.screening.suspects(now)
+}
+
 // Check detects streams that have gone silent.
 func (f *Forwarder) Check(now time.Time) {
+	f.screening.settle(now)
 	for _, a := range f.Allocators() {
 		a.Check(now)
 	}
--- /dev/null
+++ b/internal/serving/forwarder/screening.go
@@ -0,0 +1,241 @@
+package forwarder
+
+import (
+	"cmp"
+	"context"
+	"encoding/hex"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/heatherrock/heatherrock/internal/routing/screener"
+)
+
+// screening applies the rulings of a Screener to the requests in progress. Its methods may be called from any goroutine.
+type screening struct {
+	log   *slog.Logger
+	clock func() time.Time
+	// report passes what the other instances are to be told on to them. It does not wait for them.
+	report func(screener.Report)
+
+	mu       sync.Mutex
+	screener *screener.Screener
+	// stops holds, by the number of an attempt, the function that stops it.
+	stops map[uint64]func()
+}
+
+// newScreening returns a screening that knows of no crash.
+func newScreening() *screening {
+	return &screening{
+		log: slog.New(slog.DiscardHandler), clock: time.Now, report: func(screener.Report) {}, screener: screener.New(), stops: map[uint64]func(){},
+	}
+}
+
+// check returns the ruling on a request with keys, and the time after which a refused one may be tried.
+func (s *screening) check(now time.Time, keys []string) (screener.Ruling, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.screener.Check(now, keys)
+}
+
+// begin records that a request is sent along endpoints, and returns the number of the attempt. The function stop is
+// called if the request must not run.
+func (s *screening) begin(now time.Time, keys []string, endpoints []string, stop func()) uint64 {
+	s.mu.Lock()
+	number, tried := s.screener.Begin(now, keys, endpoints)
+	if number > 0 {
+		s.stops[number] = stop
+	}
+	s.mu.Unlock()
+	if len(tried) > 0 {
+		s.log.Info("suspect tried", "keys", strings.Join(tried, ","))
+		s.report(screener.Report{Tried: tried})
+	}
+	return number
+}
+
+// recordFirstEvent records the first event of an attempt.
+func (s *screening) recordFirstEvent(now time.Time, number uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.screener.RecordFirstEvent(now, number) {
+		// Others wait for the result of a trial, also if no request follows that would settle it.
+		time.AfterFunc(screener.SettleTime, s.runSettle)
+	}
+}
+
+// runSettle handles the attempts whose result is known now.
+func (s *screening) runSettle() { s.settle(s.clock()) }
+
+// end records the end of an attempt.
+func (s *screening) end(now time.Time, number uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.screener.End(now, number)
+	delete(s.stops, number)
+}
+
+// settle handles the attempts whose result is known.
+func (s *screening) settle(now time.Time) {
+	s.mu.Lock()
+	cleared := s.screener.Settle(now)
+	s.mu.Unlock()
+	if len(cleared) > 0 {
+		s.log.Info("suspicion lifted", "keys", strings.Join(cleared, ","))
+		s.report(screener.Report{Cleared: cleared})
+	}
+}
+
+// recordLoss records that an endpoint has crashed.
+func (s *screening) recordLoss(now time.Time, endpoint string) {
+	s.mu.Lock()
+	report := s.screener.RecordLoss(now, endpoint)
+	stops := s.stopRefused(now, report)
+	s.mu.Unlock()
+	if report.IsEmpty() {
+		return
+	}
+	s.log.Warn("endpoint crashed under requests", "endpoint", endpoint, "keys", strings.Join(report.Crashed, ","),
+		"proven", strings.Join(report.Proven, ","))
+	s.report(report)
+	for _, stop := range stops {
+		stop()
+	}
+}
+
+// merge records what another instance reports, and returns which of the keys under which an endpoint crashed are proven
+// here.
+func (s *screening) merge(now time.Time, report screener.Report) []string {
+	s.mu.Lock()
+	proven := s.screener.Proven(now, report.Crashed)
+	s.screener.Merge(now, report)
+	stops := s.stopRefused(now, report)
+	s.mu.Unlock()
+	for _, stop := range stops {
+		stop()
+	}
+	return proven
+}
+
+// proven returns those of the keys with which a request is known to have begun.
+func (s *screening) proven(now time.Time, keys []string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.screener.Proven(now, keys)
+}
+
+// stopRefused returns the functions that stop the requests that must not run after a report, and logs the keys that are
+// refused. The lock is held.
+func (s *screening) stopRefused(now time.Time, report screener.Report) []func() {
+	if len(report.Crashed) == 0 {
+		return nil
+	}
+	for _, key := range report.Crashed {
+		if ruling, left := s.screener.Check(now, []string{key}); ruling == screener.Refuse {
+			s.log.Warn("requests refused", "keys", key, "endpoint", report.Endpoint, "after", left.Seconds())
+		}
+	}
+	var out []func()
+	for _, number := range s.screener.RefusedAttempts(now) {
+		if stop := s.stops[number]; stop != nil {
+			out = append(out, stop)
+		}
+	}
+	return out
+}
+
+// suspects returns the number of keys under which endpoints have crashed, and how many of them are refused.
+func (s *screening) suspects(now time.Time) (suspected, refused int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.screener.Suspects(now)
+}
+
+const (
+	// lossNewsDelay is how long after a stream broke off before its first event the loss of its endpoint may become known.
+	lossNewsDelay = 40 * time.Millisecond
+	// trialCheckInterval is the time between two checks whether the trial of a suspect has ended.
+	trialCheckInterval = 20 * time.Millisecond
+	// maxTrialWait is how long a request waits for a trial if its route has no target.
+	maxTrialWait = time.Second
+	// trialRetryAfter is the least retry delay stated if a request has waited for a trial in vain.
+	trialRetryAfter = time.Second
+)
+
+// The reasons for which requests are refused by screening.
+const (
+	reasonSuspect = "requests like it crash endpoints"
+	reasonTrial   = "a request like it is on trial"
+)
+
+// screenKeys returns the keys of a stream. A stream that has begun has none: it has shown that it crashes no endpoint.
+func (s *streamCall) screenKeys() []string {
+	if s.eventCount > 0 || s.request.LastEventID != "" {
+		return nil
+	}
+	if len(s.keys) > 0 {
+		return s.keys
+	}
+	h := xxhash.New()
+	for _, text := range append([]string{s.team.Name, s.httpRequest.RequestURI, string(s.body)}, s.request.PromptParts...) {
+		_, _ = h.WriteString(text + "\x00") // Write of a hash never fails.
+	}
+	s.keys = []string{screener.RequestKey(s.service, hex.EncodeToString(h.Sum(nil)))}
+	for _, part := range s.request.PromptParts {
+		s.keys = append(s.keys, screener.PartKey(s.service, part))
+	}
+	return s.keys
+}
+
+// isSuspect reports whether the stream must not be sent, and answers its caller if so.
+func (s *streamCall) isSuspect() bool {
+	ruling, retryAfter := s.forwarder.screening.check(s.forwarder.clock(), s.screenKeys())
+	if ruling != screener.Refuse {
+		return false
+	}
+	s.giveUpAfter(reasonSuspect, retryAfter)
+	return true
+}
+
+// awaitTrial waits while another request with a key of the stream is on trial, and reports whether the stream may be
+// sent. If not, it has answered the caller.
+func (s *streamCall) awaitTrial() bool {
+	now := s.forwarder.clock()
+	end := now.Add(cmp.Or(s.route.FirstByteTarget, maxTrialWait))
+	for {
+		ruling, _ := s.forwarder.screening.check(now, s.screenKeys())
+		switch {
+		case ruling == screener.Refuse:
+			return !s.isSuspect()
+		case ruling != screener.Wait:
+			return true
+		case !now.Before(end) || !s.sleep(trialCheckInterval):
+			s.giveUpAfter(reasonTrial, trialRetryAfter)
+			return false
+		}
+		now = s.forwarder.clock()
+	}
+}
+
+// sleep waits for a time, and returns false if the request's context ends first.
+func (k *call) sleep(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-k.ctx.Done():
+		return false
+	}
+}
+
+// stopAttempt returns the function that stops an attempt of a stream that must not run.
+func (s *streamCall) stopAttempt(cancel context.CancelFunc) func() {
+	return func() {
+		s.isStopped.Store(true)
+		cancel()
+	}
+}
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/routing/monitor"
@@ -50,6 +51,11 @@
 	headSent bool
 	// readingPrompt is true while the prompt is being read on a path.
 	readingPrompt bool
+	// keys holds the keys by which the stream is screened, and isStopped is true once an attempt was stopped because it may
+	// crash its endpoint. screenNumber is the number of the attempt in progress.
+	keys         []string
+	isStopped    atomic.Bool
+	screenNumber uint64
 	// lastEventID is the id of the last event delivered, and lastEventAt when that was.
 	lastEventID string
 	lastEventAt time.Time
@@ -59,6 +65,9 @@
 func (k *call) serveStream(e *placer.Engine) {
 	s := &streamCall{call: k, engine: e, allocator: k.forwarder.Allocator(k.service), avoid: map[string]bool{},
 		firstEndpoints: map[string]bool{}, lastEventID: k.request.LastEventID}
+	if s.isSuspect() {
+		return
+	}
 	path, refusal := s.acquire()
 	for {
 		if refusal != reserver.Granted {
@@ -68,12 +77,25 @@
 			s.giveUp(string(refusal))
 			return
 		}
+		if !s.awaitTrial() {
+			s.allocator.MarkPromptRead(path)
+			s.allocator.Release(k.forwarder.clock(), path)
+			return
+		}
 		result, next := s.attempt(path)
 		s.markPromptRead(path)
 		s.allocator.Release(k.forwarder.clock(), path)
 		if result == answered {
 			return
 		}
+		if next == nil && !isDone(k.ctx) {
+			if result == lost && s.eventCount == 0 && !s.isStopped.Load() {
+				s.sleep(lossNewsDelay)
+			}
+			if s.isSuspect() {
+				return
+			}
+		}
 		if next != nil {
 			path = *next
 			continue
@@ -192,7 +214,10 @@
 }
 
 // giveUp ends a stream that is not whole. One that has begun is broken off, so that it does not look complete.
-func (s *streamCall) giveUp(reason string) {
+func (s *streamCall) giveUp(reason string) { s.giveUpAfter(reason, streamRetryAfter) }
+
+// giveUpAfter is giveUp with the least retry delay stated if no endpoint has run the stream.
+func (s *streamCall) giveUpAfter(reason string, retryAfter time.Duration) {
 	switch {
 	case s.httpRequest.Context().Err() != nil:
 		s.outcome = "caller left"
@@ -205,7 +230,7 @@
 	case s.mayHaveRun:
 		s.sendRefusal(refusal{Status: http.StatusBadGateway, Reason: reason})
 	default:
-		s.sendUnavailable(reason, streamRetryAfter)
+		s.sendUnavailable(reason, retryAfter)
 	}
 }
 
@@ -223,6 +248,8 @@
 	s.allocator.WatchStream(s.forwarder.clock(), s.request.ID, path, func(verdict monitor.Verdict) {
 		s.handOver(h, verdict, pathRequest, failures, cancel)
 	})
+	s.screenNumber = s.forwarder.screening.begin(s.forwarder.clock(), s.screenKeys(), path.EndpointIDs(), s.stopAttempt(cancel))
+	defer func() { s.forwarder.screening.end(s.forwarder.clock(), s.screenNumber) }()
 	s.addToTrail("path", describePath(path), "expecting", path.TimeToFirstToken.Round(time.Millisecond).String(), "then",
 		path.TimePerToken.Round(100*time.Microsecond).String())
 	msg := s.message(Delivery{
@@ -308,6 +335,8 @@
 func (s *streamCall) recordLost(path reserver.Path, err error, verdict *monitor.Verdict) {
 	s.mayHaveRun = true
 	switch {
+	case s.isStopped.Load():
+		s.addToTrail("stopped:", reasonSuspect)
 	case verdict != nil:
 		finding := "suspects"
 		if verdict.ProcessLost {
@@ -356,6 +385,7 @@
 		if progress {
 			s.allocator.RecordEvent(now, s.request.ID)
 			if s.readingPrompt {
+				s.forwarder.screening.recordFirstEvent(now, s.screenNumber)
 				s.allocator.RecordSuccess(path.Stages[0].Endpoint.ID)
 			}
 			s.markPromptRead(path)
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -143,7 +143,8 @@
 	g.platform.Store = &countedStore{p.Store, g.meter.Scope()}
 	g.platform.Orderer = &countedOrderer{p.Orderer, g.meter.Scope()}
 	g.forwarder = forwarder.New(p.Protocol, s.DataCentre, forwarder.WithLog(log), forwarder.WithClock(clock),
-		forwarder.WithScope(g.meter.Scope()), forwarder.WithProber(p.Prober), forwarder.WithRetryBudget(forwarder.RetryBudget{
+		forwarder.WithScope(g.meter.Scope()), forwarder.WithProber(p.Prober), forwarder.WithReporter(g.tellReport),
+		forwarder.WithRetryBudget(forwarder.RetryBudget{
 			Share: s.RetryShare, Slack: s.RetrySlack, Window: s.RetryWindow,
 		}))
 	self := gossiper.Peer{ID: s.ID, Address: s.PeersAddress, DataCentre: s.DataCentre, Region: s.Region}
@@ -162,6 +163,9 @@
 	if err := g.exchange.Register("Losses", &Losses{g}); err != nil {
 		panic(err) // Cannot happen: Losses has a method with a signature that net/rpc accepts.
 	}
+	if err := g.exchange.Register("Suspects", &Suspects{g}); err != nil {
+		panic(err) // Cannot happen: Suspects has a method with a signature that net/rpc accepts.
+	}
 	g.accounts = accountant.New(self, g.exchange, g.syncer, g.ownUsages, g.mergePeerUsages, log, clock)
 	return g
 }
--- a/internal/serving/gateway/losses.go
+++ b/internal/serving/gateway/losses.go
@@ -44,13 +44,7 @@
 
 // Tell handles a peer's report of a loss, passes it on, and answers whether the endpoint is known.
 func (l *Losses) Tell(loss Loss, known *bool) error {
-	var targets []gossiper.Peer
-	for _, id := range loss.Forward {
-		if p, ok := l.gateway.exchange.LivePeer(id); ok {
-			targets = append(targets, p)
-		}
-	}
-	l.gateway.spreadLoss(loss, targets)
+	l.gateway.spreadLoss(loss, l.gateway.livePeers(loss.Forward))
 	*known = l.gateway.recordLoss(l.gateway.clock(), loss)
 	return nil
 }
@@ -104,13 +98,7 @@
 func (g *Gateway) reportLoss(now time.Time, endpoint, address string) {
 	loss := Loss{Endpoint: endpoint, Address: address, Finder: g.settings.ID}
 	g.recordLoss(now, loss)
-	var targets []gossiper.Peer
-	for _, p := range g.exchange.LivePeers() {
-		if p.Region == g.settings.Region {
-			targets = append(targets, p)
-		}
-	}
-	g.spreadLoss(loss, orderTargets(g.settings.ID, targets))
+	g.spreadLoss(loss, g.peersOfRegion())
 }
 
 // orderTargets orders the instances to which a loss is reported by data centre, so that most calls stay within one, and
@@ -136,30 +124,62 @@
 
 // spreadLoss reports a loss to instances, most of them through others.
 func (g *Gateway) spreadLoss(loss Loss, targets []gossiper.Peer) {
+	g.spread(targets, func(ctx context.Context, p gossiper.Peer, forward []string) error {
+		message := loss
+		message.Forward = forward
+		var known bool
+		return g.exchange.Call(ctx, p, "Losses.Tell", message, &known)
+	})
+}
+
+// spread tells instances something, most of them through others. The function tell tells one instance, which passes it on
+// to those with the ids of forward.
+func (g *Gateway) spread(targets []gossiper.Peer, tell func(ctx context.Context, p gossiper.Peer, forward []string) error) {
 	for _, group := range fanOut(targets, lossFanOut) {
-		go g.runReport(group, loss)
+		go g.runSpread(group, tell)
 	}
 }
 
-// runReport reports a loss to the first of a group of instances, which passes it on to the rest. If it does not respond,
-// the next one gets the report.
-func (g *Gateway) runReport(group []gossiper.Peer, loss Loss) {
+// runSpread tells the first of a group of instances, which passes it on to the rest. If it does not respond, the next one
+// is told.
+func (g *Gateway) runSpread(group []gossiper.Peer, tell func(ctx context.Context, p gossiper.Peer, forward []string) error) {
 	for i, p := range group {
-		loss.Forward = nil
+		var forward []string
 		for _, next := range group[i+1:] {
-			loss.Forward = append(loss.Forward, next.ID)
+			forward = append(forward, next.ID)
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), lossReportTimeout)
-		var known bool
-		err := g.exchange.Call(ctx, p, "Losses.Tell", loss, &known)
+		err := tell(ctx, p, forward)
 		cancel()
 		if err == nil {
 			return
 		}
-		g.log.Debug("peer not told of a loss", "peer", p.ID, "endpoint", loss.Endpoint, "error", err)
+		g.log.Debug("peer not told", "peer", p.ID, "error", err)
 	}
 }
 
+// peersOfRegion returns the other live instances of the region, in the order of orderTargets.
+func (g *Gateway) peersOfRegion() []gossiper.Peer {
+	var out []gossiper.Peer
+	for _, p := range g.exchange.LivePeers() {
+		if p.Region == g.settings.Region {
+			out = append(out, p)
+		}
+	}
+	return orderTargets(g.settings.ID, out)
+}
+
+// livePeers returns the live instances among those with some ids.
+func (g *Gateway) livePeers(ids []string) []gossiper.Peer {
+	var out []gossiper.Peer
+	for _, id := range ids {
+		if p, ok := g.exchange.LivePeer(id); ok {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // recordLoss handles a loss and reports whether the endpoint is known. Nothing is done if the endpoint has another
 // address by now: the old one may belong to another endpoint.
 func (g *Gateway) recordLoss(now time.Time, loss Loss) bool {
--- /dev/null
+++ b/internal/serving/gateway/suspects.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+
+	"github.com/heatherrock/heatherrock/internal/control/gossiper"
+	"github.com/heatherrock/heatherrock/internal/routing/screener"
+)
+
+// Suspicion passes a report on requests that crash endpoints on to other instances.
+type Suspicion struct {
+	Report screener.Report
+	// Forward holds the ids of the instances to which the receiver passes the report on.
+	Forward []string
+}
+
+// Suspects is the net/rpc service that peers call.
+type Suspects struct {
+	gateway *Gateway
+}
+
+// Tell handles a peer's report, passes it on, and answers which of the keys under which an endpoint crashed are proven
+// here.
+func (s *Suspects) Tell(suspicion Suspicion, proven *[]string) error {
+	g := s.gateway
+	g.spreadReport(suspicion.Report, g.livePeers(suspicion.Forward))
+	*proven = g.forwarder.MergeReport(g.clock(), suspicion.Report)
+	return nil
+}
+
+// tellReport tells all other instances of the region a report of this instance.
+func (g *Gateway) tellReport(r screener.Report) { g.spreadReport(r, g.peersOfRegion()) }
+
+// spreadReport tells instances a report, most of them through others. What they know better is told to all.
+func (g *Gateway) spreadReport(r screener.Report, targets []gossiper.Peer) {
+	g.spread(targets, func(ctx context.Context, p gossiper.Peer, forward []string) error {
+		var proven []string
+		if err := g.exchange.Call(ctx, p, "Suspects.Tell", Suspicion{r, forward}, &proven); err != nil {
+			return err
+		}
+		now := g.clock()
+		known := g.forwarder.ProvenKeys(now, proven)
+		proven = slices.DeleteFunc(proven, func(key string) bool { return slices.Contains(known, key) })
+		if len(proven) > 0 {
+			g.forwarder.MergeReport(now, screener.Report{Proven: proven})
+			g.tellReport(screener.Report{Proven: proven})
+		}
+		return nil
+	})
+}
--- a/internal/serving/gateway/updates.go
+++ b/internal/serving/gateway/updates.go
@@ -162,6 +162,9 @@
 	if c := g.forwarder.Configuration(); c != nil {
 		g.meter.SetGauge("configuration", float64(c.Version))
 	}
+	suspected, refused := g.forwarder.Suspects(now)
+	g.meter.SetGauge("suspects", float64(suspected))
+	g.meter.SetGauge("suspects_refused", float64(refused))
 	g.meter.SetGauge("instances", float64(instances))
 	g.meter.SetGauge("flight", float64(g.forwarder.InFlight()))
 }
--- a/internal/standin/hoster/server.go
+++ b/internal/standin/hoster/server.go
@@ -58,6 +58,8 @@
 	// EventInterval is the time between two events of a stream, and AnswerTime the time until a plain service answers.
 	EventInterval time.Duration
 	AnswerTime    time.Duration
+	// DeadlyPart is a part of prompts that crashes each server which begins to answer a request with it; empty for none.
+	DeadlyPart string
 	// PublicAddress returns the address that a server registers for its listening address; nil if they are the same.
 	PublicAddress func(id, address string) string
 
@@ -314,6 +316,12 @@
 	if err != nil {
 		return
 	}
+	if part := s.platform.DeadlyPart; part != "" && strings.Contains(r.Header.Get("X-Heatherrock-Prefix-Hash"), part+":") {
+		go s.KillProcess() // It waits for the end of this handler.
+		<-s.stopped
+		resetConnection(w)
+		return
+	}
 	s.platform.mu.Lock()
 	s.platform.runCounts[id]++
 	s.platform.bodies[id] = string(body)
