Keep the evidence against a part of prompts in the store

Cause: what instances know of crashes lived as long as their processes, so each new one sent requests with the part to two endpoints.

Evidence: crashes follow the restarts within a second, and the new instances refuse the part only after two.

Change: a table of the store with one row for each refused part, written by the instances that found the crash until the write is done, and followed like the other tables, at 30 s at most: others are told sooner by calls.

--- a/internal/routing/screener/screener.go
+++ b/internal/routing/screener/screener.go
@@ -421,6 +421,48 @@
 	return r
 }
 
+// Evidence is why requests with a part are refused.
+type Evidence struct {
+	Key string
+	// Endpoints holds the endpoints that crashed, and LastCrash is when the last one did.
+	Endpoints []string
+	LastCrash time.Time
+}
+
+// Evidence returns the evidence against those of the keys that are refused parts, which is to be kept beyond the life of
+// this instance.
+func (s *Screener) Evidence(now time.Time, keys []string) []Evidence {
+	var out []Evidence
+	for _, key := range keys {
+		if ruling, _ := s.checkKey(now, key); ruling != Refuse || isRequestKey(key) {
+			continue
+		}
+		e := Evidence{Key: key}
+		for _, c := range s.records[key].crashes {
+			e.Endpoints, e.LastCrash = append(e.Endpoints, c.endpoint), c.at
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// Restore records evidence that was kept, unless more is known by now.
+func (s *Screener) Restore(now time.Time, e Evidence) {
+	if e.LastCrash.After(now) {
+		// It was written by an instance whose clock is ahead.
+		e.LastCrash = now
+	}
+	r := s.record(now, e.Key)
+	if r == nil || r.provenAt.After(e.LastCrash) || len(r.crashes) >= len(e.Endpoints) {
+		return
+	}
+	r.crashes = nil
+	for _, endpoint := range e.Endpoints {
+		r.crashes = append(r.crashes, crash{endpoint, e.LastCrash})
+	}
+	s.suspects[e.Key] = true
+}
+
 // RefusedAttempts returns the attempts in progress that have not begun and whose requests must not run.
 func (s *Screener) RefusedAttempts(now time.Time) []uint64 {
 	var out []uint64
--- a/internal/routing/screener/screener_test.go
+++ b/internal/routing/screener/screener_test.go
@@ -181,6 +181,42 @@
 	}
 }
 
+// TestEvidenceIsRestored passes evidence on to an instance that starts later, whose clock differs, and that knows more or
+// less than was kept.
+func TestEvidenceIsRestored(t *testing.T) {
+	key := part("a")
+	old := New()
+	crashed(old, startTime, "e1", []string{key, RequestKey("s", "r")})
+	if got := old.Evidence(startTime, []string{key}); len(got) > 0 {
+		t.Errorf("evidence after one crash: %v", got)
+	}
+	crashed(old, startTime.Add(time.Second), "e2", []string{key, RequestKey("s", "r")})
+	kept := old.Evidence(startTime.Add(time.Second), []string{RequestKey("s", "r"), key})
+	want := []Evidence{{Key: key, Endpoints: []string{"e1", "e2"}, LastCrash: startTime.Add(time.Second)}}
+	if diff := cmp.Diff(want, kept); diff != "" {
+		t.Fatalf("evidence (-want +got):\n%s", diff)
+	}
+	for _, c := range []struct {
+		name  string
+		after time.Duration
+		play  func(s *Screener, now time.Time)
+		want  Ruling
+	}{
+		{"at once", time.Second, func(*Screener, time.Time) {}, Refuse},
+		{"by a clock that is behind", -2 * time.Second, func(*Screener, time.Time) {}, Refuse},
+		{"after the refusal", time.Second + refusalTime, func(*Screener, time.Time) {}, Trial},
+		{"long after", time.Second + crashRetention, func(*Screener, time.Time) {}, Allow},
+		{"begun since", 3 * time.Second, func(s *Screener, now time.Time) { begun(s, now.Add(-SettleTime), key) }, Allow},
+	} {
+		s, now := New(), startTime.Add(c.after)
+		c.play(s, now)
+		s.Restore(now, kept[0])
+		if got := ruling(s, now, key); got != c.want {
+			t.Errorf("%s: ruling %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
 // TestMemoryForKeysIsBounded begins requests with ever new parts, and crashes an endpoint under ever new requests.
 func TestMemoryForKeysIsBounded(t *testing.T) {
 	s, now := New(), startTime
--- a/internal/serving/forwarder/forwarder.go
+++ b/internal/serving/forwarder/forwarder.go
@@ -110,6 +110,11 @@
 	return func(f *Forwarder) { f.screening.report = report }
 }
 
+// WithEvidenceKeeper sets where the evidence against refused parts of prompts is kept.
+func WithEvidenceKeeper(k EvidenceKeeper) Option {
+	return func(f *Forwarder) { f.screening.keeper = k }
+}
+
 // New returns a forwarder of an instance in a data centre. It refuses all requests until it has a configuration.
 func New(p Protocol, centre string, options ...Option) *Forwarder {
 	f := &Forwarder{
@@ -260,6 +265,9 @@
 	return f.screening.merge(now, r)
 }
 
+// RestoreEvidence records evidence against a part of prompts that was kept.
+func (f *Forwarder) RestoreEvidence(now time.Time, e screener.Evidence) { f.screening.restore(now, e) }
+
 // ProvenKeys returns those of the keys with which a request is known to have begun.
 func (f *Forwarder) ProvenKeys(now time.Time, keys []string) []string {
 	return f.screening.proven(now, keys)
--- a/internal/serving/forwarder/screening.go
+++ b/internal/serving/forwarder/screening.go
@@ -14,12 +14,22 @@
 	"github.com/heatherrock/heatherrock/internal/routing/screener"
 )
 
+// EvidenceKeeper keeps the evidence against refused parts of prompts for instances that start later. Its methods do not wait
+// for the result.
+type EvidenceKeeper interface {
+	// Keep keeps evidence, and Drop drops what is kept of keys that are cleared.
+	Keep(evidence []screener.Evidence)
+	Drop(keys []string)
+}
+
 // screening applies the rulings of a Screener to the requests in progress. Its methods may be called from any goroutine.
 type screening struct {
 	log   *slog.Logger
 	clock func() time.Time
 	// report passes what the other instances are to be told on to them. It does not wait for them.
 	report func(screener.Report)
+	// keeper is nil if no evidence is kept.
+	keeper EvidenceKeeper
 
 	mu       sync.Mutex
 	screener *screener.Screener
@@ -86,6 +96,9 @@
 	if len(cleared) > 0 {
 		s.log.Info("suspicion lifted", "keys", strings.Join(cleared, ","))
 		s.report(screener.Report{Cleared: cleared})
+		if s.keeper != nil {
+			s.keeper.Drop(cleared)
+		}
 	}
 }
 
@@ -94,10 +107,14 @@
 	s.mu.Lock()
 	report := s.screener.RecordLoss(now, endpoint)
 	stops := s.stopRefused(now, report)
+	evidence := s.screener.Evidence(now, report.Crashed)
 	s.mu.Unlock()
 	if report.IsEmpty() {
 		return
 	}
+	if s.keeper != nil && len(evidence) > 0 {
+		s.keeper.Keep(evidence)
+	}
 	s.log.Warn("endpoint crashed under requests", "endpoint", endpoint, "keys", strings.Join(report.Crashed, ","),
 		"proven", strings.Join(report.Proven, ","))
 	s.report(report)
@@ -120,6 +137,13 @@
 	return proven
 }
 
+// restore records evidence that was kept.
+func (s *screening) restore(now time.Time, e screener.Evidence) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.screener.Restore(now, e)
+}
+
 // proven returns those of the keys with which a request is known to have begun.
 func (s *screening) proven(now time.Time, keys []string) []string {
 	s.mu.Lock()
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -112,6 +112,7 @@
 	syncer    *syncer.Syncer
 	accounts  *accountant.Accountant
 	sentry    *sentry.Sentry
+	evidence  *evidenceTable
 	servers   []*http.Server
 	startedAt time.Time
 	leaving   atomic.Bool
@@ -142,8 +143,10 @@
 	g.meter = meter.New(s.Name, s.DataCentre)
 	g.platform.Store = &countedStore{p.Store, g.meter.Scope()}
 	g.platform.Orderer = &countedOrderer{p.Orderer, g.meter.Scope()}
+	g.evidence = newEvidenceTable(g.platform.Store, log, clock)
 	g.forwarder = forwarder.New(p.Protocol, s.DataCentre, forwarder.WithLog(log), forwarder.WithClock(clock),
 		forwarder.WithScope(g.meter.Scope()), forwarder.WithProber(p.Prober), forwarder.WithReporter(g.tellReport),
+		forwarder.WithEvidenceKeeper(g.evidence),
 		forwarder.WithRetryBudget(forwarder.RetryBudget{
 			Share: s.RetryShare, Slack: s.RetrySlack, Window: s.RetryWindow,
 		}))
@@ -158,6 +161,7 @@
 	g.syncer = syncer.New(g.platform.Store, g.exchange, log, clock,
 		syncer.Table{Name: p.ConfigTable, OnChange: g.handleConfigRows, MaxDelay: s.MaxConfigDelay},
 		syncer.Table{Name: p.EndpointTable, OnChange: g.handleEndpointRows, DelaysDeletions: true, MaxDelay: s.MaxEndpointDelay},
+		syncer.Table{Name: evidenceTableName, OnChange: g.handleEvidenceRows, MaxDelay: evidenceMaxDelay},
 	)
 	g.sentry = sentry.New(log, clock, g.reportLoss)
 	if err := g.exchange.Register("Losses", &Losses{g}); err != nil {
@@ -194,7 +198,8 @@
 	if err := g.startServer("callers", g.settings.CallersAddress, g.forwarder); err != nil {
 		return err
 	}
-	g.wait.Add(3)
+	g.wait.Add(4)
+	go g.runEvidence()
 	go g.loopChecks()
 	go g.loop(memberInterval, g.followMembers)
 	go g.loop(gaugeInterval, g.updateGauges)
