Test streams without a length that end whole, and inside an event

No test played either for a stream.

Change: two faults of the stand-in's model servers. No code of the product: it served both before.

--- a/internal/standin/hoster/server.go
+++ b/internal/standin/hoster/server.go
@@ -35,6 +35,8 @@
 	Garbling
 	// WithoutLength servers send a response without a length and end it by closing the connection.
 	WithoutLength
+	// TornWithoutLength servers send a stream without a length, and close the connection in the middle of an event.
+	TornWithoutLength
 	// AnsweringTwice servers send a second response after the first.
 	AnsweringTwice
 	// AnsweringEarly servers respond before they have read the body.
@@ -400,7 +402,13 @@
 	case EndlessBody:
 		s.setHeaders(w, id)
 		s.repeat(w, strings.Repeat("x", 1000), 0)
+	case TornWithoutLength:
+		writeRaw(w, s.unframedStream(r, stamp, true), false)
 	case WithoutLength:
+		if s.Kind != "" {
+			writeRaw(w, s.unframedStream(r, stamp, false), false)
+			return
+		}
 		writeRaw(w, "HTTP/1.1 200 OK\r\n"+stamp+"Content-Type: text/plain\r\nConnection: close\r\n\r\nwhole", false)
 	case AnsweringTwice:
 		answer := "HTTP/1.1 200 OK\r\n" + stamp + "Content-Length: 5\r\n\r\nwhole"
@@ -446,6 +454,22 @@
 // EventsPerStream is the number of events of a complete stream.
 const EventsPerStream = 12
 
+// unframedStream returns a response with the events after the request's Last-Event-Id that has neither a length nor chunks.
+// A torn one ends in the middle of its third event.
+func (s *Server) unframedStream(r *http.Request, stamp string, torn bool) string {
+	var b strings.Builder
+	b.WriteString("HTTP/1.1 200 OK\r\n" + stamp + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n")
+	lastEventID, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for n := lastEventID + 1; n <= EventsPerStream; n++ {
+		if torn && n > lastEventID+2 {
+			fmt.Fprintf(&b, "id: %d\ndata: to", n)
+			break
+		}
+		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", n, n)
+	}
+	return b.String()
+}
+
 // writeEvents answers with a stream of events, from the one after the request's Last-Event-Id.
 func (s *Server) writeEvents(w http.ResponseWriter, r *http.Request, id string, fault ServerFault) {
 	s.setHeaders(w, id)
