Explain why a request was kept away from the endpoints

Cause: heatherrock explain printed the bare outcome of requests that are refused for a part of their prompt.

Change: a sentence for each of the two outcomes, held by TestPartThatCrashesEndpointsReachesFewOfThem.

--- a/internal/serving/explainer/explainer.go
+++ b/internal/serving/explainer/explainer.go
@@ -159,6 +159,8 @@
 	{"endpoints full", "it was refused and did not run: the endpoints' memory was reserved for others while it could still begin in time"},
 	{"no endpoint for some layers", "it was refused and did not run: no usable endpoint held some of the layers"},
 	{"request larger", "it was refused and did not run: no endpoint has room for a request of its size"},
+	{"requests like it crash endpoints", "endpoints crashed under requests that share a part of its prompt, or under it: it runs on no further one"},
+	{"a request like it is on trial", "it was refused and did not run: an endpoint had crashed under a request that shares a part of its prompt, and another one was tried"},
 	{"no endpoint took", "it was refused and did not run: no endpoint could be reached, or each stated that it did not run it"},
 	{"service has no endpoint", "it was refused and did not run: the service had no endpoint"},
 	{"no configuration", "it was refused and did not run: the instance had no configuration yet"},
