Hold reads of the store longer while a peer that reads it tells of changes

Change: an instance whose home reads the store and answers has its reads held for 15 s. A read that was lost hides nothing meanwhile, as the home tells of changes with each reply. Once it does not, a read that has been pending for longer than the bound allows is ended and sent again, which does not count as a failure of the store.

Ruled out: a single reader for each data centre, which leaves its members without a read of their own when it hangs.

--- a/internal/serving/accountant/accountant.go
+++ b/internal/serving/accountant/accountant.go
@@ -62,9 +62,9 @@
 type Tables interface {
 	// Heads returns the version of each table, and whether all are read from the store.
 	Heads() (heads map[string]int64, fresh bool)
-	// RecordPeerHeads records up to which version a peer has read the tables, and whether this instance shall pause its
-	// own reads of the store while the peer reads it.
-	RecordPeerHeads(now time.Time, peer gossiper.Peer, heads map[string]int64, pauseReads bool)
+	// RecordPeerHeads records up to which version a peer has read the tables, whether it reads them from the store, and whether
+	// this instance shall pause its own reads of the store meanwhile.
+	RecordPeerHeads(now time.Time, peer gossiper.Peer, heads map[string]int64, fresh, pauseReads bool)
 	// SetReader states whether this instance is one of those that read the store in any case.
 	SetReader(isReader bool)
 }
@@ -246,7 +246,7 @@
 	}
 	if !r.Home {
 		a.othersIdle = reply.Usages.isIdle()
-		a.tables.RecordPeerHeads(a.clock(), peer, reply.Heads, pausesReads(rank, reply.Fresh))
+		a.tables.RecordPeerHeads(a.clock(), peer, reply.Heads, reply.Fresh, pausesReads(rank, reply.Fresh))
 		a.onUpdate(a.clock(), reply.Usages)
 		return
 	}
--- a/internal/serving/accountant/accountant_test.go
+++ b/internal/serving/accountant/accountant_test.go
@@ -54,7 +54,7 @@
 func (ti *testInstance) Heads() (map[string]int64, bool) { return map[string]int64{"table": 7}, true }
 
 // RecordPeerHeads records the peer that reads the store in place of the instance.
-func (ti *testInstance) RecordPeerHeads(_ time.Time, peer gossiper.Peer, heads map[string]int64, pauseReads bool) {
+func (ti *testInstance) RecordPeerHeads(_ time.Time, peer gossiper.Peer, heads map[string]int64, _, pauseReads bool) {
 	ti.mu.Lock()
 	defer ti.mu.Unlock()
 	if pauseReads && heads["table"] == 7 {
--- a/internal/serving/syncer/syncer.go
+++ b/internal/serving/syncer/syncer.go
@@ -59,6 +59,9 @@
 	// does not hold.
 	callTimeout    = 2 * time.Second
 	changesTimeout = time.Second
+	// confirmedHold is how long the store is asked to hold a read of changes while a peer that reads the store tells this
+	// instance of all changes. A read that is lost meanwhile is sent again once the peer no longer does so.
+	confirmedHold = 15 * time.Second
 	// coalesceInterval is the pause after a read that returned changes, so that changes in quick succession cost one
 	// call.
 	coalesceInterval = 150 * time.Millisecond
@@ -107,8 +110,11 @@
 	// delayedDeletions holds the deletions that OnChange has not been called with yet, by key.
 	lastFailureAt time.Time
 	storeFailed   bool
-	// readStartedAt is when the read of the store in progress was sent; a zero time means that there is none.
+	// readStartedAt is when the read of the store in progress was sent; a zero time means that there is none. cancelRead
+	// ends it, and isRepeated is true if the next read repeats one that was ended.
 	readStartedAt time.Time
+	cancelRead    context.CancelFunc
+	isRepeated    bool
 	// publishedVersion is the version that gossip last announced.
 	publishedVersion int64
 	delayedDeletions map[string]delayedDeletion
@@ -141,6 +147,8 @@
 	// readsPausedUntil is when reads of the store resume if the peer that reads it in place of this instance does not
 	// respond again.
 	readsPausedUntil time.Time
+	// confirmedUntil is when this instance no longer relies on a peer that reads the store to hear of changes.
+	confirmedUntil time.Time
 	// startedAt is when the syncer was started, and isReader is true once this instance is one of those that read the
 	// store in any case.
 	startedAt time.Time
@@ -220,20 +228,21 @@
 func (s *Syncer) read(t *followedTable) (bool, error) {
 	s.mu.Lock()
 	version := t.replica.Version
-	failed := t.storeFailed
-	t.readStartedAt = s.clock()
+	now := s.clock()
+	t.readStartedAt = now
+	hold, timeout := s.holdTimes(now, t)
+	ctx, cancel := context.WithTimeout(s.readCtx, timeout)
+	t.cancelRead = cancel
 	s.mu.Unlock()
+	defer cancel()
 	full := version == 0
 	var page replicator.Page
 	var err error
 	if !full {
-		hold, timeout := t.pollTimes()
-		if failed {
-			hold, timeout = 0, changesTimeout
-		}
-		ctx, cancel := context.WithTimeout(s.readCtx, timeout)
 		page, err = s.store.Changes(ctx, t.Name, version, hold)
-		cancel()
+		if s.isReadRepeated(t, ctx) {
+			return false, nil
+		}
 		full = errors.Is(err, ErrHistoryDropped)
 	}
 	if full {
@@ -249,6 +258,40 @@
 	return page.Version > version || len(page.Rows) > 0, nil
 }
 
+// holdTimes returns how long the store is asked to hold a read of changes that is sent at now, and when it counts as lost.
+// The lock is held.
+func (s *Syncer) holdTimes(now time.Time, t *followedTable) (hold, timeout time.Duration) {
+	if t.storeFailed || t.isRepeated {
+		t.isRepeated = false
+		return 0, changesTimeout
+	}
+	hold, timeout = t.pollTimes()
+	if now.Before(s.confirmedUntil) && hold < confirmedHold {
+		return confirmedHold, confirmedHold + timeout - hold
+	}
+	return hold, timeout
+}
+
+// repeatRead ends a read that has been pending for so long that it may be lost, unless a peer tells of changes. The lock is
+// held.
+func (s *Syncer) repeatRead(now time.Time, t *followedTable) {
+	if _, timeout := t.pollTimes(); t.pendingTime(now) >= timeout && !now.Before(s.confirmedUntil) && !t.isRepeated {
+		t.isRepeated = true
+		t.cancelRead()
+	}
+}
+
+// isReadRepeated reports whether repeatRead has ended a read, which says nothing of the store.
+func (s *Syncer) isReadRepeated(t *followedTable, ctx context.Context) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !t.isRepeated || !errors.Is(ctx.Err(), context.Canceled) {
+		return false
+	}
+	t.readStartedAt = time.Time{}
+	return true
+}
+
 // readsPaused reports whether reads of the store are paused because a peer reads it and relays changes, or may do so
 // shortly after the start. The first read is never paused: callers are refused until it is done.
 func (s *Syncer) readsPaused(t *followedTable) bool {
@@ -284,10 +327,14 @@
 	return heads, fresh && !s.clock().Before(s.readsPausedUntil)
 }
 
-// RecordPeerHeads records a peer's versions of the tables, and fetches newer ones from it. With pauseReads, the peer
-// reads the store, and this instance pauses its own reads until the peer stops responding.
-func (s *Syncer) RecordPeerHeads(now time.Time, peer gossiper.Peer, heads map[string]int64, pauseReads bool) {
+// RecordPeerHeads records a peer's versions of the tables, and fetches newer ones from it. Fresh states whether the peer
+// reads the store. With pauseReads, this instance pauses its own reads until the peer stops responding.
+func (s *Syncer) RecordPeerHeads(now time.Time, peer gossiper.Peer, heads map[string]int64, fresh, pauseReads bool) {
 	s.mu.Lock()
+	s.confirmedUntil = time.Time{}
+	if fresh {
+		s.confirmedUntil = now.Add(readPauseTime)
+	}
 	if pauseReads {
 		s.readsPausedUntil = now.Add(readPauseTime)
 	}
@@ -449,6 +496,7 @@
 		t.OnChange(now, changed)
 	}
 	s.publishHead(now, t)
+	s.repeatRead(now, t)
 	due := !t.aheadSince.IsZero() && now.Sub(t.aheadSince) >= peerFetchDelay
 	peer, version := t.aheadPeer, t.replica.Version
 	if due {
--- a/internal/serving/syncer/syncer_test.go
+++ b/internal/serving/syncer/syncer_test.go
@@ -127,19 +127,19 @@
 	c := &clock{now: startTime}
 	s, f, _ := newSyncer(c, false)
 	peer := gossiper.Peer{ID: "home", Address: "127.0.0.1:1"}
-	s.RecordPeerHeads(c.get(), peer, map[string]int64{"t": 0}, true)
+	s.RecordPeerHeads(c.get(), peer, map[string]int64{"t": 0}, true, true)
 	if s.readsPaused(f) {
 		t.Error("reads are paused before the table was read")
 	}
 	s.apply(f, page(1, replicator.Row{Key: "a", Version: 1}), true, true)
-	s.RecordPeerHeads(c.get(), peer, map[string]int64{"t": 1}, true)
+	s.RecordPeerHeads(c.get(), peer, map[string]int64{"t": 1}, true, true)
 	if !s.readsPaused(f) {
 		t.Error("reads are not paused while a peer reads the store")
 	}
 	if _, fresh := s.Heads(); fresh {
 		t.Error("counts as reading the store while reads are paused")
 	}
-	s.RecordPeerHeads(c.get(), peer, map[string]int64{"t": 1}, false)
+	s.RecordPeerHeads(c.get(), peer, map[string]int64{"t": 1}, false, false)
 	c.advance(readPauseTime + time.Millisecond)
 	if s.readsPaused(f) {
 		t.Error("reads are paused after the peer no longer reads the store")
@@ -248,8 +248,72 @@
 		t.Errorf("status of an unanswered read: %+v, want %+v", got, want)
 	}
 	s.Close()
-	s.RecordPeerHeads(c.get(), gossiper.Peer{ID: "home"}, map[string]int64{"t": 3}, true)
+	s.RecordPeerHeads(c.get(), gossiper.Peer{ID: "home"}, map[string]int64{"t": 3}, true, true)
 	if got, _ := s.Status(c.get(), "t"); !got.Paused {
 		t.Errorf("status while a peer reads: %+v, want a pause", got)
 	}
 }
+
+// heldRead is a read of changes that a holdingStore holds.
+type heldRead struct {
+	hold    time.Duration
+	respond chan replicator.Page
+}
+
+// holdingStore is a store that holds each read of changes until the test responds.
+type holdingStore struct {
+	unusedStore
+	reads chan heldRead
+}
+
+// Changes waits for the response of the test, or the end of the context.
+func (hs *holdingStore) Changes(ctx context.Context, _ string, _ int64, hold time.Duration) (replicator.Page, error) {
+	r := heldRead{hold, make(chan replicator.Page, 1)}
+	hs.reads <- r
+	select {
+	case p := <-r.respond:
+		return p, nil
+	case <-ctx.Done():
+		return replicator.Page{}, ctx.Err()
+	}
+}
+
+// TestLostLongReadIsRepeatedOnceNoPeerReads guards against changes that stay hidden behind a long read that was lost after the
+// peer that read the store has stopped.
+func TestLostLongReadIsRepeatedOnceNoPeerReads(t *testing.T) {
+	c := &clock{now: startTime}
+	s, f, reported := newSyncer(c, false)
+	s.apply(f, page(1, replicator.Row{Key: "a", Version: 1}), true, true)
+	store := &holdingStore{reads: make(chan heldRead, 1)}
+	s.store = store
+	s.SetReader(true)
+	peer := gossiper.Peer{ID: "home"}
+	confirm := func(fresh bool) { s.RecordPeerHeads(c.get(), peer, map[string]int64{"t": 1}, fresh, false) }
+	confirm(true)
+	s.Start()
+	defer s.Close()
+	if r := <-store.reads; r.hold != confirmedHold {
+		t.Errorf("a read is held for %v while a peer reads, want %v", r.hold, confirmedHold)
+	}
+	for range 5 {
+		c.advance(readPauseTime - time.Millisecond)
+		confirm(true)
+	}
+	time.Sleep(peerFetchDelay)
+	if status, _ := s.Status(c.get(), "t"); status.Pending < 2*time.Second || len(store.reads) > 0 {
+		t.Errorf("the read was repeated while a peer reads: %+v", status)
+	}
+	confirm(false)
+	r := <-store.reads
+	if status, _ := s.Status(c.get(), "t"); r.hold != 0 || !status.Reached {
+		t.Errorf("the repeated read is held for %v, and the store counts as reached: %v; want 0 and true", r.hold, status.Reached)
+	}
+	r.respond <- page(2, replicator.Row{Key: "b", Version: 2})
+	if r := <-store.reads; r.hold != defaultMaxDelay/2 {
+		t.Errorf("a read is held for %v without a peer, want %v", r.hold, defaultMaxDelay/2)
+	}
+	s.Close()
+	if diff := cmp.Diff([]string{"+a", "+b"}, *reported); diff != "" {
+		t.Errorf("changes (-want +got):\n%s", diff)
+	}
+}
