Tell endpoints that crash by themselves from those that crash under a part of prompts

What callers would see: after the loss of a rack, or while endpoints crash whatever they run, requests with sound parts refused for a minute and more, also once endpoints are back: a part that waits on several endpoints had a crash for each of them.

Cause: the number of lost endpoints was taken for evidence. Endpoints that are lost together tell no more than one, and where many parts have as many crashes the cause is in none of them.

Change: crashes under a key count if they are 50 ms apart, or if the request was sent after the one before; 1 s apart for a key that is proven. A part is tried instead of refused while more than eight other parts have as many crashes. The evidence that is kept has the times of the crashes. The log names each refused part, also one of several suspects, and at most 16 keys in a line.

--- a/internal/routing/screener/screener.go
+++ b/internal/routing/screener/screener.go
@@ -45,6 +45,13 @@
 	lossWindow = 500 * time.Millisecond
 	// SettleTime is how long an endpoint must last after the first event of a request.
 	SettleTime = 100 * time.Millisecond
+	// crashGap and provenCrashGap are the least times between two crashes under a key that count as two: endpoints that are
+	// lost together, as with a rack, tell no more than one. Under an unproven key a crash that repeats another counts at once.
+	crashGap       = 50 * time.Millisecond
+	provenCrashGap = time.Second
+	// maxEqualSuspects is the number of other parts with as many crashes as one that is refused: with more of them, endpoints
+	// crash by themselves, and each part is tried.
+	maxEqualSuspects = 8
 	// sameCrashTime is the time within which two reports on an endpoint are of the same crash.
 	sameCrashTime = 2 * time.Second
 	// maxRecords bounds the memory for keys, and pruneInterval the effort to stay within it.
@@ -57,6 +64,8 @@
 	// Endpoint crashed while requests with the keys of Crashed waited for their first event.
 	Endpoint string
 	Crashed  []string
+	// Repeated holds those of them with which a request was sent to the endpoint after the key's crash before.
+	Repeated []string
 	// Proven holds keys with which requests had begun before, and Cleared those with which one has begun since.
 	Proven  []string
 	Cleared []string
@@ -81,16 +90,18 @@
 	return len(r.Crashed)+len(r.Proven)+len(r.Cleared)+len(r.Tried) == 0
 }
 
-// crash is a crash of an endpoint.
-type crash struct {
-	endpoint string
-	at       time.Time
+// Crash is a crash of an endpoint.
+type Crash struct {
+	Endpoint string    `json:"endpoint"`
+	At       time.Time `json:"at"`
+	// IsRepeat is true if a request with the key was sent to the endpoint after the crash before.
+	IsRepeat bool `json:"repeat,omitempty"`
 }
 
 // record is what is known of a key.
 type record struct {
 	// crashes holds the crashes since a request with the key last began, and provenAt is when one last began.
-	crashes  []crash
+	crashes  []Crash
 	provenAt time.Time
 	// trialUntil is when the trial in progress expires.
 	trialUntil time.Time
@@ -100,6 +111,7 @@
 type attempt struct {
 	keys      []string
 	endpoints []string
+	sentAt    time.Time
 	// begunAt is the time of the first event, and endedAt that of the end before it; both are zero until then.
 	begunAt time.Time
 	endedAt time.Time
@@ -142,23 +154,32 @@
 // checkKey returns the ruling on one key, and for how long it is refused.
 func (s *Screener) checkKey(now time.Time, key string) (Ruling, time.Duration) {
 	r := s.records[key]
-	if r == nil {
+	if r == nil || len(r.crashes) == 0 {
 		return Allow, 0
 	}
 	crashes, limit := r.crashCount(now), crashLimit
 	if r.isProven(now) {
-		limit = provenCrashLimit
-		if crashes >= limit-1 {
-			crashes = s.unexplainedCrashes(now, key, r)
-		}
+		crashes, limit = s.unexplainedCrashes(now, key, r), provenCrashLimit
 	}
 	if crashes < limit-1 {
 		return Allow, 0
 	}
-	if left := r.refusedUntil().Sub(now); crashes >= limit && left > 0 {
-		return Refuse, left
+	left := r.refusedUntil(now).Sub(now)
+	if crashes < limit || left <= 0 || s.equalSuspects(now, key) > maxEqualSuspects {
+		return s.trialRuling(now, key), 0
+	}
+	return Refuse, left
+}
+
+// equalSuspects returns the number of other parts with at least as many crashes as a key.
+func (s *Screener) equalSuspects(now time.Time, key string) int {
+	n, crashes := 0, s.records[key].crashCount(now)
+	for other := range s.suspects {
+		if other != key && !isRequestKey(other) && s.records[other].crashCount(now) >= crashes {
+			n++
+		}
 	}
-	return s.trialRuling(now, key), 0
+	return n
 }
 
 // trialRuling returns the ruling on a key that may be tried.
@@ -178,10 +199,10 @@
 	}
 	for other := range s.suspects {
 		o := s.records[other]
-		if isRequestKey(other) || slices.Contains(keys, other) || o.isProven(now) || o.crashCount(now) < r.crashCount(now) {
+		if isRequestKey(other) || slices.Contains(keys, other) || o.isProven(now) {
 			continue
 		}
-		if !slices.ContainsFunc(r.crashes, func(c crash) bool { return !o.hasCrash(c) }) {
+		if !slices.ContainsFunc(r.crashes, func(c Crash) bool { return !o.hasCrash(c) }) {
 			return true
 		}
 	}
@@ -189,9 +210,9 @@
 }
 
 // hasCrash reports whether a crash is known.
-func (r *record) hasCrash(c crash) bool {
-	return slices.ContainsFunc(r.crashes, func(known crash) bool {
-		return known.endpoint == c.endpoint && c.at.Sub(known.at).Abs() < sameCrashTime
+func (r *record) hasCrash(c Crash) bool {
+	return slices.ContainsFunc(r.crashes, func(known Crash) bool {
+		return known.Endpoint == c.Endpoint && c.At.Sub(known.At).Abs() < sameCrashTime
 	})
 }
 
@@ -200,38 +221,49 @@
 	return !r.provenAt.IsZero() && now.Sub(r.provenAt) < provenTime
 }
 
-// crashCount returns the number of crashes that count at now.
-func (r *record) crashCount(now time.Time) int {
-	n := len(r.crashes)
-	if n > 0 && now.Sub(r.crashes[n-1].at) >= crashRetention {
+// crashCount returns the number of crashes at now, of which those that are close together count once.
+func (r *record) crashCount(now time.Time) int { return countApart(now, r.crashes, crashGap, true) }
+
+// countApart returns the number of crashes that are further apart than gap or, with repeats, repeat another, and 0 once the
+// last one no longer counts at now.
+func countApart(now time.Time, crashes []Crash, gap time.Duration, repeats bool) int {
+	if n := len(crashes); n == 0 || now.Sub(crashes[n-1].At) >= crashRetention {
 		return 0
 	}
+	n := 1
+	last := crashes[0].At
+	for _, c := range crashes[1:] {
+		if c.At.Sub(last) >= gap || repeats && c.IsRepeat {
+			n++
+			last = c.At
+		}
+	}
 	return n
 }
 
 // unexplainedCrashes returns the number of crashes of a proven key that no refused part explains.
 func (s *Screener) unexplainedCrashes(now time.Time, key string, r *record) int {
-	n := 0
+	var unexplained []Crash
 	for _, c := range r.crashes {
 		isExplained := false
 		for other := range s.suspects {
 			o := s.records[other]
-			isExplained = isExplained || other != key && !isRequestKey(other) && !o.isProven(now) && now.Before(o.refusedUntil()) && o.hasCrash(c)
+			isExplained = isExplained || other != key && !isRequestKey(other) && !o.isProven(now) && now.Before(o.refusedUntil(now)) && o.hasCrash(c)
 		}
 		if !isExplained {
-			n++
+			unexplained = append(unexplained, c)
 		}
 	}
-	return n
+	return countApart(now, unexplained, provenCrashGap, false)
 }
 
 // refusedUntil returns when a request with the key may be tried after its last crash.
-func (r *record) refusedUntil() time.Time {
-	n := len(r.crashes)
+func (r *record) refusedUntil(now time.Time) time.Time {
+	n := r.crashCount(now)
 	if n < crashLimit {
 		return time.Time{}
 	}
-	return r.crashes[n-1].at.Add(min(crashRetention, refusalTime<<min(n-crashLimit, 10)))
+	return r.crashes[len(r.crashes)-1].At.Add(min(crashRetention, refusalTime<<min(n-crashLimit, 10)))
 }
 
 // Begin records at now that a request with keys is sent along endpoints, and returns the number of the attempt and the
@@ -241,7 +273,7 @@
 		return 0, nil
 	}
 	s.lastAttempt++
-	a := &attempt{keys: keys, endpoints: endpoints}
+	a := &attempt{keys: keys, endpoints: endpoints, sentAt: now}
 	s.attempts[s.lastAttempt] = a
 	var tried []string
 	for _, key := range keys {
@@ -321,7 +353,7 @@
 	if r == nil {
 		return
 	}
-	r.crashes = slices.DeleteFunc(r.crashes, func(c crash) bool { return !c.at.After(at) })
+	r.crashes = slices.DeleteFunc(r.crashes, func(c Crash) bool { return !c.At.After(at) })
 	if at.After(r.provenAt) {
 		r.provenAt = at
 	}
@@ -347,6 +379,9 @@
 			if !slices.Contains(report.Crashed, key) {
 				report.Crashed = append(report.Crashed, key)
 			}
+			if r := s.records[key]; r != nil && r.isRepeat(endpoint, a.sentAt) && !slices.Contains(report.Repeated, key) {
+				report.Repeated = append(report.Repeated, key)
+			}
 		}
 	}
 	slices.Sort(report.Crashed)
@@ -370,7 +405,7 @@
 func (s *Screener) Merge(now time.Time, report Report) {
 	for _, key := range report.Crashed {
 		if r := s.record(now, key); r != nil {
-			r.addCrash(crash{report.Endpoint, now})
+			r.addCrash(Crash{report.Endpoint, now, slices.Contains(report.Repeated, key)})
 			s.suspects[key] = true
 		}
 	}
@@ -390,8 +425,14 @@
 	}
 }
 
+// isRepeat reports whether a request that was sent to an endpoint at a time was sent after a crash of another one.
+func (r *record) isRepeat(endpoint string, sentAt time.Time) bool {
+	n := len(r.crashes)
+	return n > 0 && r.crashes[n-1].Endpoint != endpoint && sentAt.After(r.crashes[n-1].At)
+}
+
 // addCrash adds a crash unless it is known.
-func (r *record) addCrash(c crash) {
+func (r *record) addCrash(c Crash) {
 	if r.hasCrash(c) {
 		return
 	}
@@ -421,12 +462,18 @@
 	return r
 }
 
-// Evidence is why requests with a part are refused.
+// Evidence is why requests with a part are refused: the crashes since one with it last began.
 type Evidence struct {
-	Key string
-	// Endpoints holds the endpoints that crashed, and LastCrash is when the last one did.
-	Endpoints []string
-	LastCrash time.Time
+	Key     string
+	Crashes []Crash
+}
+
+// LastCrash returns when the last crash was.
+func (e Evidence) LastCrash() time.Time {
+	if len(e.Crashes) == 0 {
+		return time.Time{}
+	}
+	return e.Crashes[len(e.Crashes)-1].At
 }
 
 // Evidence returns the evidence against those of the keys that are refused parts, which is to be kept beyond the life of
@@ -434,31 +481,24 @@
 func (s *Screener) Evidence(now time.Time, keys []string) []Evidence {
 	var out []Evidence
 	for _, key := range keys {
-		if ruling, _ := s.checkKey(now, key); ruling != Refuse || isRequestKey(key) {
-			continue
-		}
-		e := Evidence{Key: key}
-		for _, c := range s.records[key].crashes {
-			e.Endpoints, e.LastCrash = append(e.Endpoints, c.endpoint), c.at
+		if ruling, _ := s.checkKey(now, key); ruling == Refuse && !isRequestKey(key) {
+			out = append(out, Evidence{key, slices.Clone(s.records[key].crashes)})
 		}
-		out = append(out, e)
 	}
 	return out
 }
 
 // Restore records evidence that was kept, unless more is known by now.
 func (s *Screener) Restore(now time.Time, e Evidence) {
-	if e.LastCrash.After(now) {
-		// It was written by an instance whose clock is ahead.
-		e.LastCrash = now
-	}
 	r := s.record(now, e.Key)
-	if r == nil || r.provenAt.After(e.LastCrash) || len(r.crashes) >= len(e.Endpoints) {
+	if r == nil || r.provenAt.After(e.LastCrash()) || len(r.crashes) >= len(e.Crashes) {
 		return
 	}
+	// It may have been written by an instance whose clock is ahead.
+	ahead := max(0, e.LastCrash().Sub(now))
 	r.crashes = nil
-	for _, endpoint := range e.Endpoints {
-		r.crashes = append(r.crashes, crash{endpoint, e.LastCrash})
+	for _, c := range e.Crashes {
+		r.crashes = append(r.crashes, Crash{c.Endpoint, c.At.Add(-ahead), c.IsRepeat})
 	}
 	s.suspects[e.Key] = true
 }
--- a/internal/serving/forwarder/screening.go
+++ b/internal/serving/forwarder/screening.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/hex"
 	"log/slog"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -61,7 +62,7 @@
 	}
 	s.mu.Unlock()
 	if len(tried) > 0 {
-		s.log.Info("suspect tried", "keys", strings.Join(tried, ","))
+		s.log.Info("suspect tried", "keys", listKeys(tried))
 		s.report(screener.Report{Tried: tried})
 	}
 	return number
@@ -94,7 +95,7 @@
 	cleared := s.screener.Settle(now)
 	s.mu.Unlock()
 	if len(cleared) > 0 {
-		s.log.Info("suspicion lifted", "keys", strings.Join(cleared, ","))
+		s.log.Info("suspicion lifted", "keys", listKeys(cleared))
 		s.report(screener.Report{Cleared: cleared})
 		if s.keeper != nil {
 			s.keeper.Drop(cleared)
@@ -115,8 +116,7 @@
 	if s.keeper != nil && len(evidence) > 0 {
 		s.keeper.Keep(evidence)
 	}
-	s.log.Warn("endpoint crashed under requests", "endpoint", endpoint, "keys", strings.Join(report.Crashed, ","),
-		"proven", strings.Join(report.Proven, ","))
+	s.log.Warn("endpoint crashed under requests", "endpoint", endpoint, "keys", listKeys(report.Crashed), "proven", listKeys(report.Proven))
 	s.report(report)
 	for _, stop := range stops {
 		stop()
@@ -157,10 +157,8 @@
 	if len(report.Crashed) == 0 {
 		return nil
 	}
-	for _, key := range report.Crashed {
-		if ruling, left := s.screener.Check(now, []string{key}); ruling == screener.Refuse {
-			s.log.Warn("requests refused", "keys", key, "endpoint", report.Endpoint, "after", left.Seconds())
-		}
+	for _, e := range s.screener.Evidence(now, report.Crashed) {
+		s.log.Warn("requests refused", "keys", e.Key, "endpoint", report.Endpoint, "crashes", len(e.Crashes))
 	}
 	var out []func()
 	for _, number := range s.screener.RefusedAttempts(now) {
@@ -171,6 +169,17 @@
 	return out
 }
 
+// maxKeysLogged bounds the keys in a log line.
+const maxKeysLogged = 16
+
+// listKeys formats keys for the log.
+func listKeys(keys []string) string {
+	if n := len(keys) - maxKeysLogged; n > 0 {
+		return strings.Join(keys[:maxKeysLogged], ",") + " and " + strconv.Itoa(n) + " more"
+	}
+	return strings.Join(keys, ",")
+}
+
 // suspects returns the number of keys under which endpoints have crashed, and how many of them are refused.
 func (s *screening) suspects(now time.Time) (suspected, refused int) {
 	s.mu.Lock()
--- a/internal/serving/gateway/evidence.go
+++ b/internal/serving/gateway/evidence.go
@@ -28,8 +28,7 @@
 
 // evidenceRow is a row of the table.
 type evidenceRow struct {
-	Endpoints []string  `json:"endpoints"`
-	LastCrash time.Time `json:"crashed"`
+	Crashes []screener.Crash `json:"crashes"`
 }
 
 // evidenceTable writes evidence to the store, so that instances that start later have it. Its methods may be called from
@@ -63,7 +62,7 @@
 			t.log.Warn("evidence not kept: its key is too long", "keys", e.Key)
 			continue
 		}
-		t.pending[e.Key] = &evidenceRow{e.Endpoints, e.LastCrash}
+		t.pending[e.Key] = &evidenceRow{e.Crashes}
 	}
 	now := t.clock()
 	for key, at := range t.kept {
@@ -108,8 +107,9 @@
 		t.log.Warn("evidence not read", "keys", r.Key, "error", err)
 		return screener.Evidence{}, false
 	}
-	t.kept[r.Key] = row.LastCrash
-	return screener.Evidence{Key: r.Key, Endpoints: row.Endpoints, LastCrash: row.LastCrash}, true
+	e := screener.Evidence{Key: r.Key, Crashes: row.Crashes}
+	t.kept[r.Key] = e.LastCrash()
+	return e, true
 }
 
 // run writes pending changes until done is closed.
@@ -172,7 +172,7 @@
 func (g *Gateway) handleEvidenceRows(now time.Time, rows []replicator.Row) {
 	for _, r := range rows {
 		e, ok := g.evidence.recordRow(r)
-		if !ok || now.Sub(e.LastCrash) >= evidenceRetention {
+		if !ok || now.Sub(e.LastCrash()) >= evidenceRetention {
 			continue
 		}
 		g.forwarder.RestoreEvidence(now, e)
