Check whether an endpoint is lost on which a request broke off before its first event

What callers would see: more endpoints crash under a part while they are not watched: just after they or the instances have started.

Cause: the evidence against a part rests on the news of a lost endpoint, which two instances watch, not before they have run for 2 s. The fixed wait of 40 ms for that news was no help where none came, and a delay where the endpoint had only broken its answer off.

Evidence: TestPartThatCrashesEndpointsReachesFewOfThem lost three or four endpoints in some runs; the log of one has no loss of the first, which had been placed a moment before.

Change: the instance dials the endpoint: one that refuses two connections is gone, and is reported as by those that watch it; one that keeps a connection for 10 ms runs. The stand-in's servers close their listener first when they end, as a process has no moment between.

--- a/internal/routing/screener/screener.go
+++ b/internal/routing/screener/screener.go
@@ -124,8 +124,9 @@
 type Screener struct {
 	records  map[string]*record
 	attempts map[uint64]*attempt
-	// suspects holds the keys with crashes.
+	// suspects holds the keys with crashes, and losses the times of the last losses of endpoints.
 	suspects map[string]bool
+	losses   map[string]time.Time
 	// begun holds the attempts that have begun, and ended those that ended before, in the order of these times.
 	begun       []uint64
 	ended       []uint64
@@ -135,7 +136,7 @@
 
 // New returns a screener that knows of no crash.
 func New() *Screener {
-	return &Screener{records: map[string]*record{}, attempts: map[uint64]*attempt{}, suspects: map[string]bool{}}
+	return &Screener{records: map[string]*record{}, attempts: map[uint64]*attempt{}, suspects: map[string]bool{}, losses: map[string]time.Time{}}
 }
 
 // Check returns the ruling on a request with keys at now, and the time after which a refused one may be tried.
@@ -366,6 +367,12 @@
 // RecordLoss records at now that an endpoint has crashed, and returns the report on the requests that waited for their
 // first event on it.
 func (s *Screener) RecordLoss(now time.Time, endpoint string) Report {
+	for id, at := range s.losses {
+		if now.Sub(at) >= sameCrashTime {
+			delete(s.losses, id)
+		}
+	}
+	s.losses[endpoint] = now
 	report := Report{Endpoint: endpoint}
 	for _, a := range s.attempts {
 		if a.hasCrashed || !slices.Contains(a.endpoints, endpoint) {
@@ -390,6 +397,12 @@
 	return report
 }
 
+// IsLost reports whether the loss of an endpoint was recorded so recently that it is the same one.
+func (s *Screener) IsLost(now time.Time, endpoint string) bool {
+	at, ok := s.losses[endpoint]
+	return ok && now.Sub(at) < sameCrashTime
+}
+
 // Proven returns those of the keys with which a request of this instance has begun.
 func (s *Screener) Proven(now time.Time, keys []string) []string {
 	var out []string
--- a/internal/serving/forwarder/forwarder.go
+++ b/internal/serving/forwarder/forwarder.go
@@ -49,6 +49,8 @@
 	memory   memoryBudget
 	// screening keeps requests that crash endpoints away from further ones.
 	screening *screening
+	// checkLoss checks whether an endpoint is lost, and reports its loss if so. It is nil if nothing does.
+	checkLoss func(ctx context.Context, endpoint, address string)
 	// busy receives a value when a request begins while none is in progress.
 	busy chan struct{}
 
@@ -115,6 +117,11 @@
 	return func(f *Forwarder) { f.screening.keeper = k }
 }
 
+// WithLossCheck sets the function that checks whether an endpoint is lost, and reports its loss if so.
+func WithLossCheck(check func(ctx context.Context, endpoint, address string)) Option {
+	return func(f *Forwarder) { f.checkLoss = check }
+}
+
 // New returns a forwarder of an instance in a data centre. It refuses all requests until it has a configuration.
 func New(p Protocol, centre string, options ...Option) *Forwarder {
 	f := &Forwarder{
@@ -250,6 +257,11 @@
 	return true
 }
 
+// IsLost reports whether the loss of an endpoint was recorded just now.
+func (f *Forwarder) IsLost(now time.Time, endpoint string) bool {
+	return f.screening.isLost(now, endpoint)
+}
+
 // RecordLoss records that the process of an endpoint has ended: streams through it are moved at once.
 func (f *Forwarder) RecordLoss(now time.Time, endpoint string) {
 	f.screening.recordLoss(now, endpoint)
--- a/internal/serving/forwarder/screening.go
+++ b/internal/serving/forwarder/screening.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/heatherrock/heatherrock/internal/routing/reserver"
 	"github.com/heatherrock/heatherrock/internal/routing/screener"
 )
 
@@ -144,6 +145,13 @@
 	s.screener.Restore(now, e)
 }
 
+// isLost reports whether the loss of an endpoint is known.
+func (s *screening) isLost(now time.Time, endpoint string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.screener.IsLost(now, endpoint)
+}
+
 // proven returns those of the keys with which a request is known to have begun.
 func (s *screening) proven(now time.Time, keys []string) []string {
 	s.mu.Lock()
@@ -188,8 +196,8 @@
 }
 
 const (
-	// lossNewsDelay is how long after a stream broke off before its first event the loss of its endpoint may become known.
-	lossNewsDelay = 40 * time.Millisecond
+	// lossCheckTimeout bounds the check whether an endpoint is lost after a stream broke off before its first event.
+	lossCheckTimeout = 40 * time.Millisecond
 	// trialCheckInterval is the time between two checks whether the trial of a suspect has ended.
 	trialCheckInterval = 20 * time.Millisecond
 	// maxTrialWait is how long a request waits for a trial if its route has no target.
@@ -233,6 +241,17 @@
 	return true
 }
 
+// checkLoss finds out whether an endpoint is lost on which the stream broke off before its first event. The endpoint may not be
+// watched yet, and the news of those that watch it may take longer than this.
+func (s *streamCall) checkLoss(e reserver.Endpoint) {
+	if s.forwarder.checkLoss == nil || s.eventCount > 0 || s.isStopped.Load() || s.forwarder.screening.isLost(s.forwarder.clock(), e.ID) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, lossCheckTimeout)
+	defer cancel()
+	s.forwarder.checkLoss(ctx, e.ID, e.Address)
+}
+
 // awaitTrial waits while another request with a key of the stream is on trial, and reports whether the stream may be
 // sent. If not, it has answered the caller.
 func (s *streamCall) awaitTrial() bool {
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -89,8 +89,8 @@
 			return
 		}
 		if next == nil && !isDone(k.ctx) {
-			if result == lost && s.eventCount == 0 && !s.isStopped.Load() {
-				s.sleep(lossNewsDelay)
+			if result == lost {
+				s.checkLoss(path.Stages[0].Endpoint)
 			}
 			if s.isSuspect() {
 				return
--- a/internal/serving/gateway/losses.go
+++ b/internal/serving/gateway/losses.go
@@ -10,6 +10,7 @@
 
 	"github.com/heatherrock/heatherrock/internal/control/assigner"
 	"github.com/heatherrock/heatherrock/internal/control/gossiper"
+	"github.com/heatherrock/heatherrock/internal/serving/sentry"
 )
 
 const (
@@ -93,7 +94,7 @@
 	return assigner.Node{ID: p.ID, DataCentre: p.DataCentre, Region: p.Region}
 }
 
-// reportLoss handles the end of an endpoint that this instance watches, and reports it to the other instances of the
+// reportLoss handles the end of an endpoint that this instance has found, and reports it to the other instances of the
 // region by calls: gossip takes some rounds, while the streams through the endpoint are stopped.
 func (g *Gateway) reportLoss(now time.Time, endpoint, address string) {
 	loss := Loss{Endpoint: endpoint, Address: address, Finder: g.settings.ID}
@@ -101,6 +102,17 @@
 	g.spreadLoss(loss, g.peersOfRegion())
 }
 
+// checkLoss reports the end of an endpoint on which a request broke off if its process is gone, unless its loss has become
+// known meanwhile.
+func (g *Gateway) checkLoss(ctx context.Context, endpoint, address string) {
+	if !sentry.IsGone(ctx, address) {
+		return
+	}
+	if now := g.clock(); !g.forwarder.IsLost(now, endpoint) {
+		g.reportLoss(now, endpoint, address)
+	}
+}
+
 // orderTargets orders the instances to which a loss is reported by data centre, so that most calls stay within one, and
 // within it in an order of the reporter's own: the two watchers of an endpoint do not depend on the same instances.
 func orderTargets(self string, targets []gossiper.Peer) []gossiper.Peer {
--- a/internal/standin/hoster/server.go
+++ b/internal/standin/hoster/server.go
@@ -207,8 +207,10 @@
 	return p.servers[address]
 }
 
-// stop stops the server and closes its connections.
+// stop stops the server and closes its connections. It refuses new ones first: a process that ends has no moment at which
+// it accepts connections and has closed others.
 func (s *Server) stop() {
+	_ = s.http.Listener.Close() // The server closes it once more.
 	close(s.stopped)
 	s.http.CloseClientConnections()
 	s.http.Close()
