Take a success that states no request for a broken answer

Traced: the endpoint's row went away in the same 70 ms; the stand-in's handler returned when its server ended, and Go's net/http then writes an empty 200 if the connection is still open.

Cause: an answer without the id that servers echo was taken for the request's own, whatever its status. Failures may lack it, successes do not.

Change: a 2xx without the id counts as a broken answer: idempotent requests and streams are sent again, others get 502. The stand-in's plain servers reset connections when they end.

--- a/internal/serving/forwarder/call.go
+++ b/internal/serving/forwarder/call.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/heatherrock/heatherrock/internal/routing/matcher"
 	"github.com/heatherrock/heatherrock/internal/serving/connector"
 )
@@ -175,6 +177,9 @@
 		"parts", strings.Join(k.request.PromptParts, ","), "trail", strings.Join(k.trail, "; "))
 }
 
+// errUnsigned is the error of a success that may belong to another request, or that a server wrote as it ended.
+var errUnsigned = merry.New("success that states no request")
+
 // readReply reads the whole body of a response and ends the use of the response.
 func (k *call) readReply(resp *connector.Response) ([]byte, error) {
 	r := &bodyReader{body: resp.Body, budget: &k.forwarder.memory}
--- a/internal/serving/forwarder/plain.go
+++ b/internal/serving/forwarder/plain.go
@@ -152,6 +152,12 @@
 		k.addToTrail("endpoint", id, "did not run it:", http.StatusText(resp.Status))
 		return nil, notRun
 	}
+	if head.IsUnsigned {
+		resp.Finish(false)
+		k.mayHaveRun = true
+		k.addToTrail("endpoint", id, "lost:", errUnsigned.Error())
+		return nil, lost
+	}
 	body, err := k.readReply(resp)
 	if err != nil {
 		k.mayHaveRun = true
--- a/internal/serving/forwarder/protocol.go
+++ b/internal/serving/forwarder/protocol.go
@@ -43,6 +43,8 @@
 type ResponseHead struct {
 	// NotRun is true if the endpoint states that it did not run the request.
 	NotRun bool
+	// IsUnsigned is true for a success that does not state which request it belongs to.
+	IsUnsigned bool
 	// WrongEndpoint is true if another endpoint has the address, or the endpoint at fault does not hold its layers.
 	WrongEndpoint bool
 	// FaultAddress is the address of the endpoint on the path that is at fault; empty if not stated.
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -300,6 +300,10 @@
 		return notRun, nil
 	}
 	s.mayHaveRun = true
+	if head.IsUnsigned {
+		resp.Finish(false)
+		return lost, errUnsigned
+	}
 	if resp.Status != http.StatusOK || !strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
 		return s.forwardNonStream(resp, path)
 	}
--- a/internal/standin/hoster/server.go
+++ b/internal/standin/hoster/server.go
@@ -35,6 +35,8 @@
 	Garbling
 	// WithoutLength servers send a response without a length and end it by closing the connection.
 	WithoutLength
+	// Unsigned servers run the request and answer with an empty success that has none of their headers.
+	Unsigned
 	// TornWithoutLength servers send a stream without a length, and close the connection in the middle of an event.
 	TornWithoutLength
 	// AnsweringTwice servers send a second response after the first.
@@ -385,6 +387,8 @@
 func (s *Server) writeAnswer(w http.ResponseWriter, r *http.Request, id string, fault ServerFault) {
 	stamp := "X-Heatherrock-Attempt-Id: " + id + "\r\nX-Heatherrock-Server-Stamp: stamp-of-" + s.ID + "\r\n"
 	switch fault {
+	case Unsigned:
+		w.WriteHeader(http.StatusOK)
 	case Hanging:
 		select {
 		case <-s.stopped:
@@ -429,6 +433,7 @@
 		select {
 		case <-time.After(s.platform.AnswerTime):
 		case <-s.stopped:
+			resetConnection(w)
 			return
 		}
 		s.setHeaders(w, id)
