End the delay of deletions with the outage that it is for

Cause: a deletion that came within 2.2 s of a failed read was held back for 2.2 s from its arrival. Rows that were lost in an outage are back about 2 s after its end, so a removal 1 s after the end was held back for 3.2 s after it, longer than an endpoint that leaves may get requests.

TestDeletionAfterTheStoreIsBackIsNotDelayedAnew fails before the change.

Change: the delay ends 2.2 s after the store was reached again.

Measured: tests of syncer under -race.

--- a/internal/serving/syncer/syncer.go
+++ b/internal/serving/syncer/syncer.go
@@ -106,10 +106,10 @@
 type followedTable struct {
 	Table
 	replica *replicator.Copy
-	// lastFailureAt is when a read of the store last failed, and storeFailed reports whether the latest one did.
+	// storeFailed reports whether the latest read of the store failed, and regainedAt is when one succeeded after that.
 	// delayedDeletions holds the deletions that OnChange has not been called with yet, by key.
-	lastFailureAt time.Time
-	storeFailed   bool
+	storeFailed bool
+	regainedAt  time.Time
 	// readStartedAt is when the read of the store in progress was sent; a zero time means that there is none. cancelRead
 	// ends it, and isRepeated is true if the next read repeats one that was ended.
 	readStartedAt time.Time
@@ -362,7 +362,6 @@
 	now := s.clock()
 	pending := t.pendingTime(now)
 	t.readStartedAt = time.Time{}
-	t.lastFailureAt = now
 	if !t.storeFailed {
 		t.storeFailed = true
 		s.log.Warn("store lost", "table", t.Name, "version", t.replica.Version, "pending", pending.Seconds(), "error", err)
@@ -387,7 +386,7 @@
 		t.readStartedAt = time.Time{}
 	}
 	if fromStore && t.storeFailed {
-		t.storeFailed = false
+		t.storeFailed, t.regainedAt = false, now
 		s.log.Info("store regained", "table", t.Name, "version", page.Version)
 	}
 	var changed []replicator.Row
@@ -413,8 +412,12 @@
 	var out []replicator.Row
 	for _, r := range changed {
 		delete(t.delayedDeletions, r.Key)
-		if r.Deleted && !t.lastFailureAt.IsZero() && now.Sub(t.lastFailureAt) < deletionDelay {
-			t.delayedDeletions[r.Key] = delayedDeletion{r, now.Add(deletionDelay)}
+		releaseAt := t.regainedAt.Add(deletionDelay)
+		if t.storeFailed {
+			releaseAt = now.Add(deletionDelay)
+		}
+		if r.Deleted && now.Before(releaseAt) {
+			t.delayedDeletions[r.Key] = delayedDeletion{r, releaseAt}
 			continue
 		}
 		out = append(out, r)
--- a/internal/serving/syncer/syncer_test.go
+++ b/internal/serving/syncer/syncer_test.go
@@ -97,6 +97,27 @@
 	}
 }
 
+// TestDeletionAfterTheStoreIsBackIsNotDelayedAnew guards against an endpoint that gets requests for longer than it may
+// because its row was removed some time after the store was back.
+func TestDeletionAfterTheStoreIsBackIsNotDelayedAnew(t *testing.T) {
+	c := &clock{now: startTime}
+	s, f, reported := newSyncer(c, true)
+	s.apply(f, page(1, replicator.Row{Key: "a", Version: 1}), true, true)
+	s.recordFailure(f, ErrHistoryDropped)
+	c.advance(100 * time.Millisecond)
+	s.apply(f, page(1), false, true)
+	c.advance(deletionDelay - time.Millisecond)
+	s.apply(f, page(2, replicator.Row{Key: "a", Version: 2, Deleted: true}), false, true)
+	if diff := cmp.Diff([]string{"+a"}, *reported); diff != "" {
+		t.Errorf("changes before the delay (-want +got):\n%s", diff)
+	}
+	c.advance(2 * time.Millisecond)
+	s.fetchFromPeer(f)
+	if diff := cmp.Diff([]string{"+a", "-a"}, *reported); diff != "" {
+		t.Errorf("changes after the delay (-want +got):\n%s", diff)
+	}
+}
+
 // TestDeletionsAreReportedAtOnce deletes a row while the store is reachable.
 func TestDeletionsAreReportedAtOnce(t *testing.T) {
 	c := &clock{now: startTime}
