Log a digest of what each request asks for

Cause: the line of a request says which route, team and endpoints it had and not what was asked, so it cannot tell a call that crashes each endpoint from calls that are on them by chance.

--- a/internal/serving/forwarder/call.go
+++ b/internal/serving/forwarder/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"errors"
 	"hash/fnv"
 	"log/slog"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/heatherrock/heatherrock/internal/routing/matcher"
 	"github.com/heatherrock/heatherrock/internal/serving/connector"
@@ -53,7 +55,9 @@
 	team        matcher.Team
 	service     string
 	body        []byte
-	startedAt   time.Time
+	// contentDigest is set by the first call of digest.
+	contentDigest string
+	startedAt     time.Time
 	// deadline is when the caller's or the route's timeout ends.
 	deadline time.Time
 	ctx      context.Context
@@ -110,6 +114,18 @@
 	return k
 }
 
+// digest returns a hash of what a request has in common with its resends, which have ids of their own.
+func (k *call) digest() string {
+	if k.contentDigest == "" {
+		h := xxhash.New()
+		for _, text := range append([]string{k.team.Name, k.httpRequest.RequestURI, string(k.body)}, k.request.PromptParts...) {
+			_, _ = h.WriteString(text + "\x00") // Write of a hash never fails.
+		}
+		k.contentDigest = hex.EncodeToString(h.Sum(nil))
+	}
+	return k.contentDigest
+}
+
 // priority returns the priority of the request.
 func (k *call) priority() int {
 	if k.team.Priority >= 0 && k.team.Name != "" {
@@ -180,7 +196,7 @@
 		"kind", k.route.Kind.String(), "team", k.team.Name, "service", k.service, "configuration", k.config.Version,
 		"outcome", outcome, "status", k.status, "attempts", k.attempts, "events", k.eventCount,
 		"first", k.timeToFirstByte.Seconds(), "pause", k.longestGap.Seconds(), "took", now.Sub(k.startedAt).Seconds(),
-		"parts", strings.Join(k.request.PromptParts, ","), "trail", strings.Join(k.trail, "; "))
+		"digest", k.digest(), "parts", strings.Join(k.request.PromptParts, ","), "trail", strings.Join(k.trail, "; "))
 }
 
 // errUnsigned is the error of a success that may belong to another request, or that a server wrote as it ended.
--- a/internal/serving/forwarder/screening.go
+++ b/internal/serving/forwarder/screening.go
@@ -3,15 +3,12 @@
 import (
 	"cmp"
 	"context"
-	"encoding/hex"
 	"log/slog"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/heatherrock/heatherrock/internal/routing/reserver"
 	"github.com/heatherrock/heatherrock/internal/routing/screener"
 )
@@ -220,11 +217,7 @@
 	if len(s.keys) > 0 {
 		return s.keys
 	}
-	h := xxhash.New()
-	for _, text := range append([]string{s.team.Name, s.httpRequest.RequestURI, string(s.body)}, s.request.PromptParts...) {
-		_, _ = h.WriteString(text + "\x00") // Write of a hash never fails.
-	}
-	s.keys = []string{screener.RequestKey(s.service, hex.EncodeToString(h.Sum(nil)))}
+	s.keys = []string{screener.RequestKey(s.service, s.digest())}
 	for _, part := range s.request.PromptParts {
 		s.keys = append(s.keys, screener.PartKey(s.service, part))
 	}
