--- a/internal/standin/hoster/server.go
+++ b/internal/standin/hoster/server.go
@@ -22,6 +22,8 @@
 	AnswerTime    time.Duration
 	// DeadlyPart is a part of prompts that crashes each server which begins to answer a request with it; empty for none.
 	DeadlyPart string
+	// DeadlyBody is a body that crashes each server which runs a request with it; empty for none.
+	DeadlyBody string
 	// PublicAddress returns the address that a server registers for its listening address; nil if they are the same.
 	PublicAddress func(id, address string) string
 
@@ -318,7 +320,7 @@
 	if err != nil {
 		return
 	}
-	if part := s.platform.DeadlyPart; part != "" && strings.Contains(r.Header.Get("X-Heatherrock-Prefix-Hash"), part+":") {
+	if s.platform.isDeadly(r, body) {
 		go s.KillProcess() // It waits for the end of this handler.
 		<-s.stopped
 		resetConnection(w)
@@ -331,6 +333,12 @@
 	s.writeAnswer(w, r, id, fault)
 }
 
+// isDeadly reports whether a request with a body crashes the servers that run it.
+func (p *Platform) isDeadly(r *http.Request, body []byte) bool {
+	hasPart := p.DeadlyPart != "" && strings.Contains(r.Header.Get("X-Heatherrock-Prefix-Hash"), p.DeadlyPart+":")
+	return hasPart || p.DeadlyBody != "" && string(body) == p.DeadlyBody
+}
+
 // checkPath reports whether each server on a path holds its layers, and returns the address of the first that does not.
 func (s *Server) checkPath(header string) (string, bool) {
 	if header == "" {
--- a/internal/standin/hoster/store.go
+++ b/internal/standin/hoster/store.go
@@ -138,6 +138,13 @@
 	return r, ok && !r.Deleted
 }
 
+// RowCount returns the number of rows of a table.
+func (s *Store) RowCount(table string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.rowsSince(table, 0, false))
+}
+
 // setRow writes a row with the next version. s.mu must be held.
 func (s *Store) setRow(r Row) {
 	s.version++
