Keep calls that crash endpoints of plain services away from further ones

Cause: screening knew streams alone. A plain call had no key, nothing watched the endpoints of plain services, and no evidence against whole requests was kept. Ruled out: a cascade by load (unsafe calls that are sent once crashed the endpoints a second apart), and many different calls (one digest was in all sends that broke off more than once).

Change: plain calls are screened by the hash of the whole request, as streams are: a trial after one crash, refusal after two. Two instances watch each endpoint of plain services, as an attempt that was given up may crash the endpoint that it left. Evidence against a request is kept unless a refused part explains it.

Why it works: the record follows the request, not the instance or endpoint.

--- a/internal/routing/screener/evidence.go
+++ b/internal/routing/screener/evidence.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Evidence is why requests with a part are refused: the crashes since one with it last began.
+// Evidence is why requests with a key are refused: the crashes since one with it last began.
 type Evidence struct {
 	Key     string
 	Crashes []Crash
@@ -19,18 +19,31 @@
 	return e.Crashes[len(e.Crashes)-1].At
 }
 
-// Evidence returns the evidence against those of the keys that are refused parts, which is to be kept beyond the life of
-// this instance.
+// Evidence returns the evidence against those of the keys that are refused, which is to be kept beyond the life of this
+// instance. There is none against a request whose crashes a refused part explains.
 func (s *Screener) Evidence(now time.Time, keys []string) []Evidence {
 	var out []Evidence
 	for _, key := range keys {
-		if ruling, _ := s.checkKey(now, key); ruling == Refuse && !isRequestKey(key) {
-			out = append(out, Evidence{key, slices.Clone(s.records[key].crashes)})
+		if ruling, _ := s.checkKey(now, key); ruling != Refuse {
+			continue
 		}
+		r := s.records[key]
+		if isRequestKey(key) && slices.ContainsFunc(keys, func(part string) bool { return s.explains(now, part, r) }) {
+			continue
+		}
+		out = append(out, Evidence{key, slices.Clone(r.crashes)})
 	}
 	return out
 }
 
+// explains reports whether a part is refused and was there at all crashes of a record.
+func (s *Screener) explains(now time.Time, part string, r *record) bool {
+	if ruling, _ := s.checkKey(now, part); ruling != Refuse || isRequestKey(part) {
+		return false
+	}
+	return !slices.ContainsFunc(r.crashes, func(c Crash) bool { return !s.records[part].hasCrash(c) })
+}
+
 // Restore records evidence that was kept, unless more is known by now.
 func (s *Screener) Restore(now time.Time, e Evidence) {
 	r := s.record(now, e.Key)
--- a/internal/serving/forwarder/call.go
+++ b/internal/serving/forwarder/call.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -55,9 +56,7 @@
 	team        matcher.Team
 	service     string
 	body        []byte
-	// contentDigest is set by the first call of digest.
-	contentDigest string
-	startedAt     time.Time
+	startedAt   time.Time
 	// deadline is when the caller's or the route's timeout ends.
 	deadline time.Time
 	ctx      context.Context
@@ -68,6 +67,11 @@
 	mayHaveRun bool
 	// sentTo holds the addresses of the endpoints that the request was sent to.
 	sentTo map[string]bool
+	// contentDigest is set by the first call of digest, and keys, by which the request is screened, by that of screenKeys.
+	contentDigest string
+	keys          []string
+	// isStopped is true once an attempt was stopped because it may crash its endpoint.
+	isStopped atomic.Bool
 	// denials counts the endpoints that were at their limits.
 	denials int
 	// heldBytes is the memory reserved for the bodies of the request and of its replies.
--- a/internal/serving/forwarder/plain.go
+++ b/internal/serving/forwarder/plain.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -11,6 +12,7 @@
 
 	"github.com/heatherrock/heatherrock/internal/routing/matcher"
 	"github.com/heatherrock/heatherrock/internal/routing/reserver"
+	"github.com/heatherrock/heatherrock/internal/routing/screener"
 	"github.com/heatherrock/heatherrock/internal/routing/selector"
 	"github.com/heatherrock/heatherrock/internal/serving/connector"
 )
@@ -66,8 +68,15 @@
 // servePlain serves a request whose response is forwarded as a whole.
 func (k *call) servePlain() {
 	var last *reply
+	var refusalReason string
+	var retryAfter time.Duration
 	tried := map[string]bool{}
 	for n := 0; n < maxEndpointTries && !isDone(k.ctx); n++ {
+		var ruling screener.Ruling
+		ruling, retryAfter = k.awaitRuling(k.screenKeys())
+		if refusalReason = refusalReasons[ruling]; refusalReason != "" {
+			break
+		}
 		server, ok := k.pickServer(tried)
 		if !ok {
 			break
@@ -84,7 +93,7 @@
 			break
 		}
 	}
-	k.finishPlain(last)
+	k.finishPlain(last, refusalReason, retryAfter)
 }
 
 // pickServer returns the endpoint for the next attempt: if there is one, one that was not tried yet. It waits for an endpoint
@@ -139,8 +148,9 @@
 	return false
 }
 
-// finishPlain sends the caller the last response, or an error that states what is known if there is none.
-func (k *call) finishPlain(last *reply) {
+// finishPlain sends the caller the last response, or an error that states what is known if there is none. The reason is empty
+// unless the request must not be sent before retryAfter.
+func (k *call) finishPlain(last *reply, reason string, retryAfter time.Duration) {
 	switch {
 	case k.httpRequest.Context().Err() != nil:
 		k.outcome = "caller left"
@@ -153,7 +163,9 @@
 	case k.mayHaveRun && isDone(k.ctx):
 		k.sendRefusal(refusal{Status: http.StatusGatewayTimeout, Reason: "no answer in time"})
 	case k.mayHaveRun:
-		k.sendRefusal(refusal{Status: http.StatusBadGateway, Reason: "no whole answer"})
+		k.sendRefusal(refusal{Status: http.StatusBadGateway, Reason: cmp.Or(reason, "no whole answer")})
+	case reason != "":
+		k.sendUnavailable(reason, retryAfter)
 	default:
 		k.sendUnavailable(k.plainRefusal())
 	}
@@ -174,11 +186,16 @@
 // tryEndpoint sends the request to one endpoint of a plain service. The reply is not nil if the endpoint ran the
 // request and its whole response arrived.
 func (k *call) tryEndpoint(id, address string, isLast bool) (*reply, attemptResult) {
-	ctx, cancel := k.ctx, context.CancelFunc(func() {})
+	ctx, cancel := context.WithCancel(k.ctx)
+	defer cancel()
 	if !isLast && k.route.Kind == matcher.Safe && k.route.FirstByteTarget > 0 {
-		ctx, cancel = context.WithTimeout(k.ctx, time.Duration(attemptTargetShare*float64(k.route.FirstByteTarget)))
+		var cancelTimeout context.CancelFunc
+		ctx, cancelTimeout = context.WithTimeout(ctx, time.Duration(attemptTargetShare*float64(k.route.FirstByteTarget)))
+		defer cancelTimeout()
 	}
-	defer cancel()
+	screening := k.forwarder.screening
+	number := screening.begin(k.forwarder.clock(), k.screenKeys(), []string{id}, k.stopAttempt(cancel))
+	defer func() { screening.end(k.forwarder.clock(), number) }()
 	resp, err := k.send(ctx, address, Delivery{Endpoint: id, TimeLeft: k.timeLeft(k.forwarder.clock()), Priority: k.priority()})
 	if errors.Is(err, connector.ErrNotSent) {
 		k.addToTrail("endpoint", id, "not reached:", err.Error())
@@ -186,17 +203,13 @@
 	}
 	k.attempts++
 	if err != nil {
-		k.mayHaveRun = true
-		k.addToTrail("endpoint", id, "lost:", err.Error())
-		return nil, lost
+		return nil, k.recordBroken(ctx, id, address, "lost:", err)
 	}
 	head := k.forwarder.protocol.Read(resp.Status, resp.Header)
 	k.recordStatement(id, head)
 	if err := checkOrigin(resp, head); err != nil {
 		resp.Finish(false)
-		k.mayHaveRun = true
-		k.addToTrail("endpoint", id, "lost:", err.Error())
-		return nil, lost
+		return nil, k.recordBroken(ctx, id, address, "lost:", err)
 	}
 	if head.NotRun {
 		resp.Discard(k.forwarder.clock())
@@ -205,10 +218,9 @@
 	}
 	body, err := k.readReply(resp)
 	if err != nil {
-		k.mayHaveRun = true
-		k.addToTrail("endpoint", id, "broke its answer off:", err.Error())
-		return nil, lost
+		return nil, k.recordBroken(ctx, id, address, "broke its answer off:", err)
 	}
+	screening.recordFirstEvent(k.forwarder.clock(), number)
 	r := &reply{resp.Status, resp.Header, body}
 	k.mayHaveRun = true
 	if resp.Status >= 500 {
@@ -217,3 +229,14 @@
 	}
 	return r, answered
 }
+
+// recordBroken records that an attempt ended without a whole response, and checks whether the endpoint is lost unless the attempt
+// was given up here.
+func (k *call) recordBroken(ctx context.Context, id, address, what string, err error) attemptResult {
+	k.mayHaveRun = true
+	k.addToTrail("endpoint", id, what, err.Error())
+	if !isDone(ctx) {
+		k.checkLoss(id, address)
+	}
+	return lost
+}
--- a/internal/serving/forwarder/screening.go
+++ b/internal/serving/forwarder/screening.go
@@ -9,11 +9,10 @@
 	"sync"
 	"time"
 
-	"github.com/heatherrock/heatherrock/internal/routing/reserver"
 	"github.com/heatherrock/heatherrock/internal/routing/screener"
 )
 
-// EvidenceKeeper keeps the evidence against refused parts of prompts for instances that start later. Its methods do not wait
+// EvidenceKeeper keeps the evidence against refused parts of prompts and requests for instances that start later. Its methods do not wait
 // for the result.
 type EvidenceKeeper interface {
 	// Keep keeps evidence, and Drop drops what is kept of keys that are cleared.
@@ -193,7 +192,7 @@
 }
 
 const (
-	// lossCheckTimeout bounds the check whether an endpoint is lost after a stream broke off before its first event.
+	// lossCheckTimeout bounds the check whether an endpoint is lost after a request broke off before its response began.
 	lossCheckTimeout = 40 * time.Millisecond
 	// trialCheckInterval is the time between two checks whether the trial of a suspect has ended.
 	trialCheckInterval = 20 * time.Millisecond
@@ -203,25 +202,46 @@
 	trialRetryAfter = time.Second
 )
 
-// The reasons for which requests are refused by screening.
-const (
-	reasonSuspect = "requests like it crash endpoints"
-	reasonTrial   = "a request like it is on trial"
-)
+// reasonSuspect is the reason for which a request is refused that may crash endpoints.
+const reasonSuspect = "requests like it crash endpoints"
+
+// refusalReasons holds the reasons for which requests must not be sent, by ruling.
+var refusalReasons = map[screener.Ruling]string{screener.Refuse: reasonSuspect, screener.Wait: "a request like it is on trial"}
+
+// screenKeys returns the keys of the request.
+func (k *call) screenKeys() []string {
+	if len(k.keys) == 0 {
+		k.keys = []string{screener.RequestKey(k.service, k.digest())}
+		for _, part := range k.request.PromptParts {
+			k.keys = append(k.keys, screener.PartKey(k.service, part))
+		}
+	}
+	return k.keys
+}
 
 // screenKeys returns the keys of a stream. A stream that has begun has none: it has shown that it crashes no endpoint.
 func (s *streamCall) screenKeys() []string {
 	if s.eventCount > 0 || s.request.LastEventID != "" {
 		return nil
 	}
-	if len(s.keys) > 0 {
-		return s.keys
-	}
-	s.keys = []string{screener.RequestKey(s.service, s.digest())}
-	for _, part := range s.request.PromptParts {
-		s.keys = append(s.keys, screener.PartKey(s.service, part))
+	return s.call.screenKeys()
+}
+
+// awaitRuling waits while another request with one of the keys is on trial, and returns the ruling on the request: it is Wait if
+// the result is not known in time. A request that must not be sent may be tried after the returned time.
+func (k *call) awaitRuling(keys []string) (screener.Ruling, time.Duration) {
+	now := k.forwarder.clock()
+	end := now.Add(cmp.Or(k.route.FirstByteTarget, maxTrialWait))
+	for {
+		ruling, retryAfter := k.forwarder.screening.check(now, keys)
+		if ruling != screener.Wait {
+			return ruling, retryAfter
+		}
+		if !now.Before(end) || !k.sleep(trialCheckInterval) {
+			return screener.Wait, trialRetryAfter
+		}
+		now = k.forwarder.clock()
 	}
-	return s.keys
 }
 
 // isSuspect reports whether the stream must not be sent, and answers its caller if so.
@@ -234,35 +254,26 @@
 	return true
 }
 
-// checkLoss finds out whether an endpoint is lost on which the stream broke off before its first event. The endpoint may not be
-// watched yet, and the news of those that watch it may take longer than this.
-func (s *streamCall) checkLoss(e reserver.Endpoint) {
-	if s.forwarder.checkLoss == nil || s.eventCount > 0 || s.isStopped.Load() || s.forwarder.screening.isLost(s.forwarder.clock(), e.ID) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(s.ctx, lossCheckTimeout)
-	defer cancel()
-	s.forwarder.checkLoss(ctx, e.ID, e.Address)
-}
-
 // awaitTrial waits while another request with a key of the stream is on trial, and reports whether the stream may be
 // sent. If not, it has answered the caller.
 func (s *streamCall) awaitTrial() bool {
-	now := s.forwarder.clock()
-	end := now.Add(cmp.Or(s.route.FirstByteTarget, maxTrialWait))
-	for {
-		ruling, _ := s.forwarder.screening.check(now, s.screenKeys())
-		switch {
-		case ruling == screener.Refuse:
-			return !s.isSuspect()
-		case ruling != screener.Wait:
-			return true
-		case !now.Before(end) || !s.sleep(trialCheckInterval):
-			s.giveUpAfter(reasonTrial, trialRetryAfter)
-			return false
-		}
-		now = s.forwarder.clock()
+	ruling, retryAfter := s.awaitRuling(s.screenKeys())
+	if reason, ok := refusalReasons[ruling]; ok {
+		s.giveUpAfter(reason, retryAfter)
+		return false
 	}
+	return true
+}
+
+// checkLoss finds out whether an endpoint is lost on which the request broke off before its response began. The endpoint may not
+// be watched yet, and the news of those that watch it may take longer than this.
+func (k *call) checkLoss(id, address string) {
+	if k.forwarder.checkLoss == nil || k.isStopped.Load() || k.forwarder.screening.isLost(k.forwarder.clock(), id) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(k.ctx, lossCheckTimeout)
+	defer cancel()
+	k.forwarder.checkLoss(ctx, id, address)
 }
 
 // sleep waits for a time, and returns false if the request's context ends first.
@@ -277,10 +288,10 @@
 	}
 }
 
-// stopAttempt returns the function that stops an attempt of a stream that must not run.
-func (s *streamCall) stopAttempt(cancel context.CancelFunc) func() {
+// stopAttempt returns the function that stops an attempt of a request that must not run.
+func (k *call) stopAttempt(cancel context.CancelFunc) func() {
 	return func() {
-		s.isStopped.Store(true)
+		k.isStopped.Store(true)
 		cancel()
 	}
 }
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/routing/monitor"
@@ -50,10 +49,7 @@
 	headSent bool
 	// readingPrompt is true while the prompt is being read on a path.
 	readingPrompt bool
-	// keys holds the keys by which the stream is screened, and isStopped is true once an attempt was stopped because it may
-	// crash its endpoint. screenNumber is the number of the attempt in progress.
-	keys         []string
-	isStopped    atomic.Bool
+	// screenNumber is the number of the attempt in progress.
 	screenNumber uint64
 	// lastEventID is the id of the last event delivered, and lastEventAt when that was.
 	lastEventID string
@@ -96,8 +92,8 @@
 			return
 		}
 		if next == nil && !isDone(k.ctx) {
-			if result == lost {
-				s.checkLoss(path.Stages[0].Endpoint)
+			if first := path.Stages[0].Endpoint; result == lost && s.eventCount == 0 {
+				s.checkLoss(first.ID, first.Address)
 			}
 			if s.isSuspect() {
 				return
--- a/internal/serving/gateway/losses.go
+++ b/internal/serving/gateway/losses.go
@@ -40,8 +40,8 @@
 	return nil
 }
 
-// assignWatches sets the endpoints that this instance watches. The endpoints of services that generate streams are
-// assigned to the instances of their data centres. Nothing is done while neither instances nor endpoints have changed.
+// assignWatches sets the endpoints that this instance watches. Endpoints are assigned to the instances of their data centres.
+// Nothing is done while neither instances nor endpoints have changed.
 func (g *Gateway) assignWatches(now time.Time) {
 	if now.Sub(g.startedAt) < watchDelay {
 		return
@@ -66,7 +66,7 @@
 	addresses := map[string]string{}
 	var endpoints []assigner.Node
 	for _, e := range g.endpoints {
-		if s, ok := c.Services[e.Service]; ok && s.Engine != nil {
+		if _, ok := c.Services[e.Service]; ok {
 			addresses[e.ID] = e.Address
 			endpoints = append(endpoints, assigner.Node{ID: e.ID, DataCentre: e.DataCentre, Region: g.settings.Region})
 		}
