--- a/internal/control/replicator/replicator.go
+++ b/internal/control/replicator/replicator.go
@@ -20,6 +20,8 @@
 	Rows []Row
 	// Version is the version up to which the page is complete.
 	Version int64
+	// Era counts how often the store has come back from a copy of earlier rows. It then gives versions out again.
+	Era int64
 }
 
 // Copy is the copy of one table. It is not safe for concurrent use.
--- a/internal/serving/syncer/syncer.go
+++ b/internal/serving/syncer/syncer.go
@@ -361,7 +361,7 @@
 	}
 	if fromStore && t.storeFailed {
 		t.storeFailed, t.regainedAt = false, now
-		s.log.Info("store regained", "table", t.Name, "version", page.Version)
+		s.log.Info("store regained", "table", t.Name, "version", page.Version, "era", page.Era)
 	}
 	var changed []replicator.Row
 	if full {
@@ -371,7 +371,7 @@
 	}
 	changed = t.delayDeletions(now, changed)
 	if len(changed) > 0 {
-		s.log.Info("table changed", "table", t.Name, "version", t.replica.Version, "rows", len(changed), "direct", fromStore)
+		s.log.Info("table changed", "table", t.Name, "version", t.replica.Version, "era", page.Era, "rows", len(changed), "direct", fromStore)
 		t.OnChange(now, changed)
 	}
 	s.publishHead(now, t)
