--- a/internal/standin/hoster/store.go
+++ b/internal/standin/hoster/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -47,6 +48,7 @@
 	mu         sync.Mutex
 	rows       map[string]Row
 	version    int64
+	era        int64
 	changed    chan struct{}
 	faults     Faults
 	callCounts map[string]int
@@ -55,7 +57,7 @@
 
 // NewStore starts a store.
 func NewStore() *Store {
-	s := &Store{done: make(chan struct{}), rows: map[string]Row{}, changed: make(chan struct{}), callCounts: map[string]int{}}
+	s := &Store{done: make(chan struct{}), rows: map[string]Row{}, era: 1, changed: make(chan struct{}), callCounts: map[string]int{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /rows-get", s.handleGet)
 	mux.HandleFunc("GET /rows-feed", s.handleFeed)
@@ -138,6 +140,28 @@
 	return r, ok && !r.Deleted
 }
 
+// Snapshot is a copy of the store's rows.
+type Snapshot struct {
+	rows    map[string]Row
+	version int64
+}
+
+// Snapshot returns a copy of the rows.
+func (s *Store) Snapshot() Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Snapshot{maps.Clone(s.rows), s.version}
+}
+
+// Restore makes the store come back from a copy: what was written since is gone, and its versions are given out again.
+func (s *Store) Restore(c Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.version = maps.Clone(c.rows), c.version
+	s.era++
+	s.notifyChanged()
+}
+
 // RowCount returns the number of rows of a table.
 func (s *Store) RowCount(table string) int {
 	s.mu.Lock()
@@ -221,7 +245,8 @@
 	timedOut := false
 	for {
 		s.mu.Lock()
-		if s.faults.DropHistory[q.Get("table")] {
+		w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+		if s.faults.DropHistory[q.Get("table")] || after > s.version {
 			delete(s.faults.DropHistory, q.Get("table"))
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
@@ -252,6 +277,7 @@
 // writePage writes a page of rows as the response. s.mu must be held.
 func (s *Store) writePage(w http.ResponseWriter, rows []Row) {
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
 	_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "has_more": false, "schema_version": s.version})
 }
 
@@ -274,6 +300,7 @@
 			row.Version = 0
 		}
 		if row.Version != c.Version {
+			w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
 			w.WriteHeader(http.StatusPreconditionFailed)
 			s.writePage(w, []Row{row})
 			return
