Take the tables anew when the store has come back from a copy

Cause: versions were compared across a restoration. The store gives versions out again, so a row whose version the copies had reached before was not returned, and one that was returned was dropped as older. Ruled out: a lost read (the next write arrived within 10 ms) and a configuration that is read and ignored (no line says so).

Change: a copy has an era, and heads are compared by era and version. A read that finds a later era reads the whole table; rows differ by their value then. Answers of an earlier era are ignored. Instances pass eras on to each other, and the whole table to one of another era. A home of an earlier release states no eras and is not relied on.

Why it works: versions are only compared within an era, whatever the source.

--- a/internal/serving/accountant/accountant.go
+++ b/internal/serving/accountant/accountant.go
@@ -10,12 +10,12 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/control/gossiper"
+	"github.com/heatherrock/heatherrock/internal/control/replicator"
 	"github.com/heatherrock/heatherrock/internal/routing/limiter"
 	"github.com/heatherrock/heatherrock/internal/routing/reserver"
 	"github.com/heatherrock/heatherrock/internal/serving/exchanger"
@@ -52,19 +52,38 @@
 	// Usages is what the rest of the fleet has reserved if an instance reported, and what the data centre of the
 	// responding home has reserved if a home reported.
 	Usages Usages
-	// Heads is the version up to which the home has read each table of the store. Fresh reports whether the home reads
-	// them from the store itself.
+	// Heads is the version up to which the home has read each table of the store, and Eras its era; an earlier release states
+	// no eras. Fresh reports whether the home reads them from the store itself.
 	Heads map[string]int64
+	Eras  map[string]int64
 	Fresh bool
 }
 
+// setHeads states the heads of the tables, and whether they are read from the store.
+func (r *Reply) setHeads(heads map[string]replicator.Head, fresh bool) {
+	r.Heads, r.Eras, r.Fresh = make(map[string]int64, len(heads)), make(map[string]int64, len(heads)), fresh
+	for table, h := range heads {
+		r.Heads[table], r.Eras[table] = h.Version, h.Era
+	}
+}
+
+// heads returns the heads of the tables, and whether the home tells of all changes. A home that states no eras does not: its
+// versions cannot be compared.
+func (r *Reply) heads() (heads map[string]replicator.Head, fresh bool) {
+	heads = make(map[string]replicator.Head, len(r.Eras))
+	for table, era := range r.Eras {
+		heads[table] = replicator.Head{Version: r.Heads[table], Era: era}
+	}
+	return heads, r.Fresh && len(r.Eras) > 0
+}
+
 // Tables tracks up to which version this instance has read the tables of the store.
 type Tables interface {
-	// Heads returns the version of each table, and whether all are read from the store.
-	Heads() (heads map[string]int64, fresh bool)
+	// Heads returns the head of each table, and whether all are read from the store.
+	Heads() (heads map[string]replicator.Head, fresh bool)
 	// RecordPeerHeads records up to which version a peer has read the tables, whether it reads them from the store, and whether
 	// this instance shall pause its own reads of the store meanwhile.
-	RecordPeerHeads(now time.Time, peer gossiper.Peer, heads map[string]int64, fresh, pauseReads bool)
+	RecordPeerHeads(now time.Time, peer gossiper.Peer, heads map[string]replicator.Head, fresh, pauseReads bool)
 	// SetReader states whether this instance is one of those that read the store in any case.
 	SetReader(isReader bool)
 }
@@ -246,7 +265,8 @@
 	}
 	if !r.Home {
 		a.othersIdle = reply.Usages.isIdle()
-		a.tables.RecordPeerHeads(a.clock(), peer, reply.Heads, reply.Fresh, pausesReads(rank, reply.Fresh))
+		heads, fresh := reply.heads()
+		a.tables.RecordPeerHeads(a.clock(), peer, heads, fresh, pausesReads(rank, fresh))
 		a.onUpdate(a.clock(), reply.Usages)
 		return
 	}
@@ -364,7 +384,6 @@
 		return nil
 	}
 	reply.Usages = a.sumOfOthers(r.Owner)
-	heads, fresh := a.tables.Heads()
-	reply.Heads, reply.Fresh = maps.Clone(heads), fresh
+	reply.setHeads(a.tables.Heads())
 	return nil
 }
--- a/internal/serving/accountant/accountant_test.go
+++ b/internal/serving/accountant/accountant_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/heatherrock/heatherrock/internal/control/gossiper"
+	"github.com/heatherrock/heatherrock/internal/control/replicator"
 	"github.com/heatherrock/heatherrock/internal/routing/reserver"
 	"github.com/heatherrock/heatherrock/internal/serving/exchanger"
 )
@@ -51,13 +52,15 @@
 }
 
 // Heads returns the head of one table.
-func (ti *testInstance) Heads() (map[string]int64, bool) { return map[string]int64{"table": 7}, true }
+func (ti *testInstance) Heads() (map[string]replicator.Head, bool) {
+	return map[string]replicator.Head{"table": {Version: 7, Era: 2}}, true
+}
 
 // RecordPeerHeads records the peer that reads the store in place of the instance.
-func (ti *testInstance) RecordPeerHeads(_ time.Time, peer gossiper.Peer, heads map[string]int64, _, pauseReads bool) {
+func (ti *testInstance) RecordPeerHeads(_ time.Time, peer gossiper.Peer, heads map[string]replicator.Head, _, pauseReads bool) {
 	ti.mu.Lock()
 	defer ti.mu.Unlock()
-	if pauseReads && heads["table"] == 7 {
+	if want := (replicator.Head{Version: 7, Era: 2}); pauseReads && heads["table"] == want {
 		ti.storeReader = peer.ID
 	}
 }
--- a/internal/serving/syncer/peers.go
+++ b/internal/serving/syncer/peers.go
@@ -11,9 +11,9 @@
 	"github.com/heatherrock/heatherrock/internal/control/replicator"
 )
 
-// RecordPeerHeads records a peer's versions of the tables, and fetches newer ones from it. Fresh states whether the peer
+// RecordPeerHeads records a peer's heads of the tables, and fetches newer ones from it. Fresh states whether the peer
 // reads the store. With pauseReads, this instance pauses its own reads until the peer stops responding.
-func (s *Syncer) RecordPeerHeads(now time.Time, peer gossiper.Peer, heads map[string]int64, fresh, pauseReads bool) {
+func (s *Syncer) RecordPeerHeads(now time.Time, peer gossiper.Peer, heads map[string]replicator.Head, fresh, pauseReads bool) {
 	s.mu.Lock()
 	s.confirmedUntil = time.Time{}
 	if fresh {
@@ -23,8 +23,8 @@
 		s.readsPausedUntil = now.Add(readPauseTime)
 	}
 	var behind []*followedTable
-	for name, version := range heads {
-		if t, ok := s.tables[name]; ok && version > t.replica.Version {
+	for name, head := range heads {
+		if t, ok := s.tables[name]; ok && head.IsAfter(t.replica.Head()) {
 			// With this time, the fetch is due at once.
 			t.aheadPeer, t.aheadSince = peer, now.Add(-peerFetchDelay)
 			behind = append(behind, t)
@@ -36,35 +36,36 @@
 	}
 }
 
-// publishHead gossips the version of a table's copy if it has not been published, unless a peer that reads the store
+// publishHead gossips the head of a table's copy if it has not been published, unless a peer that reads the store
 // relays changes to this instance: such a peer publishes them, and a version from each instance would cost all others a
 // message. The lock is held.
 func (s *Syncer) publishHead(now time.Time, t *followedTable) {
-	if t.replica.Version <= t.publishedVersion || s.isPaused(now, t) {
+	head := t.replica.Head()
+	if !head.IsAfter(t.published) || s.isPaused(now, t) {
 		return
 	}
-	t.publishedVersion = t.replica.Version
-	b, err := json.Marshal(t.replica.Version)
+	t.published = head
+	b, err := json.Marshal(head)
 	if err != nil {
-		panic(err) // An integer can always be encoded as JSON.
+		panic(err) // A struct of integers can always be encoded as JSON.
 	}
 	s.exchange.Publish(gossiper.TopicHead, t.Name, b, 0)
 }
 
-// recordPeerHead records the version of a peer's copy of a table from gossip.
+// recordPeerHead records the head of a peer's copy of a table from gossip.
 func (s *Syncer) recordPeerHead(e gossiper.Entry) {
-	var version int64
+	var head replicator.Head
 	if e.Deleted {
 		return
 	}
-	if err := json.Unmarshal(e.Value, &version); err != nil {
-		s.log.Warn("invalid table version from peer", "peer", e.Owner, "table", e.Key, "error", err)
+	if err := json.Unmarshal(e.Value, &head); err != nil {
+		s.log.Warn("invalid head of a table from peer", "peer", e.Owner, "table", e.Key, "error", err)
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t, ok := s.tables[e.Key]
-	if !ok || version <= t.replica.Version {
+	if !ok || !head.IsAfter(t.replica.Head()) {
 		return
 	}
 	p, ok := s.exchange.LivePeer(e.Owner)
@@ -106,7 +107,7 @@
 	s.publishHead(now, t)
 	s.repeatRead(now, t)
 	due := !t.aheadSince.IsZero() && now.Sub(t.aheadSince) >= peerFetchDelay
-	peer, version := t.aheadPeer, t.replica.Version
+	peer, head := t.aheadPeer, t.replica.Head()
 	if due {
 		t.aheadSince = time.Time{}
 	}
@@ -117,17 +118,18 @@
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 	defer cancel()
 	var page replicator.Page
-	if err := s.exchange.Call(ctx, peer, "Relay.Since", Query{t.Name, version}, &page); err != nil {
+	if err := s.exchange.Call(ctx, peer, "Relay.Since", Query{t.Name, head.Version, head.Era}, &page); err != nil {
 		s.log.Warn("table not fetched from peer", "peer", peer.ID, "table", t.Name, "error", err)
 		return
 	}
-	s.apply(t, page, false, false)
+	s.apply(t, page, page.IsWhole, false)
 }
 
-// Query requests the rows of a table that are newer than a version.
+// Query requests the rows of a table that are newer than a version of an era.
 type Query struct {
 	Table   string
 	Version int64
+	Era     int64
 }
 
 // Relay holds the methods that peers call over net/rpc.
@@ -135,7 +137,7 @@
 	s *Syncer
 }
 
-// Since replies with the rows of a table that are newer than a version.
+// Since replies with the rows of a table that are newer than a version, or with the whole table if the version is of another era.
 func (r *Relay) Since(q Query, reply *replicator.Page) error {
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
@@ -143,6 +145,10 @@
 	if !ok {
 		return merry.Errorf("table %q is not followed", q.Table)
 	}
+	if q.Era != t.replica.Era {
+		*reply = t.replica.Whole()
+		return nil
+	}
 	*reply = t.replica.Since(q.Version)
 	return nil
 }
--- a/internal/serving/syncer/syncer.go
+++ b/internal/serving/syncer/syncer.go
@@ -114,8 +114,8 @@
 	readStartedAt time.Time
 	cancelRead    context.CancelFunc
 	isRepeated    bool
-	// publishedVersion is the version that gossip last announced.
-	publishedVersion int64
+	// published is the head that gossip last announced.
+	published        replicator.Head
 	delayedDeletions map[string]delayedDeletion
 	// aheadPeer is a peer with a newer version of the table, since aheadSince; a zero time means that there is none.
 	aheadPeer  gossiper.Peer
@@ -226,7 +226,7 @@
 // one that a peer has already relayed.
 func (s *Syncer) read(t *followedTable) (bool, error) {
 	s.mu.Lock()
-	version := t.replica.Version
+	head := t.replica.Head()
 	now := s.clock()
 	t.readStartedAt = now
 	hold, timeout := s.holdTimes(now, t)
@@ -234,15 +234,15 @@
 	t.cancelRead = cancel
 	s.mu.Unlock()
 	defer cancel()
-	full := version == 0
+	full := head.Version == 0
 	var page replicator.Page
 	var err error
 	if !full {
-		page, err = s.store.Changes(ctx, t.Name, version, hold)
+		page, err = s.store.Changes(ctx, t.Name, head.Version, hold)
 		if s.isReadRepeated(t, ctx) {
 			return false, nil
 		}
-		full = errors.Is(err, ErrHistoryDropped)
+		full = errors.Is(err, ErrHistoryDropped) || err == nil && page.Era > head.Era
 	}
 	if full {
 		ctx, cancel := context.WithTimeout(s.readCtx, callTimeout)
@@ -254,7 +254,7 @@
 		return false, err
 	}
 	s.apply(t, page, full, true)
-	return page.Version > version || len(page.Rows) > 0, nil
+	return page.Head().IsAfter(head) || len(page.Rows) > 0, nil
 }
 
 // holdTimes returns how long the store is asked to hold a read of changes that is sent at now, and when it counts as lost.
@@ -314,13 +314,13 @@
 	s.isReader = isReader
 }
 
-// Heads returns the version of each table's copy, and whether all of them are being read from the store.
-func (s *Syncer) Heads() (map[string]int64, bool) {
+// Heads returns the head of each table's copy, and whether all of them are being read from the store.
+func (s *Syncer) Heads() (map[string]replicator.Head, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	heads, fresh := map[string]int64{}, s.readCtx.Err() == nil
+	heads, fresh := map[string]replicator.Head{}, s.readCtx.Err() == nil
 	for name, t := range s.tables {
-		heads[name] = t.replica.Version
+		heads[name] = t.replica.Head()
 		fresh = fresh && !t.storeFailed && t.replica.Version > 0
 	}
 	return heads, fresh && !s.clock().Before(s.readsPausedUntil)
@@ -363,6 +363,9 @@
 		t.storeFailed, t.regainedAt = false, now
 		s.log.Info("store regained", "table", t.Name, "version", page.Version, "era", page.Era)
 	}
+	if before := t.replica.Head(); full && page.Era > before.Era && before.Version > 0 {
+		s.log.Warn("store has come back from a copy", "table", t.Name, "version", page.Version, "era", page.Era, "before", before.Version, "direct", fromStore)
+	}
 	var changed []replicator.Row
 	if full {
 		changed = t.replica.Replace(now, page)
@@ -371,7 +374,7 @@
 	}
 	changed = t.delayDeletions(now, changed)
 	if len(changed) > 0 {
-		s.log.Info("table changed", "table", t.Name, "version", t.replica.Version, "era", page.Era, "rows", len(changed), "direct", fromStore)
+		s.log.Info("table changed", "table", t.Name, "version", t.replica.Version, "era", t.replica.Era, "rows", len(changed), "direct", fromStore)
 		t.OnChange(now, changed)
 	}
 	s.publishHead(now, t)
@@ -407,9 +410,9 @@
 
 // Status is what is known of an instance's copy of a table.
 type Status struct {
-	// Version is the version of the copy, and Age how long ago a read of the store or a peer confirmed it.
-	Version int64
-	Age     time.Duration
+	// Head is that of the copy, and Age how long ago a read of the store or a peer confirmed it.
+	Head replicator.Head
+	Age  time.Duration
 	// Reached is true if the last read of the store succeeded.
 	Reached bool
 	// Pending is how long the read of the store in progress has been unanswered; 0 means that there is none.
@@ -427,7 +430,7 @@
 		return Status{}, false
 	}
 	return Status{
-		Version: t.replica.Version, Age: now.Sub(t.replica.ConfirmedAt), Reached: !t.storeFailed,
+		Head: t.replica.Head(), Age: now.Sub(t.replica.ConfirmedAt), Reached: !t.storeFailed,
 		Pending: t.pendingTime(now), Paused: s.isPaused(now, t),
 	}, true
 }
--- a/internal/serving/syncer/syncer_test.go
+++ b/internal/serving/syncer/syncer_test.go
@@ -148,19 +148,19 @@
 	c := &clock{now: startTime}
 	s, f, _ := newSyncer(c, false)
 	peer := gossiper.Peer{ID: "home", Address: "127.0.0.1:1"}
-	s.RecordPeerHeads(c.get(), peer, map[string]int64{"t": 0}, true, true)
+	s.RecordPeerHeads(c.get(), peer, map[string]replicator.Head{"t": {}}, true, true)
 	if s.readsPaused(f) {
 		t.Error("reads are paused before the table was read")
 	}
 	s.apply(f, page(1, replicator.Row{Key: "a", Version: 1}), true, true)
-	s.RecordPeerHeads(c.get(), peer, map[string]int64{"t": 1}, true, true)
+	s.RecordPeerHeads(c.get(), peer, map[string]replicator.Head{"t": {Version: 1}}, true, true)
 	if !s.readsPaused(f) {
 		t.Error("reads are not paused while a peer reads the store")
 	}
 	if _, fresh := s.Heads(); fresh {
 		t.Error("counts as reading the store while reads are paused")
 	}
-	s.RecordPeerHeads(c.get(), peer, map[string]int64{"t": 1}, false, false)
+	s.RecordPeerHeads(c.get(), peer, map[string]replicator.Head{"t": {Version: 1}}, false, false)
 	c.advance(readPauseTime + time.Millisecond)
 	if s.readsPaused(f) {
 		t.Error("reads are paused after the peer no longer reads the store")
@@ -178,13 +178,13 @@
 		t.Error("the first read is paused")
 	}
 	s.apply(f, page(1, replicator.Row{Key: "a", Version: 1}), true, true)
-	if !s.readsPaused(f) || f.publishedVersion != 0 {
-		t.Errorf("paused %v, version %d published, want a pause and none", s.readsPaused(f), f.publishedVersion)
+	if !s.readsPaused(f) || f.published.Version != 0 {
+		t.Errorf("paused %v, version %d published, want a pause and none", s.readsPaused(f), f.published.Version)
 	}
 	c.advance(maxStartDelay)
 	s.fetchFromPeer(f)
-	if s.readsPaused(f) || f.publishedVersion != 1 {
-		t.Errorf("paused %v, version %d published without a peer that relays changes", s.readsPaused(f), f.publishedVersion)
+	if s.readsPaused(f) || f.published.Version != 1 {
+		t.Errorf("paused %v, version %d published without a peer that relays changes", s.readsPaused(f), f.published.Version)
 	}
 	s.startedAt = c.get()
 	s.SetReader(true)
@@ -264,12 +264,12 @@
 	s.Start()
 	<-store.called
 	c.advance(4 * time.Second)
-	want := Status{Version: 3, Age: 4 * time.Second, Reached: true, Pending: 4 * time.Second}
+	want := Status{Head: replicator.Head{Version: 3}, Age: 4 * time.Second, Reached: true, Pending: 4 * time.Second}
 	if got, _ := s.Status(c.get(), "t"); got != want {
 		t.Errorf("status of an unanswered read: %+v, want %+v", got, want)
 	}
 	s.Close()
-	s.RecordPeerHeads(c.get(), gossiper.Peer{ID: "home"}, map[string]int64{"t": 3}, true, true)
+	s.RecordPeerHeads(c.get(), gossiper.Peer{ID: "home"}, map[string]replicator.Head{"t": {Version: 3}}, true, true)
 	if got, _ := s.Status(c.get(), "t"); !got.Paused {
 		t.Errorf("status while a peer reads: %+v, want a pause", got)
 	}
@@ -309,7 +309,9 @@
 	s.store = store
 	s.SetReader(true)
 	peer := gossiper.Peer{ID: "home"}
-	confirm := func(fresh bool) { s.RecordPeerHeads(c.get(), peer, map[string]int64{"t": 1}, fresh, false) }
+	confirm := func(fresh bool) {
+		s.RecordPeerHeads(c.get(), peer, map[string]replicator.Head{"t": {Version: 1}}, fresh, false)
+	}
 	confirm(true)
 	s.Start()
 	defer s.Close()
