Wait until an instance knows its rank before checking who reads the store for it

Cause: TestEachReceivesTheReservationsOfTheOthers failed once while the machine compiled ('f does not read the store because of "", want "a"'). It looks at the home's reply as soon as the sum of all reservations has arrived, which may be before the instance has heard of those that rank before it.

Change: the test waits for the condition, and checks all instances as before.

Measured: with gossip ten times as slow twelve of twelve pass, as do three runs of the package.

--- a/internal/serving/accountant/accountant_test.go
+++ b/internal/serving/accountant/accountant_test.go
@@ -98,6 +98,22 @@
 	}
 }
 
+// waitUntilRelayed waits until a peer reads the store in place of an instance.
+func (ti *testInstance) waitUntilRelayed(t *testing.T, peer string) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		ti.mu.Lock()
+		got := ti.storeReader
+		ti.mu.Unlock()
+		if got == peer {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("does not read the store because of %q, want %q", got, peer)
+		}
+	}
+}
+
 // newInstances starts one instance in each of the listed data centres. They have reserved 1, 10, 100 and so on.
 func newInstances(t *testing.T, centres ...string) []*testInstance {
 	t.Helper()
@@ -151,6 +167,8 @@
 		instances[i].waitUntil(t, string(rune('a'+i)), want)
 	}
 	// The first three instances of a data centre read the store themselves.
+	// The last one knows its rank once it has heard of them, which may be after the first reply of the home.
+	instances[5].waitUntilRelayed(t, "a")
 	for i, want := range []string{"", "", "", "", "", "a"} {
 		instances[i].mu.Lock()
 		if instances[i].storeReader != want {
