Hold back rows of endpoints that went back with the store

What callers would see: requests to an endpoint that has left or states a layer range of some seconds ago, and none to one that has just registered, until the rows are written again.

Cause: a copy some seconds old brings rows back that have changed since, and the same class as before: what the store says after a restoration was taken as newer than what was known.

Change: rows that were known and differ in the new era are held back as deletions after an outage are, 2.2 s, unless they are written again before. Rows of new keys are used at once.

Measured: TestRowsOfARestoredStoreAreNotUsedAtOnce failed before: a changed, a removed and a lost row were all reported at once.

--- a/internal/serving/syncer/peers.go
+++ b/internal/serving/syncer/peers.go
@@ -95,7 +95,7 @@
 	}
 }
 
-// fetchFromPeer reports the deletions of a table whose delay has passed, and publishes a version that has not been
+// fetchFromPeer reports the changes of a table whose delay has passed, and publishes a version that has not been
 // published because a peer that no longer responds did so. Then, if a peer has had a newer version for
 // peerFetchDelay, it fetches the changes from that peer.
 func (s *Syncer) fetchFromPeer(t *followedTable) {
--- a/internal/serving/syncer/syncer.go
+++ b/internal/serving/syncer/syncer.go
@@ -77,7 +77,8 @@
 	readPauseTime      = 600 * time.Millisecond
 	pauseCheckInterval = 100 * time.Millisecond
 	// deletionDelay is how long the deletion of a row is held back after an outage of the store, during which the row
-	// may have been lost: endpoints write their rows again.
+	// may have been lost: endpoints write their rows again. It is the same for rows that differ in a store that has come back
+	// from a copy.
 	deletionDelay = 2200 * time.Millisecond
 )
 
@@ -87,7 +88,8 @@
 	// OnChange is called with the rows that have changed, one call at a time for each table.
 	OnChange func(now time.Time, rows []replicator.Row)
 	// DelaysDeletions reports whether rows may be lost during an outage of the store and written again after it, so that
-	// OnChange is called with deletions only after a delay.
+	// OnChange is called only after a delay with deletions, and with rows that were different before the store came back from a
+	// copy.
 	DelaysDeletions bool
 	// MaxDelay is how long after the store's acknowledgement a change may arrive here, also if the store has lost a read of
 	// changes that it held. Zero means defaultMaxDelay.
@@ -106,7 +108,7 @@
 	Table
 	replica *replicator.Copy
 	// storeFailed reports whether the latest read of the store failed, and regainedAt is when one succeeded after that.
-	// delayedDeletions holds the deletions that OnChange has not been called with yet, by key.
+	// delayedChanges holds the changes that OnChange has not been called with yet, by key.
 	storeFailed bool
 	regainedAt  time.Time
 	// readStartedAt is when the read of the store in progress was sent; a zero time means that there is none. cancelRead
@@ -115,15 +117,15 @@
 	cancelRead    context.CancelFunc
 	isRepeated    bool
 	// published is the head that gossip last announced.
-	published        replicator.Head
-	delayedDeletions map[string]delayedDeletion
+	published      replicator.Head
+	delayedChanges map[string]delayedChange
 	// aheadPeer is a peer with a newer version of the table, since aheadSince; a zero time means that there is none.
 	aheadPeer  gossiper.Peer
 	aheadSince time.Time
 }
 
-// delayedDeletion is a deletion that is held back until a time.
-type delayedDeletion struct {
+// delayedChange is a change that is held back until a time.
+type delayedChange struct {
 	row       replicator.Row
 	releaseAt time.Time
 }
@@ -160,7 +162,7 @@
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	s.readCtx, s.stopReads = context.WithCancel(s.ctx)
 	for _, t := range tables {
-		s.tables[t.Name] = &followedTable{Table: t, replica: replicator.New(), delayedDeletions: map[string]delayedDeletion{}}
+		s.tables[t.Name] = &followedTable{Table: t, replica: replicator.New(), delayedChanges: map[string]delayedChange{}}
 	}
 	if err := x.Register("Relay", &Relay{s}); err != nil {
 		panic(err) // The methods have the form that net/rpc requires.
@@ -363,16 +365,20 @@
 		t.storeFailed, t.regainedAt = false, now
 		s.log.Info("store regained", "table", t.Name, "version", page.Version, "era", page.Era)
 	}
-	if before := t.replica.Head(); full && page.Era > before.Era && before.Version > 0 {
-		s.log.Warn("store has come back from a copy", "table", t.Name, "version", page.Version, "era", page.Era, "before", before.Version, "direct", fromStore)
-	}
+	before, oldRows := t.replica.Head(), t.replica.Rows
+	isRestored := full && page.Era > before.Era && before.Version > 0
 	var changed []replicator.Row
 	if full {
 		changed = t.replica.Replace(now, page)
 	} else {
 		changed = t.replica.Merge(now, page)
 	}
-	changed = t.delayDeletions(now, changed)
+	if isRestored {
+		s.log.Warn("store has come back from a copy", "table", t.Name, "version", page.Version, "era", page.Era, "before", before.Version, "direct", fromStore)
+		changed = t.delayReversions(now, changed, oldRows)
+	} else {
+		changed = t.delayDeletions(now, changed)
+	}
 	if len(changed) > 0 {
 		s.log.Info("table changed", "table", t.Name, "version", t.replica.Version, "era", t.replica.Era, "rows", len(changed), "direct", fromStore)
 		t.OnChange(now, changed)
@@ -381,29 +387,47 @@
 }
 
 // delayDeletions holds back deletions that arrive shortly after a failure of the store. It returns the other changed
-// rows, and the earlier deletions whose delay has passed.
+// rows, and the earlier changes whose delay has passed.
 func (t *followedTable) delayDeletions(now time.Time, changed []replicator.Row) []replicator.Row {
 	if !t.DelaysDeletions {
 		return changed
 	}
 	var out []replicator.Row
 	for _, r := range changed {
-		delete(t.delayedDeletions, r.Key)
+		delete(t.delayedChanges, r.Key)
 		releaseAt := t.regainedAt.Add(deletionDelay)
 		if t.storeFailed {
 			releaseAt = now.Add(deletionDelay)
 		}
 		if r.Deleted && now.Before(releaseAt) {
-			t.delayedDeletions[r.Key] = delayedDeletion{r, releaseAt}
+			t.delayedChanges[r.Key] = delayedChange{r, releaseAt}
 			continue
 		}
 		out = append(out, r)
 	}
-	for key, d := range t.delayedDeletions {
+	for key, d := range t.delayedChanges {
 		if now.After(d.releaseAt) {
 			out = append(out, d.row)
-			delete(t.delayedDeletions, key)
+			delete(t.delayedChanges, key)
+		}
+	}
+	return out
+}
+
+// delayReversions holds back the changes of rows that were known before the store came back from a copy, which may be older:
+// those that have changed since are written again. It returns the other rows.
+func (t *followedTable) delayReversions(now time.Time, changed []replicator.Row, oldRows map[string]replicator.Row) []replicator.Row {
+	if !t.DelaysDeletions {
+		return changed
+	}
+	t.regainedAt = now
+	var out []replicator.Row
+	for _, r := range changed {
+		if _, ok := oldRows[r.Key]; !ok {
+			out = append(out, r)
+			continue
 		}
+		t.delayedChanges[r.Key] = delayedChange{r, now.Add(deletionDelay)}
 	}
 	return out
 }
--- a/internal/serving/syncer/syncer_test.go
+++ b/internal/serving/syncer/syncer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -118,6 +119,43 @@
 	}
 }
 
+// TestRowsOfARestoredStoreAreNotUsedAtOnce guards against endpoints that are used again although they have left, or no longer used,
+// because the store has come back from a copy: their rows are written again within the delay.
+func TestRowsOfARestoredStoreAreNotUsedAtOnce(t *testing.T) {
+	row := func(key, value string, version int64) replicator.Row {
+		return replicator.Row{Key: key, Value: []byte(value), Version: version}
+	}
+	c := &clock{now: startTime}
+	s, f, reported := newSyncer(c, true)
+	first := page(4, row("changed", "1", 1), row("gone", "1", 2), row("kept", "1", 3), row("lost", "1", 4))
+	first.Era = 1
+	s.apply(f, first, true, true)
+	later := page(6, row("changed", "2", 5), replicator.Row{Key: "gone", Version: 6, Deleted: true})
+	later.Era = 1
+	s.apply(f, later, false, true)
+	*reported = nil
+	c.advance(time.Second)
+	restored := page(4, row("changed", "1", 1), row("gone", "1", 2), row("kept", "1", 3), row("new", "1", 4))
+	restored.Era = 2
+	s.apply(f, restored, true, true)
+	if diff := cmp.Diff([]string{"+new"}, *reported); diff != "" {
+		t.Errorf("changes at once (-want +got):\n%s", diff)
+	}
+	c.advance(time.Second)
+	again := page(5, row("changed", "2", 5))
+	again.Era = 2
+	s.apply(f, again, false, true)
+	if diff := cmp.Diff([]string{"+new", "+changed"}, *reported); diff != "" {
+		t.Errorf("changes once a row is written again (-want +got):\n%s", diff)
+	}
+	c.advance(deletionDelay)
+	s.fetchFromPeer(f)
+	slices.Sort(*reported)
+	if diff := cmp.Diff([]string{"+changed", "+gone", "+new", "-lost"}, *reported); diff != "" {
+		t.Errorf("changes after the delay (-want +got):\n%s", diff)
+	}
+}
+
 // TestDeletionsAreReportedAtOnce deletes a row while the store is reachable.
 func TestDeletionsAreReportedAtOnce(t *testing.T) {
 	c := &clock{now: startTime}
