Use no fencing token twice after the store has come back from a copy

What callers would see: layers ordered by two instances at a time.

Cause: the token of a new holder was one more than the one in the duty's row. A row that went back with the store has a lower one than was used since, so an instance that took the duty over ordered with the token of another holder, and one that had heard of a later holder was kept from the duty by an earlier one that was alive. Class: what the store says after a restoration was taken as newer than what was known.

Change: the later of the row and of what the instance has heard of holds, and tokens of each era begin above all that earlier eras are likely to have used, for instances that have heard of nothing.

--- a/internal/serving/director/director.go
+++ b/internal/serving/director/director.go
@@ -93,6 +93,8 @@
 	drainTime = 12 * time.Second
 	// dutyTable is the store's table of duties.
 	dutyTable = "duty"
+	// tokensPerEra is the difference between the first tokens of two eras of the store.
+	tokensPerEra = 1 << 20
 )
 
 // pendingOrder is an order whose effect is not yet visible in the endpoint's row.
@@ -292,12 +294,14 @@
 	now := d.clock()
 	d.mu.Lock()
 	d.elector.RecordDuty(now, duty)
+	// The row may be older than what this instance has heard of, if the store has come back from a copy.
+	duty = d.elector.Duty
 	d.mu.Unlock()
 	if slices.Contains(livePeers, duty.Holder) && duty.Holder != d.self {
 		return false
 	}
-	// A token is never used twice, not even after a write whose result is unknown.
-	next := elector.Duty{Holder: d.self, Token: duty.Token + 1}
+	// A token is never used twice, not even after a write whose result is unknown, or one that the store has lost.
+	next := elector.Duty{Holder: d.self, Token: max(duty.Token, page.Era*tokensPerEra) + 1}
 	_, err = d.store.Commit(ctx, syncer.Change{
 		Table: dutyTable,
 		If:    []syncer.Condition{{Key: d.service, Version: version}},
--- a/internal/serving/director/director_test.go
+++ b/internal/serving/director/director_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/heatherrock/heatherrock/internal/control/elector"
 	"github.com/heatherrock/heatherrock/internal/control/gossiper"
 	"github.com/heatherrock/heatherrock/internal/control/replicator"
 	"github.com/heatherrock/heatherrock/internal/routing/placer"
@@ -20,13 +21,14 @@
 	mu      sync.Mutex
 	rows    map[string]replicator.Row
 	version int64
+	era     int64
 }
 
 // Rows returns the table.
 func (m *memoryStore) Rows(context.Context, string) (replicator.Page, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	p := replicator.Page{Version: m.version}
+	p := replicator.Page{Version: m.version, Era: m.era}
 	for _, r := range m.rows {
 		p.Rows = append(p.Rows, r)
 	}
@@ -61,6 +63,8 @@
 	held        map[string]placer.Range
 	begunOrders map[string]int64
 	tokens      map[string]int64
+	// lowestToken is the lowest token of an order; zero before the first one.
+	lowestToken int64
 	// receivedOrders counts the orders received, and unresponsive holds the endpoints that answer none.
 	receivedOrders int
 	unresponsive   map[string]bool
@@ -78,6 +82,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.receivedOrders++
+	if e.lowestToken == 0 || o.Token < e.lowestToken {
+		e.lowestToken = o.Token
+	}
 	switch {
 	case e.unresponsive[o.Endpoint]:
 		return context.DeadlineExceeded
@@ -198,3 +205,41 @@
 		t.Errorf("%d orders with a token that was refused", received)
 	}
 }
+
+// TestTokenIsNotUsedAgainAfterTheStoreIsRestored guards against two holders of the duty with the same token: the store has come back
+// from a copy, whose row has an earlier holder and a lower token than the instance has heard of, or none.
+func TestTokenIsNotUsedAgainAfterTheStoreIsRestored(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name  string
+		row   *elector.Duty
+		known elector.Duty
+		era   int64
+		above int64
+	}{
+		{"an earlier holder that is gone", &elector.Duty{Holder: "gone", Token: 3}, elector.Duty{Holder: "c", Token: 5}, 0, 5},
+		{"the instance itself, which has lost the duty since", &elector.Duty{Holder: "a", Token: 4}, elector.Duty{Holder: "c", Token: 5}, 0, 5},
+		{"no row", nil, elector.Duty{Holder: "c", Token: 5}, 0, 5},
+		{"nothing is known of the holders of an earlier era", &elector.Duty{Holder: "gone", Token: 3}, elector.Duty{}, 2, 2 * tokensPerEra},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			e := newFakeEndpoints()
+			store := &memoryStore{rows: map[string]replicator.Row{}, era: c.era}
+			if c.row != nil {
+				store.version = 1
+				store.rows["s"] = replicator.Row{Key: "s", Value: c.row.Encode(), Version: 1}
+			}
+			d := newDirector(t, "a", store, e)
+			if c.known.Token > 0 {
+				d.handleDuty(gossiper.Entry{Owner: "c", Key: "s", Value: c.known.Encode()})
+			}
+			waitUntil(t, d, e, "covered", e.isCovered)
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			if e.lowestToken <= c.above {
+				t.Errorf("order with token %d, want more than %d", e.lowestToken, c.above)
+			}
+		})
+	}
+}
