Write the evidence again that the store has lost

What callers would see: endpoints that crash anew under a call or part that is refused, after an instance has restarted.

Cause: evidence is written when an endpoint crashes, and then counts as kept. A store that comes back from a copy has lost it. Class: what the system itself keeps in the store was taken as lasting.

Change: the syncer reports once that the store has come back, and the live instance with the lowest id writes the evidence against all that is refused again, until it is stored. All instances know it.

--- a/internal/routing/screener/evidence.go
+++ b/internal/routing/screener/evidence.go
@@ -1,6 +1,7 @@
 package screener
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -36,6 +37,11 @@
 	return out
 }
 
+// AllEvidence returns the evidence against all keys that are refused, in the order of the keys.
+func (s *Screener) AllEvidence(now time.Time) []Evidence {
+	return s.Evidence(now, slices.Sorted(maps.Keys(s.suspects)))
+}
+
 // explains reports whether a part is refused and was there at all crashes of a record.
 func (s *Screener) explains(now time.Time, part string, r *record) bool {
 	if ruling, _ := s.checkKey(now, part); ruling != Refuse || isRequestKey(part) {
--- a/internal/serving/forwarder/forwarder.go
+++ b/internal/serving/forwarder/forwarder.go
@@ -231,7 +231,10 @@
 	return f.screening.merge(now, r)
 }
 
-// RestoreEvidence records evidence against a part of prompts that was kept.
+// Evidence returns the evidence against all parts of prompts and requests that are refused.
+func (f *Forwarder) Evidence(now time.Time) []screener.Evidence { return f.screening.evidence(now) }
+
+// RestoreEvidence records evidence against a part of prompts or a request that was kept.
 func (f *Forwarder) RestoreEvidence(now time.Time, e screener.Evidence) { f.screening.restore(now, e) }
 
 // ProvenKeys returns those of the keys with which a request is known to have begun.
--- a/internal/serving/forwarder/screening.go
+++ b/internal/serving/forwarder/screening.go
@@ -141,6 +141,13 @@
 	s.screener.Restore(now, e)
 }
 
+// evidence returns the evidence against all keys that are refused.
+func (s *screening) evidence(now time.Time) []screener.Evidence {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.screener.AllEvidence(now)
+}
+
 // isLost reports whether the loss of an endpoint is known.
 func (s *screening) isLost(now time.Time, endpoint string) bool {
 	s.mu.Lock()
--- a/internal/serving/gateway/evidence.go
+++ b/internal/serving/gateway/evidence.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// evidenceTableName is the store's table of the evidence against refused parts of prompts, by the part's key.
+	// evidenceTableName is the store's table of the evidence against refused parts of prompts and requests, by key.
 	evidenceTableName = "evidence"
 	// evidenceMaxDelay is how late an instance may learn of evidence from the table: others tell it sooner.
 	evidenceMaxDelay = 30 * time.Second
@@ -180,6 +180,20 @@
 	}
 }
 
+// handleRestore writes the evidence again that the store may have lost as it came back from a copy. One instance does so: all of
+// them know it.
+func (g *Gateway) handleRestore(now time.Time) {
+	for _, p := range g.peersOfRegion() {
+		if p.ID < g.settings.ID {
+			return
+		}
+	}
+	if evidence := g.forwarder.Evidence(now); len(evidence) > 0 {
+		g.evidence.Keep(evidence)
+		g.log.Info("evidence written again", "rows", len(evidence))
+	}
+}
+
 // runEvidence writes evidence until done is closed.
 func (g *Gateway) runEvidence() {
 	defer g.wait.Done()
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -167,6 +167,7 @@
 		syncer.Table{Name: p.EndpointTable, OnChange: g.handleEndpointRows, DelaysDeletions: true, MaxDelay: s.MaxEndpointDelay},
 		syncer.Table{Name: evidenceTableName, OnChange: g.handleEvidenceRows, MaxDelay: evidenceMaxDelay},
 	)
+	g.syncer.HandleRestores(g.handleRestore)
 	g.exchange.Subscribe(gossiper.TopicLeaving, g.recordLeavingEntry)
 	g.sentry = sentry.New(log, clock, g.reportLoss)
 	if err := g.exchange.Register("Losses", &Losses{g}); err != nil {
--- a/internal/serving/syncer/syncer.go
+++ b/internal/serving/syncer/syncer.go
@@ -143,8 +143,13 @@
 	stopReads context.CancelFunc
 	wait      sync.WaitGroup
 
+	// onRestore is called under mu once the store has come back from a copy.
+	onRestore func(now time.Time)
+
 	mu     sync.Mutex
 	tables map[string]*followedTable
+	// restoredEra is the latest era that began while the syncer ran.
+	restoredEra int64
 	// readsPausedUntil is when reads of the store resume if the peer that reads it in place of this instance does not
 	// respond again.
 	readsPausedUntil time.Time
@@ -158,7 +163,7 @@
 
 // New returns a syncer that keeps tables up to date once started.
 func New(store Store, x *exchanger.Exchanger, log *slog.Logger, clock func() time.Time, tables ...Table) *Syncer {
-	s := &Syncer{store: store, exchange: x, log: log, clock: clock, tables: map[string]*followedTable{}}
+	s := &Syncer{store: store, exchange: x, log: log, clock: clock, onRestore: func(time.Time) {}, tables: map[string]*followedTable{}}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	s.readCtx, s.stopReads = context.WithCancel(s.ctx)
 	for _, t := range tables {
@@ -171,6 +176,10 @@
 	return s
 }
 
+// HandleRestores sets the function that is called once each time that the store has come back from a copy and may have lost what
+// this instance wrote. It must not wait for the store. It is set before Start.
+func (s *Syncer) HandleRestores(handle func(now time.Time)) { s.onRestore = handle }
+
 // Start starts reading the tables.
 func (s *Syncer) Start() {
 	s.mu.Lock()
@@ -376,6 +385,10 @@
 	if isRestored {
 		s.log.Warn("store has come back from a copy", "table", t.Name, "version", page.Version, "era", page.Era, "before", before.Version, "direct", fromStore)
 		changed = t.delayReversions(now, changed, oldRows)
+		if page.Era > s.restoredEra {
+			s.restoredEra = page.Era
+			s.onRestore(now)
+		}
 	} else {
 		changed = t.delayDeletions(now, changed)
 	}
--- a/internal/standin/hoster/store.go
+++ b/internal/standin/hoster/store.go
@@ -153,6 +153,13 @@
 	return Snapshot{maps.Clone(s.rows), s.version}
 }
 
+// Without returns the copy without the rows of tables, as if it had been made before they were written.
+func (c Snapshot) Without(tables ...string) Snapshot {
+	rows := maps.Clone(c.rows)
+	maps.DeleteFunc(rows, func(_ string, r Row) bool { return slices.Contains(tables, r.Table) })
+	return Snapshot{rows, c.version}
+}
+
 // Restore makes the store come back from a copy: what was written since is gone, and its versions are given out again.
 func (s *Store) Restore(c Snapshot) {
 	s.mu.Lock()
