Write the duty's row again that the store has lost

What callers would see: layers placed by a new holder while the old one is alive.

Cause: the holder of the duty writes its row when it takes the duty. A store that has come back from a copy names an earlier holder, or none, to instances that start later.

Change: the holder reads the row after a restoration and writes it again if it is older; if another instance has taken the duty since, it gives it up. A failure is tried again after 2 s and does not stop it from placing layers.

TestHolderWritesARowThatTheStoreHasLost plays it without a fleet.

--- a/internal/serving/director/director.go
+++ b/internal/serving/director/director.go
@@ -91,6 +91,8 @@
 	// drainTime is how long an endpoint may take to finish the streams on layers that it gives up, before it loads
 	// others: half as much again as the 8 s that one took under users' load.
 	drainTime = 12 * time.Second
+	// rowRetryDelay is the time between two attempts to write the duty's row again.
+	rowRetryDelay = 2 * time.Second
 	// dutyTable is the store's table of duties.
 	dutyTable = "duty"
 	// tokensPerEra is the difference between the first tokens of two eras of the store.
@@ -146,6 +148,10 @@
 	orderCounts map[string]orderCount
 	elector     *elector.Elector
 	leaving     bool
+	// rowLost is true while the duty's row may be missing or older, as the store has come back from a copy. rowRetryAt is when it is
+	// written again next.
+	rowLost    bool
+	rowRetryAt time.Time
 	// lastLayout is the layout at the last check, unchanged since layoutChangedAt. moveConsidered is true once a move
 	// in it has been considered.
 	lastLayout      string
@@ -211,6 +217,13 @@
 	}
 }
 
+// HandleRestore makes the director write the duty's row again if it holds the duty: the store has come back from a copy.
+func (d *Director) HandleRestore() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rowLost = d.elector.Holds()
+}
+
 // handleDuty records the duty as a peer reports it.
 func (d *Director) handleDuty(e gossiper.Entry) {
 	if e.Deleted || e.Key != d.service {
@@ -223,6 +236,11 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.recordDuty(duty)
+}
+
+// recordDuty records the duty as a peer or the store reports it. The lock is held.
+func (d *Director) recordDuty(duty elector.Duty) {
 	held := d.elector.Holds()
 	d.elector.RecordDuty(d.clock(), duty)
 	if held && !d.elector.Holds() {
@@ -242,7 +260,7 @@
 			return
 		case <-ticker.C:
 		}
-		if d.ensureDuty() {
+		if d.ensureDuty() && d.ensureRow() {
 			d.placeLayers()
 		}
 	}
@@ -274,40 +292,24 @@
 func (d *Director) takeDuty(livePeers []string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
-	page, err := d.store.Rows(ctx, dutyTable)
+	row, err := d.readRow(ctx)
 	if err != nil {
 		d.log.Warn("duty not read", "error", err)
 		d.backOff()
 		return false
 	}
-	var version int64
-	duty := elector.Duty{}
-	for _, r := range page.Rows {
-		if r.Key != d.service {
-			continue
-		}
-		version = r.Version
-		if duty, err = elector.Decode(r.Value); err != nil {
-			d.log.Warn("duty's row not read", "error", err)
-		}
-	}
 	now := d.clock()
 	d.mu.Lock()
-	d.elector.RecordDuty(now, duty)
+	d.elector.RecordDuty(now, row.duty)
 	// The row may be older than what this instance has heard of, if the store has come back from a copy.
-	duty = d.elector.Duty
+	duty := d.elector.Duty
 	d.mu.Unlock()
 	if slices.Contains(livePeers, duty.Holder) && duty.Holder != d.self {
 		return false
 	}
 	// A token is never used twice, not even after a write whose result is unknown, or one that the store has lost.
-	next := elector.Duty{Holder: d.self, Token: max(duty.Token, page.Era*tokensPerEra) + 1}
-	_, err = d.store.Commit(ctx, syncer.Change{
-		Table: dutyTable,
-		If:    []syncer.Condition{{Key: d.service, Version: version}},
-		Set:   []replicator.Row{{Key: d.service, Value: next.Encode()}},
-	})
-	if err != nil {
+	next := elector.Duty{Holder: d.self, Token: max(duty.Token, row.era*tokensPerEra) + 1}
+	if err := d.writeRow(ctx, row, next); err != nil {
 		d.log.Warn("duty not taken", "token", next.Token, "error", err)
 		d.backOff()
 		return false
@@ -321,6 +323,71 @@
 	return true
 }
 
+// dutyRow is the duty's row as the store has it; its version is 0 if there is none.
+type dutyRow struct {
+	duty    elector.Duty
+	version int64
+	era     int64
+}
+
+// readRow reads the duty's row.
+func (d *Director) readRow(ctx context.Context) (dutyRow, error) {
+	page, err := d.store.Rows(ctx, dutyTable)
+	if err != nil {
+		return dutyRow{}, err
+	}
+	out := dutyRow{era: page.Era}
+	for _, r := range page.Rows {
+		if r.Key != d.service {
+			continue
+		}
+		out.version = r.Version
+		if out.duty, err = elector.Decode(r.Value); err != nil {
+			d.log.Warn("duty's row not read", "error", err)
+		}
+	}
+	return out, nil
+}
+
+// writeRow replaces the duty's row if it has not changed.
+func (d *Director) writeRow(ctx context.Context, before dutyRow, duty elector.Duty) error {
+	_, err := d.store.Commit(ctx, syncer.Change{
+		Table: dutyTable,
+		If:    []syncer.Condition{{Key: d.service, Version: before.version}},
+		Set:   []replicator.Row{{Key: d.service, Value: duty.Encode()}},
+	})
+	return err
+}
+
+// ensureRow writes the duty's row again if the store may have lost it, and reports whether this instance still holds the duty:
+// another one may have taken it since.
+func (d *Director) ensureRow() bool {
+	d.mu.Lock()
+	now, duty := d.clock(), d.elector.Duty
+	if !d.rowLost || now.Before(d.rowRetryAt) {
+		d.mu.Unlock()
+		return true
+	}
+	d.rowRetryAt = now.Add(rowRetryDelay)
+	d.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	row, err := d.readRow(ctx)
+	if err == nil && row.duty.Token < duty.Token {
+		err = d.writeRow(ctx, row, duty)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err != nil {
+		d.log.Warn("duty's row not written again", "token", duty.Token, "error", err)
+		return d.elector.Holds()
+	}
+	d.rowLost = false
+	d.log.Info("duty's row written again", "service", d.service, "token", duty.Token, "before", row.duty.Token)
+	d.recordDuty(row.duty)
+	return d.elector.Holds()
+}
+
 // backOff delays this instance's next attempt to take the duty.
 func (d *Director) backOff() {
 	d.mu.Lock()
--- a/internal/serving/director/director_test.go
+++ b/internal/serving/director/director_test.go
@@ -22,12 +22,18 @@
 	rows    map[string]replicator.Row
 	version int64
 	era     int64
+	// failures is the number of reads that fail before one succeeds.
+	failures int
 }
 
 // Rows returns the table.
 func (m *memoryStore) Rows(context.Context, string) (replicator.Page, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.failures > 0 {
+		m.failures--
+		return replicator.Page{}, context.DeadlineExceeded
+	}
 	p := replicator.Page{Version: m.version, Era: m.era}
 	for _, r := range m.rows {
 		p.Rows = append(p.Rows, r)
@@ -243,3 +249,44 @@
 		})
 	}
 }
+
+// TestHolderWritesARowThatTheStoreHasLost guards against a row that stays older than the duty, also if the store fails once more, and
+// against a holder that goes on although another instance has taken the duty meanwhile.
+func TestHolderWritesARowThatTheStoreHasLost(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name     string
+		restored *elector.Duty
+		failures int
+		want     elector.Duty
+	}{
+		{"no row", nil, 0, elector.Duty{Holder: "a", Token: 1}},
+		{"an earlier holder", &elector.Duty{Holder: "gone"}, 0, elector.Duty{Holder: "a", Token: 1}},
+		{"no row, and the store fails", nil, 1, elector.Duty{Holder: "a", Token: 1}},
+		{"a later holder", &elector.Duty{Holder: "b", Token: 9}, 0, elector.Duty{Holder: "b", Token: 9}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			e := newFakeEndpoints()
+			store := &memoryStore{rows: map[string]replicator.Row{}}
+			d := newDirector(t, "a", store, e)
+			waitUntil(t, d, e, "covered", e.isCovered)
+			store.mu.Lock()
+			store.failures = c.failures
+			delete(store.rows, "s")
+			if c.restored != nil {
+				store.rows["s"] = replicator.Row{Key: "s", Value: c.restored.Encode(), Version: 1}
+			}
+			store.mu.Unlock()
+			d.HandleRestore()
+			waitUntil(t, d, e, "agreed on the duty", func() bool {
+				store.mu.Lock()
+				row, err := elector.Decode(store.rows["s"].Value)
+				store.mu.Unlock()
+				d.mu.Lock()
+				defer d.mu.Unlock()
+				return err == nil && row == c.want && d.elector.Duty == c.want && !d.rowLost
+			})
+		})
+	}
+}
--- a/internal/serving/gateway/evidence.go
+++ b/internal/serving/gateway/evidence.go
@@ -180,20 +180,6 @@
 	}
 }
 
-// handleRestore writes the evidence again that the store may have lost as it came back from a copy. One instance does so: all of
-// them know it.
-func (g *Gateway) handleRestore(now time.Time) {
-	for _, p := range g.peersOfRegion() {
-		if p.ID < g.settings.ID {
-			return
-		}
-	}
-	if evidence := g.forwarder.Evidence(now); len(evidence) > 0 {
-		g.evidence.Keep(evidence)
-		g.log.Info("evidence written again", "rows", len(evidence))
-	}
-}
-
 // runEvidence writes evidence until done is closed.
 func (g *Gateway) runEvidence() {
 	defer g.wait.Done()
