Take a condition of an earlier era not as met

What callers would see: layers ordered by two instances at a time.

Cause: the duty is taken by a write under the condition that its row still has a version. A store that comes back from a copy between the read and the write may have given that version to another row, and the write then succeeds.

Change: a change names the era of its conditions, and fails with an error of its own if the store's answer is of another one; the duty then counts as not taken.

--- a/internal/serving/director/director.go
+++ b/internal/serving/director/director.go
@@ -354,6 +354,7 @@
 	_, err := d.store.Commit(ctx, syncer.Change{
 		Table: dutyTable,
 		If:    []syncer.Condition{{Key: d.service, Version: before.version}},
+		Era:   before.era,
 		Set:   []replicator.Row{{Key: d.service, Value: duty.Encode()}},
 	})
 	return err
--- a/internal/serving/syncer/syncer.go
+++ b/internal/serving/syncer/syncer.go
@@ -23,6 +23,9 @@
 	ErrHistoryDropped = merry.Sentinel("the store has dropped the history")
 	// ErrConflict means that a condition of a change did not hold: nothing was written.
 	ErrConflict = merry.Sentinel("a condition of the change does not hold")
+	// ErrRestored means that the store has come back from a copy since the versions in the conditions were read: the change was
+	// applied, and its conditions may have been met by other rows than those read.
+	ErrRestored = merry.Sentinel("the store has come back from a copy")
 )
 
 // Condition is a row's version that a change requires; 0 means that the row does not exist.
@@ -33,8 +36,10 @@
 
 // Change is a transaction on one table.
 type Change struct {
-	Table  string
+	Table string
+	// If holds the conditions, and Era the era of their versions.
 	If     []Condition
+	Era    int64
 	Set    []replicator.Row
 	Remove []string
 }
@@ -45,8 +50,8 @@
 	Rows(ctx context.Context, table string) (replicator.Page, error)
 	// Changes returns the rows of a table that have changed since a version, once there are any or wait has passed.
 	Changes(ctx context.Context, table string, after int64, wait time.Duration) (replicator.Page, error)
-	// Commit applies a change atomically and returns the new version. After an error other than ErrConflict, the
-	// change may have been applied, or may be applied later.
+	// Commit applies a change atomically and returns the new version. After an error other than ErrConflict and ErrRestored,
+	// the change may have been applied, or may be applied later.
 	Commit(ctx context.Context, c Change) (int64, error)
 }
 
--- a/internal/standin/hoster/store.go
+++ b/internal/standin/hoster/store.go
@@ -40,6 +40,9 @@
 	DropHistory map[string]bool
 }
 
+// FirstEra is the era of a store that has not come back from a copy yet.
+const FirstEra = 1
+
 // Store is the store of a Platform.
 type Store struct {
 	server *httptest.Server
@@ -57,7 +60,7 @@
 
 // NewStore starts a store.
 func NewStore() *Store {
-	s := &Store{done: make(chan struct{}), rows: map[string]Row{}, era: 1, changed: make(chan struct{}), callCounts: map[string]int{}}
+	s := &Store{done: make(chan struct{}), rows: map[string]Row{}, era: FirstEra, changed: make(chan struct{}), callCounts: map[string]int{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /rows-get", s.handleGet)
 	mux.HandleFunc("GET /rows-feed", s.handleFeed)
