List the instances again that the store has lost

What callers would see: an instance that starts after a restoration finds no other one for up to a minute.

Cause: an instance writes its row when it starts, and looks for it every 30 s. A store that comes back from a copy has lost those of instances that started since. Same class as the lost evidence.

Change: each instance writes its row again after a restoration, within 1 s at random, until the write succeeds.

--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -114,6 +114,7 @@
 	accounts  *accountant.Accountant
 	sentry    *sentry.Sentry
 	evidence  *evidenceTable
+	instances *instanceTable
 	servers   []*http.Server
 	startedAt time.Time
 	leaving   atomic.Bool
@@ -147,11 +148,12 @@
 	g.platform.Store = &countedStore{p.Store, g.meter.Scope()}
 	g.platform.Orderer = &countedOrderer{p.Orderer, g.meter.Scope()}
 	g.evidence = newEvidenceTable(g.platform.Store, log, clock)
+	g.instances = newInstanceTable(g)
 	self := gossiper.Peer{ID: s.ID, Address: s.PeersAddress, DataCentre: s.DataCentre, Region: s.Region}
 	g.exchange = exchanger.New(self,
 		exchanger.WithInterval(gossipInterval),
 		exchanger.WithLogger(log),
-		exchanger.WithLister(&instanceTable{gateway: g}, listInterval),
+		exchanger.WithLister(g.instances, listInterval),
 		exchanger.WithMetrics(g.meter.Scope()),
 		exchanger.WithGossip(gossiper.WithHeartbeat(0, suspectTimeout/3), gossiper.WithExpiry(suspectTimeout, expireTimeout)),
 	)
@@ -204,8 +206,9 @@
 	if err := g.startServer("callers", g.settings.CallersAddress, g.forwarder); err != nil {
 		return err
 	}
-	g.wait.Add(5)
+	g.wait.Add(6)
 	go g.runEvidence()
+	go g.runInstances()
 	go g.loopChecks()
 	go g.loop(memberInterval, g.followMembers)
 	go g.loop(gaugeInterval, g.updateGauges)
--- a/internal/serving/gateway/instances.go
+++ b/internal/serving/gateway/instances.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"strings"
+	"time"
 
 	"github.com/heatherrock/heatherrock/internal/client/lister"
 	"github.com/heatherrock/heatherrock/internal/control/replicator"
@@ -18,6 +20,59 @@
 	gateway *Gateway
 	// isListed reports whether the last read of the table listed this instance.
 	isListed bool
+	// restored receives a value when the store has come back from a copy, which may lack this instance.
+	restored chan struct{}
+}
+
+const (
+	// maxRewriteDelay is the longest delay before an instance writes its row again, so that not all instances write at once.
+	maxRewriteDelay = time.Second
+	// rowWriteTimeout bounds a write, and rowRetryDelay is the pause after one that failed.
+	rowWriteTimeout = 2 * time.Second
+	rowRetryDelay   = time.Second
+)
+
+// newInstanceTable returns the table of the fleet's instances.
+func newInstanceTable(g *Gateway) *instanceTable {
+	return &instanceTable{gateway: g, restored: make(chan struct{}, 1)}
+}
+
+// handleRestore makes run write this instance into the table again.
+func (t *instanceTable) handleRestore() {
+	select {
+	case t.restored <- struct{}{}:
+	default: // A write is due already.
+	}
+}
+
+// run writes this instance into the table after each restoration of the store, until done is closed.
+func (t *instanceTable) run(done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case <-t.restored:
+		}
+		t.writeAgain(done)
+	}
+}
+
+// writeAgain writes this instance into the table after a random delay, until the write succeeds or done is closed.
+func (t *instanceTable) writeAgain(done <-chan struct{}) {
+	for delay := rand.N(maxRewriteDelay); ; delay = rowRetryDelay {
+		select {
+		case <-done:
+			return
+		case <-time.After(delay):
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), rowWriteTimeout)
+		err := t.write(ctx)
+		cancel()
+		if err == nil {
+			return
+		}
+		t.gateway.log.Warn("instance not listed again", "error", err)
+	}
 }
 
 // List returns all instances of the table. It writes this instance into the table first unless an earlier call found it
--- a/internal/serving/gateway/restores.go
+++ b/internal/serving/gateway/restores.go
@@ -2,9 +2,10 @@
 
 import "time"
 
-// handleRestore makes the fleet write again what the store may have lost as it came back from a copy: the holder of a duty writes
-// its row, and the live instance with the lowest id the evidence, which all instances know.
+// handleRestore makes the fleet write again what the store may have lost as it came back from a copy: each instance writes its own
+// row, the holder of a duty that of the duty, and the live instance with the lowest id the evidence, which all instances know.
 func (g *Gateway) handleRestore(now time.Time) {
+	g.instances.handleRestore()
 	for _, d := range g.allDirectors() {
 		d.HandleRestore()
 	}
@@ -18,3 +19,9 @@
 		g.log.Info("evidence written again", "rows", len(evidence))
 	}
 }
+
+// runInstances keeps this instance listed until done is closed.
+func (g *Gateway) runInstances() {
+	defer g.wait.Done()
+	g.instances.run(g.done)
+}
