Use no endpoint that states layers which its model does not have

Cause: a row's range of layers was taken as it was. From the least number that fits, the length of a part of a path overflows, and the search for the capacity of a layout goes on without end; the director holds its lock, and the follower of endpoints waits for it.

A range beyond the model is left out once the model is known, and logged once; the search itself leaves such ranges out too.

--- a/internal/routing/placer/capacity.go
+++ b/internal/routing/placer/capacity.go
@@ -70,7 +70,7 @@
 	f := &filler{engine: e, requestTokens: math.Max(1, float64(e.UsualPromptTokens+e.UsualAnswerTokens))}
 	boundaries := map[int]bool{0: true, e.Layers: true}
 	for _, h := range holders {
-		if h.Held.Empty() {
+		if h.Held.Empty() || !e.HasLayers(h.Held) {
 			continue
 		}
 		f.holders = append(f.holders, h)
--- a/internal/routing/placer/engine.go
+++ b/internal/routing/placer/engine.go
@@ -26,6 +26,9 @@
 // Covers reports whether the range holds all layers of another one.
 func (r Range) Covers(o Range) bool { return r.From <= o.From && o.To <= r.To }
 
+// HasLayers reports whether all layers of a range belong to the model.
+func (e *Engine) HasLayers(r Range) bool { return r.Empty() || r.From >= 0 && r.To <= e.Layers }
+
 // Card is a kind of accelerator.
 type Card struct {
 	Name string
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/heatherrock/heatherrock/internal/control/gossiper"
 	"github.com/heatherrock/heatherrock/internal/routing/matcher"
 	"github.com/heatherrock/heatherrock/internal/routing/monitor"
+	"github.com/heatherrock/heatherrock/internal/routing/placer"
 	"github.com/heatherrock/heatherrock/internal/serving/accountant"
 	"github.com/heatherrock/heatherrock/internal/serving/director"
 	"github.com/heatherrock/heatherrock/internal/serving/exchanger"
@@ -130,6 +131,8 @@
 	endpoints map[string]director.Endpoint
 	// processes holds the processes of endpoints, also of those whose rows are gone for a time.
 	processes map[string]process
+	// foreignLayers holds the layers of endpoints whose model does not have them.
+	foreignLayers map[string]placer.Range
 	// endpointsChanged is true if an endpoint has been added, removed or changed since the watches were assigned among
 	// watcherNodes.
 	endpointsChanged bool
@@ -143,6 +146,7 @@
 	g := &Gateway{
 		settings: s, platform: p, log: log, clock: clock, done: make(chan struct{}),
 		endpoints: map[string]director.Endpoint{}, directors: map[string]*director.Director{}, processes: map[string]process{},
+		foreignLayers: map[string]placer.Range{},
 	}
 	g.meter = meter.New(s.Name, s.DataCentre)
 	g.platform.Store = &countedStore{p.Store, g.meter.Scope()}
--- a/internal/serving/gateway/updates.go
+++ b/internal/serving/gateway/updates.go
@@ -38,6 +38,7 @@
 	g.mu.Lock()
 	g.endpointsChanged = true
 	for _, r := range rows {
+		delete(g.foreignLayers, r.Key)
 		if r.Deleted {
 			g.unlist(now, r.Key)
 			g.log.Info("endpoint gone", "endpoint", r.Key, "row", r.Version)
@@ -68,6 +69,10 @@
 	all := make([]forwarder.Endpoint, 0, len(g.endpoints))
 	models := map[string][]director.Endpoint{}
 	for _, e := range g.endpoints {
+		if engine := c.Services[e.Service].Engine; engine != nil && !engine.HasLayers(e.Held) {
+			g.logForeignLayers(e)
+			continue
+		}
 		all = append(all, forwarder.Endpoint{Service: e.Service, Endpoint: reserver.Endpoint{
 			ID: e.ID, Address: e.Address, DataCentre: e.DataCentre, Card: e.Card, Held: e.Held, Leaving: e.Leaving,
 		}})
@@ -82,6 +87,15 @@
 	}
 }
 
+// logForeignLayers logs once that an endpoint is not used because it states layers that its model does not have. The lock is held.
+func (g *Gateway) logForeignLayers(e director.Endpoint) {
+	if held, ok := g.foreignLayers[e.ID]; ok && held == e.Held {
+		return
+	}
+	g.foreignLayers[e.ID] = e.Held
+	g.log.Warn("endpoint not used: its model does not have its layers", "endpoint", e.ID, "service", e.Service, "from", e.Held.From, "to", e.Held.To)
+}
+
 // director returns the director of a service's model. It is started at the first call.
 func (g *Gateway) director(service string) *director.Director {
 	g.mu.Lock()
