Replace a duty's row whose token no higher one can follow

What callers would see: layers that are lost and not placed again, after another writer has left an odd row in the table of duties.

Cause: the token of a new holder is one more than the row's, whatever that is; beyond the greatest number it is below zero, and each endpoint refuses it.

Change: a token out of range makes the row one that cannot be read, which the next holder replaces as before.

Measured: TestOddDutyRowIsReplaced failed before for the greatest token and one beyond what JSON carries exactly; below zero, no number and no JSON passed.

--- a/internal/control/elector/elector.go
+++ b/internal/control/elector/elector.go
@@ -10,6 +10,8 @@
 	"encoding/json"
 	"slices"
 	"time"
+
+	"github.com/ansel1/merry/v2"
 )
 
 // Duty is the row of a duty.
@@ -29,11 +31,19 @@
 	return b
 }
 
-// Decode parses the JSON value of a row.
+// maxToken bounds the tokens that are read: JSON readers that take numbers as floating-point numbers are exact up to it.
+const maxToken = 1 << 53
+
+// Decode parses the JSON value of a row. It returns an error if the token is below zero or so high that not enough can follow.
 func Decode(b []byte) (Duty, error) {
 	var d Duty
-	err := json.Unmarshal(b, &d)
-	return d, err
+	if err := json.Unmarshal(b, &d); err != nil {
+		return Duty{}, err
+	}
+	if d.Token < 0 || d.Token >= maxToken {
+		return Duty{}, merry.Errorf("token %d is out of range", d.Token)
+	}
+	return d, nil
 }
 
 // The delays of a takeover.
--- a/internal/serving/director/director_test.go
+++ b/internal/serving/director/director_test.go
@@ -290,3 +290,32 @@
 		})
 	}
 }
+
+// TestOddDutyRowIsReplaced guards against layers that are never placed again, after another writer has left a row whose token no
+// higher one can follow, or that cannot be read.
+func TestOddDutyRowIsReplaced(t *testing.T) {
+	t.Parallel()
+	for name, row := range map[string]string{
+		"greatest token": `{"holder":"gone","token":9223372036854775807}`,
+		"beyond JSON":    `{"holder":"gone","token":9007199254740993}`,
+		"below zero":     `{"holder":"gone","token":-1}`,
+		"no number":      `{"holder":"gone","token":"7"}`,
+		"not JSON":       `{`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := newFakeEndpoints()
+			for i := range 6 {
+				e.tokens[fmt.Sprint("e", i)] = 1
+			}
+			store := &memoryStore{version: 1, rows: map[string]replicator.Row{"s": {Key: "s", Value: []byte(row), Version: 1}}}
+			d := newDirector(t, "a", store, e)
+			waitUntil(t, d, e, "covered", e.isCovered)
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			if e.lowestToken < 1 || e.lowestToken > 100 {
+				t.Errorf("order with token %d", e.lowestToken)
+			}
+		})
+	}
+}
