Take odd rows in the table of instances for no instances

What callers would see: nothing but calls to peers that do not exist, after another writer has left odd rows among those of the instances.

Cause: a row with any id and address became a peer.

Change: a row without an id, or whose address is no IP and port, names none; how many there are is logged.

Measured: TestOddInstanceRowsAreIgnored failed before: four of six odd rows were peers, one of them without an id.

--- a/internal/serving/gateway/instances.go
+++ b/internal/serving/gateway/instances.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
-	"strings"
+	"net/netip"
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/client/lister"
@@ -87,8 +87,11 @@
 	if err != nil {
 		return nil, err
 	}
-	out, isListed := decodeInstances(page, t.gateway.settings.ID)
+	out, isListed, unread := decodeInstances(page, t.gateway.settings.ID)
 	t.isListed = isListed
+	if unread > 0 {
+		t.gateway.log.Warn("instances not read", "rows", unread)
+	}
 	return out, nil
 }
 
@@ -107,17 +110,23 @@
 	return err
 }
 
-// decodeInstances returns the instances of a table, and whether the one with the id self is among them.
-func decodeInstances(page replicator.Page, self string) ([]lister.Instance, bool) {
-	var out []lister.Instance
-	isListed := false
+// decodeInstances returns the instances of a table, whether the one with the id self is among them, and the number of rows that name
+// no instance: those without an id, or whose address is no IP and port.
+func decodeInstances(page replicator.Page, self string) (out []lister.Instance, isListed bool, unread int) {
 	for _, r := range page.Rows {
 		var e lister.Instance
-		if err := json.Unmarshal(r.Value, &e); err != nil || strings.TrimSpace(e.Address) == "" {
+		if err := json.Unmarshal(r.Value, &e); err != nil || e.ID == "" || !isAddress(e.Address) {
+			unread++
 			continue
 		}
 		isListed = isListed || e.ID == self
 		out = append(out, e)
 	}
-	return out, isListed
+	return out, isListed, unread
+}
+
+// isAddress reports whether a text is an IP address and a port.
+func isAddress(text string) bool {
+	a, err := netip.ParseAddrPort(text)
+	return err == nil && a.Port() > 0
 }
