Answer late requests of an instance that stops

What callers saw: no answer.

Cause: a stopping instance took all requests until its end, whatever time they may take, and nothing ended those that were left.

Change: once the load balancer has noticed, a request is refused with 503 if its deadline is after the end of the instance; streams that can be resumed are taken, as they go on elsewhere. What is left 0.2 s before the listeners close is ended: its caller gets 502 if it may have run, and 503 if not.

Not taken: refusing all requests from the request to stop on. Most end long before the instance, and their callers would have to come back for nothing.

--- a/internal/serving/explainer/explainer.go
+++ b/internal/serving/explainer/explainer.go
@@ -165,6 +165,7 @@
 	{"no endpoint took", "it was refused and did not run: no endpoint could be reached, or each stated that it did not run it"},
 	{"service has no endpoint", "it was refused and did not run: the service had no endpoint"},
 	{"no configuration", "it was refused and did not run: the instance had no configuration yet"},
+	{"the instance is leaving", "the instance stopped: with status 503 it did not run, with 502 it had been sent to an endpoint and may have run"},
 	{"no route", "no route of the configuration in force matches its host and path"},
 	{"unknown credential", "no team of the configuration in force has its credential"},
 	{"no answer in time", "it was sent and may have run: no answer came before the caller's deadline or the route's timeout"},
--- a/internal/serving/forwarder/call.go
+++ b/internal/serving/forwarder/call.go
@@ -61,6 +61,8 @@
 	deadline time.Time
 	ctx      context.Context
 	cancel   context.CancelFunc
+	// stopEnding ends the watch for the end of the instance.
+	stopEnding func() bool
 
 	// attempts counts the sends to endpoints, and mayHaveRun is true if one of them may have run the request.
 	attempts   int
@@ -110,6 +112,7 @@
 		sentTo: map[string]bool{},
 	}
 	k.ctx, k.cancel = context.WithTimeout(r.Context(), timeout)
+	k.stopEnding = context.AfterFunc(f.ending, k.cancel)
 	// A caller that does not read must not hold the request beyond its deadline.
 	if err := http.NewResponseController(w).SetWriteDeadline(k.deadline.Add(writeGrace)); err != nil {
 		f.log.Warn("cannot set the write deadline", "request", request.ID, "error", err)
@@ -184,6 +187,7 @@
 
 // end logs the request and releases its resources.
 func (k *call) end() {
+	k.stopEnding()
 	k.cancel()
 	k.forwarder.memory.release(k.heldBytes)
 	now := k.forwarder.clock()
@@ -249,7 +253,7 @@
 	for name, values := range connector.EndToEnd(h) {
 		out[name] = values
 	}
-	if k.forwarder.leaving.Load() {
+	if k.forwarder.isLeaving() {
 		out.Set("Connection", "close")
 	}
 	k.status = status
--- a/internal/serving/forwarder/forwarder.go
+++ b/internal/serving/forwarder/forwarder.go
@@ -43,10 +43,13 @@
 	dataCentre string
 	prober     Prober
 
-	config   atomic.Pointer[matcher.Configuration]
-	leaving  atomic.Bool
-	inFlight atomic.Int64
-	memory   memoryBudget
+	config atomic.Pointer[matcher.Configuration]
+	// leave is nil until the instance leaves. The context ending ends when the requests in progress are ended.
+	leave       atomic.Pointer[Leave]
+	ending      context.Context
+	endRequests context.CancelFunc
+	inFlight    atomic.Int64
+	memory      memoryBudget
 	// screening keeps requests that crash endpoints away from further ones.
 	screening *screening
 	// statements holds what endpoints state of themselves in their responses.
@@ -92,6 +95,7 @@
 		statements:    newStatements(),
 		random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	f.ending, f.endRequests = context.WithCancel(context.Background())
 	for _, o := range options {
 		o(f)
 	}
@@ -111,9 +115,6 @@
 	return f.config.Load()
 }
 
-// MarkLeaving makes each further response close its connection.
-func (f *Forwarder) MarkLeaving() { f.leaving.Store(true) }
-
 // InFlight returns the number of requests in progress.
 func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
 
@@ -285,7 +286,7 @@
 	}
 	// If a request has both chunked encoding and a length, net/http uses the chunks and does not report the conflict.
 	// To the caller, the bytes that follow may be part of the body, so nothing more is read from the connection.
-	if f.leaving.Load() || len(r.TransferEncoding) > 0 {
+	if f.isLeaving() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	if !f.memory.acceptsRequests() {
@@ -322,6 +323,10 @@
 	}
 	k := newCall(f, w, r, now, c, request, route, team, body)
 	defer k.end()
+	if k.outlastsInstance(f.clock()) {
+		k.sendUnavailable(reasonLeaving, leavingRetryAfter)
+		return
+	}
 	if e := c.Services[k.service].Engine; e != nil && route.Kind == matcher.Stream {
 		k.serveStream(e)
 		return
--- a/internal/serving/forwarder/plain.go
+++ b/internal/serving/forwarder/plain.go
@@ -161,9 +161,11 @@
 			k.outcome = "caller left"
 		}
 	case k.mayHaveRun && isDone(k.ctx):
-		k.sendRefusal(refusal{Status: http.StatusGatewayTimeout, Reason: "no answer in time"})
+		k.sendRefusal(k.timeoutRefusal())
 	case k.mayHaveRun:
 		k.sendRefusal(refusal{Status: http.StatusBadGateway, Reason: cmp.Or(reason, "no whole answer")})
+	case k.isEnded():
+		k.sendUnavailable(reasonLeaving, leavingRetryAfter)
 	case reason != "":
 		k.sendUnavailable(reason, retryAfter)
 	default:
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -241,9 +241,11 @@
 		s.addToTrail("broken off after event", s.lastEventID)
 		panic(http.ErrAbortHandler) // net/http closes the connection without ending the body.
 	case s.mayHaveRun && isDone(s.ctx):
-		s.sendRefusal(refusal{Status: http.StatusGatewayTimeout, Reason: "no answer in time"})
+		s.sendRefusal(s.timeoutRefusal())
 	case s.mayHaveRun:
 		s.sendRefusal(refusal{Status: http.StatusBadGateway, Reason: reason})
+	case s.isEnded():
+		s.sendUnavailable(reasonLeaving, leavingRetryAfter)
 	default:
 		s.sendUnavailable(reason, retryAfter)
 	}
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -88,8 +88,10 @@
 	// balancerNoticeTime is how long the load balancer may take to notice that an instance is not ready: two failed
 	// health checks a second apart.
 	balancerNoticeTime = 2500 * time.Millisecond
-	// exitReserve is the part of the grace period that is kept for the exit of the process.
-	exitReserve = 700 * time.Millisecond
+	// exitReserve is the part of the grace period that is kept for the exit of the process, and answerReserve the part before it
+	// in which the requests that are still in progress are answered.
+	exitReserve   = 700 * time.Millisecond
+	answerReserve = 200 * time.Millisecond
 	// headerTimeout and idleTimeout bound the connections of the HTTP listeners.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 2 * time.Minute
@@ -298,12 +300,16 @@
 }
 
 // Drain stops the instance without cutting off a request: the instance is no longer ready, serves on until the load
-// balancer has noticed, then accepts no new connection and waits for the requests in flight. It returns the number of
-// requests that were cut off.
+// balancer has noticed, then accepts no new connection, refuses requests that may outlast it, and waits for the requests in flight.
+// Those that are left at the end are answered with what is known of them. It returns the number of requests that were cut off.
 func (g *Gateway) Drain(ctx context.Context) int64 {
-	deadline := g.clock().Add(g.settings.GracePeriod - exitReserve)
+	now := g.clock()
+	deadline := now.Add(g.settings.GracePeriod - exitReserve)
+	leave := forwarder.Leave{NoticedAt: now.Add(balancerNoticeTime), EndsAt: deadline.Add(-answerReserve)}
 	g.leaving.Store(true)
-	g.forwarder.MarkLeaving()
+	g.forwarder.BeginLeave(leave)
+	end := time.AfterFunc(leave.EndsAt.Sub(now), g.forwarder.EndRequests)
+	defer end.Stop()
 	for _, d := range g.allDirectors() {
 		d.MarkLeaving()
 	}
