--- a/internal/bench/soaker/faults.go
+++ b/internal/bench/soaker/faults.go
@@ -19,6 +19,8 @@
 	}
 	if _, ok := statements[f.Kind]; ok {
 		span.Server = s.state(f)
+	} else if f.Kind == StoreRestore {
+		span.From = s.restoreStore(f)
 	} else {
 		s.applyFault(f)
 	}
--- a/internal/bench/soaker/plan.go
+++ b/internal/bench/soaker/plan.go
@@ -30,6 +30,8 @@
 	StoreSilent      Kind = "store silent"
 	StoreLossy       Kind = "store lossy"
 	StoreDropHistory Kind = "store forgets"
+	// StoreRestore lets the store come back from a copy of earlier rows after it was away.
+	StoreRestore Kind = "store restored"
 	// StoreLink, EndpointLink and CallerLink are faults of the links from an instance to the store, from instances to
 	// an endpoint, and from callers to an instance.
 	StoreLink    Kind = "store link"
@@ -61,6 +63,10 @@
 	ServerFaultIndex int
 	// LosesCalls makes a silent store never answer the calls that it gets meanwhile and those that it held.
 	LosesCalls bool
+	// CopyAge is the age of the copy that the store comes back from, made at StartAfter, and RewriteDelay the time until what it has
+	// lost is written again.
+	CopyAge      time.Duration
+	RewriteDelay time.Duration
 }
 
 // String returns the fault as a line of a report.
@@ -72,6 +78,8 @@
 			s += " for good"
 		}
 		return s
+	case StoreRestore:
+		return fmt.Sprintf("%s %.1fs later from the copy, written again after %.1fs", s, f.CopyAge.Seconds(), f.RewriteDelay.Seconds())
 	case KillAll, StoreDown, StoreLossy, StoreDropHistory, Configure:
 		return s
 	case StoreLink, EndpointLink, CallerLink:
@@ -140,6 +148,7 @@
 		out = append(out, f)
 	}
 	out = append(out, planStatements(seed, length, endpoints)...)
+	out = append(out, planRestores(seed, length)...)
 	slices.SortFunc(out, func(a, b Fault) int { return int(a.StartAfter - b.StartAfter) })
 	return out
 }
--- a/internal/standin/hoster/store.go
+++ b/internal/standin/hoster/store.go
@@ -48,14 +48,16 @@
 	server *httptest.Server
 	done   chan struct{}
 
-	mu         sync.Mutex
-	rows       map[string]Row
-	version    int64
-	era        int64
-	changed    chan struct{}
-	faults     Faults
-	callCounts map[string]int
-	lostCalls  int
+	mu      sync.Mutex
+	rows    map[string]Row
+	version int64
+	era     int64
+	// restoredVersion is the version of the copy that the store last came back from.
+	restoredVersion int64
+	changed         chan struct{}
+	faults          Faults
+	callCounts      map[string]int
+	lostCalls       int
 }
 
 // NewStore starts a store.
@@ -163,13 +165,34 @@
 	return Snapshot{rows, c.version}
 }
 
-// Restore makes the store come back from a copy: what was written since is gone, and its versions are given out again.
-func (s *Store) Restore(c Snapshot) {
+// Restore makes the store come back from a copy: what was written since is gone, and its versions are given out again. It returns
+// the rows that are lost, also deletions.
+func (s *Store) Restore(c Snapshot) []Row {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.rows, s.version = maps.Clone(c.rows), c.version
+	var lost []Row
+	for id, r := range s.rows {
+		if c.rows[id].Version != r.Version {
+			lost = append(lost, r)
+		}
+	}
+	s.rows, s.version, s.restoredVersion = maps.Clone(c.rows), c.version, c.version
 	s.era++
 	s.notifyChanged()
+	return lost
+}
+
+// Rewrite writes rows again that were lost, as the operator and the servers do, unless newer ones were written since the store came
+// back.
+func (s *Store) Rewrite(lost []Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range lost {
+		isForeign := r.Table == "op" || r.Table == "servers"
+		if isForeign && s.rows[r.Table+"/"+r.Key].Version <= s.restoredVersion {
+			s.setRow(r)
+		}
+	}
 }
 
 // RowCount returns the number of rows of a table.
