Hold rows back anew after a second restoration

What callers would see: endpoints used or left as the copy says, when the store comes back twice within some seconds.

Cause: rows that were held back after the first restoration and did not differ in the second copy kept the end of their delay, though their writers write again after the second.

Change: a restoration starts the delay of all rows that are held back anew.

Measured: TestSecondRestorationStartsTheDelayAnew failed before: a changed and a lost row were reported 1 ms before the end of the second delay.

--- a/internal/serving/syncer/syncer.go
+++ b/internal/serving/syncer/syncer.go
@@ -439,13 +439,17 @@
 		return changed
 	}
 	t.regainedAt = now
+	releaseAt := now.Add(deletionDelay)
+	for key, d := range t.delayedChanges {
+		t.delayedChanges[key] = delayedChange{d.row, releaseAt}
+	}
 	var out []replicator.Row
 	for _, r := range changed {
 		if _, ok := oldRows[r.Key]; !ok {
 			out = append(out, r)
 			continue
 		}
-		t.delayedChanges[r.Key] = delayedChange{r, now.Add(deletionDelay)}
+		t.delayedChanges[r.Key] = delayedChange{r, releaseAt}
 	}
 	return out
 }
--- a/internal/serving/syncer/syncer_test.go
+++ b/internal/serving/syncer/syncer_test.go
@@ -156,6 +156,37 @@
 	}
 }
 
+// TestSecondRestorationStartsTheDelayAnew guards against rows of a copy that are used because the store has come back twice: what was
+// lost is written again after the second time.
+func TestSecondRestorationStartsTheDelayAnew(t *testing.T) {
+	row := func(key, value string) replicator.Row {
+		return replicator.Row{Key: key, Value: []byte(value), Version: 1}
+	}
+	c := &clock{now: startTime}
+	s, f, reported := newSyncer(c, true)
+	for era, rows := range [][]replicator.Row{
+		{row("changed", "2"), row("lost", "1"), row("back", "1")},
+		{row("changed", "1")},
+		{row("changed", "1"), row("back", "1")},
+	} {
+		p := page(1, rows...)
+		p.Era = int64(era + 1)
+		s.apply(f, p, true, true)
+		c.advance(deletionDelay - time.Millisecond)
+		s.fetchFromPeer(f)
+	}
+	if diff := cmp.Diff([]string{"+changed", "+lost", "+back"}, *reported); diff != "" {
+		t.Errorf("changes within the delay (-want +got):\n%s", diff)
+	}
+	*reported = nil
+	c.advance(2 * time.Millisecond)
+	s.fetchFromPeer(f)
+	slices.Sort(*reported)
+	if diff := cmp.Diff([]string{"+back", "+changed", "-lost"}, *reported); diff != "" {
+		t.Errorf("changes after the delay (-want +got):\n%s", diff)
+	}
+}
+
 // TestDeletionsAreReportedAtOnce deletes a row while the store is reachable.
 func TestDeletionsAreReportedAtOnce(t *testing.T) {
 	c := &clock{now: startTime}
