--- a/internal/serving/forwarder/screening.go
+++ b/internal/serving/forwarder/screening.go
@@ -1,8 +1,6 @@
 package forwarder
 
 import (
-	"cmp"
-	"context"
 	"log/slog"
 	"strconv"
 	"strings"
@@ -12,8 +10,8 @@
 	"github.com/heatherrock/heatherrock/internal/routing/screener"
 )
 
-// EvidenceKeeper keeps the evidence against refused parts of prompts and requests for instances that start later. Its methods do not wait
-// for the result.
+// EvidenceKeeper keeps the evidence against refused parts of prompts and requests for instances that start later. Its methods
+// do not wait for the result.
 type EvidenceKeeper interface {
 	// Keep keeps evidence, and Drop drops what is kept of keys that are cleared.
 	Keep(evidence []screener.Evidence)
@@ -197,108 +195,3 @@
 	defer s.mu.Unlock()
 	return s.screener.Suspects(now)
 }
-
-const (
-	// lossCheckTimeout bounds the check whether an endpoint is lost after a request broke off before its response began.
-	lossCheckTimeout = 40 * time.Millisecond
-	// trialCheckInterval is the time between two checks whether the trial of a suspect has ended.
-	trialCheckInterval = 20 * time.Millisecond
-	// maxTrialWait is how long a request waits for a trial if its route has no target.
-	maxTrialWait = time.Second
-	// trialRetryAfter is the least retry delay stated if a request has waited for a trial in vain.
-	trialRetryAfter = time.Second
-)
-
-// reasonSuspect is the reason for which a request is refused that may crash endpoints.
-const reasonSuspect = "requests like it crash endpoints"
-
-// refusalReasons holds the reasons for which requests must not be sent, by ruling.
-var refusalReasons = map[screener.Ruling]string{screener.Refuse: reasonSuspect, screener.Wait: "a request like it is on trial"}
-
-// screenKeys returns the keys of the request.
-func (k *call) screenKeys() []string {
-	if len(k.keys) == 0 {
-		k.keys = []string{screener.RequestKey(k.service, k.digest())}
-		for _, part := range k.request.PromptParts {
-			k.keys = append(k.keys, screener.PartKey(k.service, part))
-		}
-	}
-	return k.keys
-}
-
-// screenKeys returns the keys of a stream. A stream that has begun has none: it has shown that it crashes no endpoint.
-func (s *streamCall) screenKeys() []string {
-	if s.eventCount > 0 || s.request.LastEventID != "" {
-		return nil
-	}
-	return s.call.screenKeys()
-}
-
-// awaitRuling waits while another request with one of the keys is on trial, and returns the ruling on the request: it is Wait if
-// the result is not known in time. A request that must not be sent may be tried after the returned time.
-func (k *call) awaitRuling(keys []string) (screener.Ruling, time.Duration) {
-	now := k.forwarder.clock()
-	end := now.Add(cmp.Or(k.route.FirstByteTarget, maxTrialWait))
-	for {
-		ruling, retryAfter := k.forwarder.screening.check(now, keys)
-		if ruling != screener.Wait {
-			return ruling, retryAfter
-		}
-		if !now.Before(end) || !k.sleep(trialCheckInterval) {
-			return screener.Wait, trialRetryAfter
-		}
-		now = k.forwarder.clock()
-	}
-}
-
-// isSuspect reports whether the stream must not be sent, and answers its caller if so.
-func (s *streamCall) isSuspect() bool {
-	ruling, retryAfter := s.forwarder.screening.check(s.forwarder.clock(), s.screenKeys())
-	if ruling != screener.Refuse {
-		return false
-	}
-	s.giveUpAfter(reasonSuspect, retryAfter)
-	return true
-}
-
-// awaitTrial waits while another request with a key of the stream is on trial, and reports whether the stream may be
-// sent. If not, it has answered the caller.
-func (s *streamCall) awaitTrial() bool {
-	ruling, retryAfter := s.awaitRuling(s.screenKeys())
-	if reason, ok := refusalReasons[ruling]; ok {
-		s.giveUpAfter(reason, retryAfter)
-		return false
-	}
-	return true
-}
-
-// checkLoss finds out whether an endpoint is lost on which the request broke off before its response began. The endpoint may not
-// be watched yet, and the news of those that watch it may take longer than this.
-func (k *call) checkLoss(id, address string) {
-	if k.forwarder.checkLoss == nil || k.isStopped.Load() || k.forwarder.screening.isLost(k.forwarder.clock(), id) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(k.ctx, lossCheckTimeout)
-	defer cancel()
-	k.forwarder.checkLoss(ctx, id, address)
-}
-
-// sleep waits for a time, and returns false if the request's context ends first.
-func (k *call) sleep(d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-k.ctx.Done():
-		return false
-	}
-}
-
-// stopAttempt returns the function that stops an attempt of a request that must not run.
-func (k *call) stopAttempt(cancel context.CancelFunc) func() {
-	return func() {
-		k.isStopped.Store(true)
-		cancel()
-	}
-}
--- /dev/null
+++ b/internal/serving/syncer/delays.go
@@ -0,0 +1,63 @@
+package syncer
+
+import (
+	"time"
+
+	"github.com/heatherrock/heatherrock/internal/control/replicator"
+)
+
+// delayedChange is a change that is held back until a time.
+type delayedChange struct {
+	row       replicator.Row
+	releaseAt time.Time
+}
+
+// delayDeletions holds back deletions that arrive shortly after a failure of the store. It returns the other changed
+// rows, and the earlier changes whose delay has passed.
+func (t *followedTable) delayDeletions(now time.Time, changed []replicator.Row) []replicator.Row {
+	if !t.DelaysDeletions {
+		return changed
+	}
+	var out []replicator.Row
+	for _, r := range changed {
+		delete(t.delayedChanges, r.Key)
+		releaseAt := t.regainedAt.Add(deletionDelay)
+		if t.storeFailed {
+			releaseAt = now.Add(deletionDelay)
+		}
+		if r.Deleted && now.Before(releaseAt) {
+			t.delayedChanges[r.Key] = delayedChange{r, releaseAt}
+			continue
+		}
+		out = append(out, r)
+	}
+	for key, d := range t.delayedChanges {
+		if now.After(d.releaseAt) {
+			out = append(out, d.row)
+			delete(t.delayedChanges, key)
+		}
+	}
+	return out
+}
+
+// delayReversions holds back the changes of rows that were known before the store came back from a copy, which may be older:
+// those that have changed since are written again. It returns the other rows.
+func (t *followedTable) delayReversions(now time.Time, changed []replicator.Row, oldRows map[string]replicator.Row) []replicator.Row {
+	if !t.DelaysDeletions {
+		return changed
+	}
+	t.regainedAt = now
+	releaseAt := now.Add(deletionDelay)
+	for key, d := range t.delayedChanges {
+		t.delayedChanges[key] = delayedChange{d.row, releaseAt}
+	}
+	var out []replicator.Row
+	for _, r := range changed {
+		if _, ok := oldRows[r.Key]; !ok {
+			out = append(out, r)
+			continue
+		}
+		t.delayedChanges[r.Key] = delayedChange{r, releaseAt}
+	}
+	return out
+}
--- a/internal/serving/syncer/syncer.go
+++ b/internal/serving/syncer/syncer.go
@@ -23,8 +23,8 @@
 	ErrHistoryDropped = merry.Sentinel("the store has dropped the history")
 	// ErrConflict means that a condition of a change did not hold: nothing was written.
 	ErrConflict = merry.Sentinel("a condition of the change does not hold")
-	// ErrRestored means that the store has come back from a copy since the versions in the conditions were read: the change was
-	// applied, and its conditions may have been met by other rows than those read.
+	// ErrRestored means that the store has come back from a copy during a read, or since the versions in the conditions of a
+	// change were read: the change was applied, and its conditions may have been met by other rows than those read.
 	ErrRestored = merry.Sentinel("the store has come back from a copy")
 )
 
@@ -129,12 +129,6 @@
 	aheadSince time.Time
 }
 
-// delayedChange is a change that is held back until a time.
-type delayedChange struct {
-	row       replicator.Row
-	releaseAt time.Time
-}
-
 // Syncer keeps the tables of one instance up to date.
 type Syncer struct {
 	store    Store
@@ -388,7 +382,8 @@
 		changed = t.replica.Merge(now, page)
 	}
 	if isRestored {
-		s.log.Warn("store has come back from a copy", "table", t.Name, "version", page.Version, "era", page.Era, "before", before.Version, "direct", fromStore)
+		s.log.Warn("store has come back from a copy", "table", t.Name, "version", page.Version, "era", page.Era, "before", before.Version,
+			"direct", fromStore)
 		changed = t.delayReversions(now, changed, oldRows)
 		if page.Era > s.restoredEra {
 			s.restoredEra = page.Era
@@ -404,56 +399,6 @@
 	s.publishHead(now, t)
 }
 
-// delayDeletions holds back deletions that arrive shortly after a failure of the store. It returns the other changed
-// rows, and the earlier changes whose delay has passed.
-func (t *followedTable) delayDeletions(now time.Time, changed []replicator.Row) []replicator.Row {
-	if !t.DelaysDeletions {
-		return changed
-	}
-	var out []replicator.Row
-	for _, r := range changed {
-		delete(t.delayedChanges, r.Key)
-		releaseAt := t.regainedAt.Add(deletionDelay)
-		if t.storeFailed {
-			releaseAt = now.Add(deletionDelay)
-		}
-		if r.Deleted && now.Before(releaseAt) {
-			t.delayedChanges[r.Key] = delayedChange{r, releaseAt}
-			continue
-		}
-		out = append(out, r)
-	}
-	for key, d := range t.delayedChanges {
-		if now.After(d.releaseAt) {
-			out = append(out, d.row)
-			delete(t.delayedChanges, key)
-		}
-	}
-	return out
-}
-
-// delayReversions holds back the changes of rows that were known before the store came back from a copy, which may be older:
-// those that have changed since are written again. It returns the other rows.
-func (t *followedTable) delayReversions(now time.Time, changed []replicator.Row, oldRows map[string]replicator.Row) []replicator.Row {
-	if !t.DelaysDeletions {
-		return changed
-	}
-	t.regainedAt = now
-	releaseAt := now.Add(deletionDelay)
-	for key, d := range t.delayedChanges {
-		t.delayedChanges[key] = delayedChange{d.row, releaseAt}
-	}
-	var out []replicator.Row
-	for _, r := range changed {
-		if _, ok := oldRows[r.Key]; !ok {
-			out = append(out, r)
-			continue
-		}
-		t.delayedChanges[r.Key] = delayedChange{r, releaseAt}
-	}
-	return out
-}
-
 // Status is what is known of an instance's copy of a table.
 type Status struct {
 	// Head is that of the copy, and Age how long ago a read of the store or a peer confirmed it.
