--- a/internal/bench/soaker/caller.go
+++ b/internal/bench/soaker/caller.go
@@ -84,16 +84,24 @@
 
 // send sends a request and returns it with the outcome filled in.
 func (c *caller) send(r Request) Request {
+	if r.Route == routeRead {
+		return c.sendTo(r, requestPath(r), "")
+	}
+	return c.sendTo(r, requestPath(r), "hold this")
+}
+
+// sendTo sends a request to a path. One without a body is a GET.
+func (c *caller) sendTo(r Request, path, body string) Request {
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
-	method, body := http.MethodPost, "hold this"
-	if r.Route == routeRead {
-		method, body = http.MethodGet, ""
+	method := http.MethodPost
+	if body == "" {
+		method = http.MethodGet
 	}
 	r.SentAt = time.Now()
 	// A body that cannot be rewound keeps the HTTP client from resending a request that was lost with a kept-alive
 	// connection.
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+requestPath(r), io.NopCloser(strings.NewReader(body)))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+path, io.NopCloser(strings.NewReader(body)))
 	if err != nil {
 		r.Err = err.Error()
 		return r
--- a/internal/bench/soaker/checker.go
+++ b/internal/bench/soaker/checker.go
@@ -60,7 +60,9 @@
 // Observations are what callers, endpoints and the operator recorded during a run.
 type Observations struct {
 	Requests []Request
-	Arrivals []hoster.Arrival
+	// DeadlyRequests are the sends of a call that crashes endpoints.
+	DeadlyRequests []Request
+	Arrivals       []hoster.Arrival
 	// RunCounts holds how often each request was run, by request id.
 	RunCounts map[string]int
 	Spans     []Span
@@ -81,6 +83,7 @@
 		}
 	}
 	out = append(out, statementViolations(e)...)
+	out = append(out, deadlyViolations(e)...)
 	return append(out, retryBudgetViolations(e)...)
 }
 
--- a/internal/bench/soaker/proxy.go
+++ b/internal/bench/soaker/proxy.go
@@ -72,6 +72,12 @@
 	}
 }
 
+// Crash makes the link refuse connections, and then resets the open ones, as when the process behind it ends.
+func (p *Proxy) Crash() {
+	_ = p.listener.Close() // Close closes it once more.
+	p.SetMode(Refusing)
+}
+
 // resetAll resets the open connections. The caller holds the lock.
 func (p *Proxy) resetAll() {
 	for c := range p.conns {
--- a/internal/bench/soaker/soaker.go
+++ b/internal/bench/soaker/soaker.go
@@ -69,6 +69,9 @@
 	keyChanges    []time.Time
 	configVersion int
 	violations    []string
+	// deadlyRequests are the sends of the call that crashes endpoints.
+	deadlyRequests []Request
+	isClosed       bool
 }
 
 // endpoint is the slot of an endpoint, in which a new one starts after a crash.
@@ -89,6 +92,9 @@
 		return report, err
 	}
 	s := &soak{options: o, addresses: claim, platform: hoster.NewPlatform()}
+	if hasDeadlyCall(o.Seed) {
+		s.platform.DeadlyBody, s.platform.OnCrash = deadlyBody, s.handleCrash
+	}
 	defer s.close()
 	if err := s.startAll(); err != nil {
 		return report, err
@@ -101,7 +107,12 @@
 		s.violations = append(s.violations, "not every instance serves again after the last fault")
 	}
 	time.Sleep(lateRunWindow)
-	e := Observations{Requests: requests, Arrivals: s.platform.Arrivals(), RunCounts: map[string]int{}, Spans: s.spans, KeyChanges: s.keyChanges, Failures: s.violations}
+	s.mu.Lock()
+	e := Observations{
+		Requests: requests, DeadlyRequests: s.deadlyRequests, Arrivals: s.platform.Arrivals(), RunCounts: map[string]int{}, Spans: s.spans,
+		KeyChanges: s.keyChanges, Failures: s.violations,
+	}
+	s.mu.Unlock()
 	for _, r := range requests {
 		e.RunCounts[r.ID] = s.platform.RunCount(r.ID)
 		if r.Status == http.StatusOK && r.Err == "" {
@@ -181,6 +192,9 @@
 
 // close ends the instances, the platform and the links.
 func (s *soak) close() {
+	s.mu.Lock()
+	s.isClosed = true
+	s.mu.Unlock()
 	for _, i := range s.instances {
 		i.close()
 	}
@@ -233,6 +247,10 @@
 		callersDone.Add(1)
 		go c.run(&callersDone)
 	}
+	if s.platform.DeadlyBody != "" {
+		callersDone.Add(1)
+		go s.runDeadly(&callersDone, stop)
+	}
 	startedAt := time.Now()
 	for _, f := range faults {
 		time.Sleep(time.Until(startedAt.Add(f.StartAfter)))
--- a/internal/bench/soaker/soaker_test.go
+++ b/internal/bench/soaker/soaker_test.go
@@ -34,6 +34,7 @@
 	{2, runLength, ""},
 	{1002, 20 * time.Second, "the soak waited for the process that another fault had started meanwhile, and killed it"},
 	{7146, 25 * time.Second, "the stand-in ended a stalled stream as complete when it crashed"},
+	{9101, 25 * time.Second, "a call crashed one endpoint of a plain service after the other"},
 	{9003, 25 * time.Second, "instances compared versions of the store across its restoration, and went on accepting a key that was dropped"},
 }
 
--- a/internal/standin/hoster/server.go
+++ b/internal/standin/hoster/server.go
@@ -24,6 +24,8 @@
 	DeadlyPart string
 	// DeadlyBody is a body that crashes each server which runs a request with it; empty for none.
 	DeadlyBody string
+	// OnCrash is called with each server that a request crashes, before its process ends; nil if nothing is to be done.
+	OnCrash func(s *Server)
 	// PublicAddress returns the address that a server registers for its listening address; nil if they are the same.
 	PublicAddress func(id, address string) string
 
@@ -183,6 +185,14 @@
 	s.stop()
 }
 
+// runCrash ends the process under a request.
+func (s *Server) runCrash() {
+	if s.platform.OnCrash != nil {
+		s.platform.OnCrash(s)
+	}
+	s.KillProcess()
+}
+
 // Server returns the running server with an address, or nil.
 func (p *Platform) Server(address string) *Server {
 	p.mu.Lock()
@@ -321,7 +331,7 @@
 		return
 	}
 	if s.platform.isDeadly(r, body) {
-		go s.KillProcess() // It waits for the end of this handler.
+		go s.runCrash() // It waits for the end of this handler.
 		<-s.stopped
 		resetConnection(w)
 		return
