Review: show a request that crashes servers after its first event and is never kept away

Cause: a request counts as sound once its first event is 100 ms old; one that crashes its servers later has no evidence against it. Change: review/4 with a stand-in of the model's servers that crash under it; nothing of the system is changed.

--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -41,6 +41,31 @@
 	Err string
 }
 
+// gapLimit is the gap after which clients abandon a stream, also before its first event.
+const gapLimit = 2 * time.Second
+
+// readAll reads a body. The client leaves a stream after a gap.
+func readAll(body io.Reader, isStream bool, leave context.CancelFunc) ([]byte, error) {
+	if !isStream {
+		return io.ReadAll(body)
+	}
+	gap := time.AfterFunc(gapLimit, leave)
+	defer gap.Stop()
+	var out []byte
+	b := make([]byte, 4096)
+	for {
+		n, err := body.Read(b)
+		out = append(out, b[:n]...)
+		if err == io.EOF {
+			return out, nil
+		}
+		if err != nil {
+			return out, err
+		}
+		gap.Reset(gapLimit)
+	}
+}
+
 // attempts numbers the requests of the process.
 var attempts atomic.Uint64
 
@@ -49,6 +74,11 @@
 
 // Send sends a request with a key and waits for its answer. An unsafe or streaming request has a body.
 func (c *Client) Send(prefix, key string, deadline time.Duration, body []byte) Sent {
+	return c.SendPrompt(prefix, key, deadline, body, "5c1e07a2:40,"+NewID()[8:]+":760")
+}
+
+// SendPrompt is Send with the parts of the prompt of a request for the model.
+func (c *Client) SendPrompt(prefix, key string, deadline time.Duration, body []byte, parts string) Sent {
 	s := Sent{At: time.Now(), ID: NewID()}
 	method := http.MethodPost
 	var reader io.Reader
@@ -75,13 +105,18 @@
 	if prefix == DraftPrefix {
 		r.Header.Set("X-Heatherrock-Model", "m")
 		r.Header.Set("X-Heatherrock-Token-Count", fmt.Sprintf("800,%d", 3*EventCount))
-		r.Header.Set("X-Heatherrock-Prefix-Hash", "5c1e07a2:40,"+s.ID[8:]+":760")
+		r.Header.Set("X-Heatherrock-Prefix-Hash", parts)
+	}
+	if prefix == DraftPrefix {
+		head := time.AfterFunc(gapLimit, cancel)
+		defer head.Stop()
+		trace.GotFirstResponseByte = func() { head.Stop() }
 	}
 	response, err := c.http.Do(r)
 	if err == nil {
 		s.Status = response.StatusCode
 		var answer []byte
-		answer, err = io.ReadAll(response.Body)
+		answer, err = readAll(response.Body, prefix == DraftPrefix, cancel)
 		_ = response.Body.Close()
 		stamped := strings.HasSuffix(response.Header.Get("X-Heatherrock-Server-Stamp"), "-"+s.ID)
 		s.Whole = err == nil && s.Status == http.StatusOK && stamped && (prefix == DraftPrefix || string(answer) == "answer to "+s.ID)
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -72,6 +72,11 @@
 	claim  net.Listener
 	mu     sync.Mutex
 	closes []func()
+	// engines holds the servers of the model by address.
+	engines    map[string]*Engine
+	crashes    []Crash
+	arrivals   []Arrival
+	deadlyPart string
 }
 
 // The ports on each address of a deployment.
@@ -86,7 +91,7 @@
 
 // New claims a loopback network and a temporary folder, and starts the store.
 func New(r *Record, root string) (*Lab, error) {
-	l := &Lab{Record: r, Program: filepath.Join(root, "target", "gateway")}
+	l := &Lab{Record: r, Program: filepath.Join(root, "target", "gateway"), engines: map[string]*Engine{}}
 	if _, err := os.Stat(l.Program); err != nil {
 		return nil, err
 	}
