Review: show a request that makes servers go dark and is never kept away

Cause: only a refused connection counts as the crash of a server; one that falls silent leaves no evidence against a request.

--- a/review/lab/engine.go
+++ b/review/lab/engine.go
@@ -30,8 +30,9 @@
 	fence    int64
 	sequence int
 	server   *http.Server
-	// down is closed when the present process crashes.
+	// down is closed when the present process crashes, and dark is true if its machine went silent with it.
 	down chan struct{}
+	dark bool
 }
 
 // The model of the engines and the events of an answer.
@@ -44,11 +45,9 @@
 	// loadTime is how long an engine takes for an order, and stallTime how long work stalls that depends on a server that is gone.
 	loadTime  = 500 * time.Millisecond
 	stallTime = 2500 * time.Millisecond
-	// crashDelay is how long after its first event a deadly request crashes the server that runs it, backAfter how long after the
-	// crash the server is back, and expiry how long after it the old process's row is removed.
-	crashDelay = 250 * time.Millisecond
-	backAfter  = 3 * time.Second
-	expiry     = 3 * Heartbeat
+	// backAfter is how long after a crash the server is back, and expiry how long after it the old process's row is removed.
+	backAfter = 3 * time.Second
+	expiry    = 3 * Heartbeat
 )
 
 // AddEngine starts the nth server, as an empty one of a service that runs a model, and registers it.
@@ -71,7 +70,7 @@
 	e.starts++
 	e.id, e.born = fmt.Sprintf("i-%06x%02x", 0x1c00a3+e.number, e.starts), time.Now().UnixMilli()
 	e.from, e.to, e.orders, e.fence, e.sequence = 0, 0, 0, 0, 0
-	e.server, e.down = &http.Server{Handler: e}, make(chan struct{})
+	e.server, e.down, e.dark = &http.Server{Handler: e}, make(chan struct{}), false
 	go func(s *http.Server) { _ = s.Serve(listener) }(e.server) // It ends as the process does.
 	e.mu.Unlock()
 	e.Register("ready")
@@ -100,9 +99,17 @@
 		return
 	}
 	e.lab.recordCrash(Crash{time.Now(), id, cause})
-	e.stop()
+	if e.lab.deadly().isDark {
+		e.mu.Lock()
+		e.dark = true
+		close(e.down)
+		e.mu.Unlock()
+	} else {
+		e.stop()
+	}
 	time.AfterFunc(expiry, func() { e.lab.Store.Remove("servers", id) })
 	time.AfterFunc(backAfter, func() {
+		_ = e.server.Close() // The machine starts anew, and its connections are gone.
 		if err := e.start(); err != nil {
 			e.lab.Record.Line("server at %s not started again: %v", e.Address, err)
 		}
@@ -157,11 +164,36 @@
 	return append([]Arrival(nil), l.arrivals...)
 }
 
-// SetDeadlyPart makes requests deadly whose prompts have a part; an empty one makes none deadly.
-func (l *Lab) SetDeadlyPart(part string) {
+// deadlyRequests tells which requests crash the servers that begin to run them, and how.
+type deadlyRequests struct {
+	// part is the part of their prompts; an empty one makes none deadly.
+	part string
+	// delay is how long after its first event a request crashes the server. With isDark, the server's machine goes silent in
+	// place of the first event.
+	delay  time.Duration
+	isDark bool
+}
+
+// SetDeadly makes requests deadly whose prompts have a part. They crash the server some time after their first event.
+func (l *Lab) SetDeadly(part string, delay time.Duration) {
+	l.setDeadly(deadlyRequests{part: part, delay: delay})
+}
+
+// SetDark makes requests deadly whose prompts have a part. The server's machine goes silent as it begins to run one.
+func (l *Lab) SetDark(part string) { l.setDeadly(deadlyRequests{part: part, isDark: true}) }
+
+// setDeadly replaces what is deadly.
+func (l *Lab) setDeadly(d deadlyRequests) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.deadlyPart = part
+	l.deadlyRequests = d
+}
+
+// deadly returns what is deadly.
+func (l *Lab) deadly() deadlyRequests {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.deadlyRequests
 }
 
 // state returns what the server says of itself. The lock is held.
@@ -192,8 +224,12 @@
 // ServeHTTP answers one request.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
-	self := e.id
+	self, isDark := e.id, e.dark
 	e.mu.Unlock()
+	if isDark {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	id := r.Header.Get("X-Heatherrock-Attempt-Id")
 	if id != "" {
 		w.Header().Set("X-Heatherrock-Attempt-Id", id)
@@ -312,16 +348,28 @@
 			return
 		}
 	}
+	deadly := e.lab.deadly()
+	isDeadly := deadly.part != "" && strings.Contains(r.Header.Get("X-Heatherrock-Prefix-Hash"), deadly.part+":")
 	e.lab.mu.Lock()
-	part := e.lab.deadlyPart
-	isDeadly := part != "" && strings.Contains(r.Header.Get("X-Heatherrock-Prefix-Hash"), part+":")
 	e.lab.arrivals = append(e.lab.arrivals, Arrival{time.Now(), self, id, isDeadly})
 	e.lab.mu.Unlock()
 	e.lab.Record.Line("run at %s: %s %s from event %q path %s", self, id, r.RequestURI, r.Header.Get("Last-Event-Id"), r.Header.Get("X-Heatherrock-Hop-Count"))
+	if isDeadly && deadly.isDark {
+		e.crash(self, id)
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("X-Heatherrock-Server-Stamp", "stamp-"+self+"-"+id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for n := last + 1; n <= EventCount; n++ {
+		e.mu.Lock()
+		isDark := e.dark && e.id == self
+		e.mu.Unlock()
+		if isDark {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		for i, stage := range engines {
 			if !stage.holds(ranges[i]) {
 				select {
@@ -336,7 +384,7 @@
 		}
 		_ = http.NewResponseController(w).Flush()
 		if isDeadly && n == last+1 {
-			time.AfterFunc(crashDelay, func() { e.crash(self, id) })
+			time.AfterFunc(deadly.delay, func() { e.crash(self, id) })
 		}
 		select {
 		case <-time.After(EventInterval):
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -73,10 +73,10 @@
 	mu     sync.Mutex
 	closes []func()
 	// engines holds the servers of the model by address.
-	engines    map[string]*Engine
-	crashes    []Crash
-	arrivals   []Arrival
-	deadlyPart string
+	engines        map[string]*Engine
+	crashes        []Crash
+	arrivals       []Arrival
+	deadlyRequests deadlyRequests
 }
 
 // The ports on each address of a deployment.
