--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -3,10 +3,15 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
+// timeLimit is the time after which a script that is not done is given up.
+const timeLimit = 115 * time.Second
+
 // Main runs the script of a case, which reports whether the rule was broken, and exits. The arguments of the program are the folder
 // of the case and the root of the repository.
 func Main(script func(l *Lab) (bool, error)) { os.Exit(runScript(script)) }
@@ -24,7 +29,26 @@
 		return ExitNotRun
 	}
 	defer l.Close()
-	broken, err := script(l)
+	type result struct {
+		broken bool
+		err    error
+	}
+	done := make(chan result, 1)
+	go func() {
+		broken, err := script(l)
+		done <- result{broken, err}
+	}()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	var broken bool
+	select {
+	case r := <-done:
+		broken, err = r.broken, r.err
+	case s := <-stop:
+		err = fmt.Errorf("stopped by a signal: %v", s)
+	case <-time.After(timeLimit):
+		err = fmt.Errorf("not done after %v", timeLimit)
+	}
 	switch {
 	case err != nil:
 		r.Line("not run: %v", err)
