Review: show a request with many parts that crashes servers and is never kept away

Cause: keys with as many crashes as more than eight others are tried, not refused, and the parts of one prompt are such keys.

--- a/review/lab/deadly.go
+++ b/review/lab/deadly.go
@@ -6,9 +6,8 @@
 )
 
 const (
-	// DeadlyPart is the part of a prompt that only the deadly request has.
-	DeadlyPart  = "e4402b7d"
-	deadlyParts = "5c1e07a2:40," + DeadlyPart + ":760"
+	// DeadlyPart is the last part of the prompt of the deadly request, which no other request has.
+	DeadlyPart = "e4402b7d"
 	// resendPause is the pause after which the request comes again, at the next machine, and deadlyTime how long it does so.
 	resendPause = time.Second
 	deadlyTime  = 40 * time.Second
@@ -23,9 +22,9 @@
 	draftDeadline = 20 * time.Second
 )
 
-// PlayDeadly sends one request again and again beside sound ones, and reports whether too many of its retries reached servers. With
-// the disruption, makeDeadly makes it deadly.
-func (l *Lab) PlayDeadly(makeDeadly func()) (bool, error) {
+// PlayDeadly sends one request with a prompt again and again beside sound ones, and reports whether too many of its retries reached
+// servers. With the disruption, each server that runs it crashes some time after its first event, or before it if delay is negative.
+func (l *Lab) PlayDeadly(prompt string, delay time.Duration) (bool, error) {
 	const key = "n2ctnfzs989anu6wsjnb"
 	d, err := l.Deploy(3, 3, 12, Config(7, Tenant{Name: "hule930", Keys: []string{key}, Priority: 1}))
 	if err != nil {
@@ -33,7 +32,7 @@
 	}
 	time.Sleep(StabilityWindow)
 	if Trouble() {
-		makeDeadly()
+		l.SetDeadly(DeadlyPart, delay)
 	}
 	end := time.Now().Add(deadlyTime)
 	var wait sync.WaitGroup
@@ -60,7 +59,7 @@
 	deadly := map[string]bool{}
 	for n := 0; time.Now().Before(end); n++ {
 		c := l.NewClient(d.Machines[n%len(d.Machines)])
-		s := c.SendPrompt(DraftPrefix, key, draftDeadline, []byte("the request that comes again"), deadlyParts)
+		s := c.SendPrompt(DraftPrefix, key, draftDeadline, []byte("the request that comes again"), prompt)
 		c.Close()
 		deadly[s.ID] = true
 		time.Sleep(resendPause)
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -76,6 +76,7 @@
 	engines        map[string]*Engine
 	crashes        []Crash
 	arrivals       []Arrival
+	overloads      []Overload
 	deadlyRequests deadlyRequests
 }
 
