--- a/review/5/main.go
+++ b/review/5/main.go
@@ -23,10 +23,10 @@
 	bodyBytes  = 4194304
 	uploadTime = 1200 * time.Millisecond
 	// smallClients is the number of clients that send small requests to a machine, one after another with a pause.
-	smallClients = 10
+	smallClients = 13
 	smallPause   = 30 * time.Millisecond
 	// rounds is how often the long bodies come, roundTime apart.
-	rounds    = 6
+	rounds    = 8
 	roundTime = 10 * time.Second
 	// allowedLost is how many requests of kept connections may be lost. A machine whose process ends by itself faultEnds times is one
 	// of those that make the day count 0, faultMachines of which are too many.
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -81,7 +81,7 @@
 		d.Desks = append(d.Desks, s)
 	}
 	for n := range engines {
-		e, err := l.AddEngine(desks+n, PoolService, BigKind)
+		e, err := l.AddEngine(desks+n, PoolService)
 		if err != nil {
 			return nil, err
 		}
