--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -171,9 +171,9 @@
 	stopping bool
 }
 
-// AddMachine adds the nth machine. It does not start its process.
-func (l *Lab) AddMachine(n int) *Machine {
-	m := &Machine{Name: fmt.Sprintf("edge-%d", n), Zone: Zones[n%len(Zones)], IP: fmt.Sprintf("%s.%d", l.prefix, 1+n), lab: l}
+// AddMachine adds the nth machine, in a zone. It does not start its process.
+func (l *Lab) AddMachine(n int, zone string) *Machine {
+	m := &Machine{Name: fmt.Sprintf("edge-%d", n), Zone: zone, IP: fmt.Sprintf("%s.%d", l.prefix, 1+n), lab: l}
 	l.OnClose(m.Kill)
 	return m
 }
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -88,7 +88,7 @@
 		d.Engines = append(d.Engines, e)
 	}
 	for n := range machines {
-		m := l.AddMachine(n)
+		m := l.AddMachine(n, Zones[n%len(Zones)])
 		if err := m.Start(); err != nil {
 			return nil, err
 		}
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -30,6 +30,8 @@
 	rows    map[string]row
 	version int64
 	changed chan struct{}
+	// down is closed while the store is down: it resets all connections.
+	down chan struct{}
 }
 
 // answerTime is how long the store takes for an answer, as on the sheets of the small deployments.
@@ -37,7 +39,7 @@
 
 // newStore returns an empty store.
 func newStore(l *Lab) *Store {
-	s := &Store{lab: l, mux: http.NewServeMux(), started: time.Now(), rows: map[string]row{}, changed: make(chan struct{})}
+	s := &Store{lab: l, mux: http.NewServeMux(), started: time.Now(), rows: map[string]row{}, changed: make(chan struct{}), down: make(chan struct{})}
 	s.mux.HandleFunc("GET /rows-get", s.get)
 	s.mux.HandleFunc("GET /rows-feed", s.feed)
 	s.mux.HandleFunc("POST /rows-tx", s.commit)
@@ -46,10 +48,32 @@
 
 // ServeHTTP answers one call.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	time.Sleep(answerTime)
+	select {
+	case <-s.outage():
+		panic(http.ErrAbortHandler) // The connection is closed.
+	case <-time.After(answerTime):
+	}
 	s.mux.ServeHTTP(w, r)
 }
 
+// outage returns a channel that is closed while the store is down.
+func (s *Store) outage() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
+// GoDown takes the store down for a time: it breaks off all calls. It returns when the store is back.
+func (s *Store) GoDown(length time.Duration) {
+	s.mu.Lock()
+	close(s.down)
+	s.mu.Unlock()
+	time.Sleep(length)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = make(chan struct{})
+}
+
 // Put writes a row as the operator or a server does, and returns when the store has acknowledged it.
 func (s *Store) Put(table, key string, value any) time.Time {
 	b, err := json.Marshal(value)
@@ -140,6 +164,8 @@
 		case <-changed:
 		case <-timer.C:
 			timedOut = true
+		case <-s.outage():
+			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			return
 		}
