--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command 1 takes the last keys away from connected clients and then sends requests with these keys and with one that no
 // configuration ever held.
 package main
--- a/review/4/main.go
+++ b/review/4/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command 4 sends a request again and again that crashes each server that runs it, some time after its first event.
 package main
 
--- a/review/5/main.go
+++ b/review/5/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command 5 lets the store be down for some seconds and then takes servers away whose entries are removed without a notice.
 package main
 
--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package lab
 
 import (
--- a/review/lab/config.go
+++ b/review/lab/config.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package lab
 
 // The services, host and paths of the deployment.
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Package lab holds the stand-ins of the review's scripts: the platform's store, servers, clients, and the processes of the
 // system as they are started on a machine. They follow the operators' pages and use the real clock and loopback addresses.
 package lab
