Hold crashes after the first event against the request

Cause: the screener dropped an attempt 100 ms after its first event, and a stream that had begun had no keys on its next endpoint. The first event proves the parts of a prompt, which crash an endpoint as it begins to write; it proves nothing of what the request does later.

Ruled out: crashes that are recorded and cleared by the next run: "suspicion lifted" was never logged, nor was "endpoint crashed under requests".

Change: an attempt is kept until its end. A crash after its first event counts against the request alone, which is refused after three of them: the streams beside it move with it and have two crashes like it. Only a whole response, after which the endpoint lasts, clears a request. Moved and resumed streams keep the key of their request, and their parts until an endpoint has lasted after the first event. A crash just after the first event whose news comes later counts against the parts.

In TestMemoryForKeysIsBounded the attempts end whole, and are counted once the news of a loss can no longer come: attempts in progress are kept by design now.

--- a/internal/routing/screener/attempt.go
+++ b/internal/routing/screener/attempt.go
@@ -10,12 +10,27 @@
 	keys      []string
 	endpoints []string
 	sentAt    time.Time
-	// begunAt is the time of the first event, and endedAt that of the end before it; both are zero until then.
+	// begunAt is the time of the first event, and endedAt that of the end; both are zero until then.
 	begunAt time.Time
 	endedAt time.Time
 	// isTrial is true if the attempt is a trial, and hasCrashed once it was recorded with a crash.
 	isTrial    bool
 	hasCrashed bool
+	// isSettled is true once the endpoint has lasted for SettleTime after the first event, and isWhole if the attempt ended with
+	// a whole response.
+	isSettled bool
+	isWhole   bool
+}
+
+// age returns how long the attempt has lasted since its first event, at now or at its end.
+func (a *attempt) age(now time.Time) time.Duration {
+	if a.begunAt.IsZero() {
+		return 0
+	}
+	if !a.endedAt.IsZero() {
+		now = a.endedAt
+	}
+	return now.Sub(a.begunAt)
 }
 
 // Begin records at now that a request with keys is sent along endpoints, and returns the number of the attempt and the
@@ -50,57 +65,86 @@
 	return a.isTrial
 }
 
-// End records the end of an attempt.
-func (s *Screener) End(now time.Time, number uint64) {
+// End records the end of an attempt, with a whole response if isWhole is true, and reports whether the attempt is a trial whose
+// result Settle finds after SettleTime.
+func (s *Screener) End(now time.Time, number uint64, isWhole bool) bool {
 	a := s.attempts[number]
-	if a == nil || !a.begunAt.IsZero() || !a.endedAt.IsZero() {
-		return
+	if a == nil || !a.endedAt.IsZero() {
+		return false
 	}
-	a.endedAt = now
+	a.endedAt, a.isWhole = now, isWhole
 	s.ended = append(s.ended, number)
+	if isWhole && !a.begunAt.IsZero() {
+		s.whole = append(s.whole, number)
+		return a.isTrial
+	}
 	if !a.isTrial {
-		return
+		return false
 	}
 	for _, key := range a.keys {
+		if a.isSettled && !isRequestKey(key) {
+			continue
+		}
 		if r := s.records[key]; r != nil && now.Before(r.trialUntil) {
 			r.trialUntil = now.Add(newsTime)
 		}
 	}
+	return false
 }
 
 // Settle handles the attempts whose result is known at now, and returns the keys that they cleared of a suspicion, which
-// the other instances are to be told.
+// the other instances are to be told. An endpoint that lasts after the first event proves the parts of a prompt, and one that
+// lasts after a whole response the request.
 func (s *Screener) Settle(now time.Time) []string {
-	for len(s.ended) > 0 && now.Sub(s.attempts[s.ended[0]].endedAt) >= lossWindow {
-		delete(s.attempts, s.ended[0])
-		s.ended = s.ended[1:]
-	}
 	var cleared []string
 	for len(s.begun) > 0 {
 		a := s.attempts[s.begun[0]]
 		if now.Sub(a.begunAt) < SettleTime {
 			break
 		}
-		delete(s.attempts, s.begun[0])
 		s.begun = s.begun[1:]
-		if a.hasCrashed {
+		if !a.isWhole && a.age(now) < SettleTime {
+			continue // Its endpoint may have ended it by a crash.
+		}
+		a.isSettled = true
+		cleared = append(cleared, s.proveKeys(now, a, false)...)
+	}
+	for len(s.whole) > 0 {
+		a := s.attempts[s.whole[0]]
+		if now.Sub(a.endedAt) < SettleTime {
+			break
+		}
+		s.whole = s.whole[1:]
+		cleared = append(cleared, s.proveKeys(now, a, true)...)
+	}
+	for len(s.ended) > 0 && now.Sub(s.attempts[s.ended[0]].endedAt) >= lossWindow {
+		delete(s.attempts, s.ended[0])
+		s.ended = s.ended[1:]
+	}
+	return cleared
+}
+
+// proveKeys records that an attempt has proven its request, or the parts of its prompt, and returns those of these keys that were
+// suspected. An attempt whose endpoint has crashed proves none.
+func (s *Screener) proveKeys(now time.Time, a *attempt, isRequest bool) []string {
+	var cleared []string
+	for _, key := range a.keys {
+		if a.hasCrashed || isRequestKey(key) != isRequest {
 			continue
 		}
-		for _, key := range a.keys {
-			if ruling, _ := s.checkKey(now, key); ruling != Allow {
-				cleared = append(cleared, key)
-			}
-			// Nearly all requests are sent once, so there is mostly nothing to keep of their own keys.
-			if s.records[key] != nil || !isRequestKey(key) {
-				s.prove(now, key, a.begunAt)
-			}
+		if ruling, _ := s.checkKey(now, key); ruling != Allow {
+			cleared = append(cleared, key)
+		}
+		// Nearly all requests are sent once, so there is mostly nothing to keep of their own keys.
+		if s.records[key] != nil || !isRequest {
+			s.prove(now, key, a.begunAt)
 		}
 	}
 	return cleared
 }
 
-// RecordLoss records at now that an endpoint has crashed, and returns the report on the requests that waited for their
-// first event on it.
+// RecordLoss records at now that an endpoint has crashed, and returns the report on the requests in progress on it. The
+// crash counts against the parts of prompts only if the request had not begun or had begun less than SettleTime before.
 func (s *Screener) RecordLoss(now time.Time, endpoint string) Report {
 	for id, at := range s.losses {
 		if now.Sub(at) >= sameCrashTime {
@@ -113,16 +157,21 @@
 		if a.hasCrashed || !slices.Contains(a.endpoints, endpoint) {
 			continue
 		}
-		if !a.endedAt.IsZero() && now.Sub(a.endedAt) >= lossWindow || !a.begunAt.IsZero() && now.Sub(a.begunAt) >= SettleTime {
+		isLate := a.age(now) >= SettleTime
+		if !a.endedAt.IsZero() && now.Sub(a.endedAt) >= lossWindow || isLate && a.isWhole && now.Sub(a.endedAt) >= SettleTime {
 			continue
 		}
 		a.hasCrashed = true
 		for _, key := range a.keys {
-			if !slices.Contains(report.Crashed, key) {
-				report.Crashed = append(report.Crashed, key)
+			if isLate && !isRequestKey(key) {
+				continue
 			}
-			if r := s.records[key]; r != nil && r.isRepeat(endpoint, a.sentAt) && !slices.Contains(report.Repeated, key) {
-				report.Repeated = append(report.Repeated, key)
+			addKey(&report.Crashed, key)
+			if isLate {
+				addKey(&report.Late, key)
+			}
+			if r := s.records[key]; r != nil && r.isRepeat(endpoint, a.sentAt) {
+				addKey(&report.Repeated, key)
 			}
 		}
 	}
@@ -132,6 +181,13 @@
 	return report
 }
 
+// addKey adds a key to a list unless it is there.
+func addKey(keys *[]string, key string) {
+	if !slices.Contains(*keys, key) {
+		*keys = append(*keys, key)
+	}
+}
+
 // IsLost reports whether the loss of an endpoint was recorded so recently that it is the same one.
 func (s *Screener) IsLost(now time.Time, endpoint string) bool {
 	at, ok := s.losses[endpoint]
@@ -142,7 +198,10 @@
 func (s *Screener) RefusedAttempts(now time.Time) []uint64 {
 	var out []uint64
 	for number, a := range s.attempts {
-		if ruling, _ := s.Check(now, a.keys); ruling == Refuse && a.begunAt.IsZero() && a.endedAt.IsZero() {
+		if !a.begunAt.IsZero() || !a.endedAt.IsZero() {
+			continue
+		}
+		if ruling, _ := s.Check(now, a.keys); ruling == Refuse {
 			out = append(out, number)
 		}
 	}
--- a/internal/routing/screener/evidence.go
+++ b/internal/routing/screener/evidence.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Evidence is why requests with a key are refused: the crashes since one with it last began.
+// Evidence is why requests with a key are refused: the crashes since one with it was last proven.
 type Evidence struct {
 	Key     string
 	Crashes []Crash
@@ -39,7 +39,9 @@
 
 // AllEvidence returns the evidence against all keys that are refused, in the order of the keys.
 func (s *Screener) AllEvidence(now time.Time) []Evidence {
-	return s.Evidence(now, slices.Sorted(maps.Keys(s.suspects)))
+	keys := slices.AppendSeq(slices.Collect(maps.Keys(s.suspectParts)), maps.Keys(s.suspectRequests))
+	slices.Sort(keys)
+	return s.Evidence(now, keys)
 }
 
 // explains reports whether a part is refused and was there at all crashes of a record.
@@ -60,7 +62,8 @@
 	ahead := max(0, e.LastCrash().Sub(now))
 	r.crashes = nil
 	for _, c := range e.Crashes {
-		r.crashes = append(r.crashes, Crash{c.Endpoint, c.At.Add(-ahead), c.IsRepeat})
+		c.At = c.At.Add(-ahead)
+		r.crashes = append(r.crashes, c)
 	}
-	s.suspects[e.Key] = true
+	s.suspects(e.Key)[e.Key] = true
 }
--- a/internal/routing/screener/record.go
+++ b/internal/routing/screener/record.go
@@ -11,11 +11,13 @@
 	At       time.Time `json:"at"`
 	// IsRepeat is true if a request with the key was sent to the endpoint after the crash before.
 	IsRepeat bool `json:"repeat,omitempty"`
+	// IsLate is true if the request had begun SettleTime or more before.
+	IsLate bool `json:"late,omitempty"`
 }
 
 // record is what is known of a key.
 type record struct {
-	// crashes holds the crashes since a request with the key last began, and provenAt is when one last began.
+	// crashes holds the crashes since a request with the key was last proven, and provenAt is when that request began.
 	crashes  []Crash
 	provenAt time.Time
 	// trialUntil is when the trial in progress expires.
@@ -29,7 +31,7 @@
 	})
 }
 
-// isProven reports whether a request with the key has begun within provenTime.
+// isProven reports whether a request that proved the key began within provenTime.
 func (r *record) isProven(now time.Time) bool {
 	return !r.provenAt.IsZero() && now.Sub(r.provenAt) < provenTime
 }
@@ -37,6 +39,14 @@
 // crashCount returns the number of crashes at now, of which those that are close together count once.
 func (r *record) crashCount(now time.Time) int { return countApart(now, r.crashes, crashGap, true) }
 
+// crashLimit returns the number of crashes at which requests with the key are refused.
+func (r *record) crashLimit() int {
+	if slices.ContainsFunc(r.crashes, func(c Crash) bool { return c.IsLate }) {
+		return lateCrashLimit
+	}
+	return crashLimit
+}
+
 // countApart returns the number of crashes that are further apart than gap or, with repeats, repeat another, and 0 once the
 // last one no longer counts at now.
 func countApart(now time.Time, crashes []Crash, gap time.Duration, repeats bool) int {
@@ -56,11 +66,11 @@
 
 // refusedUntil returns when a request with the key may be tried after its last crash.
 func (r *record) refusedUntil(now time.Time) time.Time {
-	n := r.crashCount(now)
-	if n < crashLimit {
+	n := r.crashCount(now) - r.crashLimit()
+	if n < 0 {
 		return time.Time{}
 	}
-	return r.crashes[len(r.crashes)-1].At.Add(min(crashRetention, refusalTime<<min(n-crashLimit, 10)))
+	return r.crashes[len(r.crashes)-1].At.Add(min(crashRetention, refusalTime<<min(n, 10)))
 }
 
 // isRepeat reports whether a request that was sent to an endpoint at a time was sent after a crash of another one.
@@ -88,7 +98,7 @@
 		for other, r := range s.records {
 			if r.crashCount(now) == 0 && !r.isProven(now) {
 				delete(s.records, other)
-				delete(s.suspects, other)
+				delete(s.suspects(other), other)
 			}
 		}
 	}
@@ -112,6 +122,6 @@
 	}
 	r.trialUntil = time.Time{}
 	if len(r.crashes) == 0 {
-		delete(s.suspects, key)
+		delete(s.suspects(key), key)
 	}
 }
--- a/internal/routing/screener/report.go
+++ b/internal/routing/screener/report.go
@@ -8,12 +8,14 @@
 
 // Report is what an instance tells the others.
 type Report struct {
-	// Endpoint crashed while requests with the keys of Crashed waited for their first event.
+	// Endpoint crashed while requests with the keys of Crashed were in progress on it.
 	Endpoint string
 	Crashed  []string
 	// Repeated holds those of them with which a request was sent to the endpoint after the key's crash before.
 	Repeated []string
-	// Proven holds keys with which requests had begun before, and Cleared those with which one has begun since.
+	// Late holds those of them whose requests had begun SettleTime or more before.
+	Late []string
+	// Proven holds keys that requests had proven before, and Cleared those that one has proven since.
 	Proven  []string
 	Cleared []string
 	// Tried holds the keys of which this instance begins a trial.
@@ -25,7 +27,7 @@
 	return len(r.Crashed)+len(r.Proven)+len(r.Cleared)+len(r.Tried) == 0
 }
 
-// Proven returns those of the keys with which a request has begun lately, at this instance or by what others report.
+// Proven returns those of the keys that a request has proven lately, at this instance or by what others report.
 func (s *Screener) Proven(now time.Time, keys []string) []string {
 	var out []string
 	for _, key := range keys {
@@ -39,12 +41,14 @@
 // Merge records at now what this or another instance reports.
 func (s *Screener) Merge(now time.Time, report Report) {
 	if len(report.Crashed) > 0 {
-		maps.DeleteFunc(s.suspects, func(key string, _ bool) bool { return s.records[key].crashCount(now) == 0 })
+		isOld := func(key string, _ bool) bool { return s.records[key].crashCount(now) == 0 }
+		maps.DeleteFunc(s.suspectParts, isOld)
+		maps.DeleteFunc(s.suspectRequests, isOld)
 	}
 	for _, key := range report.Crashed {
 		if r := s.record(now, key); r != nil {
-			r.addCrash(Crash{report.Endpoint, now, slices.Contains(report.Repeated, key)})
-			s.suspects[key] = true
+			r.addCrash(Crash{report.Endpoint, now, slices.Contains(report.Repeated, key), slices.Contains(report.Late, key)})
+			s.suspects(key)[key] = true
 		}
 	}
 	for _, key := range report.Proven {
--- a/internal/routing/screener/screener.go
+++ b/internal/routing/screener/screener.go
@@ -1,8 +1,9 @@
-// Package screener decides which requests may be sent to endpoints. It looks for what requests have in common that wait
-// for their first event when endpoints crash: a part of their prompts, or the whole request that is sent again.
+// Package screener decides which requests may be sent to endpoints. It looks for what requests have in common that are in
+// progress when endpoints crash: a part of their prompts, or the whole request that is sent again.
 //
-// What a request has that others may share is a key. A request that begins clears its keys, so a key under which
-// endpoints crash and no request begins is the cause, and the other keys of the same requests are not.
+// What a request has that others may share is a key. A request that begins clears the parts of its prompt, and one that ends
+// whole its own key, so a key under which endpoints crash and that no request clears is the cause, and the other keys of the
+// same requests are not.
 package screener
 
 import (
@@ -29,10 +30,13 @@
 // The limits of a Screener.
 const (
 	// crashLimit is the number of crashes under a key at which requests with it are refused, and provenCrashLimit that of a key
-	// with which a request has begun within provenTime, which is rather beside the cause than the cause.
+	// that a request has proven within provenTime, which is rather beside the cause than the cause.
 	crashLimit       = 2
 	provenCrashLimit = 3
 	provenTime       = time.Minute
+	// lateCrashLimit is the number of crashes if one of them came after the request had begun: the streams beside the cause move
+	// with it to the next endpoint, and have two crashes like it.
+	lateCrashLimit = 3
 	// refusalTime is how long requests are refused after crashLimit crashes, before one is tried. It doubles with each
 	// further crash, up to crashRetention, which is how long a crash counts.
 	refusalTime    = time.Minute
@@ -43,7 +47,8 @@
 	newsTime  = 100 * time.Millisecond
 	// lossWindow is how long before the news of a loss the attempts that it ended may have ended.
 	lossWindow = 500 * time.Millisecond
-	// SettleTime is how long an endpoint must last after the first event of a request.
+	// SettleTime is how long an endpoint must last after the first event of a request to prove the parts of its prompt, and after
+	// a whole response to prove the request.
 	SettleTime = 100 * time.Millisecond
 	// crashGap and provenCrashGap are the least times between two crashes under a key that count as two: endpoints that are
 	// lost together, as with a rack, tell no more than one. Under an unproven key a crash that repeats another counts at once.
@@ -75,19 +80,33 @@
 type Screener struct {
 	records  map[string]*record
 	attempts map[uint64]*attempt
-	// suspects holds the keys with crashes, and losses the times of the last losses of endpoints.
-	suspects map[string]bool
-	losses   map[string]time.Time
-	// begun holds the attempts that have begun, and ended those that ended before, in the order of these times.
+	// suspectParts and suspectRequests hold the keys with crashes, and losses the times of the last losses of endpoints.
+	suspectParts    map[string]bool
+	suspectRequests map[string]bool
+	losses          map[string]time.Time
+	// begun holds the attempts that have begun, ended those that have ended, and whole those of them that ended with a whole
+	// response and are not settled, in the order of these times.
 	begun       []uint64
 	ended       []uint64
+	whole       []uint64
 	lastAttempt uint64
 	prunedAt    time.Time
 }
 
 // New returns a screener that knows of no crash.
 func New() *Screener {
-	return &Screener{records: map[string]*record{}, attempts: map[uint64]*attempt{}, suspects: map[string]bool{}, losses: map[string]time.Time{}}
+	return &Screener{
+		records: map[string]*record{}, attempts: map[uint64]*attempt{}, suspectParts: map[string]bool{}, suspectRequests: map[string]bool{},
+		losses: map[string]time.Time{},
+	}
+}
+
+// suspects returns the set of suspects that a key belongs to.
+func (s *Screener) suspects(key string) map[string]bool {
+	if isRequestKey(key) {
+		return s.suspectRequests
+	}
+	return s.suspectParts
 }
 
 // Check returns the ruling on a request with keys at now, and the time after which a refused one may be tried.
@@ -109,7 +128,7 @@
 	if r == nil || len(r.crashes) == 0 {
 		return Allow, 0
 	}
-	crashes, limit := r.crashCount(now), crashLimit
+	crashes, limit := r.crashCount(now), r.crashLimit()
 	if r.isProven(now) {
 		crashes, limit = s.unexplainedCrashes(now, key, r), provenCrashLimit
 	}
@@ -126,8 +145,8 @@
 // equalSuspects returns the number of other parts with at least as many crashes as a key.
 func (s *Screener) equalSuspects(now time.Time, key string) int {
 	n, crashes := 0, s.records[key].crashCount(now)
-	for other := range s.suspects {
-		if other != key && !isRequestKey(other) && s.records[other].crashCount(now) >= crashes {
+	for other := range s.suspectParts {
+		if other != key && s.records[other].crashCount(now) >= crashes {
 			n++
 		}
 	}
@@ -149,9 +168,9 @@
 	if isRequestKey(key) || r.isProven(now) {
 		return false
 	}
-	for other := range s.suspects {
+	for other := range s.suspectParts {
 		o := s.records[other]
-		if isRequestKey(other) || slices.Contains(keys, other) || o.isProven(now) {
+		if slices.Contains(keys, other) || o.isProven(now) {
 			continue
 		}
 		if !slices.ContainsFunc(r.crashes, func(c Crash) bool { return !o.hasCrash(c) }) {
@@ -161,14 +180,15 @@
 	return false
 }
 
-// unexplainedCrashes returns the number of crashes of a proven key that no refused part explains.
+// unexplainedCrashes returns the number of crashes of a proven key that no refused part explains. Those after the first event do
+// not count: a whole response shows what happens after it.
 func (s *Screener) unexplainedCrashes(now time.Time, key string, r *record) int {
 	var unexplained []Crash
 	for _, c := range r.crashes {
-		isExplained := false
-		for other := range s.suspects {
+		isExplained := c.IsLate
+		for other := range s.suspectParts {
 			o := s.records[other]
-			isExplained = isExplained || other != key && !isRequestKey(other) && !o.isProven(now) && now.Before(o.refusedUntil(now)) && o.hasCrash(c)
+			isExplained = isExplained || other != key && !o.isProven(now) && now.Before(o.refusedUntil(now)) && o.hasCrash(c)
 		}
 		if !isExplained {
 			unexplained = append(unexplained, c)
@@ -179,13 +199,15 @@
 
 // Suspects returns the number of keys with crashes at now, and how many of them are refused.
 func (s *Screener) Suspects(now time.Time) (suspected, refused int) {
-	for key := range s.suspects {
-		if s.records[key].crashCount(now) == 0 {
-			continue
-		}
-		suspected++
-		if ruling, _ := s.checkKey(now, key); ruling == Refuse {
-			refused++
+	for _, keys := range []map[string]bool{s.suspectParts, s.suspectRequests} {
+		for key := range keys {
+			if s.records[key].crashCount(now) == 0 {
+				continue
+			}
+			suspected++
+			if ruling, _ := s.checkKey(now, key); ruling == Refuse {
+				refused++
+			}
 		}
 	}
 	return suspected, refused
--- a/internal/routing/screener/screener_test.go
+++ b/internal/routing/screener/screener_test.go
@@ -15,13 +15,23 @@
 // part returns the key of a part.
 func part(name string) string { return PartKey("s", name) }
 
-// begun plays a request with parts that begins on an endpoint and settles.
-func begun(s *Screener, now time.Time, parts ...string) []string {
-	number, _ := s.Begin(now, parts, []string{"other"})
+// begun plays a request with keys that begins on an endpoint, settles and ends whole, and returns the keys that it cleared.
+func begun(s *Screener, now time.Time, keys ...string) []string {
+	number, _ := s.Begin(now, keys, []string{"other"})
 	s.RecordFirstEvent(now, number)
+	s.End(now, number, true)
 	return s.Settle(now.Add(SettleTime))
 }
 
+// crashedLate plays a request with keys whose endpoint crashes some time after its first event.
+func crashedLate(s *Screener, now time.Time, endpoint string, keys ...string) Report {
+	number, _ := s.Begin(now.Add(-250*time.Millisecond), keys, []string{endpoint})
+	s.RecordFirstEvent(now.Add(-250*time.Millisecond), number)
+	s.Settle(now)
+	s.End(now, number, false)
+	return s.RecordLoss(now, endpoint)
+}
+
 // crashed plays requests with parts that wait for their first event on an endpoint when it crashes.
 func crashed(s *Screener, now time.Time, endpoint string, requests ...[]string) Report {
 	var numbers []uint64
@@ -31,7 +41,7 @@
 	}
 	report := s.RecordLoss(now, endpoint)
 	for _, number := range numbers {
-		s.End(now, number)
+		s.End(now, number, false)
 	}
 	return report
 }
@@ -129,6 +139,81 @@
 	}
 }
 
+// TestRequestThatCrashesEndpointsAfterItsFirstEventIsRefused guards against a request that counts as harmless once it has begun,
+// and crashes one endpoint after the other some time later. Streams that move with it must go on.
+func TestRequestThatCrashesEndpointsAfterItsFirstEventIsRefused(t *testing.T) {
+	deadly, beside, common := RequestKey("s", "deadly"), RequestKey("s", "beside"), part("common")
+	for _, c := range []struct {
+		name string
+		play func(s *Screener)
+		// want holds the rulings on the deadly request, on the one beside it and on another one with the common part.
+		want [3]Ruling
+	}{
+		{"two crashes", func(s *Screener) {
+			crashedLate(s, startTime, "e1", deadly, beside, common)
+			crashedLate(s, startTime.Add(time.Second), "e2", deadly, beside, common)
+		}, [3]Ruling{Trial, Trial, Allow}},
+		{"a third one", func(s *Screener) {
+			crashedLate(s, startTime, "e1", deadly, beside, common)
+			crashedLate(s, startTime.Add(time.Second), "e2", deadly, beside, common)
+			crashedLate(s, startTime.Add(2*time.Second), "e3", deadly, common)
+		}, [3]Ruling{Refuse, Trial, Allow}},
+		{"a third one, found by other instances", func(s *Screener) {
+			crashedLate(s, startTime, "e1", deadly, beside, common)
+			for n := range 2 {
+				other := New()
+				report := crashedLate(other, startTime.Add(time.Second), fmt.Sprint("e", n+2), deadly, common)
+				s.Merge(startTime.Add(time.Duration(n+1)*time.Second), report)
+			}
+		}, [3]Ruling{Refuse, Allow, Allow}},
+		{"one crash before the first event, two after it", func(s *Screener) {
+			crashed(s, startTime, "e1", []string{deadly})
+			crashedLate(s, startTime.Add(time.Second), "e2", deadly, common)
+			crashedLate(s, startTime.Add(2*time.Second), "e3", deadly, common)
+		}, [3]Ruling{Refuse, Allow, Allow}},
+		{"the one beside it ends whole", func(s *Screener) {
+			crashedLate(s, startTime, "e1", deadly, beside, common)
+			crashedLate(s, startTime.Add(time.Second), "e2", deadly, beside, common)
+			begun(s, startTime.Add(1500*time.Millisecond), beside, common)
+			crashedLate(s, startTime.Add(2*time.Second), "e3", deadly, beside, common)
+		}, [3]Ruling{Refuse, Allow, Allow}},
+		{"the one beside it is sent by many callers", func(s *Screener) {
+			crashedLate(s, startTime, "e1", deadly, beside, common)
+			begun(s, startTime.Add(500*time.Millisecond), beside, common)
+			for n := range 4 {
+				crashedLate(s, startTime.Add(time.Duration(1100+500*n)*time.Millisecond), fmt.Sprint("e", n+2), deadly, beside, common)
+			}
+		}, [3]Ruling{Refuse, Allow, Allow}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, now := New(), startTime.Add(3*time.Second)
+			c.play(s)
+			got := [3]Ruling{ruling(s, now, deadly, common), ruling(s, now, beside, common), ruling(s, now, common)}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("rulings (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestLossBeforeTheSettleTimeCountsAgainstParts guards against parts that are cleared by a request which its endpoint's crash
+// ended shortly after its first event, when the news of the crash comes later than the settle time.
+func TestLossBeforeTheSettleTimeCountsAgainstParts(t *testing.T) {
+	s, now, dead := New(), startTime, part("dead")
+	for n := range crashLimit {
+		now = startTime.Add(time.Duration(n) * time.Second)
+		number, _ := s.Begin(now, []string{dead}, []string{fmt.Sprint("e", n)})
+		s.RecordFirstEvent(now, number)
+		s.End(now.Add(SettleTime/2), number, false)
+		now = now.Add(2 * SettleTime)
+		s.Settle(now)
+		s.RecordLoss(now, fmt.Sprint("e", n))
+	}
+	if got := ruling(s, now, dead); got != Refuse {
+		t.Errorf("ruling %v, want a refusal", got)
+	}
+}
+
 // TestOnlyOneTrialAtATime plays trials that succeed, end without a result, and crash.
 func TestOnlyOneTrialAtATime(t *testing.T) {
 	key := part("a")
@@ -144,14 +229,14 @@
 				t.Errorf("cleared %v, want the key", cleared)
 			}
 		}, Allow},
-		{"its caller leaves", func(s *Screener, now time.Time, number uint64) { s.End(now.Add(-newsTime), number) }, Trial},
+		{"its caller leaves", func(s *Screener, now time.Time, number uint64) { s.End(now.Add(-newsTime), number, false) }, Trial},
 		{"crashes after the first event", func(s *Screener, now time.Time, number uint64) {
 			s.RecordFirstEvent(now, number)
 			s.RecordLoss(now.Add(SettleTime/2), "e2")
 			s.Settle(now.Add(SettleTime))
 		}, Refuse},
 		{"crashes, and the news comes after the end", func(s *Screener, now time.Time, number uint64) {
-			s.End(now, number)
+			s.End(now, number, false)
 			s.RecordLoss(now.Add(newsTime/2), "e2")
 		}, Refuse},
 	} {
@@ -217,7 +302,7 @@
 	}
 	crashed(old, startTime.Add(time.Second), "e2", []string{key, RequestKey("s", "r")})
 	kept := old.Evidence(startTime.Add(time.Second), []string{RequestKey("s", "r"), key})
-	want := []Evidence{{Key: key, Crashes: []Crash{{"e1", startTime, false}, {"e2", startTime.Add(time.Second), true}}}}
+	want := []Evidence{{Key: key, Crashes: []Crash{{Endpoint: "e1", At: startTime}, {Endpoint: "e2", At: startTime.Add(time.Second), IsRepeat: true}}}}
 	if diff := cmp.Diff(want, kept); diff != "" {
 		t.Fatalf("evidence (-want +got):\n%s", diff)
 	}
@@ -249,6 +334,7 @@
 		now = now.Add(time.Millisecond)
 		begun(s, now, part(fmt.Sprint(n)), RequestKey("s", fmt.Sprint(n)))
 	}
+	s.Settle(now.Add(SettleTime + lossWindow)) // News of a loss may come for so long after the end of an attempt.
 	if len(s.records) > maxRecords || len(s.attempts) > 0 {
 		t.Errorf("%d records, want %d at most, and %d attempts", len(s.records), maxRecords, len(s.attempts))
 	}
@@ -262,8 +348,8 @@
 	}
 	now = now.Add(crashRetention)
 	s.Merge(now, Report{Endpoint: "b", Crashed: []string{part("last")}})
-	if len(s.suspects) != 1 || !s.suspects[part("last")] {
-		t.Errorf("%d suspects, want the last one alone", len(s.suspects))
+	if len(s.suspectParts) != 1 || !s.suspectParts[part("last")] {
+		t.Errorf("%d suspects, want the last one alone", len(s.suspectParts))
 	}
 }
 
@@ -408,7 +494,7 @@
 	var others, hit []running
 	for _, r := range p.running {
 		if r.endpoint == endpoint && r.number > 0 {
-			p.instances[r.instance].End(p.now, r.number)
+			p.instances[r.instance].End(p.now, r.number, false)
 			hit = append(hit, r)
 		} else {
 			others = append(others, r)
@@ -445,7 +531,7 @@
 		s := p.instances[n.to]
 		s.Merge(p.now, n.report)
 		for _, number := range s.RefusedAttempts(p.now) {
-			s.End(p.now, number)
+			s.End(p.now, number, false)
 			p.running = slices.DeleteFunc(p.running, func(r running) bool { return r.instance == n.to && r.number == number })
 		}
 		return true
--- a/internal/serving/forwarder/answer.go
+++ b/internal/serving/forwarder/answer.go
@@ -91,6 +91,7 @@
 		if progress {
 			s.allocator.RecordEvent(now, s.request.ID)
 			if s.readingPrompt {
+				s.begunAt = now
 				s.forwarder.screening.recordFirstEvent(now, s.screenNumber)
 				s.allocator.RecordSuccess(path.Stages[0].Endpoint.ID)
 			}
--- a/internal/serving/forwarder/forwarder.go
+++ b/internal/serving/forwarder/forwarder.go
@@ -238,7 +238,7 @@
 // RestoreEvidence records evidence against a part of prompts or a request that was kept.
 func (f *Forwarder) RestoreEvidence(now time.Time, e screener.Evidence) { f.screening.restore(now, e) }
 
-// ProvenKeys returns those of the keys with which a request is known to have begun.
+// ProvenKeys returns those of the keys that a request is known to have proven.
 func (f *Forwarder) ProvenKeys(now time.Time, keys []string) []string {
 	return f.screening.proven(now, keys)
 }
--- a/internal/serving/forwarder/plain.go
+++ b/internal/serving/forwarder/plain.go
@@ -197,7 +197,8 @@
 	}
 	screening := k.forwarder.screening
 	number := screening.begin(k.forwarder.clock(), k.screenKeys(), []string{id}, k.stopAttempt(cancel))
-	defer func() { screening.end(k.forwarder.clock(), number) }()
+	isWhole := false
+	defer func() { screening.end(k.forwarder.clock(), number, isWhole) }()
 	resp, err := k.send(ctx, address, Delivery{Endpoint: id, TimeLeft: k.timeLeft(k.forwarder.clock()), Priority: k.priority()})
 	if errors.Is(err, connector.ErrNotSent) {
 		k.addToTrail("endpoint", id, "not reached:", err.Error())
@@ -223,6 +224,7 @@
 		return nil, k.recordBroken(ctx, id, address, "broke its answer off:", err)
 	}
 	screening.recordFirstEvent(k.forwarder.clock(), number)
+	isWhole = true
 	r := &reply{resp.Status, resp.Header, body}
 	k.mayHaveRun = true
 	if resp.Status >= 500 {
--- a/internal/serving/forwarder/rulings.go
+++ b/internal/serving/forwarder/rulings.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// lossCheckTimeout bounds the check whether an endpoint is lost after a request broke off before its response began.
+	// lossCheckTimeout bounds the check whether an endpoint is lost after a request broke off.
 	lossCheckTimeout = 40 * time.Millisecond
 	// trialCheckInterval is the time between two checks whether the trial of a suspect has ended.
 	trialCheckInterval = 20 * time.Millisecond
@@ -25,7 +25,7 @@
 // refusalReasons holds the reasons for which requests must not be sent, by ruling.
 var refusalReasons = map[screener.Ruling]string{screener.Refuse: reasonSuspect, screener.Wait: "a request like it is on trial"}
 
-// screenKeys returns the keys of the request.
+// screenKeys returns the keys of the request. The first one is that of the whole request.
 func (k *call) screenKeys() []string {
 	if len(k.keys) == 0 {
 		k.keys = []string{screener.RequestKey(k.service, k.digest())}
@@ -36,12 +36,14 @@
 	return k.keys
 }
 
-// screenKeys returns the keys of a stream. A stream that has begun has none: it has shown that it crashes no endpoint.
+// screenKeys returns the keys of a stream. Once an endpoint has lasted after its first event, only the key of the request is
+// left: the parts of its prompt have been proven.
 func (s *streamCall) screenKeys() []string {
-	if s.eventCount > 0 || s.request.LastEventID != "" {
-		return nil
+	keys := s.call.screenKeys()
+	if s.hasSettled {
+		return keys[:1]
 	}
-	return s.call.screenKeys()
+	return keys
 }
 
 // awaitRuling waits while another request with one of the keys is on trial, and returns the ruling on the request: it is Wait if
@@ -61,6 +63,14 @@
 	}
 }
 
+// endScreening records the end of the attempt in progress.
+func (s *streamCall) endScreening(isWhole bool) {
+	now := s.forwarder.clock()
+	s.hasSettled = s.hasSettled || !s.begunAt.IsZero() && now.Sub(s.begunAt) >= screener.SettleTime
+	s.begunAt = time.Time{}
+	s.forwarder.screening.end(now, s.screenNumber, isWhole)
+}
+
 // isSuspect reports whether the stream must not be sent, and answers its caller if so.
 func (s *streamCall) isSuspect() bool {
 	ruling, retryAfter := s.forwarder.screening.check(s.forwarder.clock(), s.screenKeys())
@@ -82,8 +92,7 @@
 	return true
 }
 
-// checkLoss finds out whether an endpoint is lost on which the request broke off before its response began. The endpoint may not
-// be watched yet, and the news of those that watch it may take longer than this.
+// checkLoss finds out whether an endpoint is lost on which the request broke off. The endpoint may not be watched yet, and the news of those that watch it may take longer than this.
 func (k *call) checkLoss(id, address string) {
 	if k.forwarder.checkLoss == nil || k.isStopped.Load() || k.forwarder.screening.isLost(k.forwarder.clock(), id) {
 		return
--- a/internal/serving/forwarder/screening.go
+++ b/internal/serving/forwarder/screening.go
@@ -76,11 +76,13 @@
 // runSettle handles the attempts whose result is known now.
 func (s *screening) runSettle() { s.settle(s.clock()) }
 
-// end records the end of an attempt.
-func (s *screening) end(now time.Time, number uint64) {
+// end records the end of an attempt, with a whole response if isWhole is true.
+func (s *screening) end(now time.Time, number uint64, isWhole bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.screener.End(now, number)
+	if s.screener.End(now, number, isWhole) {
+		time.AfterFunc(screener.SettleTime, s.runSettle)
+	}
 	delete(s.stops, number)
 }
 
@@ -111,7 +113,7 @@
 	if s.keeper != nil && len(evidence) > 0 {
 		s.keeper.Keep(evidence)
 	}
-	s.log.Warn("endpoint crashed under requests", "endpoint", endpoint, "keys", listKeys(report.Crashed), "proven", listKeys(report.Proven))
+	s.log.Warn("endpoint crashed under requests", "endpoint", endpoint, "keys", listKeys(report.Crashed), "proven", listKeys(report.Proven), "late", len(report.Late))
 	s.report(report)
 	for _, stop := range stops {
 		stop()
@@ -153,7 +155,7 @@
 	return s.screener.IsLost(now, endpoint)
 }
 
-// proven returns those of the keys with which a request is known to have begun.
+// proven returns those of the keys that a request is known to have proven.
 func (s *screening) proven(now time.Time, keys []string) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -49,8 +49,11 @@
 	headSent bool
 	// readingPrompt is true while the prompt is being read on a path.
 	readingPrompt bool
-	// screenNumber is the number of the attempt in progress.
+	// screenNumber is the number of the attempt in progress, and begunAt the time of its first event, zero before.
 	screenNumber uint64
+	begunAt      time.Time
+	// hasSettled is true once an endpoint has lasted for screener.SettleTime after the first event.
+	hasSettled bool
 	// lastEventID is the id of the last event delivered, and lastEventAt when that was.
 	lastEventID string
 	lastEventAt time.Time
@@ -92,7 +95,7 @@
 			return
 		}
 		if next == nil && !isDone(k.ctx) {
-			if first := path.Stages[0].Endpoint; result == lost && s.eventCount == 0 {
+			if first := path.Stages[0].Endpoint; result == lost {
 				s.checkLoss(first.ID, first.Address)
 			}
 			if s.isSuspect() {
@@ -266,13 +269,13 @@
 		s.handOver(h, verdict, pathRequest, failures, cancel)
 	})
 	s.screenNumber = s.forwarder.screening.begin(s.forwarder.clock(), s.screenKeys(), path.EndpointIDs(), s.stopAttempt(cancel))
-	defer func() { s.forwarder.screening.end(s.forwarder.clock(), s.screenNumber) }()
+	result := unsent
+	defer func() { s.endScreening(result == answered) }()
 	s.addToTrail("path", describePath(path), "expecting", path.TimeToFirstToken.Round(time.Millisecond).String(), "then",
 		path.TimePerToken.Round(100*time.Microsecond).String())
 	resp, err := s.send(ctx, first.Address, Delivery{
 		Endpoint: first.ID, TimeLeft: s.timeLeft(s.forwarder.clock()), LastEventID: s.lastEventID, Path: path.Stages, Priority: s.priority(),
 	})
-	result := unsent
 	switch {
 	case err == nil:
 		result, err = s.receive(resp, path)
--- a/internal/standin/hoster/server.go
+++ b/internal/standin/hoster/server.go
@@ -24,6 +24,8 @@
 	DeadlyPart string
 	// DeadlyBody is a body that crashes each server which runs a request with it; empty for none.
 	DeadlyBody string
+	// CrashDelay is the time for which a server answers such a request before it crashes; it does not answer if zero.
+	CrashDelay time.Duration
 	// OnCrash is called with each server that a request crashes, before its process ends; nil if nothing is to be done.
 	OnCrash func(s *Server)
 	// PublicAddress returns the address that a server registers for its listening address; nil if they are the same.
@@ -106,6 +108,7 @@
 	fencingToken   int64
 	requestHeaders []http.Header
 	stopped        chan struct{}
+	stopOnce       sync.Once
 }
 
 // AddServer starts a server and registers it. Kind is the accelerator of a model server, and empty for a plain service.
@@ -210,10 +213,12 @@
 // stop stops the server and closes its connections. It refuses new ones first: a process that ends has no moment at which
 // it accepts connections and has closed others.
 func (s *Server) stop() {
-	_ = s.http.Listener.Close() // The server closes it once more.
-	close(s.stopped)
-	s.http.CloseClientConnections()
-	s.http.Close()
+	s.stopOnce.Do(func() {
+		_ = s.http.Listener.Close() // The server closes it once more.
+		close(s.stopped)
+		s.http.CloseClientConnections()
+		s.http.Close()
+	})
 }
 
 // register writes the server's row with a state.
@@ -331,10 +336,13 @@
 		return
 	}
 	if s.platform.isDeadly(r, body) {
-		go s.runCrash() // It waits for the end of this handler.
-		<-s.stopped
-		resetConnection(w)
-		return
+		// The crash waits for the end of this handler, so it needs a goroutine of its own.
+		time.AfterFunc(s.platform.CrashDelay, s.runCrash)
+		if s.platform.CrashDelay == 0 {
+			<-s.stopped
+			resetConnection(w)
+			return
+		}
 	}
 	s.platform.mu.Lock()
 	s.platform.runCounts[id]++
