Count a crash just after the first event of a request as a late one

Change: for the key of a request any crash after its first event is a late one, from which on three crashes are needed. Parts of prompts are counted as before.

Measured: the case "the one beside it has just begun" failed before.

--- a/internal/routing/screener/attempt.go
+++ b/internal/routing/screener/attempt.go
@@ -157,17 +157,18 @@
 		if a.hasCrashed || !slices.Contains(a.endpoints, endpoint) {
 			continue
 		}
-		isLate := a.age(now) >= SettleTime
-		if !a.endedAt.IsZero() && now.Sub(a.endedAt) >= lossWindow || isLate && a.isWhole && now.Sub(a.endedAt) >= SettleTime {
+		hasBegun, isSettled := !a.begunAt.IsZero(), a.age(now) >= SettleTime
+		if !a.endedAt.IsZero() && now.Sub(a.endedAt) >= lossWindow || isSettled && a.isWhole && now.Sub(a.endedAt) >= SettleTime {
 			continue
 		}
 		a.hasCrashed = true
 		for _, key := range a.keys {
-			if isLate && !isRequestKey(key) {
+			isRequest := isRequestKey(key)
+			if isSettled && !isRequest {
 				continue
 			}
 			addKey(&report.Crashed, key)
-			if isLate {
+			if hasBegun && isRequest {
 				addKey(&report.Late, key)
 			}
 			if r := s.records[key]; r != nil && r.isRepeat(endpoint, a.sentAt) {
--- a/internal/routing/screener/record.go
+++ b/internal/routing/screener/record.go
@@ -11,7 +11,7 @@
 	At       time.Time `json:"at"`
 	// IsRepeat is true if a request with the key was sent to the endpoint after the crash before.
 	IsRepeat bool `json:"repeat,omitempty"`
-	// IsLate is true if the request had begun SettleTime or more before.
+	// IsLate is true if the key is that of a request that had begun before.
 	IsLate bool `json:"late,omitempty"`
 }
 
--- a/internal/routing/screener/report.go
+++ b/internal/routing/screener/report.go
@@ -13,7 +13,7 @@
 	Crashed  []string
 	// Repeated holds those of them with which a request was sent to the endpoint after the key's crash before.
 	Repeated []string
-	// Late holds those of them whose requests had begun SettleTime or more before.
+	// Late holds the keys of those requests that had begun before.
 	Late []string
 	// Proven holds keys that requests had proven before, and Cleared those that one has proven since.
 	Proven  []string
--- a/internal/routing/screener/screener_test.go
+++ b/internal/routing/screener/screener_test.go
@@ -177,6 +177,15 @@
 			begun(s, startTime.Add(1500*time.Millisecond), beside, common)
 			crashedLate(s, startTime.Add(2*time.Second), "e3", deadly, beside, common)
 		}, [3]Ruling{Refuse, Allow, Allow}},
+		{"the one beside it has just begun", func(s *Screener) {
+			begun(s, startTime.Add(-time.Second), common)
+			number, _ := s.Begin(startTime, []string{beside, common}, []string{"e1"})
+			s.RecordFirstEvent(startTime, number)
+			s.RecordLoss(startTime.Add(SettleTime/2), "e1")
+			s.End(startTime.Add(SettleTime/2), number, false)
+			crashed(s, startTime.Add(time.Second), "e2", []string{beside, common}, []string{deadly})
+			crashed(s, startTime.Add(2*time.Second), "e3", []string{deadly})
+		}, [3]Ruling{Refuse, Trial, Allow}},
 		{"the one beside it is sent by many callers", func(s *Screener) {
 			crashedLate(s, startTime, "e1", deadly, beside, common)
 			begun(s, startTime.Add(500*time.Millisecond), beside, common)
