Require a key also once the last one is taken away

Cause: a configuration without credentials was taken for one that requires none, and the decoder keeps nothing of a tenant whose list of keys is empty.

Ruled out: keys of an older configuration that stay in force. The version with the empty list is in force, with 0 credentials.

Change: the configuration states whether it requires a credential. The log of a configuration in force says whether it is open.

In TestAdmit the check of a configuration without teams is replaced by TestLastCredentialTakenAwayLetsNobodyIn, which asks for a refusal without teams, and for admission only if no credential is required.

--- a/internal/routing/matcher/configuration.go
+++ b/internal/routing/matcher/configuration.go
@@ -37,8 +37,10 @@
 	Table    *Table
 	Services map[string]Service
 	Limits   Limits
-	// Teams holds the teams by credential. Without teams no credential is required.
-	Teams map[string]Team
+	// Teams holds the teams by credential. IsOpen is true if no credential is required: an operator who takes the last one away
+	// lets nobody in.
+	Teams  map[string]Team
+	IsOpen bool
 }
 
 // Verdict says whether a request is allowed, or why not.
@@ -57,7 +59,7 @@
 	if !ok {
 		return Route{}, Team{}, NoRoute
 	}
-	if r.Anonymous || len(c.Teams) == 0 {
+	if r.Anonymous || c.IsOpen {
 		return r, Team{Priority: -1}, Allowed
 	}
 	t, ok := c.Teams[credential]
--- a/internal/routing/matcher/matcher_test.go
+++ b/internal/routing/matcher/matcher_test.go
@@ -73,9 +73,20 @@
 			t.Errorf("%s with %q (-want +got):\n%s", s.path, s.key, diff)
 		}
 	}
-	c.Teams = nil
+}
+
+// TestLastCredentialTakenAwayLetsNobodyIn guards against a configuration whose last credential is gone and that is taken for one
+// that requires none.
+func TestLastCredentialTakenAwayLetsNobodyIn(t *testing.T) {
+	c := &Configuration{Table: New([]Route{{Name: "keyed", Host: "h", Prefix: "/k/"}})}
+	for _, credential := range []string{"", "key"} {
+		if _, _, v := c.Admit("h", "/k/1", credential); v != NoCredential {
+			t.Errorf("no credential left, with %q: the verdict is %v", credential, v)
+		}
+	}
+	c.IsOpen = true
 	if _, _, v := c.Admit("h", "/k/1", ""); v != Allowed {
-		t.Errorf("without teams the verdict is %v", v)
+		t.Errorf("no credential required: the verdict is %v", v)
 	}
 }
 
--- a/internal/serving/gateway/updates.go
+++ b/internal/serving/gateway/updates.go
@@ -28,7 +28,7 @@
 		}
 		g.forwarder.Configure(c)
 		g.log.Info("configuration in force", "configuration", c.Version, "row", r.Version, "routes", c.Table.RouteCount(),
-			"services", len(c.Services), "credentials", len(c.Teams))
+			"services", len(c.Services), "credentials", len(c.Teams), "open", c.IsOpen)
 		g.distributeEndpoints(now)
 	}
 }
