Send nothing to a service whose weight was taken away

What callers would see: requests that run at a service that the operator has set to weight zero, if all weights of a split are zero, or by rounding.

A draw that no weight takes went to the last service of the split, so no weight at all looked like all of it.

Change: only services with a weight take part. A request on a split without any is refused: its service has no endpoint.

Measured: TestServiceWithoutWeightGetsNoRequest failed before (weights 0 and 0: request 0 goes to "b", want "").

--- a/internal/routing/matcher/matcher.go
+++ b/internal/routing/matcher/matcher.go
@@ -62,24 +62,27 @@
 	return r.Kind == Safe || r.Kind == Stream && r.Resumable
 }
 
-// Service returns the service of a request, drawn by weight: always the same one for the same id.
+// Service returns the service of a request, drawn by weight: always the same one for the same id. It is "" if no service has a
+// weight.
 func (r Route) Service(id string) string {
 	total := 0.0
 	for _, s := range r.Split {
-		total += s.Weight
+		total += max(0, s.Weight)
 	}
 	// The upper 53 bits of the hash are a fraction of 1.
 	point := float64(xxhash.Sum64String(id)>>11) / (1 << 53) * total
+	last := ""
 	for _, s := range r.Split {
+		if s.Weight <= 0 {
+			continue
+		}
 		if point < s.Weight {
 			return s.Service
 		}
 		point -= s.Weight
+		last = s.Service // Rounding may leave a point beyond the last weight.
 	}
-	if len(r.Split) == 0 {
-		return ""
-	}
-	return r.Split[len(r.Split)-1].Service
+	return last
 }
 
 // Table holds the routes of one configuration.
--- a/internal/routing/matcher/matcher_test.go
+++ b/internal/routing/matcher/matcher_test.go
@@ -49,6 +49,27 @@
 	}
 }
 
+// TestServiceWithoutWeightGetsNoRequest guards against a service that gets the requests of a route once all weights have been taken
+// away, or that gets one by rounding.
+func TestServiceWithoutWeightGetsNoRequest(t *testing.T) {
+	for _, c := range []struct {
+		split []Share
+		want  string
+	}{
+		{[]Share{{"a", 0}, {"b", 0}}, ""},
+		{[]Share{{"a", -1}, {"b", 0}}, ""},
+		{[]Share{{"a", 0}, {"b", 1}, {"c", 0}}, "b"},
+		{[]Share{{"a", 5e-324}, {"b", 0}}, "a"}, // The least weight: the point is rounded to it or to 0.
+	} {
+		for i := range 1000 {
+			if got := (Route{Split: c.split}).Service(fmt.Sprint("request", i)); got != c.want {
+				t.Errorf("%v: request %d goes to %q, want %q", c.split, i, got, c.want)
+				break
+			}
+		}
+	}
+}
+
 func TestAdmit(t *testing.T) {
 	c := &Configuration{
 		Table: New([]Route{{Name: "keyed", Host: "h", Prefix: "/k/"}, {Name: "open", Host: "h", Prefix: "/o/", Anonymous: true}}),
