Let an empty list of a record allow nothing

An empty list stood for "all", as a list that is left out does, and writing a record again dropped it.

Records that hold an empty list to allow all must leave it out.

Measured: TestEmptyListAllowsNothing failed before ({"models":[]}: allowed true, want false). The tests of control and serving pass.

--- a/internal/control/recorder/recorder.go
+++ b/internal/control/recorder/recorder.go
@@ -113,10 +113,11 @@
 	SharePercent int    `json:"share" unit:"percent"`
 }
 
-// Adapter is an adapter of a model. It is compatible with the listed versions, or with all if the list is empty.
+// Adapter is an adapter of a model. It is compatible with the listed versions, or with all if there is no list; with an empty
+// list it is compatible with none.
 type Adapter struct {
 	Name     string   `json:"name"`
-	Versions []string `json:"versions,omitempty"`
+	Versions []string `json:"versions,omitzero"`
 }
 
 // Stage is the policy of the layers from From up to, but not including, To.
@@ -159,9 +160,9 @@
 	TokensPerSecond float64 `json:"tokens,omitempty" unit:"tokens a second"`
 	// Priority is the priority of the team's requests against those of other teams; the higher one goes first.
 	Priority int `json:"priority,omitempty"`
-	// Models and Services list the names of what the team may use. An empty list allows all.
-	Models   []string `json:"models,omitempty"`
-	Services []string `json:"services,omitempty"`
+	// Models and Services list the names of what the team may use. No list allows all, and an empty one nothing.
+	Models   []string `json:"models,omitzero"`
+	Services []string `json:"services,omitzero"`
 }
 
 // Endpoint is the body of a record of KindEndpoint: the policy for the endpoints of one kind of accelerator.
--- a/internal/control/recorder/view.go
+++ b/internal/control/recorder/view.go
@@ -162,7 +162,7 @@
 func (v View) AllowsAdapter(model, version, adapter string) bool {
 	for _, a := range v.Models[model].Adapters {
 		if a.Name == adapter {
-			return len(a.Versions) == 0 || slices.Contains(a.Versions, version)
+			return allowsName(a.Versions, version)
 		}
 	}
 	return false
@@ -187,9 +187,9 @@
 	return found && allowsName(t.Services, service)
 }
 
-// allowsName reports whether a list of allowed names permits a name. An empty list permits all.
+// allowsName reports whether a list of allowed names permits a name. No list permits all, and an empty one nothing.
 func allowsName(names []string, name string) bool {
-	return len(names) == 0 || slices.Contains(names, name)
+	return names == nil || slices.Contains(names, name)
 }
 
 // FindCall returns the call that matches a method and a decoded path, and whether there is one. The longest matching
--- a/internal/control/recorder/view_test.go
+++ b/internal/control/recorder/view_test.go
@@ -1,6 +1,7 @@
 package recorder
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"testing"
@@ -126,3 +127,36 @@
 		t.Errorf("other content: %v", err)
 	}
 }
+
+// TestEmptyListAllowsNothing guards against a team that may use everything once the last name has been taken away from its list.
+func TestEmptyListAllowsNothing(t *testing.T) {
+	for body, want := range map[string]bool{`{}`: true, `{"models":null}`: true, `{"models":[]}`: false, `{"models":["other"]}`: false, `{"models":["chat"]}`: true} {
+		var team Team
+		if err := json.Unmarshal([]byte(body), &team); err != nil {
+			t.Fatal(err)
+		}
+		written, err := json.Marshal(team)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var again Team
+		if err := json.Unmarshal(written, &again); err != nil {
+			t.Fatal(err)
+		}
+		for _, read := range []Team{team, again} {
+			if got := (View{Teams: map[string]Team{"t": read}}).AllowsModel("t", "chat"); got != want {
+				t.Errorf("%s: allowed %v, want %v", body, got, want)
+			}
+		}
+	}
+	v := View{
+		Teams:  map[string]Team{"t": {Services: []string{}}},
+		Models: map[string]Model{"chat": {Adapters: []Adapter{{Name: "none", Versions: []string{}}, {Name: "all"}}}},
+	}
+	if v.AllowsService("t", "desk") {
+		t.Error("a service is allowed by an empty list")
+	}
+	if v.AllowsAdapter("chat", "v1", "none") || !v.AllowsAdapter("chat", "v1", "all") {
+		t.Error("want an adapter allowed without a list of versions, and not with an empty one")
+	}
+}
