Clear the mark of an outage when a peer shows that the store is back

Cause: a failed read marked the table, and only a read of the same instance cleared the mark. Its home reached the store first and paused its reads, so that none came, and each deletion that was relayed was held back as after an outage.

Ruled out: removals that arrive late, since additions were relayed within 0.1 s; and endpoints that are used after they have gone, since "endpoint gone" itself was 2.3 s late. The log could not tell a deletion that is held back; "changes held back" does.

Change: a failed read and an outage are two states. A peer that reads the store again ends the outage, and so does one that did not notice it. Deletions from a peer are held back for as long as the peer itself does, which it states. A read that this instance ends as it stops reading is no failure.

--- a/internal/control/replicator/replicator.go
+++ b/internal/control/replicator/replicator.go
@@ -25,6 +25,8 @@
 	Era     int64
 	// IsWhole is true if the page holds the whole table.
 	IsWhole bool
+	// Held holds, by key, for how much longer the instance that relays the page holds the deletion of a row back.
+	Held map[string]time.Duration
 }
 
 // Head returns the version and era up to which the page is complete.
--- a/internal/serving/syncer/delays.go
+++ b/internal/serving/syncer/delays.go
@@ -12,9 +12,9 @@
 	releaseAt time.Time
 }
 
-// delayDeletions holds back deletions that arrive shortly after a failure of the store. It returns the other changed
-// rows, and the earlier changes whose delay has passed.
-func (t *followedTable) delayDeletions(now time.Time, changed []replicator.Row) []replicator.Row {
+// delayDeletions holds back deletions that arrive shortly after an outage of the store, and those that the peer which relays them
+// holds back, for the times in held. It returns the other changed rows, and the earlier changes whose delay has passed.
+func (t *followedTable) delayDeletions(now time.Time, changed []replicator.Row, held map[string]time.Duration) []replicator.Row {
 	if !t.DelaysDeletions {
 		return changed
 	}
@@ -22,8 +22,8 @@
 	for _, r := range changed {
 		delete(t.delayedChanges, r.Key)
 		releaseAt := t.regainedAt.Add(deletionDelay)
-		if t.storeFailed {
-			releaseAt = now.Add(deletionDelay)
+		if at := now.Add(min(held[r.Key], deletionDelay)); at.After(releaseAt) {
+			releaseAt = at
 		}
 		if r.Deleted && now.Before(releaseAt) {
 			t.delayedChanges[r.Key] = delayedChange{r, releaseAt}
@@ -61,3 +61,29 @@
 	}
 	return out
 }
+
+// heldDeletions returns for how much longer deletions are held back, by key.
+func (t *followedTable) heldDeletions(now time.Time) map[string]time.Duration {
+	var out map[string]time.Duration
+	for key, d := range t.delayedChanges {
+		if left := d.releaseAt.Sub(now); d.row.Deleted && left > 0 {
+			if out == nil {
+				out = map[string]time.Duration{}
+			}
+			out[key] = left
+		}
+	}
+	return out
+}
+
+// recordConfirmation records that a peer reads the store, and has done so without interruption since a time. A peer that did not
+// notice a failure of this instance's read within outageNoticeTime shows that the store was not down.
+func (t *followedTable) recordConfirmation(now, since time.Time) {
+	switch {
+	case t.lostAt.IsZero():
+	case since.After(t.lostAt):
+		t.lostAt, t.regainedAt = time.Time{}, now
+	case now.Sub(t.lostAt) >= outageNoticeTime:
+		t.lostAt = time.Time{}
+	}
+}
--- a/internal/serving/syncer/peers.go
+++ b/internal/serving/syncer/peers.go
@@ -15,10 +15,7 @@
 // reads the store. With pauseReads, this instance pauses its own reads until the peer stops responding.
 func (s *Syncer) RecordPeerHeads(now time.Time, peer gossiper.Peer, heads map[string]replicator.Head, fresh, pauseReads bool) {
 	s.mu.Lock()
-	s.confirmedUntil = time.Time{}
-	if fresh {
-		s.confirmedUntil = now.Add(readPauseTime)
-	}
+	s.recordConfirmation(now, fresh)
 	if pauseReads {
 		s.readsPausedUntil = now.Add(readPauseTime)
 	}
@@ -36,6 +33,21 @@
 	}
 }
 
+// recordConfirmation records whether a peer that responds reads the store. The lock is held.
+func (s *Syncer) recordConfirmation(now time.Time, fresh bool) {
+	if !fresh {
+		s.confirmedUntil = time.Time{}
+		return
+	}
+	if !now.Before(s.confirmedUntil) {
+		s.confirmedSince = now
+	}
+	s.confirmedUntil = now.Add(readPauseTime)
+	for _, t := range s.tables {
+		t.recordConfirmation(now, s.confirmedSince)
+	}
+}
+
 // publishHead gossips the head of a table's copy if it has not been published, unless a peer that reads the store
 // relays changes to this instance: such a peer publishes them, and a version from each instance would cost all others a
 // message. The lock is held.
@@ -101,7 +113,7 @@
 func (s *Syncer) fetchFromPeer(t *followedTable) {
 	s.mu.Lock()
 	now := s.clock()
-	if changed := t.delayDeletions(now, nil); len(changed) > 0 {
+	if changed := t.delayDeletions(now, nil, nil); len(changed) > 0 {
 		t.OnChange(now, changed)
 	}
 	s.publishHead(now, t)
@@ -145,10 +157,10 @@
 	if !ok {
 		return merry.Errorf("table %q is not followed", q.Table)
 	}
+	*reply = t.replica.Since(q.Version)
 	if q.Era != t.replica.Era {
 		*reply = t.replica.Whole()
-		return nil
 	}
-	*reply = t.replica.Since(q.Version)
+	reply.Held = t.heldDeletions(r.s.clock())
 	return nil
 }
--- a/internal/serving/syncer/syncer.go
+++ b/internal/serving/syncer/syncer.go
@@ -85,6 +85,8 @@
 	// may have been lost: endpoints write their rows again. It is the same for rows that differ in a store that has come back
 	// from a copy.
 	deletionDelay = 2200 * time.Millisecond
+	// outageNoticeTime is the time within which an instance that reads the store notices an outage.
+	outageNoticeTime = 2 * time.Second
 )
 
 // Table is a table to keep up to date.
@@ -112,17 +114,20 @@
 type followedTable struct {
 	Table
 	replica *replicator.Copy
-	// storeFailed reports whether the latest read of the store failed, and regainedAt is when one succeeded after that.
-	// delayedChanges holds the changes that OnChange has not been called with yet, by key.
+	// storeFailed reports whether the latest read of the store failed.
 	storeFailed bool
-	regainedAt  time.Time
+	// lostAt is when a read of the store failed since which neither a read of this instance nor a peer has shown that the store is
+	// back; zero if there is none. regainedAt is when that was shown last.
+	lostAt     time.Time
+	regainedAt time.Time
 	// readStartedAt is when the read of the store in progress was sent; a zero time means that there is none. cancelRead
 	// ends it, and isRepeated is true if the next read repeats one that was ended.
 	readStartedAt time.Time
 	cancelRead    context.CancelFunc
 	isRepeated    bool
 	// published is the head that gossip last announced.
-	published      replicator.Head
+	published replicator.Head
+	// delayedChanges holds the changes that OnChange has not been called with yet, by key.
 	delayedChanges map[string]delayedChange
 	// aheadPeer is a peer with a newer version of the table, since aheadSince; a zero time means that there is none.
 	aheadPeer  gossiper.Peer
@@ -152,8 +157,10 @@
 	// readsPausedUntil is when reads of the store resume if the peer that reads it in place of this instance does not
 	// respond again.
 	readsPausedUntil time.Time
-	// confirmedUntil is when this instance no longer relies on a peer that reads the store to hear of changes.
+	// confirmedUntil is when this instance no longer relies on a peer that reads the store to hear of changes, and confirmedSince
+	// since when it has relied on one without interruption.
 	confirmedUntil time.Time
+	confirmedSince time.Time
 	// startedAt is when the syncer was started, and isReader is true once this instance is one of those that read the
 	// store in any case.
 	startedAt time.Time
@@ -338,14 +345,17 @@
 
 // recordFailure records that a read of the store failed.
 func (s *Syncer) recordFailure(t *followedTable, err error) {
-	if s.ctx.Err() != nil {
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
 	pending := t.pendingTime(now)
 	t.readStartedAt = time.Time{}
+	if s.readCtx.Err() != nil {
+		return // This instance has ended the read itself.
+	}
+	if t.lostAt.IsZero() {
+		t.lostAt = now
+	}
 	if !t.storeFailed {
 		t.storeFailed = true
 		s.log.Warn("store lost", "table", t.Name, "version", t.replica.Version, "pending", pending.Seconds(), "error", err)
@@ -370,11 +380,15 @@
 		t.readStartedAt = time.Time{}
 	}
 	if fromStore && t.storeFailed {
-		t.storeFailed, t.regainedAt = false, now
+		t.storeFailed = false
 		s.log.Info("store regained", "table", t.Name, "version", page.Version, "era", page.Era)
 	}
+	if fromStore && !t.lostAt.IsZero() {
+		t.lostAt, t.regainedAt = time.Time{}, now
+	}
 	before, oldRows := t.replica.Head(), t.replica.Rows
 	isRestored := full && page.Era > before.Era && before.Version > 0
+	delayed := len(t.delayedChanges)
 	var changed []replicator.Row
 	if full {
 		changed = t.replica.Replace(now, page)
@@ -390,7 +404,10 @@
 			s.onRestore(now)
 		}
 	} else {
-		changed = t.delayDeletions(now, changed)
+		changed = t.delayDeletions(now, changed, page.Held)
+	}
+	if n := len(t.delayedChanges); n > delayed {
+		s.log.Info("changes held back", "table", t.Name, "version", t.replica.Version, "rows", n, "direct", fromStore)
 	}
 	if len(changed) > 0 {
 		s.log.Info("table changed", "table", t.Name, "version", t.replica.Version, "era", t.replica.Era, "rows", len(changed), "direct", fromStore)
