Bound the memory that the responses of one endpoint take

What callers saw (the operators' report and their measurement): beside one endpoint that sends bodies without end, an instance of 18 MiB grew to 94 to 143 MiB, where its bound for bodies is 32 MiB; requests to sound endpoints were refused, or lost after they had run.

Cause: all bodies drew on one budget, which a single endpoint could use up. A body was read into one buffer, which takes up to three times the bytes counted while it grows, and the bytes of a body that was given up counted until the end of its request.

Change: bodies of responses are read in pieces whose memory is reserved before it is allocated. The responses of one endpoint take 5 MiB at most, enough for the longest one. A body that is given up is released at once, and one whose stated length is too long is not read.

--- a/internal/serving/connector/connector.go
+++ b/internal/serving/connector/connector.go
@@ -64,6 +64,8 @@
 	Status int
 	Header http.Header
 	Body   io.Reader
+	// Length is the length of the body in bytes, and -1 if it is unknown.
+	Length int64
 	// Reused reports whether the connection had served another request before.
 	Reused bool
 
@@ -221,7 +223,7 @@
 		x.body = r.Body
 		x.reusable = !r.Close
 		x.conn.usableUntil = idleDeadline(time.Now(), r.Header)
-		return &Response{Status: r.StatusCode, Header: r.Header, Body: r.Body, exchange: x}, nil
+		return &Response{Status: r.StatusCode, Header: r.Header, Body: r.Body, Length: r.ContentLength, exchange: x}, nil
 	}
 	return nil, errForeignResponse
 }
@@ -252,6 +254,18 @@
 	return body, err
 }
 
+// ReadContent reads the whole body, of at most limit bytes, and ends the use of the response. The parameters and errors are
+// those of the function ReadContent.
+func (r *Response) ReadContent(limit int64, reserve func(n int64) bool) (Content, error) {
+	if r.Length > limit {
+		r.Finish(false)
+		return nil, ErrTooLong
+	}
+	content, err := ReadContent(r.Body, limit, reserve)
+	r.Finish(err == nil)
+	return content, err
+}
+
 // Finish ends the use of the response. Its connection is reused only if bodyRead states that the body was read whole.
 func (r *Response) Finish(bodyRead bool) {
 	r.exchange.finish(bodyRead && r.exchange.reusable)
--- a/internal/serving/forwarder/answer.go
+++ b/internal/serving/forwarder/answer.go
@@ -43,7 +43,7 @@
 // forwardNonStream forwards a response that is no stream to the caller, unless it is a failure and another attempt is
 // left.
 func (s *streamCall) forwardNonStream(resp *connector.Response, path reserver.Path) (attemptResult, error) {
-	body, err := s.readReply(resp)
+	body, err := s.readReply(resp, path.Stages[0].Endpoint.ID)
 	if err != nil {
 		return lost, errors.Join(errTruncated, err)
 	}
@@ -57,7 +57,7 @@
 		return failed, nil
 	}
 	s.copyHeader(resp.Status, resp.Header)
-	if _, err := s.writer.Write(body); err != nil {
+	if _, err := body.WriteTo(s.writer); err != nil {
 		s.outcome = "caller left"
 	}
 	return answered, nil
--- a/internal/serving/forwarder/call.go
+++ b/internal/serving/forwarder/call.go
@@ -76,8 +76,8 @@
 	isStopped atomic.Bool
 	// denials counts the endpoints that were at their limits.
 	denials int
-	// heldBytes is the memory reserved for the bodies of the request and of its replies.
-	heldBytes int64
+	// reservations hold the memory of the bodies of the request and of its replies.
+	reservations []*reservation
 	// trail holds the steps of the request, with the time of each, for its log line.
 	trail           []string
 	outcome         string
@@ -108,7 +108,7 @@
 	}
 	k := &call{
 		forwarder: f, writer: w, httpRequest: r, request: request, config: c, route: route, team: team, body: body,
-		startedAt: now, deadline: now.Add(timeout), service: route.Service(request.ID), heldBytes: int64(len(body)),
+		startedAt: now, deadline: now.Add(timeout), service: route.Service(request.ID),
 		sentTo: map[string]bool{},
 	}
 	k.ctx, k.cancel = context.WithTimeout(r.Context(), timeout)
@@ -189,7 +189,9 @@
 func (k *call) end() {
 	k.stopEnding()
 	k.cancel()
-	k.forwarder.memory.release(k.heldBytes)
+	for _, r := range k.reservations {
+		r.release()
+	}
 	now := k.forwarder.clock()
 	level := slog.LevelInfo
 	if k.status >= 500 || k.outcome != "" || k.attempts > 1 {
@@ -238,13 +240,16 @@
 	return resp, err
 }
 
-// readReply reads the whole body of a response and ends the use of the response.
-func (k *call) readReply(resp *connector.Response) ([]byte, error) {
-	r := &bodyReader{body: resp.Body, budget: &k.forwarder.memory}
-	resp.Body = r
-	body, err := resp.ReadAll(maxReplyBytes)
-	k.heldBytes += r.taken
-	return body, err
+// readReply reads the whole body of an endpoint's response and ends the use of the response.
+func (k *call) readReply(resp *connector.Response, endpoint string) (connector.Content, error) {
+	r := &reservation{budget: k.forwarder.memory, source: endpoint}
+	body, err := resp.ReadContent(maxReplyBytes, r.take)
+	if err != nil {
+		r.release()
+		return nil, err
+	}
+	k.reservations = append(k.reservations, r)
+	return body, nil
 }
 
 // copyHeader writes the status and headers of an endpoint's response.
--- a/internal/serving/forwarder/forwarder.go
+++ b/internal/serving/forwarder/forwarder.go
@@ -49,7 +49,7 @@
 	ending      context.Context
 	endRequests context.CancelFunc
 	inFlight    atomic.Int64
-	memory      memoryBudget
+	memory      *memoryBudget
 	// screening keeps requests that crash endpoints away from further ones.
 	screening *screening
 	// statements holds what endpoints state of themselves in their responses.
@@ -90,7 +90,7 @@
 		retryWindows:  map[string]*limiter.RetryWindow{},
 		budget:        defaultBudget,
 		busy:          make(chan struct{}, 1),
-		memory:        memoryBudget{limit: maxBufferedBytes},
+		memory:        newMemoryBudget(maxBufferedBytes),
 		screening:     newScreening(),
 		statements:    newStatements(),
 		random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -317,11 +317,13 @@
 		f.refuse(w, now, bodyRefusal(err), request.ID)
 		return
 	}
-	if !f.memory.take(int64(len(body))) {
+	held := &reservation{budget: f.memory, source: callers}
+	if !held.take(int64(len(body))) {
 		f.refuse(w, now, refusal{Status: http.StatusServiceUnavailable, Reason: errMemoryFull.Error(), RetryAfter: time.Second}, request.ID)
 		return
 	}
 	k := newCall(f, w, r, now, c, request, route, team, body)
+	k.reservations = append(k.reservations, held)
 	defer k.end()
 	if k.outlastsInstance(f.clock()) {
 		k.sendUnavailable(reasonLeaving, leavingRetryAfter)
--- a/internal/serving/forwarder/memory.go
+++ b/internal/serving/forwarder/memory.go
@@ -1,54 +1,90 @@
 package forwarder
 
 import (
-	"io"
-	"sync/atomic"
+	"sync"
 
 	"github.com/ansel1/merry/v2"
 )
 
-// maxBufferedBytes bounds the bodies that one instance holds in memory at a time. A buffer that grows takes up to three
-// times its content, which fits into the smallest machines.
-const maxBufferedBytes = 32 << 20
+// The bounds of the bodies that one instance holds in memory at a time, in bytes. They fit into the smallest machines.
+const (
+	// maxBufferedBytes bounds all of them.
+	maxBufferedBytes = 32 << 20
+	// maxEndpointBytes bounds those of the responses of one endpoint, so that one which sends without end leaves memory for
+	// the others. It holds the longest response.
+	maxEndpointBytes = maxReplyBytes + 1<<20
+)
 
 // errMemoryFull means that a body was not read since the instance holds too many others.
 var errMemoryFull = merry.New("memory for bodies is full")
 
-// memoryBudget bounds the bytes of the bodies held at a time. Its methods may be called from any goroutine.
+// callers is the source of the bodies of requests in a memoryBudget.
+const callers = ""
+
+// memoryBudget bounds the bytes of the bodies held at a time, in all and by their source: callers or the id of an endpoint. Its
+// methods may be called from any goroutine.
 type memoryBudget struct {
-	used  atomic.Int64
 	limit int64
+
+	mu       sync.Mutex
+	used     int64
+	bySource map[string]int64
 }
 
-// take reserves n bytes, and returns false if the limit does not allow it.
-func (b *memoryBudget) take(n int64) bool {
-	if b.used.Add(n) > b.limit {
-		b.used.Add(-n)
+// newMemoryBudget returns a budget of limit bytes.
+func newMemoryBudget(limit int64) *memoryBudget {
+	return &memoryBudget{limit: limit, bySource: map[string]int64{}}
+}
+
+// take reserves n bytes for a body of a source, and returns false if the limits do not allow it.
+func (b *memoryBudget) take(source string, n int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.used+n > b.limit || source != callers && b.bySource[source]+n > maxEndpointBytes {
 		return false
 	}
+	b.used += n
+	b.bySource[source] += n
 	return true
 }
 
-// release gives n bytes back.
-func (b *memoryBudget) release(n int64) { b.used.Add(-n) }
+// release gives n bytes of a source back.
+func (b *memoryBudget) release(source string, n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used -= n
+	if b.bySource[source] -= n; b.bySource[source] == 0 {
+		delete(b.bySource, source)
+	}
+}
 
 // acceptsRequests reports whether there is memory for new requests. Half of it is kept for the requests in progress.
-func (b *memoryBudget) acceptsRequests() bool { return b.used.Load() < b.limit/2 }
+func (b *memoryBudget) acceptsRequests() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used < b.limit/2
+}
 
-// bodyReader reads a body, and reserves memory for it before the caller holds it.
-type bodyReader struct {
-	body   io.Reader
+// reservation is the memory of one body.
+type reservation struct {
 	budget *memoryBudget
-	// taken is the number of bytes reserved so far.
-	taken int64
+	source string
+	bytes  int64
+}
+
+// take reserves n bytes more.
+func (r *reservation) take(n int64) bool {
+	if !r.budget.take(r.source, n) {
+		return false
+	}
+	r.bytes += n
+	return true
 }
 
-// Read reads from the body.
-func (r *bodyReader) Read(b []byte) (int, error) {
-	n, err := r.body.Read(b)
-	if !r.budget.take(int64(n)) {
-		return 0, errMemoryFull
+// release gives all of them back.
+func (r *reservation) release() {
+	if r.bytes > 0 {
+		r.budget.release(r.source, r.bytes)
+		r.bytes = 0
 	}
-	r.taken += int64(n)
-	return n, err
 }
--- a/internal/serving/forwarder/plain.go
+++ b/internal/serving/forwarder/plain.go
@@ -45,7 +45,7 @@
 type reply struct {
 	status int
 	header http.Header
-	body   []byte
+	body   connector.Content
 }
 
 // attemptResult is the result of one attempt.
@@ -157,7 +157,7 @@
 	case last != nil:
 		k.timeToFirstByte = k.forwarder.clock().Sub(k.startedAt)
 		k.copyHeader(last.status, last.header)
-		if _, err := k.writer.Write(last.body); err != nil {
+		if _, err := last.body.WriteTo(k.writer); err != nil {
 			k.outcome = "caller left"
 		}
 	case k.mayHaveRun && isDone(k.ctx):
@@ -219,7 +219,7 @@
 		k.addToTrail("endpoint", id, "did not run it:", http.StatusText(resp.Status))
 		return nil, notRun
 	}
-	body, err := k.readReply(resp)
+	body, err := k.readReply(resp, id)
 	if err != nil {
 		return nil, k.recordBroken(ctx, id, address, "broke its answer off:", err)
 	}
