Eject an endpoint of a model whose responses have no end

Cause: such a response was read up to 4 MiB, the bound of a plain service, and its endpoint backed off for half a second only, so that it got the next request then.

Change: a response that is no stream may be as long as one event of a stream, 256 KiB. An endpoint that sends more, also in one event, has failed the request: it is left alone for a second, and twice as long each time, as after a response of 500.

--- a/internal/serving/forwarder/answer.go
+++ b/internal/serving/forwarder/answer.go
@@ -40,10 +40,10 @@
 	return result, err
 }
 
-// forwardNonStream forwards a response that is no stream to the caller, unless it is a failure and another attempt is
-// left.
+// forwardNonStream forwards a response that is no stream, and no longer than an event of one, to the caller, unless it is a
+// failure and another attempt is left.
 func (s *streamCall) forwardNonStream(resp *connector.Response, path reserver.Path) (attemptResult, error) {
-	body, err := s.readReply(resp, path.Stages[0].Endpoint.ID)
+	body, err := s.readReply(resp, path.Stages[0].Endpoint.ID, maxEventBytes)
 	if err != nil {
 		return lost, errors.Join(errTruncated, err)
 	}
@@ -154,6 +154,9 @@
 		s.addToTrail("given up:", s.ctx.Err().Error())
 	default:
 		s.addToTrail("broke:", err.Error())
+		if errors.Is(err, connector.ErrTooLong) || errors.Is(err, errEventTooLong) {
+			s.allocator.RecordFailure(s.forwarder.clock(), path.Stages[0].Endpoint.ID, s.request.ID)
+		}
 		s.allocator.BackOff(s.forwarder.clock(), path.Stages[0].Endpoint.Address, refusedCooldown)
 		s.avoid[path.Stages[0].Endpoint.ID] = true
 	}
--- a/internal/serving/forwarder/call.go
+++ b/internal/serving/forwarder/call.go
@@ -240,10 +240,10 @@
 	return resp, err
 }
 
-// readReply reads the whole body of an endpoint's response and ends the use of the response.
-func (k *call) readReply(resp *connector.Response, endpoint string) (connector.Content, error) {
+// readReply reads the whole body of an endpoint's response, of at most limit bytes, and ends the use of the response.
+func (k *call) readReply(resp *connector.Response, endpoint string, limit int64) (connector.Content, error) {
 	r := &reservation{budget: k.forwarder.memory, source: endpoint}
-	body, err := resp.ReadContent(maxReplyBytes, r.take)
+	body, err := resp.ReadContent(limit, r.take)
 	if err != nil {
 		r.release()
 		return nil, err
--- a/internal/serving/forwarder/plain.go
+++ b/internal/serving/forwarder/plain.go
@@ -219,7 +219,7 @@
 		k.addToTrail("endpoint", id, "did not run it:", http.StatusText(resp.Status))
 		return nil, notRun
 	}
-	body, err := k.readReply(resp, id)
+	body, err := k.readReply(resp, id, maxReplyBytes)
 	if err != nil {
 		return nil, k.recordBroken(ctx, id, address, "broke its answer off:", err)
 	}
