Reserve memory for the bodies of requests while they arrive

Cause: a body was counted against the budget for memory only once it was complete, in a buffer that takes up to three times its bytes while it grows, and the hash of the request copied it twice.

Change: bodies are read in pieces that are reserved before they are allocated, up to half of the budget in all, so that there is memory left for responses. A body that does not fit is refused with 503 and a time to come back, at once if its length says so. The hash is computed in place and has the same value.

--- a/internal/serving/connector/connector.go
+++ b/internal/serving/connector/connector.go
@@ -51,7 +51,7 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   Content
 	// NewConnection makes Send open a new connection.
 	NewConnection bool
 	// Accepts reports whether a response belongs to this message. If it is nil, each response does.
@@ -175,10 +175,13 @@
 
 // write writes the request. A long body is written while the response is read, which may arrive before the end of the
 // body.
-func (x *exchange) write(head, body []byte) error {
-	if len(body) <= maxInlineBody {
+func (x *exchange) write(head []byte, body Content) error {
+	if body.Len() <= maxInlineBody {
 		close(x.writeDone)
-		_, err := x.conn.Write(append(head, body...))
+		for _, piece := range body {
+			head = append(head, piece...)
+		}
+		_, err := x.conn.Write(head)
 		return err
 	}
 	if _, err := x.conn.Write(head); err != nil {
@@ -190,9 +193,9 @@
 }
 
 // run writes a long body. If it fails, so does the read of the response.
-func (x *exchange) run(body []byte) {
+func (x *exchange) run(body Content) {
 	defer close(x.writeDone)
-	_, err := x.conn.Write(body)
+	_, err := body.WriteTo(x.conn)
 	x.writeFailed = err != nil
 }
 
--- a/internal/serving/connector/connector_test.go
+++ b/internal/serving/connector/connector_test.go
@@ -63,7 +63,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	response, err := pool.Send(ctx, address, Message{
-		Method: "POST", Target: "/" + id, Host: "h", Header: http.Header{"X-Id": {id}}, Body: []byte("body of " + id),
+		Method: "POST", Target: "/" + id, Host: "h", Header: http.Header{"X-Id": {id}}, Body: Content{[]byte("body of " + id)},
 		Accepts: func(_ int, h http.Header) bool { return h.Get("X-Id") == "" || h.Get("X-Id") == id },
 	})
 	if err != nil {
@@ -231,7 +231,7 @@
 	pool := New()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	response, err := pool.Send(ctx, e.address(), Message{Method: "POST", Target: "/", Host: "h", Body: []byte(strings.Repeat("x", 8<<20))})
+	response, err := pool.Send(ctx, e.address(), Message{Method: "POST", Target: "/", Host: "h", Body: Content{[]byte(strings.Repeat("x", 8<<20))}})
 	if err != nil || response.Status != http.StatusRequestEntityTooLarge {
 		t.Fatalf("got %v, %v", response, err)
 	}
--- a/internal/serving/connector/head.go
+++ b/internal/serving/connector/head.go
@@ -23,9 +23,9 @@
 			b = append(b, "\r\n"...)
 		}
 	}
-	if len(m.Body) > 0 || m.Method != http.MethodGet && m.Method != http.MethodHead {
+	if length := m.Body.Len(); length > 0 || m.Method != http.MethodGet && m.Method != http.MethodHead {
 		b = append(b, "Content-Length: "...)
-		b = strconv.AppendInt(b, int64(len(m.Body)), 10)
+		b = strconv.AppendInt(b, int64(length), 10)
 		b = append(b, "\r\n"...)
 	}
 	return append(b, "\r\n"...)
--- a/internal/serving/forwarder/call.go
+++ b/internal/serving/forwarder/call.go
@@ -55,7 +55,7 @@
 	route       matcher.Route
 	team        matcher.Team
 	service     string
-	body        []byte
+	body        connector.Content
 	startedAt   time.Time
 	// deadline is when the caller's or the route's timeout ends.
 	deadline time.Time
@@ -97,7 +97,7 @@
 
 // newCall returns a request in progress that was received at now.
 func newCall(f *Forwarder, w http.ResponseWriter, r *http.Request, now time.Time, c *matcher.Configuration, request Request,
-	route matcher.Route, team matcher.Team, body []byte,
+	route matcher.Route, team matcher.Team, body connector.Content,
 ) *call {
 	timeout := route.Timeout
 	if request.Deadline > 0 && (timeout == 0 || request.Deadline < timeout) {
@@ -125,8 +125,16 @@
 func (k *call) digest() string {
 	if k.contentDigest == "" {
 		h := xxhash.New()
-		for _, text := range append([]string{k.team.Name, k.httpRequest.RequestURI, string(k.body)}, k.request.PromptParts...) {
-			_, _ = h.WriteString(text + "\x00") // Write of a hash never fails.
+		separator := []byte{0}
+		for _, text := range []string{k.team.Name, k.httpRequest.RequestURI} {
+			_, _ = h.WriteString(text) // Write of a hash never fails.
+			_, _ = h.Write(separator)
+		}
+		_, _ = k.body.WriteTo(h)
+		_, _ = h.Write(separator)
+		for _, part := range k.request.PromptParts {
+			_, _ = h.WriteString(part)
+			_, _ = h.Write(separator)
 		}
 		k.contentDigest = hex.EncodeToString(h.Sum(nil))
 	}
--- a/internal/serving/forwarder/forwarder.go
+++ b/internal/serving/forwarder/forwarder.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -290,7 +289,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if !f.memory.acceptsRequests() {
-		f.refuse(w, now, refusal{Status: http.StatusServiceUnavailable, Reason: errMemoryFull.Error(), RetryAfter: time.Second}, "")
+		f.refuse(w, now, refusal{Status: http.StatusServiceUnavailable, Reason: errMemoryFull.Error(), RetryAfter: memoryRetryAfter}, "")
 		return
 	}
 	c := f.config.Load()
@@ -312,16 +311,12 @@
 		f.refuse(w, now, refusal{Status: http.StatusUnauthorized, Reason: "unknown credential"}, request.ID)
 		return
 	}
-	body, err := readBody(now, w, r, c.Limits)
+	held := &reservation{budget: f.memory, source: callers}
+	body, err := readBody(now, w, r, c.Limits, held)
 	if err != nil {
 		f.refuse(w, now, bodyRefusal(err), request.ID)
 		return
 	}
-	held := &reservation{budget: f.memory, source: callers}
-	if !held.take(int64(len(body))) {
-		f.refuse(w, now, refusal{Status: http.StatusServiceUnavailable, Reason: errMemoryFull.Error(), RetryAfter: time.Second}, request.ID)
-		return
-	}
 	k := newCall(f, w, r, now, c, request, route, team, body)
 	k.reservations = append(k.reservations, held)
 	defer k.end()
@@ -336,27 +331,42 @@
 	k.servePlain()
 }
 
-// readBody reads a request's body within the size limit and bodyTimeout.
-func readBody(now time.Time, w http.ResponseWriter, r *http.Request, l matcher.Limits) ([]byte, error) {
+// readBody reads a request's body within the size limit and bodyTimeout, and reserves memory for it while it arrives. A body that
+// there is no memory for now is not read.
+func readBody(now time.Time, w http.ResponseWriter, r *http.Request, l matcher.Limits, held *reservation) (connector.Content, error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
-	reader := r.Body
-	if l.MaxBodyBytes > 0 {
-		reader = http.MaxBytesReader(w, r.Body, l.MaxBodyBytes)
-	}
 	connection := http.NewResponseController(w)
 	if err := connection.SetReadDeadline(now.Add(bodyTimeout)); err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(reader)
+	body, err := readContent(w, r, l, held)
 	if err != nil {
-		return nil, err
+		held.release()
+		// net/http would wait for the rest of a body that is nearly complete before it sends the refusal.
+		return nil, errors.Join(err, connection.SetReadDeadline(now))
 	}
 	// The server goes on reading, to notice that the caller disconnects.
 	return body, connection.SetReadDeadline(time.Time{})
 }
 
+// readContent is readBody without deadlines.
+func readContent(w http.ResponseWriter, r *http.Request, l matcher.Limits, held *reservation) (connector.Content, error) {
+	limit := int64(maxCallerBytes)
+	if l.MaxBodyBytes > 0 {
+		limit = min(limit, l.MaxBodyBytes)
+	}
+	if r.ContentLength > limit {
+		return nil, connector.ErrTooLong
+	}
+	if !held.budget.fits(callers, r.ContentLength) {
+		return nil, connector.ErrNoMemory
+	}
+	// The reader makes net/http close the connection after a body that is too long.
+	return connector.ReadContent(http.MaxBytesReader(w, r.Body, limit), limit, held.take)
+}
+
 // bodyTimeout bounds the reading of a body: the largest allowed one takes under a second on a caller's link.
 const bodyTimeout = 10 * time.Second
 
@@ -366,7 +376,10 @@
 // bodyRefusal returns the refusal for an error of readBody.
 func bodyRefusal(err error) refusal {
 	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	if errors.Is(err, connector.ErrNoMemory) {
+		return refusal{Status: http.StatusServiceUnavailable, Reason: errMemoryFull.Error(), RetryAfter: memoryRetryAfter}
+	}
+	if errors.As(err, &large) || errors.Is(err, connector.ErrTooLong) {
 		return refusal{Status: http.StatusRequestEntityTooLarge, Reason: "body too large"}
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/serving/forwarder/memory.go
+++ b/internal/serving/forwarder/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -10,11 +11,16 @@
 const (
 	// maxBufferedBytes bounds all of them.
 	maxBufferedBytes = 32 << 20
+	// maxCallerBytes bounds those of requests, so that there is memory for the responses.
+	maxCallerBytes = maxBufferedBytes / 2
 	// maxEndpointBytes bounds those of the responses of one endpoint, so that one which sends without end leaves memory for
 	// the others. It holds the longest response.
 	maxEndpointBytes = maxReplyBytes + 1<<20
 )
 
+// memoryRetryAfter is the retry delay stated if there is no memory for a request.
+const memoryRetryAfter = time.Second
+
 // errMemoryFull means that a body was not read since the instance holds too many others.
 var errMemoryFull = merry.New("memory for bodies is full")
 
@@ -40,7 +46,7 @@
 func (b *memoryBudget) take(source string, n int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.used+n > b.limit || source != callers && b.bySource[source]+n > maxEndpointBytes {
+	if !b.hasRoom(source, n) {
 		return false
 	}
 	b.used += n
@@ -48,6 +54,22 @@
 	return true
 }
 
+// fits reports whether n bytes could be reserved for a body of a source now.
+func (b *memoryBudget) fits(source string, n int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.hasRoom(source, n)
+}
+
+// hasRoom is fits with the lock held.
+func (b *memoryBudget) hasRoom(source string, n int64) bool {
+	limit := int64(maxEndpointBytes)
+	if source == callers {
+		limit = maxCallerBytes
+	}
+	return b.used+n <= b.limit && b.bySource[source]+n <= limit
+}
+
 // release gives n bytes of a source back.
 func (b *memoryBudget) release(source string, n int64) {
 	b.mu.Lock()
@@ -58,11 +80,12 @@
 	}
 }
 
-// acceptsRequests reports whether there is memory for new requests. Half of it is kept for the requests in progress.
+// acceptsRequests reports whether there is memory for the responses to new requests. Half of it is kept for the requests in
+// progress.
 func (b *memoryBudget) acceptsRequests() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.used < b.limit/2
+	return b.used-b.bySource[callers] < b.limit/2
 }
 
 // reservation is the memory of one body.
