Release the path of a moved stream that is refused

What callers would see: memory of endpoints that stays reserved at one instance for good, after a stream that crashes endpoints was broken off while it moved.

Cause: a stream that has begun is broken off by a panic that ends its handler, before its next path was given up.

Change: the path is given up first.

Measured: TestPathOfARefusedStreamIsReleased fails with the old order ("reserved after the end of the stream") and passes.

--- a/internal/serving/forwarder/rulings.go
+++ b/internal/serving/forwarder/rulings.go
@@ -5,6 +5,7 @@
 	"context"
 	"time"
 
+	"github.com/heatherrock/heatherrock/internal/routing/reserver"
 	"github.com/heatherrock/heatherrock/internal/routing/screener"
 )
 
@@ -81,11 +82,12 @@
 	return true
 }
 
-// awaitTrial waits while another request with a key of the stream is on trial, and reports whether the stream may be
-// sent. If not, it has answered the caller.
-func (s *streamCall) awaitTrial() bool {
+// awaitTrial waits while another request with a key of the stream is on trial, and reports whether the stream may be sent along a
+// path. If not, it has given up the path and answered the caller.
+func (s *streamCall) awaitTrial(path reserver.Path) bool {
 	ruling, retryAfter := s.awaitRuling(s.screenKeys())
 	if reason, ok := refusalReasons[ruling]; ok {
+		s.dropPath(path)
 		s.giveUpAfter(reason, retryAfter)
 		return false
 	}
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -75,8 +75,7 @@
 			s.giveUpAfter(string(refusal), s.retryDelay())
 			return
 		}
-		if !s.awaitTrial() {
-			s.dropPath(path)
+		if !s.awaitTrial(path) {
 			return
 		}
 		if !s.takePathGrant(path) {
