Fetch a table from a peer again if that failed

What callers would see: a change that is not in force at an instance which cannot reach the store, and deletions that are reported late while a peer does not respond.

Cause: the mark that a peer is ahead was cleared before the fetch, and each version is announced once. The loop that fetches also reports the changes whose delay has passed, and waited up to 2 s for a peer that does not respond.

Change: a fetch that failed is due again while its peer is live, and fetches of the loop run beside it, one a table. A table that has caught up meanwhile is not fetched.

Measured: TestFailedFetchFromAPeerIsRetried failed before ("the change was not received") and passes.

--- a/internal/serving/syncer/peers.go
+++ b/internal/serving/syncer/peers.go
@@ -23,7 +23,7 @@
 	for name, head := range heads {
 		if t, ok := s.tables[name]; ok && head.IsAfter(t.replica.Head()) {
 			// With this time, the fetch is due at once.
-			t.aheadPeer, t.aheadSince = peer, now.Add(-peerFetchDelay)
+			t.aheadPeer, t.aheadHead, t.aheadSince = peer, head, now.Add(-peerFetchDelay)
 			behind = append(behind, t)
 		}
 	}
@@ -84,13 +84,14 @@
 	if !ok {
 		return
 	}
-	t.aheadPeer = p
+	t.aheadPeer, t.aheadHead = p, head
 	if t.aheadSince.IsZero() {
 		t.aheadSince = s.clock()
 	}
 }
 
-// loopPeerFetch fetches changes from peers that the store does not return in time, until the syncer is closed.
+// loopPeerFetch fetches changes from peers that the store does not return in time, until the syncer is closed. A peer that does not
+// respond holds back nothing else.
 func (s *Syncer) loopPeerFetch() {
 	defer s.wait.Done()
 	ticker := time.NewTicker(peerFetchDelay / 2)
@@ -102,39 +103,75 @@
 		case <-ticker.C:
 		}
 		for _, t := range s.tables {
-			s.fetchFromPeer(t)
+			if f, due := s.nextFetch(t); due {
+				s.wait.Add(1)
+				go s.runFetch(f)
+			}
 		}
 	}
 }
 
-// fetchFromPeer reports the changes of a table whose delay has passed, and publishes a version that has not been
-// published because a peer that no longer responds did so. Then, if a peer has had a newer version for
-// peerFetchDelay, it fetches the changes from that peer.
-func (s *Syncer) fetchFromPeer(t *followedTable) {
+// fetch is a fetch of the changes of a table since a head from a peer.
+type fetch struct {
+	table *followedTable
+	peer  gossiper.Peer
+	head  replicator.Head
+}
+
+// nextFetch reports the changes of a table whose delay has passed, and publishes a version that has not been published
+// because a peer that no longer responds did so. It returns the fetch that is due if a peer has had a newer version for
+// peerFetchDelay.
+func (s *Syncer) nextFetch(t *followedTable) (fetch, bool) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	now := s.clock()
 	if changed := t.delayDeletions(now, nil, nil); len(changed) > 0 {
 		t.OnChange(now, changed)
 	}
 	s.publishHead(now, t)
 	s.repeatRead(now, t)
-	due := !t.aheadSince.IsZero() && now.Sub(t.aheadSince) >= peerFetchDelay
-	peer, head := t.aheadPeer, t.replica.Head()
-	if due {
+	if !t.aheadHead.IsAfter(t.replica.Head()) {
 		t.aheadSince = time.Time{}
 	}
-	s.mu.Unlock()
-	if !due {
-		return
+	if t.isFetching || t.aheadSince.IsZero() || now.Sub(t.aheadSince) < peerFetchDelay {
+		return fetch{}, false
 	}
+	t.aheadSince, t.isFetching = time.Time{}, true
+	return fetch{t, t.aheadPeer, t.replica.Head()}, true
+}
+
+// fetchFromPeer is nextFetch, and carries the fetch out.
+func (s *Syncer) fetchFromPeer(t *followedTable) {
+	if f, due := s.nextFetch(t); due {
+		s.fetch(f)
+	}
+}
+
+// runFetch carries out a fetch.
+func (s *Syncer) runFetch(f fetch) {
+	defer s.wait.Done()
+	s.fetch(f)
+}
+
+// fetch fetches changes from a peer. If that fails, it is done again while the peer is live: each version is announced once.
+func (s *Syncer) fetch(f fetch) {
+	t := f.table
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 	defer cancel()
 	var page replicator.Page
-	if err := s.exchange.Call(ctx, peer, "Relay.Since", Query{t.Name, head.Version, head.Era}, &page); err != nil {
-		s.log.Warn("table not fetched from peer", "peer", peer.ID, "table", t.Name, "error", err)
-		return
+	err := s.exchange.Call(ctx, f.peer, "Relay.Since", Query{t.Name, f.head.Version, f.head.Era}, &page)
+	if err != nil {
+		s.log.Warn("table not fetched from peer", "peer", f.peer.ID, "table", t.Name, "error", err)
+	} else {
+		s.apply(t, page, page.IsWhole, false)
+	}
+	_, isLive := s.exchange.LivePeer(f.peer.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.isFetching = false
+	if err != nil && isLive && t.aheadSince.IsZero() {
+		t.aheadSince = s.clock()
 	}
-	s.apply(t, page, page.IsWhole, false)
 }
 
 // Query requests the rows of a table that are newer than a version of an era.
--- a/internal/serving/syncer/syncer.go
+++ b/internal/serving/syncer/syncer.go
@@ -129,9 +129,12 @@
 	published replicator.Head
 	// delayedChanges holds the changes that OnChange has not been called with yet, by key.
 	delayedChanges map[string]delayedChange
-	// aheadPeer is a peer with a newer version of the table, since aheadSince; a zero time means that there is none.
+	// aheadPeer is a peer with a newer version of the table, aheadHead, since aheadSince; a zero time means that there is none.
 	aheadPeer  gossiper.Peer
+	aheadHead  replicator.Head
 	aheadSince time.Time
+	// isFetching is true while changes are being fetched from a peer.
+	isFetching bool
 }
 
 // Syncer keeps the tables of one instance up to date.
