Refuse a request with many parts that crashes endpoints

Cause: with more than eight other parts that have as many crashes, endpoints are taken to crash by themselves, and each key is tried, not refused. The parts of one prompt have the same crashes, so such a request is always one of that many.

Change: this holds for the parts of prompts. A whole request is refused after three crashes even then, where two are enough otherwise: requests beside it have two when they move with it.

Measured: TestRequestWithManyPartsIsRefused failed before (after 3 crashes: ruling 1, want 3) and passes.

--- a/internal/routing/screener/screener.go
+++ b/internal/routing/screener/screener.go
@@ -34,8 +34,8 @@
 	crashLimit       = 2
 	provenCrashLimit = 3
 	provenTime       = time.Minute
-	// lateCrashLimit is the number of crashes if one of them came after the request had begun: the streams beside the cause move
-	// with it to the next endpoint, and have two crashes like it.
+	// lateCrashLimit is the number of crashes of a whole request if one of them came after it had begun, or if many parts have as
+	// many: the requests beside the cause move with it to the next endpoint, and have two crashes like it.
 	lateCrashLimit = 3
 	// refusalTime is how long requests are refused after crashLimit crashes, before one is tried. It doubles with each
 	// further crash, up to crashRetention, which is how long a crash counts.
@@ -136,7 +136,11 @@
 		return Allow, 0
 	}
 	left := r.refusedUntil(now).Sub(now)
-	if crashes < limit || left <= 0 || s.equalSuspects(now, key) > maxEqualSuspects {
+	if crashes < limit || left <= 0 {
+		return s.trialRuling(now, key), 0
+	}
+	// A request whose prompt has many parts makes them equal suspects by itself.
+	if s.equalSuspects(now, key) > maxEqualSuspects && (!isRequestKey(key) || crashes < lateCrashLimit) {
 		return s.trialRuling(now, key), 0
 	}
 	return Refuse, left
--- a/internal/routing/screener/screener_test.go
+++ b/internal/routing/screener/screener_test.go
@@ -205,6 +205,27 @@
 	}
 }
 
+// TestRequestWithManyPartsIsRefused guards against a request that crashes endpoints and is tried for good because its prompt has so many
+// parts that endpoints seem to crash by themselves.
+func TestRequestWithManyPartsIsRefused(t *testing.T) {
+	s, request := New(), RequestKey("s", "deadly")
+	keys := []string{request}
+	for n := range maxEqualSuspects + 2 {
+		keys = append(keys, part(fmt.Sprint(n)))
+	}
+	for n, want := range []Ruling{Trial, Trial, Refuse} {
+		now := startTime.Add(time.Duration(n) * time.Second)
+		crashed(s, now, fmt.Sprint("e", n), keys)
+		if got := ruling(s, now, request); got != want {
+			t.Errorf("after %d crashes: ruling %v, want %v", n+1, got, want)
+		}
+	}
+	now := startTime.Add(3 * time.Second)
+	if got := ruling(s, now, RequestKey("s", "sound"), keys[1]); got != Trial {
+		t.Errorf("another request with one of its parts: ruling %v, want a trial", got)
+	}
+}
+
 // TestLossBeforeTheSettleTimeCountsAgainstParts guards against parts that are cleared by a request which its endpoint's crash
 // ended shortly after its first event, when the news of the crash comes later than the settle time.
 func TestLossBeforeTheSettleTimeCountsAgainstParts(t *testing.T) {
