Abort the request of a caller that has left

Cause: the handler returned without an answer once the context of the request had ended, and net/http completes the response of a handler that returns.

Change: the handler is aborted, which closes the connection without ending the body.

--- a/internal/serving/forwarder/call.go
+++ b/internal/serving/forwarder/call.go
@@ -170,6 +170,13 @@
 	}
 }
 
+// abort ends the request of a caller that has left, without an answer: net/http would complete the response of a handler that
+// returns, and the caller may have ended only its own side of the connection.
+func (k *call) abort() {
+	k.outcome = "caller left"
+	panic(http.ErrAbortHandler)
+}
+
 // sendUnavailable responds that the request was not run and may be retried after a delay, to which jitter is added.
 func (k *call) sendUnavailable(reason string, retryAfter time.Duration) {
 	k.sendRefusal(refusal{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: k.jitter(retryAfter)})
--- a/internal/serving/forwarder/plain.go
+++ b/internal/serving/forwarder/plain.go
@@ -153,12 +153,12 @@
 func (k *call) finishPlain(last *reply, reason string, retryAfter time.Duration) {
 	switch {
 	case k.httpRequest.Context().Err() != nil:
-		k.outcome = "caller left"
+		k.abort()
 	case last != nil:
 		k.timeToFirstByte = k.forwarder.clock().Sub(k.startedAt)
 		k.copyHeader(last.status, last.header)
 		if _, err := last.body.WriteTo(k.writer); err != nil {
-			k.outcome = "caller left"
+			k.abort()
 		}
 	case k.mayHaveRun && isDone(k.ctx):
 		k.sendRefusal(k.timeoutRefusal())
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -237,7 +237,7 @@
 func (s *streamCall) giveUpAfter(reason string, retryAfter time.Duration) {
 	switch {
 	case s.httpRequest.Context().Err() != nil:
-		s.outcome = "caller left"
+		s.abort()
 	case s.headSent:
 		s.outcome = "broken off: " + reason
 		s.addToTrail("broken off after event", s.lastEventID)
