Count endpoints that go silent under a request

Cause: only an endpoint whose process refuses connections counted as crashed.

Change: when the row of an endpoint goes without an announcement, the requests that it left without a whole response within 10 s before have a late crash, so that three such endpoints are needed. Parts of prompts have none. An endpoint that leaves without an announcement and completes its requests counts against none.

--- a/internal/routing/screener/attempt.go
+++ b/internal/routing/screener/attempt.go
@@ -1,6 +1,7 @@
 package screener
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -16,12 +17,24 @@
 	// isTrial is true if the attempt is a trial, and hasCrashed once it was recorded with a crash.
 	isTrial    bool
 	hasCrashed bool
-	// isSettled is true once the endpoint has lasted for SettleTime after the first event, and isWhole if the attempt ended with
-	// a whole response.
+	// isSettled is true once the endpoint has lasted for SettleTime after the first event. result is set at the end.
 	isSettled bool
-	isWhole   bool
+	result    Result
 }
 
+// Result is how an attempt ended.
+type Result int
+
+// The results of an attempt.
+const (
+	// NotRun means that the endpoint did not run the request, as far as is known.
+	NotRun Result = iota
+	// Whole means that a whole response arrived.
+	Whole
+	// Broken means that the request was sent and no whole response arrived.
+	Broken
+)
+
 // age returns how long the attempt has lasted since its first event, at now or at its end.
 func (a *attempt) age(now time.Time) time.Duration {
 	if a.begunAt.IsZero() {
@@ -65,16 +78,15 @@
 	return a.isTrial
 }
 
-// End records the end of an attempt, with a whole response if isWhole is true, and reports whether the attempt is a trial whose
-// result Settle finds after SettleTime.
-func (s *Screener) End(now time.Time, number uint64, isWhole bool) bool {
+// End records the end of an attempt, and reports whether the attempt is a trial whose result Settle finds after SettleTime.
+func (s *Screener) End(now time.Time, number uint64, result Result) bool {
 	a := s.attempts[number]
 	if a == nil || !a.endedAt.IsZero() {
 		return false
 	}
-	a.endedAt, a.isWhole = now, isWhole
+	a.endedAt, a.result = now, result
 	s.ended = append(s.ended, number)
-	if isWhole && !a.begunAt.IsZero() {
+	if result == Whole && !a.begunAt.IsZero() {
 		s.whole = append(s.whole, number)
 		return a.isTrial
 	}
@@ -103,7 +115,7 @@
 			break
 		}
 		s.begun = s.begun[1:]
-		if !a.isWhole && a.age(now) < SettleTime {
+		if a.result != Whole && a.age(now) < SettleTime {
 			continue // Its endpoint may have ended it by a crash.
 		}
 		a.isSettled = true
@@ -117,9 +129,19 @@
 		s.whole = s.whole[1:]
 		cleared = append(cleared, s.proveKeys(now, a, true)...)
 	}
-	for len(s.ended) > 0 && now.Sub(s.attempts[s.ended[0]].endedAt) >= lossWindow {
+	for len(s.ended) > 0 {
+		a := s.attempts[s.ended[0]]
+		if now.Sub(a.endedAt) < lossWindow {
+			break
+		}
 		delete(s.attempts, s.ended[0])
 		s.ended = s.ended[1:]
+		if a.result == Broken && !a.hasCrashed {
+			s.broken = append(s.broken, a)
+		}
+	}
+	for len(s.broken) > 0 && now.Sub(s.broken[0].endedAt) >= silenceWindow {
+		s.broken = s.broken[1:]
 	}
 	return cleared
 }
@@ -158,24 +180,49 @@
 			continue
 		}
 		hasBegun, isSettled := !a.begunAt.IsZero(), a.age(now) >= SettleTime
-		if !a.endedAt.IsZero() && now.Sub(a.endedAt) >= lossWindow || isSettled && a.isWhole && now.Sub(a.endedAt) >= SettleTime {
+		if !a.endedAt.IsZero() && now.Sub(a.endedAt) >= lossWindow || isSettled && a.result == Whole && now.Sub(a.endedAt) >= SettleTime {
 			continue
 		}
-		a.hasCrashed = true
-		for _, key := range a.keys {
-			isRequest := isRequestKey(key)
-			if isSettled && !isRequest {
-				continue
-			}
-			addKey(&report.Crashed, key)
-			if hasBegun && isRequest {
-				addKey(&report.Late, key)
-			}
-			if r := s.records[key]; r != nil && r.isRepeat(endpoint, a.sentAt) {
-				addKey(&report.Repeated, key)
-			}
+		s.addCrash(&report, a, hasBegun, isSettled)
+	}
+	return s.finishReport(now, report)
+}
+
+// RecordDisappearance records at now that the row of an endpoint has gone without an announcement, as after a crash that left its
+// connections silent, and returns the report on the requests that it had left without a whole response before. Only the
+// requests themselves are held to account for it.
+func (s *Screener) RecordDisappearance(now time.Time, endpoint string) Report {
+	report := Report{Endpoint: endpoint}
+	for _, a := range slices.AppendSeq(slices.Clone(s.broken), maps.Values(s.attempts)) {
+		isBroken := !a.hasCrashed && a.result == Broken && now.Sub(a.endedAt) < silenceWindow
+		if isBroken && slices.Contains(a.endpoints, endpoint) {
+			s.addCrash(&report, a, true, true)
 		}
 	}
+	return s.finishReport(now, report)
+}
+
+// addCrash adds the keys of an attempt under which an endpoint crashed to a report. The parts of its prompt are left out if it had
+// settled.
+func (s *Screener) addCrash(report *Report, a *attempt, hasBegun, isSettled bool) {
+	a.hasCrashed = true
+	for _, key := range a.keys {
+		isRequest := isRequestKey(key)
+		if isSettled && !isRequest {
+			continue
+		}
+		addKey(&report.Crashed, key)
+		if hasBegun && isRequest {
+			addKey(&report.Late, key)
+		}
+		if r := s.records[key]; r != nil && r.isRepeat(report.Endpoint, a.sentAt) {
+			addKey(&report.Repeated, key)
+		}
+	}
+}
+
+// finishReport records a report of this instance, and returns it.
+func (s *Screener) finishReport(now time.Time, report Report) Report {
 	slices.Sort(report.Crashed)
 	report.Proven = s.Proven(now, report.Crashed)
 	s.Merge(now, report)
--- a/internal/routing/screener/screener.go
+++ b/internal/routing/screener/screener.go
@@ -47,6 +47,9 @@
 	newsTime  = 100 * time.Millisecond
 	// lossWindow is how long before the news of a loss the attempts that it ended may have ended.
 	lossWindow = 500 * time.Millisecond
+	// silenceWindow is how long before its row goes an endpoint that crashes silently may have ended attempts: the row outlasts the
+	// endpoint by some of its heartbeats.
+	silenceWindow = 10 * time.Second
 	// SettleTime is how long an endpoint must last after the first event of a request to prove the parts of its prompt, and after
 	// a whole response to prove the request.
 	SettleTime = 100 * time.Millisecond
@@ -85,10 +88,11 @@
 	suspectRequests map[string]bool
 	losses          map[string]time.Time
 	// begun holds the attempts that have begun, ended those that have ended, and whole those of them that ended with a whole
-	// response and are not settled, in the order of these times.
+	// response and are not settled, in the order of these times. broken holds those that ended without one longer ago.
 	begun       []uint64
 	ended       []uint64
 	whole       []uint64
+	broken      []*attempt
 	lastAttempt uint64
 	prunedAt    time.Time
 }
--- a/internal/routing/screener/screener_test.go
+++ b/internal/routing/screener/screener_test.go
@@ -19,7 +19,7 @@
 func begun(s *Screener, now time.Time, keys ...string) []string {
 	number, _ := s.Begin(now, keys, []string{"other"})
 	s.RecordFirstEvent(now, number)
-	s.End(now, number, true)
+	s.End(now, number, Whole)
 	return s.Settle(now.Add(SettleTime))
 }
 
@@ -28,7 +28,7 @@
 	number, _ := s.Begin(now.Add(-250*time.Millisecond), keys, []string{endpoint})
 	s.RecordFirstEvent(now.Add(-250*time.Millisecond), number)
 	s.Settle(now)
-	s.End(now, number, false)
+	s.End(now, number, Broken)
 	return s.RecordLoss(now, endpoint)
 }
 
@@ -41,7 +41,7 @@
 	}
 	report := s.RecordLoss(now, endpoint)
 	for _, number := range numbers {
-		s.End(now, number, false)
+		s.End(now, number, Broken)
 	}
 	return report
 }
@@ -182,7 +182,7 @@
 			number, _ := s.Begin(startTime, []string{beside, common}, []string{"e1"})
 			s.RecordFirstEvent(startTime, number)
 			s.RecordLoss(startTime.Add(SettleTime/2), "e1")
-			s.End(startTime.Add(SettleTime/2), number, false)
+			s.End(startTime.Add(SettleTime/2), number, Broken)
 			crashed(s, startTime.Add(time.Second), "e2", []string{beside, common}, []string{deadly})
 			crashed(s, startTime.Add(2*time.Second), "e3", []string{deadly})
 		}, [3]Ruling{Refuse, Trial, Allow}},
@@ -205,6 +205,42 @@
 	}
 }
 
+// TestRequestThatMakesEndpointsGoSilentIsRefused guards against a request that makes each endpoint go silent without a closed
+// connection, so that only its row tells of the crash, some heartbeats later.
+func TestRequestThatMakesEndpointsGoSilentIsRefused(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		result Result
+		rowFor time.Duration
+		want   Ruling
+	}{
+		{"silent", Broken, 4 * time.Second, Refuse},
+		{"whole, and the endpoint left later", Whole, 4 * time.Second, Allow},
+		{"not run, and the endpoint left later", NotRun, 4 * time.Second, Allow},
+		{"broken long before the endpoint left", Broken, silenceWindow, Allow},
+	} {
+		s, key, common := New(), RequestKey("s", "deadly"), part("common")
+		now := startTime
+		for n := range lateCrashLimit {
+			id := fmt.Sprint("e", n)
+			number, _ := s.Begin(now, []string{key, common}, []string{id})
+			s.End(now.Add(time.Second), number, c.result)
+			now = now.Add(time.Second + lossWindow)
+			s.Settle(now)
+			now = now.Add(c.rowFor - lossWindow)
+			s.Settle(now)
+			s.RecordDisappearance(now, id)
+			s.RecordDisappearance(now, id)
+		}
+		if got := ruling(s, now, key); got != c.want {
+			t.Errorf("%s: ruling %v, want %v", c.name, got, c.want)
+		}
+		if got := ruling(s, now, common); got != Allow {
+			t.Errorf("%s: ruling %v on a part", c.name, got)
+		}
+	}
+}
+
 // TestRequestWithManyPartsIsRefused guards against a request that crashes endpoints and is tried for good because its prompt has so many
 // parts that endpoints seem to crash by themselves.
 func TestRequestWithManyPartsIsRefused(t *testing.T) {
@@ -234,7 +270,7 @@
 		now = startTime.Add(time.Duration(n) * time.Second)
 		number, _ := s.Begin(now, []string{dead}, []string{fmt.Sprint("e", n)})
 		s.RecordFirstEvent(now, number)
-		s.End(now.Add(SettleTime/2), number, false)
+		s.End(now.Add(SettleTime/2), number, Broken)
 		now = now.Add(2 * SettleTime)
 		s.Settle(now)
 		s.RecordLoss(now, fmt.Sprint("e", n))
@@ -259,14 +295,14 @@
 				t.Errorf("cleared %v, want the key", cleared)
 			}
 		}, Allow},
-		{"its caller leaves", func(s *Screener, now time.Time, number uint64) { s.End(now.Add(-newsTime), number, false) }, Trial},
+		{"its caller leaves", func(s *Screener, now time.Time, number uint64) { s.End(now.Add(-newsTime), number, Broken) }, Trial},
 		{"crashes after the first event", func(s *Screener, now time.Time, number uint64) {
 			s.RecordFirstEvent(now, number)
 			s.RecordLoss(now.Add(SettleTime/2), "e2")
 			s.Settle(now.Add(SettleTime))
 		}, Refuse},
 		{"crashes, and the news comes after the end", func(s *Screener, now time.Time, number uint64) {
-			s.End(now, number, false)
+			s.End(now, number, Broken)
 			s.RecordLoss(now.Add(newsTime/2), "e2")
 		}, Refuse},
 	} {
@@ -524,7 +560,7 @@
 	var others, hit []running
 	for _, r := range p.running {
 		if r.endpoint == endpoint && r.number > 0 {
-			p.instances[r.instance].End(p.now, r.number, false)
+			p.instances[r.instance].End(p.now, r.number, Broken)
 			hit = append(hit, r)
 		} else {
 			others = append(others, r)
@@ -561,7 +597,7 @@
 		s := p.instances[n.to]
 		s.Merge(p.now, n.report)
 		for _, number := range s.RefusedAttempts(p.now) {
-			s.End(p.now, number, false)
+			s.End(p.now, number, Broken)
 			p.running = slices.DeleteFunc(p.running, func(r running) bool { return r.instance == n.to && r.number == number })
 		}
 		return true
--- a/internal/serving/forwarder/forwarder.go
+++ b/internal/serving/forwarder/forwarder.go
@@ -225,6 +225,11 @@
 	}
 }
 
+// RecordDisappearance records that the row of an endpoint has gone without an announcement: it may have crashed silently.
+func (f *Forwarder) RecordDisappearance(now time.Time, endpoint string) {
+	f.screening.recordDisappearance(now, endpoint)
+}
+
 // MergeSuspicions records what another instance has found out about requests that crash endpoints, and returns which of
 // the keys under which an endpoint crashed are proven here.
 func (f *Forwarder) MergeSuspicions(now time.Time, r screener.Report) []string {
--- a/internal/serving/forwarder/plain.go
+++ b/internal/serving/forwarder/plain.go
@@ -187,7 +187,7 @@
 
 // tryEndpoint sends the request to one endpoint of a plain service. The reply is not nil if the endpoint ran the
 // request and its whole response arrived.
-func (k *call) tryEndpoint(id, address string, isLast bool) (*reply, attemptResult) {
+func (k *call) tryEndpoint(id, address string, isLast bool) (r *reply, result attemptResult) {
 	ctx, cancel := context.WithCancel(k.ctx)
 	defer cancel()
 	if !isLast && k.route.Kind == matcher.Safe && k.route.FirstByteTarget > 0 {
@@ -197,8 +197,13 @@
 	}
 	screening := k.forwarder.screening
 	number := screening.begin(k.forwarder.clock(), k.screenKeys(), []string{id}, k.stopAttempt(cancel))
-	isWhole := false
-	defer func() { screening.end(k.forwarder.clock(), number, isWhole) }()
+	defer func() {
+		screenResult := screenResults[result]
+		if r != nil {
+			screenResult = screener.Whole // Also a response that states a failure.
+		}
+		screening.end(k.forwarder.clock(), number, screenResult)
+	}()
 	resp, err := k.send(ctx, address, Delivery{Endpoint: id, TimeLeft: k.timeLeft(k.forwarder.clock()), Priority: k.priority()})
 	if errors.Is(err, connector.ErrNotSent) {
 		k.addToTrail("endpoint", id, "not reached:", err.Error())
@@ -224,8 +229,7 @@
 		return nil, k.recordBroken(ctx, id, address, "broke its answer off:", err)
 	}
 	screening.recordFirstEvent(k.forwarder.clock(), number)
-	isWhole = true
-	r := &reply{resp.Status, resp.Header, body}
+	r = &reply{resp.Status, resp.Header, body}
 	k.mayHaveRun = true
 	if resp.Status >= 500 {
 		k.addToTrail("endpoint", id, "failed it:", http.StatusText(resp.Status))
--- a/internal/serving/forwarder/rulings.go
+++ b/internal/serving/forwarder/rulings.go
@@ -64,12 +64,15 @@
 	}
 }
 
+// screenResults holds what the results of attempts say of an endpoint.
+var screenResults = map[attemptResult]screener.Result{answered: screener.Whole, lost: screener.Broken}
+
 // endScreening records the end of the attempt in progress.
-func (s *streamCall) endScreening(isWhole bool) {
+func (s *streamCall) endScreening(result attemptResult) {
 	now := s.forwarder.clock()
 	s.hasSettled = s.hasSettled || !s.begunAt.IsZero() && now.Sub(s.begunAt) >= screener.SettleTime
 	s.begunAt = time.Time{}
-	s.forwarder.screening.end(now, s.screenNumber, isWhole)
+	s.forwarder.screening.end(now, s.screenNumber, screenResults[result])
 }
 
 // isSuspect reports whether the stream must not be sent, and answers its caller if so.
--- a/internal/serving/forwarder/screening.go
+++ b/internal/serving/forwarder/screening.go
@@ -76,11 +76,11 @@
 // runSettle handles the attempts whose result is known now.
 func (s *screening) runSettle() { s.settle(s.clock()) }
 
-// end records the end of an attempt, with a whole response if isWhole is true.
-func (s *screening) end(now time.Time, number uint64, isWhole bool) {
+// end records the end of an attempt.
+func (s *screening) end(now time.Time, number uint64, result screener.Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.screener.End(now, number, isWhole) {
+	if s.screener.End(now, number, result) {
 		time.AfterFunc(screener.SettleTime, s.runSettle)
 	}
 	delete(s.stops, number)
@@ -102,8 +102,18 @@
 
 // recordLoss records that an endpoint has crashed.
 func (s *screening) recordLoss(now time.Time, endpoint string) {
+	s.recordCrash(now, s.screener.RecordLoss, endpoint)
+}
+
+// recordDisappearance records that the row of an endpoint has gone without an announcement.
+func (s *screening) recordDisappearance(now time.Time, endpoint string) {
+	s.recordCrash(now, s.screener.RecordDisappearance, endpoint)
+}
+
+// recordCrash records the crash of an endpoint by a method of the screener, and handles its report.
+func (s *screening) recordCrash(now time.Time, record func(now time.Time, endpoint string) screener.Report, endpoint string) {
 	s.mu.Lock()
-	report := s.screener.RecordLoss(now, endpoint)
+	report := record(now, endpoint)
 	stops := s.stopRefused(now, report)
 	evidence := s.screener.Evidence(now, report.Crashed)
 	s.mu.Unlock()
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -269,7 +269,7 @@
 	})
 	s.screenNumber = s.forwarder.screening.begin(s.forwarder.clock(), s.screenKeys(), path.EndpointIDs(), s.stopAttempt(cancel))
 	result := unsent
-	defer func() { s.endScreening(result == answered) }()
+	defer func() { s.endScreening(result) }()
 	s.addToTrail("path", describePath(path), "expecting", path.TimeToFirstToken.Round(time.Millisecond).String(), "then",
 		path.TimePerToken.Round(100*time.Microsecond).String())
 	resp, err := s.send(ctx, first.Address, Delivery{
--- a/internal/serving/gateway/updates.go
+++ b/internal/serving/gateway/updates.go
@@ -35,11 +35,15 @@
 
 // handleEndpointRows handles changes of the endpoints' table.
 func (g *Gateway) handleEndpointRows(now time.Time, rows []replicator.Row) {
+	var disappeared []string
 	g.mu.Lock()
 	g.endpointsChanged = true
 	for _, r := range rows {
 		delete(g.foreignLayers, r.Key)
 		if r.Deleted {
+			if e, ok := g.endpoints[r.Key]; ok && !e.Leaving {
+				disappeared = append(disappeared, r.Key)
+			}
 			g.unlist(now, r.Key)
 			g.log.Info("endpoint gone", "endpoint", r.Key, "row", r.Version)
 			continue
@@ -56,6 +60,9 @@
 			"card", e.Card, "from", e.Held.From, "to", e.Held.To, "leaving", e.Leaving, "row", r.Version)
 	}
 	g.mu.Unlock()
+	for _, endpoint := range disappeared {
+		g.forwarder.RecordDisappearance(now, endpoint)
+	}
 	g.distributeEndpoints(now)
 }
 
