Let a stream of a lost endpoint return to an earlier one first

Cause, suspected: an endpoint whose process has ended does not count against the limit of attempts, but one that refuses connections may only be ending.

Change: a stream that has used up its attempts continues at an endpoint that it was sent to before, if there is a path from one, and only otherwise at a new one.

--- a/internal/serving/forwarder/handover.go
+++ b/internal/serving/forwarder/handover.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"sync"
+	"time"
 
 	"github.com/heatherrock/heatherrock/internal/routing/monitor"
 	"github.com/heatherrock/heatherrock/internal/routing/reserver"
@@ -48,11 +49,8 @@
 		avoid[id] = true
 	}
 	pathRequest.Avoid = avoid
-	if verdict.ProcessLost {
-		pathRequest.FirstEndpoints = s.allowedFirst(without(pathRequest.FirstEndpoints, verdict.Suspects))
-	}
 	now := s.forwarder.clock()
-	path, refusal := s.allocator.TryAcquire(now, pathRequest)
+	path, refusal := s.acquireNext(now, verdict, pathRequest)
 	if refusal != reserver.Granted {
 		return
 	}
@@ -65,6 +63,21 @@
 	cancel()
 }
 
+// acquireNext reserves the path on which a silent stream continues. An endpoint whose process has ended does not count against the
+// limit of attempts, but one that the stream was sent to before goes first: the process may only be ending.
+func (s *streamCall) acquireNext(now time.Time, verdict monitor.Verdict, pathRequest reserver.PathRequest) (reserver.Path, reserver.Refusal) {
+	if verdict.ProcessLost {
+		left := without(pathRequest.FirstEndpoints, verdict.Suspects)
+		if pathRequest.FirstEndpoints = left; len(left) > 0 {
+			if path, refusal := s.allocator.TryAcquire(now, pathRequest); refusal == reserver.Granted {
+				return path, refusal
+			}
+		}
+		pathRequest.FirstEndpoints = s.allowedFirst(left)
+	}
+	return s.allocator.TryAcquire(now, pathRequest)
+}
+
 // without returns a copy of a set without some of its members.
 func without(set map[string]bool, members []string) map[string]bool {
 	out := maps.Clone(set)
--- a/internal/serving/forwarder/rulings_test.go
+++ b/internal/serving/forwarder/rulings_test.go
@@ -14,16 +14,21 @@
 	"github.com/heatherrock/heatherrock/internal/routing/screener"
 )
 
+// newTestEngine returns a model with four layers, which an endpoint with an accelerator of the kind "card" holds.
+func newTestEngine() *placer.Engine {
+	return &placer.Engine{
+		Layers: 4, LayerMB: 1, TokenMB: 1, MaxTokens: 1000, MaxRequests: 10, UsualAnswerTokens: 10, ReadRate: 1000, LinkMBPerSecond: 1000,
+		Cards: map[string]placer.Card{"card": {Name: "card", MemoryMB: 1000, StepFactor: 1, ReadFactor: 1}},
+	}
+}
+
 // TestPathOfARefusedStreamIsReleased guards against memory of endpoints that stays reserved for good: a stream that has begun has a
 // path to continue on, and is broken off since a request like it crashes endpoints.
 func TestPathOfARefusedStreamIsReleased(t *testing.T) {
 	now := time.Now()
 	f := New(nil, "a")
 	a := NewAllocator("a", rand.New(rand.NewPCG(1, 1)))
-	engine := &placer.Engine{
-		Layers: 4, LayerMB: 1, TokenMB: 1, MaxTokens: 1000, MaxRequests: 10, UsualAnswerTokens: 10, ReadRate: 1000, LinkMBPerSecond: 1000,
-		Cards: map[string]placer.Card{"card": {Name: "card", MemoryMB: 1000, StepFactor: 1, ReadFactor: 1}},
-	}
+	engine := newTestEngine()
 	a.UpdateEndpoints(now, engine, []reserver.Endpoint{{ID: "e1", Card: "card", Held: placer.Range{From: 0, To: 4}}})
 	path, refusal := a.TryAcquire(now, reserver.PathRequest{PromptTokens: 10, AnswerTokens: 10})
 	if refusal != reserver.Granted || len(a.Usage()) == 0 {
