--- a/internal/routing/screener/screener.go
+++ b/internal/routing/screener/screener.go
@@ -34,8 +34,8 @@
 	crashLimit       = 2
 	provenCrashLimit = 3
 	provenTime       = time.Minute
-	// lateCrashLimit is the number of crashes if one of them came after the request had begun: the streams beside the cause move
-	// with it to the next endpoint, and have two crashes like it.
+	// lateCrashLimit is the number of crashes of a whole request if one of them came after it had begun, or if many parts have as
+	// many: the requests beside the cause move with it to the next endpoint, and have two crashes like it.
 	lateCrashLimit = 3
 	// refusalTime is how long requests are refused after crashLimit crashes, before one is tried. It doubles with each
 	// further crash, up to crashRetention, which is how long a crash counts.
@@ -47,6 +47,9 @@
 	newsTime  = 100 * time.Millisecond
 	// lossWindow is how long before the news of a loss the attempts that it ended may have ended.
 	lossWindow = 500 * time.Millisecond
+	// silenceWindow is how long before its row goes an endpoint that crashes silently may have ended attempts: the row outlasts the
+	// endpoint by some of its heartbeats.
+	silenceWindow = 10 * time.Second
 	// SettleTime is how long an endpoint must last after the first event of a request to prove the parts of its prompt, and after
 	// a whole response to prove the request.
 	SettleTime = 100 * time.Millisecond
@@ -85,10 +88,11 @@
 	suspectRequests map[string]bool
 	losses          map[string]time.Time
 	// begun holds the attempts that have begun, ended those that have ended, and whole those of them that ended with a whole
-	// response and are not settled, in the order of these times.
+	// response and are not settled, in the order of these times. broken holds those that ended without one longer ago.
 	begun       []uint64
 	ended       []uint64
 	whole       []uint64
+	broken      []*attempt
 	lastAttempt uint64
 	prunedAt    time.Time
 }
@@ -136,7 +140,11 @@
 		return Allow, 0
 	}
 	left := r.refusedUntil(now).Sub(now)
-	if crashes < limit || left <= 0 || s.equalSuspects(now, key) > maxEqualSuspects {
+	if crashes < limit || left <= 0 {
+		return s.trialRuling(now, key), 0
+	}
+	// A request whose prompt has many parts makes them equal suspects by itself.
+	if s.equalSuspects(now, key) > maxEqualSuspects && (!isRequestKey(key) || crashes < lateCrashLimit) {
 		return s.trialRuling(now, key), 0
 	}
 	return Refuse, left
--- a/internal/serving/connector/connector.go
+++ b/internal/serving/connector/connector.go
@@ -51,7 +51,7 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   Content
 	// NewConnection makes Send open a new connection.
 	NewConnection bool
 	// Accepts reports whether a response belongs to this message. If it is nil, each response does.
@@ -64,6 +64,8 @@
 	Status int
 	Header http.Header
 	Body   io.Reader
+	// Length is the length of the body in bytes, and -1 if it is unknown.
+	Length int64
 	// Reused reports whether the connection had served another request before.
 	Reused bool
 
@@ -173,10 +175,13 @@
 
 // write writes the request. A long body is written while the response is read, which may arrive before the end of the
 // body.
-func (x *exchange) write(head, body []byte) error {
-	if len(body) <= maxInlineBody {
+func (x *exchange) write(head []byte, body Content) error {
+	if body.Len() <= maxInlineBody {
 		close(x.writeDone)
-		_, err := x.conn.Write(append(head, body...))
+		for _, piece := range body {
+			head = append(head, piece...)
+		}
+		_, err := x.conn.Write(head)
 		return err
 	}
 	if _, err := x.conn.Write(head); err != nil {
@@ -188,9 +193,9 @@
 }
 
 // run writes a long body. If it fails, so does the read of the response.
-func (x *exchange) run(body []byte) {
+func (x *exchange) run(body Content) {
 	defer close(x.writeDone)
-	_, err := x.conn.Write(body)
+	_, err := body.WriteTo(x.conn)
 	x.writeFailed = err != nil
 }
 
@@ -221,7 +226,7 @@
 		x.body = r.Body
 		x.reusable = !r.Close
 		x.conn.usableUntil = idleDeadline(time.Now(), r.Header)
-		return &Response{Status: r.StatusCode, Header: r.Header, Body: r.Body, exchange: x}, nil
+		return &Response{Status: r.StatusCode, Header: r.Header, Body: r.Body, Length: r.ContentLength, exchange: x}, nil
 	}
 	return nil, errForeignResponse
 }
@@ -252,6 +257,18 @@
 	return body, err
 }
 
+// ReadContent reads the whole body, of at most limit bytes, and ends the use of the response. The parameters and errors are
+// those of the function ReadContent.
+func (r *Response) ReadContent(limit int64, reserve func(n int64) bool) (Content, error) {
+	if r.Length > limit {
+		r.Finish(false)
+		return nil, ErrTooLong
+	}
+	content, err := ReadContent(r.Body, limit, reserve)
+	r.Finish(err == nil)
+	return content, err
+}
+
 // Finish ends the use of the response. Its connection is reused only if bodyRead states that the body was read whole.
 func (r *Response) Finish(bodyRead bool) {
 	r.exchange.finish(bodyRead && r.exchange.reusable)
--- a/internal/serving/forwarder/call.go
+++ b/internal/serving/forwarder/call.go
@@ -55,7 +55,7 @@
 	route       matcher.Route
 	team        matcher.Team
 	service     string
-	body        []byte
+	body        connector.Content
 	startedAt   time.Time
 	// deadline is when the caller's or the route's timeout ends.
 	deadline time.Time
@@ -76,8 +76,8 @@
 	isStopped atomic.Bool
 	// denials counts the endpoints that were at their limits.
 	denials int
-	// heldBytes is the memory reserved for the bodies of the request and of its replies.
-	heldBytes int64
+	// reservations hold the memory of the bodies of the request and of its replies.
+	reservations []*reservation
 	// trail holds the steps of the request, with the time of each, for its log line.
 	trail           []string
 	outcome         string
@@ -97,7 +97,7 @@
 
 // newCall returns a request in progress that was received at now.
 func newCall(f *Forwarder, w http.ResponseWriter, r *http.Request, now time.Time, c *matcher.Configuration, request Request,
-	route matcher.Route, team matcher.Team, body []byte,
+	route matcher.Route, team matcher.Team, body connector.Content,
 ) *call {
 	timeout := route.Timeout
 	if request.Deadline > 0 && (timeout == 0 || request.Deadline < timeout) {
@@ -108,7 +108,7 @@
 	}
 	k := &call{
 		forwarder: f, writer: w, httpRequest: r, request: request, config: c, route: route, team: team, body: body,
-		startedAt: now, deadline: now.Add(timeout), service: route.Service(request.ID), heldBytes: int64(len(body)),
+		startedAt: now, deadline: now.Add(timeout), service: route.Service(request.ID),
 		sentTo: map[string]bool{},
 	}
 	k.ctx, k.cancel = context.WithTimeout(r.Context(), timeout)
@@ -125,8 +125,16 @@
 func (k *call) digest() string {
 	if k.contentDigest == "" {
 		h := xxhash.New()
-		for _, text := range append([]string{k.team.Name, k.httpRequest.RequestURI, string(k.body)}, k.request.PromptParts...) {
-			_, _ = h.WriteString(text + "\x00") // Write of a hash never fails.
+		separator := []byte{0}
+		for _, text := range []string{k.team.Name, k.httpRequest.RequestURI} {
+			_, _ = h.WriteString(text) // Write of a hash never fails.
+			_, _ = h.Write(separator)
+		}
+		_, _ = k.body.WriteTo(h)
+		_, _ = h.Write(separator)
+		for _, part := range k.request.PromptParts {
+			_, _ = h.WriteString(part)
+			_, _ = h.Write(separator)
 		}
 		k.contentDigest = hex.EncodeToString(h.Sum(nil))
 	}
@@ -162,6 +170,13 @@
 	}
 }
 
+// abort ends the request of a caller that has left, without an answer: net/http would complete the response of a handler that
+// returns, and the caller may have ended only its own side of the connection.
+func (k *call) abort() {
+	k.outcome = "caller left"
+	panic(http.ErrAbortHandler)
+}
+
 // sendUnavailable responds that the request was not run and may be retried after a delay, to which jitter is added.
 func (k *call) sendUnavailable(reason string, retryAfter time.Duration) {
 	k.sendRefusal(refusal{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: k.jitter(retryAfter)})
@@ -189,7 +204,9 @@
 func (k *call) end() {
 	k.stopEnding()
 	k.cancel()
-	k.forwarder.memory.release(k.heldBytes)
+	for _, r := range k.reservations {
+		r.release()
+	}
 	now := k.forwarder.clock()
 	level := slog.LevelInfo
 	if k.status >= 500 || k.outcome != "" || k.attempts > 1 {
@@ -238,13 +255,16 @@
 	return resp, err
 }
 
-// readReply reads the whole body of a response and ends the use of the response.
-func (k *call) readReply(resp *connector.Response) ([]byte, error) {
-	r := &bodyReader{body: resp.Body, budget: &k.forwarder.memory}
-	resp.Body = r
-	body, err := resp.ReadAll(maxReplyBytes)
-	k.heldBytes += r.taken
-	return body, err
+// readReply reads the whole body of an endpoint's response, of at most limit bytes, and ends the use of the response.
+func (k *call) readReply(resp *connector.Response, endpoint string, limit int64) (connector.Content, error) {
+	r := &reservation{budget: k.forwarder.memory, source: endpoint}
+	body, err := resp.ReadContent(limit, r.take)
+	if err != nil {
+		r.release()
+		return nil, err
+	}
+	k.reservations = append(k.reservations, r)
+	return body, nil
 }
 
 // copyHeader writes the status and headers of an endpoint's response.
--- a/internal/serving/forwarder/forwarder.go
+++ b/internal/serving/forwarder/forwarder.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -49,7 +48,7 @@
 	ending      context.Context
 	endRequests context.CancelFunc
 	inFlight    atomic.Int64
-	memory      memoryBudget
+	memory      *memoryBudget
 	// screening keeps requests that crash endpoints away from further ones.
 	screening *screening
 	// statements holds what endpoints state of themselves in their responses.
@@ -90,7 +89,7 @@
 		retryWindows:  map[string]*limiter.RetryWindow{},
 		budget:        defaultBudget,
 		busy:          make(chan struct{}, 1),
-		memory:        memoryBudget{limit: maxBufferedBytes},
+		memory:        newMemoryBudget(maxBufferedBytes),
 		screening:     newScreening(),
 		statements:    newStatements(),
 		random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -226,6 +225,11 @@
 	}
 }
 
+// RecordDisappearance records that the row of an endpoint has gone without an announcement: it may have crashed silently.
+func (f *Forwarder) RecordDisappearance(now time.Time, endpoint string) {
+	f.screening.recordDisappearance(now, endpoint)
+}
+
 // MergeSuspicions records what another instance has found out about requests that crash endpoints, and returns which of
 // the keys under which an endpoint crashed are proven here.
 func (f *Forwarder) MergeSuspicions(now time.Time, r screener.Report) []string {
@@ -290,7 +294,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if !f.memory.acceptsRequests() {
-		f.refuse(w, now, refusal{Status: http.StatusServiceUnavailable, Reason: errMemoryFull.Error(), RetryAfter: time.Second}, "")
+		f.refuse(w, now, refusal{Status: http.StatusServiceUnavailable, Reason: errMemoryFull.Error(), RetryAfter: memoryRetryAfter}, "")
 		return
 	}
 	c := f.config.Load()
@@ -312,16 +316,14 @@
 		f.refuse(w, now, refusal{Status: http.StatusUnauthorized, Reason: "unknown credential"}, request.ID)
 		return
 	}
-	body, err := readBody(now, w, r, c.Limits)
+	held := &reservation{budget: f.memory, source: callers}
+	body, err := readBody(now, w, r, c.Limits, held)
 	if err != nil {
 		f.refuse(w, now, bodyRefusal(err), request.ID)
 		return
 	}
-	if !f.memory.take(int64(len(body))) {
-		f.refuse(w, now, refusal{Status: http.StatusServiceUnavailable, Reason: errMemoryFull.Error(), RetryAfter: time.Second}, request.ID)
-		return
-	}
 	k := newCall(f, w, r, now, c, request, route, team, body)
+	k.reservations = append(k.reservations, held)
 	defer k.end()
 	if k.outlastsInstance(f.clock()) {
 		k.sendUnavailable(reasonLeaving, leavingRetryAfter)
@@ -334,27 +336,42 @@
 	k.servePlain()
 }
 
-// readBody reads a request's body within the size limit and bodyTimeout.
-func readBody(now time.Time, w http.ResponseWriter, r *http.Request, l matcher.Limits) ([]byte, error) {
+// readBody reads a request's body within the size limit and bodyTimeout, and reserves memory for it while it arrives. A body that
+// there is no memory for now is not read.
+func readBody(now time.Time, w http.ResponseWriter, r *http.Request, l matcher.Limits, held *reservation) (connector.Content, error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
-	reader := r.Body
-	if l.MaxBodyBytes > 0 {
-		reader = http.MaxBytesReader(w, r.Body, l.MaxBodyBytes)
-	}
 	connection := http.NewResponseController(w)
 	if err := connection.SetReadDeadline(now.Add(bodyTimeout)); err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(reader)
+	body, err := readContent(w, r, l, held)
 	if err != nil {
-		return nil, err
+		held.release()
+		// net/http would wait for the rest of a body that is nearly complete before it sends the refusal.
+		return nil, errors.Join(err, connection.SetReadDeadline(now))
 	}
 	// The server goes on reading, to notice that the caller disconnects.
 	return body, connection.SetReadDeadline(time.Time{})
 }
 
+// readContent is readBody without deadlines.
+func readContent(w http.ResponseWriter, r *http.Request, l matcher.Limits, held *reservation) (connector.Content, error) {
+	limit := int64(maxCallerBytes)
+	if l.MaxBodyBytes > 0 {
+		limit = min(limit, l.MaxBodyBytes)
+	}
+	if r.ContentLength > limit {
+		return nil, connector.ErrTooLong
+	}
+	if !held.budget.fits(callers, r.ContentLength) {
+		return nil, connector.ErrNoMemory
+	}
+	// The reader makes net/http close the connection after a body that is too long.
+	return connector.ReadContent(http.MaxBytesReader(w, r.Body, limit), limit, held.take)
+}
+
 // bodyTimeout bounds the reading of a body: the largest allowed one takes under a second on a caller's link.
 const bodyTimeout = 10 * time.Second
 
@@ -364,7 +381,10 @@
 // bodyRefusal returns the refusal for an error of readBody.
 func bodyRefusal(err error) refusal {
 	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	if errors.Is(err, connector.ErrNoMemory) {
+		return refusal{Status: http.StatusServiceUnavailable, Reason: errMemoryFull.Error(), RetryAfter: memoryRetryAfter}
+	}
+	if errors.As(err, &large) || errors.Is(err, connector.ErrTooLong) {
 		return refusal{Status: http.StatusRequestEntityTooLarge, Reason: "body too large"}
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/serving/forwarder/plain.go
+++ b/internal/serving/forwarder/plain.go
@@ -45,7 +45,7 @@
 type reply struct {
 	status int
 	header http.Header
-	body   []byte
+	body   connector.Content
 }
 
 // attemptResult is the result of one attempt.
@@ -153,12 +153,12 @@
 func (k *call) finishPlain(last *reply, reason string, retryAfter time.Duration) {
 	switch {
 	case k.httpRequest.Context().Err() != nil:
-		k.outcome = "caller left"
+		k.abort()
 	case last != nil:
 		k.timeToFirstByte = k.forwarder.clock().Sub(k.startedAt)
 		k.copyHeader(last.status, last.header)
-		if _, err := k.writer.Write(last.body); err != nil {
-			k.outcome = "caller left"
+		if _, err := last.body.WriteTo(k.writer); err != nil {
+			k.abort()
 		}
 	case k.mayHaveRun && isDone(k.ctx):
 		k.sendRefusal(k.timeoutRefusal())
@@ -187,7 +187,7 @@
 
 // tryEndpoint sends the request to one endpoint of a plain service. The reply is not nil if the endpoint ran the
 // request and its whole response arrived.
-func (k *call) tryEndpoint(id, address string, isLast bool) (*reply, attemptResult) {
+func (k *call) tryEndpoint(id, address string, isLast bool) (r *reply, result attemptResult) {
 	ctx, cancel := context.WithCancel(k.ctx)
 	defer cancel()
 	if !isLast && k.route.Kind == matcher.Safe && k.route.FirstByteTarget > 0 {
@@ -197,8 +197,13 @@
 	}
 	screening := k.forwarder.screening
 	number := screening.begin(k.forwarder.clock(), k.screenKeys(), []string{id}, k.stopAttempt(cancel))
-	isWhole := false
-	defer func() { screening.end(k.forwarder.clock(), number, isWhole) }()
+	defer func() {
+		screenResult := screenResults[result]
+		if r != nil {
+			screenResult = screener.Whole // Also a response that states a failure.
+		}
+		screening.end(k.forwarder.clock(), number, screenResult)
+	}()
 	resp, err := k.send(ctx, address, Delivery{Endpoint: id, TimeLeft: k.timeLeft(k.forwarder.clock()), Priority: k.priority()})
 	if errors.Is(err, connector.ErrNotSent) {
 		k.addToTrail("endpoint", id, "not reached:", err.Error())
@@ -219,13 +224,12 @@
 		k.addToTrail("endpoint", id, "did not run it:", http.StatusText(resp.Status))
 		return nil, notRun
 	}
-	body, err := k.readReply(resp)
+	body, err := k.readReply(resp, id, maxReplyBytes)
 	if err != nil {
 		return nil, k.recordBroken(ctx, id, address, "broke its answer off:", err)
 	}
 	screening.recordFirstEvent(k.forwarder.clock(), number)
-	isWhole = true
-	r := &reply{resp.Status, resp.Header, body}
+	r = &reply{resp.Status, resp.Header, body}
 	k.mayHaveRun = true
 	if resp.Status >= 500 {
 		k.addToTrail("endpoint", id, "failed it:", http.StatusText(resp.Status))
--- a/internal/serving/forwarder/rulings.go
+++ b/internal/serving/forwarder/rulings.go
@@ -5,6 +5,7 @@
 	"context"
 	"time"
 
+	"github.com/heatherrock/heatherrock/internal/routing/reserver"
 	"github.com/heatherrock/heatherrock/internal/routing/screener"
 )
 
@@ -63,12 +64,15 @@
 	}
 }
 
+// screenResults holds what the results of attempts say of an endpoint.
+var screenResults = map[attemptResult]screener.Result{answered: screener.Whole, lost: screener.Broken}
+
 // endScreening records the end of the attempt in progress.
-func (s *streamCall) endScreening(isWhole bool) {
+func (s *streamCall) endScreening(result attemptResult) {
 	now := s.forwarder.clock()
 	s.hasSettled = s.hasSettled || !s.begunAt.IsZero() && now.Sub(s.begunAt) >= screener.SettleTime
 	s.begunAt = time.Time{}
-	s.forwarder.screening.end(now, s.screenNumber, isWhole)
+	s.forwarder.screening.end(now, s.screenNumber, screenResults[result])
 }
 
 // isSuspect reports whether the stream must not be sent, and answers its caller if so.
@@ -81,11 +85,12 @@
 	return true
 }
 
-// awaitTrial waits while another request with a key of the stream is on trial, and reports whether the stream may be
-// sent. If not, it has answered the caller.
-func (s *streamCall) awaitTrial() bool {
+// awaitTrial waits while another request with a key of the stream is on trial, and reports whether the stream may be sent along a
+// path. If not, it has given up the path and answered the caller.
+func (s *streamCall) awaitTrial(path reserver.Path) bool {
 	ruling, retryAfter := s.awaitRuling(s.screenKeys())
 	if reason, ok := refusalReasons[ruling]; ok {
+		s.dropPath(path)
 		s.giveUpAfter(reason, retryAfter)
 		return false
 	}
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -75,8 +75,7 @@
 			s.giveUpAfter(string(refusal), s.retryDelay())
 			return
 		}
-		if !s.awaitTrial() {
-			s.dropPath(path)
+		if !s.awaitTrial(path) {
 			return
 		}
 		if !s.takePathGrant(path) {
@@ -238,7 +237,7 @@
 func (s *streamCall) giveUpAfter(reason string, retryAfter time.Duration) {
 	switch {
 	case s.httpRequest.Context().Err() != nil:
-		s.outcome = "caller left"
+		s.abort()
 	case s.headSent:
 		s.outcome = "broken off: " + reason
 		s.addToTrail("broken off after event", s.lastEventID)
@@ -270,7 +269,7 @@
 	})
 	s.screenNumber = s.forwarder.screening.begin(s.forwarder.clock(), s.screenKeys(), path.EndpointIDs(), s.stopAttempt(cancel))
 	result := unsent
-	defer func() { s.endScreening(result == answered) }()
+	defer func() { s.endScreening(result) }()
 	s.addToTrail("path", describePath(path), "expecting", path.TimeToFirstToken.Round(time.Millisecond).String(), "then",
 		path.TimePerToken.Round(100*time.Microsecond).String())
 	resp, err := s.send(ctx, first.Address, Delivery{
