Keep the attempts in the screener's queues

Cause: the queues of attempts that have begun or ended held numbers, and an attempt that is not known under its number would end the process. No run showed one.

Change: the queues hold the attempts themselves. No change of behaviour otherwise.

Measured: the tests of the screener pass.

--- a/internal/routing/screener/attempt.go
+++ b/internal/routing/screener/attempt.go
@@ -8,6 +8,7 @@
 
 // attempt is one send of a request whose result is not known yet.
 type attempt struct {
+	number    uint64
 	keys      []string
 	endpoints []string
 	sentAt    time.Time
@@ -53,7 +54,7 @@
 		return 0, nil
 	}
 	s.lastAttempt++
-	a := &attempt{keys: keys, endpoints: endpoints, sentAt: now}
+	a := &attempt{number: s.lastAttempt, keys: keys, endpoints: endpoints, sentAt: now}
 	s.attempts[s.lastAttempt] = a
 	var tried []string
 	for _, key := range keys {
@@ -74,7 +75,7 @@
 		return false
 	}
 	a.begunAt = now
-	s.begun = append(s.begun, number)
+	s.begun = append(s.begun, a)
 	return a.isTrial
 }
 
@@ -85,9 +86,9 @@
 		return false
 	}
 	a.endedAt, a.result = now, result
-	s.ended = append(s.ended, number)
+	s.ended = append(s.ended, a)
 	if result == Whole && !a.begunAt.IsZero() {
-		s.whole = append(s.whole, number)
+		s.whole = append(s.whole, a)
 		return a.isTrial
 	}
 	if !a.isTrial {
@@ -110,7 +111,7 @@
 func (s *Screener) Settle(now time.Time) []string {
 	var cleared []string
 	for len(s.begun) > 0 {
-		a := s.attempts[s.begun[0]]
+		a := s.begun[0]
 		if now.Sub(a.begunAt) < SettleTime {
 			break
 		}
@@ -122,7 +123,7 @@
 		cleared = append(cleared, s.proveKeys(now, a, false)...)
 	}
 	for len(s.whole) > 0 {
-		a := s.attempts[s.whole[0]]
+		a := s.whole[0]
 		if now.Sub(a.endedAt) < SettleTime {
 			break
 		}
@@ -130,11 +131,11 @@
 		cleared = append(cleared, s.proveKeys(now, a, true)...)
 	}
 	for len(s.ended) > 0 {
-		a := s.attempts[s.ended[0]]
+		a := s.ended[0]
 		if now.Sub(a.endedAt) < lossWindow {
 			break
 		}
-		delete(s.attempts, s.ended[0])
+		delete(s.attempts, a.number)
 		s.ended = s.ended[1:]
 		if a.result == Broken && !a.hasCrashed {
 			s.broken = append(s.broken, a)
--- a/internal/routing/screener/screener.go
+++ b/internal/routing/screener/screener.go
@@ -89,9 +89,9 @@
 	losses          map[string]time.Time
 	// begun holds the attempts that have begun, ended those that have ended, and whole those of them that ended with a whole
 	// response and are not settled, in the order of these times. broken holds those that ended without one longer ago.
-	begun       []uint64
-	ended       []uint64
-	whole       []uint64
+	begun       []*attempt
+	ended       []*attempt
+	whole       []*attempt
 	broken      []*attempt
 	lastAttempt uint64
 	prunedAt    time.Time
