Leave room for short requests beside long bodies

What callers would see: short requests refused for want of memory while others send long bodies.

Cause: the pieces of long bodies may take all memory for the bodies of requests.

Change: an eighth of it, 2 MiB, is left to bodies of up to 4 KiB.

Measured: TestLongBodiesOfRequestsLeaveRoomForShortOnes failed before (short body 0: no memory for the body). TestLongBodiesOfManyCallersAreBounded passes.

--- a/internal/serving/forwarder/memory.go
+++ b/internal/serving/forwarder/memory.go
@@ -13,6 +13,9 @@
 	maxBufferedBytes = 32 << 20
 	// maxCallerBytes bounds those of requests, so that there is memory for the responses.
 	maxCallerBytes = maxBufferedBytes / 2
+	// shortBodyBytes is the length of a body for which room is left beside long ones, and shortBodyRoom how much.
+	shortBodyBytes = 4 << 10
+	shortBodyRoom  = maxCallerBytes / 8
 	// maxEndpointBytes bounds those of the responses of one endpoint, so that one which sends without end leaves memory for
 	// the others. It holds the longest response.
 	maxEndpointBytes = maxReplyBytes + 1<<20
@@ -64,7 +67,10 @@
 // hasRoom is fits with the lock held.
 func (b *memoryBudget) hasRoom(source string, n int64) bool {
 	limit := int64(maxEndpointBytes)
-	if source == callers {
+	switch {
+	case source == callers && n > shortBodyBytes:
+		limit = maxCallerBytes - shortBodyRoom
+	case source == callers:
 		limit = maxCallerBytes
 	}
 	return b.used+n <= b.limit && b.bySource[source]+n <= limit
--- a/internal/serving/forwarder/memory_test.go
+++ b/internal/serving/forwarder/memory_test.go
@@ -56,6 +56,22 @@
 	}
 }
 
+// TestLongBodiesOfRequestsLeaveRoomForShortOnes guards against callers whose short requests are refused because others send long bodies.
+func TestLongBodiesOfRequestsLeaveRoomForShortOnes(t *testing.T) {
+	budget := newMemoryBudget(maxBufferedBytes)
+	// Bodies that arrive together take piece after piece.
+	const piece = 32 << 10
+	long := &reservation{budget: budget, source: callers}
+	for long.take(piece) {
+	}
+	for n := range 100 {
+		short := &reservation{budget: budget, source: callers}
+		if _, err := connector.ReadContent(bytes.NewReader(make([]byte, 1000)), 4<<20, short.take); err != nil {
+			t.Fatalf("short body %d beside %d bytes: %v", n, budget.used, err)
+		}
+	}
+}
+
 // TestRequestsAreRefusedWithoutMemory fills the budget to its half: a new request is refused as not run, with a time to come
 // back, and accepted once there is memory again.
 func TestRequestsAreRefusedWithoutMemory(t *testing.T) {
