Share out the last free memory of endpoints among instances

Cause: instances learn of each other's reservations up to 360 ms late, and until then every request that arrives finds the same free memory and the same fastest endpoint.

Change: with each update of the accounts the reserver computes the rate of requests for which an endpoint has room. Where all requests that may arrive unseen are more, the endpoint accepts only that share of 32 slots, of which an instance draws one at a time.

--- a/internal/routing/reserver/reserver.go
+++ b/internal/routing/reserver/reserver.go
@@ -67,6 +67,8 @@
 	IgnoreFirstEventTime bool
 	// FirstEndpoints holds the endpoints that may run the first stage; nil allows all.
 	FirstEndpoints map[string]bool
+	// InProgress is true for an answer in progress, which may use memory that is shared out to other instances.
+	InProgress bool
 	// includeBackedOff is true if the path may use endpoints that have just refused or failed a request.
 	includeBackedOff bool
 }
@@ -163,8 +165,16 @@
 	// InstanceCount is the number of instances of the fleet, this one included.
 	InstanceCount int
 
-	peers      map[string]peer
-	peerUsage  Usage
+	peers     map[string]peer
+	peerUsage Usage
+	// peerRate is the number of requests a second that the other instances receive. acceptedSlots holds the endpoints that
+	// accept only some of the slots, and slot is the one of this instance's requests.
+	peerRate float64
+	// requestTime is the mean of the times for which granted requests hold their memory.
+	requestTime   time.Duration
+	acceptedSlots map[string]uint32
+	slot          int
+
 	boundaries []int
 	random     *rand.Rand
 }
@@ -182,6 +192,7 @@
 		WaitingPromptTokens: map[string]float64{},
 		peers:               map[string]peer{},
 		peerUsage:           Usage{},
+		requestTime:         defaultRequestTime,
 		random:              random,
 	}
 }
@@ -238,6 +249,7 @@
 			r.peerUsage[id] += n
 		}
 	}
+	r.shareRoom(now)
 }
 
 // UsedShare returns the share of an endpoint's memory that is reserved.
@@ -297,6 +309,8 @@
 		p.TimeToFirstToken += read + step + s.queueTime(stage.Endpoint, stage.Range)
 		p.TimePerToken += step + hopDelay
 	}
+	held := p.TimeToFirstToken + time.Duration(req.AnswerTokens)*p.TimePerToken
+	r.requestTime += time.Duration(requestTimeWeight * float64(held-r.requestTime))
 	return p, Granted
 }
 
--- a/internal/serving/forwarder/allocator.go
+++ b/internal/serving/forwarder/allocator.go
@@ -73,6 +73,13 @@
 	a.grantWaiting(now)
 }
 
+// SetPeerRate sets the number of requests a second that the other instances receive.
+func (a *Allocator) SetPeerRate(rate float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.reserver.SetPeerRate(rate)
+}
+
 // RemovePeer drops the reservations of another instance.
 func (a *Allocator) RemovePeer(now time.Time, peer string) {
 	a.mu.Lock()
@@ -106,6 +113,13 @@
 	return a.reserver.TotalUsedShare(now), a.queue.Len()
 }
 
+// SharedEndpoints returns the number of endpoints whose last free memory is shared out among the instances.
+func (a *Allocator) SharedEndpoints() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.reserver.SharedEndpoints()
+}
+
 // Bottleneck returns the layer that limits the fleet.
 func (a *Allocator) Bottleneck(now time.Time) reserver.Bottleneck {
 	a.mu.Lock()
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -210,6 +210,7 @@
 		ID: s.request.ID,
 		Request: reserver.PathRequest{
 			PromptTokens: promptTokens, AnswerTokens: int(answerTokens), Avoid: s.avoid, FirstEndpoints: s.allowedFirst(s.firstEndpoints), IgnoreFirstEventTime: late,
+			InProgress: s.headSent,
 		},
 		Team:             s.team.Name,
 		Priority:         s.priority(),
--- a/internal/serving/gateway/updates.go
+++ b/internal/serving/gateway/updates.go
@@ -162,6 +162,7 @@
 		scope := g.meter.Scope().Tagged(map[string]string{"service": service})
 		scope.Gauge("memory_reserved").Update(load)
 		scope.Gauge("waiting").Update(float64(waiting))
+		scope.Gauge("endpoints_shared").Update(float64(a.SharedEndpoints()))
 		if waiting > 0 && now.Sub(g.shortageLoggedAt) >= shortageLogInterval {
 			g.shortageLoggedAt = now
 			bottleneck := a.Bottleneck(now)
@@ -229,6 +230,7 @@
 	}
 	g.meter.SetGauge("instances_counted", maxInstances+1)
 	for service, a := range g.forwarder.Allocators() {
+		a.SetPeerRate(others[service].Sent.RecentRate(g.settings.RetryWindow))
 		// The sum of all other instances is recorded as that of one peer.
 		a.SetPeerUsage(now, "fleet", others[service].Memory)
 		a.RecordReports(now, others[service].Dead, others[service].Alive)
