Let callers that come back after a refusal leave memory to others

Cause: the target for the first event counts from the caller's first attempt. Under overload, callers that came back, whose answers are late in any case, took the memory of requests that could still be in time; those were refused and came back themselves.

Change: an instance remembers a hash of each request that it refuses for want of memory and reports it with the accounts. A request with a known hash waits behind the others, and its path leaves a quarter of each endpoint's memory to them (waiter.Returns).

--- a/internal/routing/reserver/fleet_test.go
+++ b/internal/routing/reserver/fleet_test.go
@@ -25,6 +25,11 @@
 	random    *rand.Rand
 	// sharesRoom is true if the instances share out the last free memory of the endpoints.
 	sharesRoom bool
+	// retriesAfter is the delay after which a refused caller comes back once, with up to as much again; zero means never. keepsReserve
+	// is true if those who come back leave the last memory to others.
+	retriesAfter time.Duration
+	keepsReserve bool
+	returning    []*simulatedRequest
 	// used is what is in use on each endpoint, and history the usage of each instance at the last intervals.
 	used    Usage
 	history [][]Usage
@@ -39,11 +44,13 @@
 	instance                   int
 	request                    PathRequest
 	path                       Path
+	hasReturned                bool
 }
 
 // fleetResult counts what became of the requests: how often an endpoint refused a reserved path, and how often none was free in time.
 type fleetResult struct {
-	Arrived, Granted, RefusedByEndpoint, NoPath int
+	// InTime counts the paths of requests that were not refused before.
+	InTime, Arrived, Granted, RefusedByEndpoint, NoPath int
 }
 
 // refusedShare returns the share of granted paths that an endpoint refused.
@@ -105,6 +112,7 @@
 		if now.Sub(startTime)%accountInterval == 0 {
 			f.exchange(now, rate)
 		}
+		f.returnCallers(now)
 		f.retryWaiting(now)
 		for !next.After(now) {
 			f.arrive(now)
@@ -167,7 +175,7 @@
 		switch {
 		case f.try(now, q):
 		case now.Sub(q.arrivedAt) >= 250*time.Millisecond:
-			f.result.NoPath++
+			f.refuse(now, q)
 		default:
 			left = append(left, q)
 		}
@@ -175,6 +183,30 @@
 	f.waiting = left
 }
 
+// refuse refuses a request whose time in the queue is over.
+func (f *fleet) refuse(now time.Time, q *simulatedRequest) {
+	if q.hasReturned || f.retriesAfter == 0 {
+		f.result.NoPath++
+		return
+	}
+	delay := f.retriesAfter + time.Duration(f.random.Float64()*float64(f.retriesAfter))
+	f.returning = append(f.returning, &simulatedRequest{arrivedAt: now.Add(delay), request: q.request, hasReturned: true})
+}
+
+// returnCallers lets the refused callers come back to another instance.
+func (f *fleet) returnCallers(now time.Time) {
+	left := f.returning[:0]
+	for _, q := range f.returning {
+		if q.arrivedAt.After(now) {
+			left = append(left, q)
+			continue
+		}
+		q.instance, q.request.KeepsReserve = f.random.IntN(len(f.instances)), f.keepsReserve
+		f.waiting = append(f.waiting, q)
+	}
+	f.returning = left
+}
+
 // try reserves a path for a request, and reports whether the request needs no further try.
 func (f *fleet) try(now time.Time, q *simulatedRequest) bool {
 	r := f.instances[q.instance]
@@ -194,6 +226,9 @@
 		if full == "" {
 			q.path, q.beganAt, q.endsAt = p, now, now.Add(p.TimeToFirstToken+time.Duration(q.request.AnswerTokens)*p.TimePerToken)
 			f.running = append(f.running, q)
+			if !q.hasReturned {
+				f.result.InTime++
+			}
 			return true
 		}
 		f.result.RefusedByEndpoint++
@@ -267,3 +302,20 @@
 		t.Errorf("under load, %d endpoints are limited, want %d", len(r.acceptedSlots), len(r.Endpoints))
 	}
 }
+
+// TestReturnedCallersLeaveMemoryToOthers guards against an overload in which those who come back after a refusal, whose answers are
+// late in any case, take the memory of requests that could still be in time.
+func TestReturnedCallersLeaveMemoryToOthers(t *testing.T) {
+	const rate, length = 600, 7 * time.Second
+	play := func(keepsReserve bool) fleetResult {
+		f := newFleet(30, 1)
+		f.sharesRoom, f.retriesAfter, f.keepsReserve = true, 1500*time.Millisecond, keepsReserve
+		return f.play(rate, length)
+	}
+	alike, last := play(false), play(true)
+	t.Logf("in time %d of %d, served %d; with a reserve %d of %d, served %d", alike.InTime, alike.Arrived, alike.Granted-alike.RefusedByEndpoint,
+		last.InTime, last.Arrived, last.Granted-last.RefusedByEndpoint)
+	if last.InTime <= alike.InTime {
+		t.Errorf("%d requests of %d were in time, %d without a reserve", last.InTime, last.Arrived, alike.InTime)
+	}
+}
--- a/internal/routing/reserver/reserver.go
+++ b/internal/routing/reserver/reserver.go
@@ -67,6 +67,8 @@
 	IgnoreFirstEventTime bool
 	// FirstEndpoints holds the endpoints that may run the first stage; nil allows all.
 	FirstEndpoints map[string]bool
+	// KeepsReserve is true if the path must leave the last memory of each endpoint to other requests.
+	KeepsReserve bool
 	// InProgress is true for an answer in progress, which may use memory that is shared out to other instances.
 	InProgress bool
 	// includeBackedOff is true if the path may use endpoints that have just refused or failed a request.
@@ -95,6 +97,8 @@
 	// maxMemoryShare is the share of an endpoint's memory that may be reserved; answers are often longer than
 	// expected.
 	maxMemoryShare = 0.92
+	// reserveShare is the share of an endpoint's memory that is kept for requests that can be answered in time.
+	reserveShare = 0.25
 	// blockTokens is the number of tokens in a memory block; endpoints allocate whole blocks.
 	blockTokens = 16
 	// maxNoise is the greatest relative noise on an endpoint's cost. It spreads the choices of instances, which do
--- a/internal/routing/reserver/search.go
+++ b/internal/routing/reserver/search.go
@@ -43,6 +43,9 @@
 			continue
 		}
 		freeMemory := maxMemoryShare*r.memory(e) - r.reservedByAll(e.ID)
+		if req.KeepsReserve {
+			freeMemory -= reserveShare * r.memory(e)
+		}
 		s.candidates = append(s.candidates, candidate{e, 1 + maxNoise*(2*r.random.Float64()-1), freeMemory})
 	}
 	for i := range s.nodes {
--- a/internal/routing/waiter/waiter.go
+++ b/internal/routing/waiter/waiter.go
@@ -36,6 +36,8 @@
 	Resumed bool
 	// Late is true if the answer counts as late in any case, since its caller received a part of it earlier.
 	Late bool
+	// Returned is true if the caller was refused before and can no longer be answered in time.
+	Returned bool
 	// Deadline is when the request is given up regardless of its target.
 	Deadline time.Time
 	// ReceivedAt is when the caller's attempt arrived.
@@ -108,7 +110,7 @@
 		countsByTeam[i.Team] = counts
 	}
 	slices.SortStableFunc(items, func(a, b Item) int {
-		return cmp.Or(compareBool(b.Resumed, a.Resumed), cmp.Compare(a.Priority, b.Priority), compareBool(a.Late, b.Late),
+		return cmp.Or(compareBool(b.Resumed, a.Resumed), compareBool(a.Returned, b.Returned), cmp.Compare(a.Priority, b.Priority), compareBool(a.Late, b.Late),
 			cmp.Compare(turnByID[a.ID], turnByID[b.ID]))
 	})
 	return items
--- a/internal/serving/accountant/accountant.go
+++ b/internal/serving/accountant/accountant.go
@@ -33,6 +33,8 @@
 	Alive []string
 	// Failing holds the endpoints that instances do not use because of failures, with the number of these instances.
 	Failing map[string]int
+	// Refused holds the hashes of the requests refused last for want of memory.
+	Refused []uint32
 }
 
 // Usages holds what is reserved, by service.
@@ -313,7 +315,7 @@
 // endpoints.
 func (u Usages) isIdle() bool {
 	for _, h := range u {
-		if len(h.Memory) > 0 || h.Sent.Requests > 0 || h.Sent.Repeats > 0 || len(h.Dead) > 0 || len(h.Alive) > 0 || len(h.Failing) > 0 {
+		if len(h.Memory) > 0 || h.Sent.Requests > 0 || h.Sent.Repeats > 0 || len(h.Dead) > 0 || len(h.Alive) > 0 || len(h.Failing) > 0 || len(h.Refused) > 0 {
 			return false
 		}
 	}
--- a/internal/serving/accountant/ledger.go
+++ b/internal/serving/accountant/ledger.go
@@ -146,9 +146,27 @@
 		addCounts(h.Failing, o.Failing, -1)
 		out[service] = h
 	}
+	l.collectRefused(out, except)
 	return out
 }
 
+// maxRefused bounds the refused requests of all owners in a sum.
+const maxRefused = 512
+
+// collectRefused adds the refused requests of all owners but one to a sum, up to maxRefused a service.
+func (l *ledger) collectRefused(out Usages, except string) {
+	for owner, r := range l.reports {
+		if owner == except {
+			continue
+		}
+		for service, h := range r.usages {
+			sum := out[service]
+			sum.Refused = append(sum.Refused, h.Refused[:min(len(h.Refused), maxRefused-len(sum.Refused))]...)
+			out[service] = sum
+		}
+	}
+}
+
 // namesWithout returns the counted names that an owner does not alone account for.
 func namesWithout(counts map[string]int, own []string) []string {
 	if len(counts) == 0 {
@@ -201,6 +219,7 @@
 			h.Failing = make(map[string]int, len(other.Failing))
 		}
 		addCounts(h.Failing, other.Failing, 1)
+		h.Refused = append(h.Refused, other.Refused...)
 		u[service] = h
 	}
 }
--- a/internal/serving/accountant/ledger_test.go
+++ b/internal/serving/accountant/ledger_test.go
@@ -124,3 +124,18 @@
 		}
 	}
 }
+
+// TestLedgerPassesRefusalsOn guards against an instance that does not learn of the refusals of others, or of more than a bound.
+func TestLedgerPassesRefusalsOn(t *testing.T) {
+	l := newLedger()
+	now := time.Unix(1000, 0)
+	l.record(now, "a", Usages{"s": {Refused: []uint32{1, 2}}})
+	l.record(now, "b", Usages{"s": {Refused: []uint32{3}}})
+	if diff := cmp.Diff([]uint32{3}, l.sum("a")["s"].Refused); diff != "" {
+		t.Errorf("refusals for a (-want +got):\n%s", diff)
+	}
+	l.record(now, "c", Usages{"s": {Refused: make([]uint32, 2*maxRefused)}})
+	if n := len(l.sum("a")["s"].Refused); n != maxRefused {
+		t.Errorf("%d refusals are passed on, want at most %d", n, maxRefused)
+	}
+}
--- a/internal/serving/forwarder/allocator.go
+++ b/internal/serving/forwarder/allocator.go
@@ -20,6 +20,7 @@
 	mu       sync.Mutex
 	reserver *reserver.Reserver
 	queue    *waiter.Queue
+	returns  *waiter.Returns
 	monitor  *monitor.Monitor
 	ejector  *ejector.Ejector
 	// pathChannels holds, by request id, the channel on which a queued request receives its path.
@@ -38,6 +39,7 @@
 	return &Allocator{
 		reserver:      reserver.New(centre, random),
 		queue:         waiter.New(),
+		returns:       waiter.NewReturns(),
 		monitor:       monitor.New(),
 		ejector:       ejector.New(),
 		pathChannels:  map[string]chan reserver.Path{},
@@ -194,6 +196,34 @@
 	return reserver.Path{}, refusal
 }
 
+// RecordRefusal records that this instance refuses a request for want of memory.
+func (a *Allocator) RecordRefusal(now time.Time, hash uint32) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.returns.RecordRefusal(now, hash)
+}
+
+// HasReturned reports whether an instance has refused a request before.
+func (a *Allocator) HasReturned(now time.Time, hash uint32) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.returns.HasReturned(now, hash)
+}
+
+// RefusalReport returns the latest refusals of this instance.
+func (a *Allocator) RefusalReport(now time.Time) []uint32 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.returns.Report(now)
+}
+
+// MergeRefusals records the refusals that other instances report.
+func (a *Allocator) MergeRefusals(now time.Time, hashes []uint32) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.returns.Merge(now, hashes)
+}
+
 // Release releases the reservations of a path.
 func (a *Allocator) Release(now time.Time, p reserver.Path) {
 	a.mu.Lock()
--- a/internal/serving/forwarder/call.go
+++ b/internal/serving/forwarder/call.go
@@ -71,9 +71,12 @@
 	sentTo map[string]bool
 	// contentDigest is set by the first call of digest, and keys, by which the request is screened, by that of screenKeys.
 	contentDigest string
+	contentHash   uint32
 	keys          []string
 	// isStopped is true once an attempt was stopped because it may crash its endpoint.
 	isStopped atomic.Bool
+	// isReturned is true if the caller was refused before and can no longer be answered in time.
+	isReturned bool
 	// denials counts the endpoints that were at their limits.
 	denials int
 	// reservations hold the memory of the bodies of the request and of its replies.
@@ -137,10 +140,17 @@
 			_, _ = h.Write(separator)
 		}
 		k.contentDigest = hex.EncodeToString(h.Sum(nil))
+		k.contentHash = uint32(h.Sum64())
 	}
 	return k.contentDigest
 }
 
+// hash returns a short form of digest.
+func (k *call) hash() uint32 {
+	_ = k.digest()
+	return k.contentHash
+}
+
 // priority returns the priority of the request.
 func (k *call) priority() int {
 	if k.team.Priority >= 0 && k.team.Name != "" {
--- a/internal/serving/forwarder/recorder.go
+++ b/internal/serving/forwarder/recorder.go
@@ -88,6 +88,11 @@
 	service.Counter("sends").Inc(int64(k.attempts))
 	service.Counter("repeats").Inc(int64(max(0, k.attempts-1)))
 	service.Counter("denials").Inc(int64(k.denials))
+	returned := int64(0)
+	if k.isReturned {
+		returned = 1
+	}
+	service.Counter("returned").Inc(returned)
 	set := r.histogramsFor(kind, k.service)
 	set.duration.RecordDuration(now.Sub(k.startedAt))
 	set.wait.RecordDuration(k.waitTime)
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -66,12 +66,19 @@
 	if s.isSuspect() {
 		return
 	}
+	if s.request.LastEventID == "" && s.allocator.HasReturned(s.forwarder.clock(), s.hash()) {
+		s.isReturned = true
+		s.addToTrail("came back after a refusal")
+	}
 	path, refusal := s.acquire()
 	for {
 		if refusal != reserver.Granted {
 			load, waiting := s.allocator.Load(s.forwarder.clock())
 			s.addToTrail("no path:", string(refusal), "with", strconv.FormatFloat(load, 'f', 2, 64), "of the memory reserved,",
 				strconv.Itoa(waiting), "waiting")
+			if refusal == reserver.Full && !s.mayHaveRun {
+				s.allocator.RecordRefusal(s.forwarder.clock(), s.hash())
+			}
 			s.giveUpAfter(string(refusal), s.retryDelay())
 			return
 		}
@@ -205,18 +212,20 @@
 	promptTokens += generated
 	answerTokens = max(answerTokens-float64(generated), answerMarginShare*usualAnswer)
 	// A caller that resumes a stream has received its beginning, so the target for the first event no longer applies.
-	late := s.request.LastEventID != ""
+	late := s.request.LastEventID != "" || s.isReturned
 	return waiter.Item{
 		ID: s.request.ID,
 		Request: reserver.PathRequest{
 			PromptTokens: promptTokens, AnswerTokens: int(answerTokens), Avoid: s.avoid, FirstEndpoints: s.allowedFirst(s.firstEndpoints), IgnoreFirstEventTime: late,
-			InProgress: s.headSent,
+			KeepsReserve: s.isReturned && !s.headSent,
+			InProgress:   s.headSent,
 		},
 		Team:             s.team.Name,
 		Priority:         s.priority(),
 		FirstEventTarget: s.route.FirstByteTarget,
 		Resumed:          s.headSent,
 		Late:             late,
+		Returned:         s.isReturned && !s.headSent,
 		Deadline:         s.deadline,
 		ReceivedAt:       s.startedAt,
 	}
--- a/internal/serving/gateway/updates.go
+++ b/internal/serving/gateway/updates.go
@@ -205,6 +205,7 @@
 	for service, a := range g.forwarder.Allocators() {
 		h := out[service]
 		h.Memory, h.Dead, h.Alive = a.Usage(), a.UnresponsiveEndpoints(g.clock()), a.RefutedEndpoints(g.clock())
+		h.Refused = a.RefusalReport(g.clock())
 		for _, id := range a.FailingEndpoints(g.clock()) {
 			if h.Failing == nil {
 				h.Failing = map[string]int{}
@@ -233,6 +234,7 @@
 		a.SetPeerRate(others[service].Sent.RecentRate(g.settings.RetryWindow))
 		// The sum of all other instances is recorded as that of one peer.
 		a.SetPeerUsage(now, "fleet", others[service].Memory)
+		a.MergeRefusals(now, others[service].Refused)
 		a.RecordReports(now, others[service].Dead, others[service].Alive)
 		a.RecordFailingReports(now, others[service].Failing)
 	}
