Plan several moves of endpoints after losses and additions

Cause: placer.BestMove made one move at a time, only to the block with the fewest holders and only for a gain of 12%, so most losses were never made up for.

Change: placer.Search finds a sequence of moves by the capacity of the whole layout, MovePlan prices it, SafeMoves tells which moves can begin now without making a layer scarcer than the scarcest one. The director carries the plan out, several loads at a time, and plans again whenever the layout changes otherwise. Capacity is computed on indexed arrays, and no longer depends on the order of the endpoints. The first placement is searched too, so a complete layout has no moves. An endpoint whose card holds no block no longer keeps the others from being moved.

--- a/internal/routing/placer/capacity.go
+++ b/internal/routing/placer/capacity.go
@@ -1,6 +1,8 @@
 package placer
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -37,120 +39,148 @@
 // each round the fastest first. It is an upper bound for a choice of paths on the layout, as a request also waits for
 // the steps of others.
 func Capacity(e *Engine, holders []Holder) float64 {
-	f := newFiller(e, holders)
-	centres := map[string]bool{}
-	for _, h := range holders {
-		centres[h.DataCentre] = true
-	}
-	names := make([]string, 0, len(centres))
-	for name := range centres {
-		names = append(names, name)
+	if e.Layers <= 0 {
+		return 0
 	}
-	slices.Sort(names)
+	f := newFiller(e, holders)
 	rate := 0.0
-	for _, name := range names {
-		rate += f.fill(func(h Holder) bool { return h.DataCentre == name })
+	for centre := range f.centres {
+		rate += f.fill(centre)
 	}
-	return rate + f.fill(func(Holder) bool { return true })
+	return rate + f.fill(anyCentre)
 }
 
+// anyCentre stands for all data centres.
+const anyCentre = -1
+
 // filler fills the paths of a layout with requests.
 type filler struct {
-	engine  *Engine
-	holders []Holder
-	// free is the memory left at each holder, in tokens times layers.
-	free       []float64
+	holders    []fillHolder
 	boundaries []int
-	// requestTokens is the number of tokens of a usual request.
-	requestTokens float64
+	// covering holds, by boundary, the indices of the holders that run the layers from it.
+	covering [][]int
+	// centres is the number of data centres.
+	centres int
+	// requestTokens is the number of tokens of a usual request, and localHop and remoteHop the seconds that its hops take.
+	requestTokens       float64
+	localHop, remoteHop float64
+	nodes               []node
+}
+
+// fillHolder is a holder with what one request costs on it.
+type fillHolder struct {
+	centre int
+	held   Range
+	// free is the memory left, in tokens times layers.
+	free float64
+	// layerTime is the time in seconds that a usual request spends on one layer while the holder is full.
+	layerTime float64
 }
 
 // newFiller returns a filler of a layout that runs no request yet.
 func newFiller(e *Engine, holders []Holder) *filler {
-	f := &filler{engine: e, requestTokens: math.Max(1, float64(e.UsualPromptTokens+e.UsualAnswerTokens))}
-	boundaries := map[int]bool{0: true, e.Layers: true}
+	f := &filler{requestTokens: math.Max(1, float64(e.UsualPromptTokens+e.UsualAnswerTokens))}
+	f.localHop = float64(e.UsualAnswerTokens) * localHopTime.Seconds()
+	f.remoteHop = float64(e.UsualAnswerTokens) * remoteHopTime.Seconds()
+	boundaries := make([]bool, e.Layers+1)
+	boundaries[0], boundaries[e.Layers] = true, true
+	centres := map[string]bool{}
+	for _, h := range holders {
+		centres[h.DataCentre] = true
+	}
+	names := slices.Sorted(maps.Keys(centres))
+	f.centres = len(names)
 	for _, h := range holders {
 		if h.Held.Empty() || !e.HasLayers(h.Held) {
 			continue
 		}
-		f.holders = append(f.holders, h)
-		f.free = append(f.free, fullShare*float64(e.TokenCapacity(e.Cards[h.Card], h.Held.Len())*h.Held.Len()))
+		c := e.Cards[h.Card]
+		tokens := fullShare * float64(e.TokenCapacity(c, h.Held.Len()))
+		time := e.ReadTime(c, e.Layers, e.UsualPromptTokens) + time.Duration(e.UsualAnswerTokens)*e.StepTime(c, e.Layers, tokens/f.requestTokens)
+		centre, _ := slices.BinarySearch(names, h.DataCentre)
+		f.holders = append(f.holders, fillHolder{centre, h.Held, tokens * float64(h.Held.Len()), time.Seconds() / float64(e.Layers)})
 		boundaries[h.Held.From], boundaries[h.Held.To] = true, true
 	}
-	for boundary := range boundaries {
-		f.boundaries = append(f.boundaries, boundary)
+	// Of equally fast holders the first is filled first: the order of the endpoints must not change the result.
+	slices.SortFunc(f.holders, func(a, b fillHolder) int {
+		return cmp.Or(cmp.Compare(a.held.From, b.held.From), cmp.Compare(a.held.To, b.held.To), cmp.Compare(a.centre, b.centre),
+			cmp.Compare(a.layerTime, b.layerTime), cmp.Compare(a.free, b.free))
+	})
+	for l, isBoundary := range boundaries {
+		if isBoundary {
+			f.boundaries = append(f.boundaries, l)
+		}
+	}
+	f.nodes = make([]node, len(f.boundaries))
+	f.covering = make([][]int, len(f.boundaries))
+	for i, from := range f.boundaries {
+		for n, h := range f.holders {
+			if h.held.From <= from && from < h.held.To {
+				f.covering[i] = append(f.covering[i], n)
+			}
+		}
 	}
-	slices.Sort(f.boundaries)
 	return f
 }
 
-// node is the end of the fastest path found to a layer boundary. holder is the index of the path's last holder,
-// layers the number of layers that it runs there, and previous the boundary at which that begins.
+// node is the end of the fastest path found to a layer boundary. cost is in seconds, holder is the index of the path's
+// last holder, layers the number of layers that it runs there, and previous the boundary at which that begins.
 type node struct {
-	cost      time.Duration
+	cost      float64
 	holder    int
 	layers    int
 	previous  int
 	reachable bool
 }
 
-// fill fills the paths over the holders that match, the fastest first, and returns the requests a second that they
-// serve.
-func (f *filler) fill(match func(Holder) bool) float64 {
+// fill fills the paths over the holders of a data centre or of all, the fastest first, and returns the requests a second
+// that they serve.
+func (f *filler) fill(centre int) float64 {
 	rate := 0.0
-	for {
-		nodes := f.fastestPaths(match)
-		last := len(f.boundaries) - 1
-		if !nodes[last].reachable {
-			return rate
-		}
+	last := len(f.boundaries) - 1
+	for f.findPaths(centre) {
 		memory := math.Inf(1)
-		for i := last; i > 0; i = nodes[i].previous {
-			memory = math.Min(memory, f.free[nodes[i].holder]/float64(nodes[i].layers))
+		for i := last; i > 0; i = f.nodes[i].previous {
+			memory = math.Min(memory, f.holders[f.nodes[i].holder].free/float64(f.nodes[i].layers))
 		}
-		for i := last; i > 0; i = nodes[i].previous {
-			f.free[nodes[i].holder] -= memory * float64(nodes[i].layers)
+		for i := last; i > 0; i = f.nodes[i].previous {
+			f.holders[f.nodes[i].holder].free -= memory * float64(f.nodes[i].layers)
 		}
-		rate += memory / f.requestTokens / nodes[last].cost.Seconds()
+		rate += memory / f.requestTokens / f.nodes[last].cost
 	}
+	return rate
 }
 
-// fastestPaths returns the fastest paths to all boundaries over matching holders with memory left for a request.
-func (f *filler) fastestPaths(match func(Holder) bool) []node {
-	nodes := make([]node, len(f.boundaries))
-	nodes[0].reachable = true
-	for i := range f.boundaries[:len(f.boundaries)-1] {
-		if !nodes[i].reachable {
+// findPaths finds the fastest paths to all boundaries over the holders of a data centre with memory left for a request,
+// and reports whether one leads through all layers.
+func (f *filler) findPaths(centre int) bool {
+	last := len(f.boundaries) - 1
+	clear(f.nodes)
+	f.nodes[0].reachable = true
+	for i, from := range f.boundaries[:last] {
+		start := f.nodes[i]
+		if !start.reachable {
 			continue
 		}
-		for n, h := range f.holders {
-			if !match(h) || h.Held.From > f.boundaries[i] || h.Held.To <= f.boundaries[i] {
+		for _, n := range f.covering[i] {
+			h := &f.holders[n]
+			if centre != anyCentre && h.centre != centre {
 				continue
 			}
-			for j := i + 1; j < len(f.boundaries) && f.boundaries[j] <= h.Held.To; j++ {
-				layers := f.boundaries[j] - f.boundaries[i]
-				if f.free[n] < f.requestTokens*float64(layers) {
-					continue
+			cost := start.cost + f.localHop
+			if start.layers > 0 && f.holders[start.holder].centre != h.centre {
+				cost = start.cost + f.remoteHop
+			}
+			for j := i + 1; j <= last && f.boundaries[j] <= h.held.To; j++ {
+				layers := f.boundaries[j] - from
+				if h.free < f.requestTokens*float64(layers) {
+					break
 				}
-				cost := nodes[i].cost + f.requestTime(nodes[i], h, layers)
-				if !nodes[j].reachable || cost < nodes[j].cost {
-					nodes[j] = node{cost, n, layers, i, true}
+				if end := cost + h.layerTime*float64(layers); !f.nodes[j].reachable || end < f.nodes[j].cost {
+					f.nodes[j] = node{end, n, layers, i, true}
 				}
 			}
 		}
 	}
-	return nodes
-}
-
-// requestTime returns the time that a usual request spends on some layers of a holder that is full, with the hop to
-// it.
-func (f *filler) requestTime(previous node, h Holder, layers int) time.Duration {
-	e := f.engine
-	c := e.Cards[h.Card]
-	runningRequests := fullShare * float64(e.TokenCapacity(c, h.Held.Len())) / f.requestTokens
-	hop := localHopTime
-	if previous.layers > 0 && f.holders[previous.holder].DataCentre != h.DataCentre {
-		hop = remoteHopTime
-	}
-	return e.ReadTime(c, layers, e.UsualPromptTokens) + time.Duration(e.UsualAnswerTokens)*(e.StepTime(c, layers, runningRequests)+hop)
+	return f.nodes[last].reachable
 }
--- a/internal/serving/director/director.go
+++ b/internal/serving/director/director.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/heatherrock/heatherrock/internal/control/elector"
 	"github.com/heatherrock/heatherrock/internal/routing/placer"
@@ -77,10 +78,10 @@
 	settleTime = 1300 * time.Millisecond
 	// maxSettleTime bounds the wait for endpoints before the first placement.
 	maxSettleTime = 5 * time.Second
-	// rebalanceDelay is how long a layout has to stay unchanged before an endpoint that holds layers is moved, so that
-	// concurrent losses are handled together. minMoveInterval is the least time between two moves.
+	// rebalanceDelay is how long a layout has to stay unchanged before endpoints that hold layers are moved, so that
+	// concurrent losses are handled together. minPlanInterval is the least time between the beginnings of two plans.
 	rebalanceDelay  = 800 * time.Millisecond
-	minMoveInterval = 3 * time.Second
+	minPlanInterval = 3 * time.Second
 	// orderTimeout bounds an order, and a takeover of the duty.
 	orderTimeout = 1500 * time.Millisecond
 	// reportDelay is how long an endpoint takes to report a change, in addition to the load time.
@@ -106,6 +107,8 @@
 	// accept the order.
 	heldBefore placer.Range
 	refused    bool
+	// isMove is true if the endpoint held layers when the order was sent.
+	isMove bool
 }
 
 // isResolved reports whether an order is no longer pending according to the row of its endpoint: its effect is visible,
@@ -149,21 +152,34 @@
 	// written again next.
 	rowLost    bool
 	rowRetryAt time.Time
-	// lastLayout is the layout at the last check, unchanged since layoutChangedAt. moveConsidered is true once a move
-	// in it has been considered.
-	lastLayout      string
-	layoutChangedAt time.Time
-	moveConsidered  bool
-	lastMoveAt      time.Time
+	rebalancing
+	scope tally.Scope
+}
+
+// movesCounter is the name of the counter of moves.
+const movesCounter = "layout_moves"
+
+// Option changes a Director.
+type Option func(*Director)
+
+// WithScope sets the scope of the metrics.
+func WithScope(s tally.Scope) Option {
+	return func(d *Director) { d.scope = s }
 }
 
 // New returns a director of an instance for the model of a service.
-func New(self, service string, store syncer.Store, x *exchanger.Exchanger, o Orderer, log *slog.Logger, clock func() time.Time) *Director {
+func New(self, service string, store syncer.Store, x *exchanger.Exchanger, o Orderer, log *slog.Logger, clock func() time.Time, options ...Option) *Director {
 	d := &Director{
 		store: store, exchange: x, orderer: o, log: log, clock: clock, self: self, service: service, done: make(chan struct{}),
 		firstSeenAt: map[string]time.Time{}, pending: map[string]pendingOrder{}, orderCounts: map[string]orderCount{},
-		elector: elector.New(clock(), self),
+		elector: elector.New(clock(), self), scope: tally.NoopScope,
+	}
+	for _, o := range options {
+		o(d)
 	}
+	d.scope = d.scope.Tagged(map[string]string{"service": service})
+	// The counter is exported before the first move.
+	d.scope.Counter(movesCounter).Inc(0)
 	x.Subscribe(topicDuty, d.handleDuty)
 	return d
 }
--- a/internal/serving/director/placing.go
+++ b/internal/serving/director/placing.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -16,6 +15,7 @@
 func (d *Director) placeLayers() {
 	orders := d.dueOrders()
 	if len(orders) == 0 {
+		d.advanceSearch()
 		return
 	}
 	var wait sync.WaitGroup
@@ -58,13 +58,16 @@
 	now := d.clock()
 	m := d.model
 	holders, unknown := d.holders(now)
+	d.recordLayout(now, holders)
 	empty, held := 0, 0
 	newest, oldest := time.Time{}, now
 	for _, h := range holders {
-		if h.Held.Empty() {
-			empty++
-		} else {
+		switch {
+		case !h.Held.Empty():
 			held++
+		case d.grid.BlockCount() < 1 || d.grid.BlocksPerCard[h.Card] > 0:
+			// An endpoint whose card holds no block stays empty, and the others are moved all the same.
+			empty++
 		}
 		if t := d.firstSeenAt[h.ID]; t.After(newest) {
 			newest = t
@@ -83,14 +86,13 @@
 		return nil
 	}
 	d.divideLayers(holders, held > 0)
-	loading := 0
-	for id := range d.pending {
-		if now.Before(d.pending[id].expiresAt) {
-			loading++
-		}
-	}
+	loading := d.loadCount(now)
 	var out []Order
-	for _, a := range placer.Plan(m.Engine, d.grid, holders) {
+	plan := placer.Plan
+	if held == 0 {
+		plan = placer.PlanAnew
+	}
+	for _, a := range plan(m.Engine, d.grid, holders) {
 		if held > 0 && m.Engine.MaxParallelLoads > 0 && loading >= m.Engine.MaxParallelLoads {
 			break
 		}
@@ -100,6 +102,17 @@
 	return out
 }
 
+// loadCount returns the number of endpoints that carry out an order. The lock is held.
+func (d *Director) loadCount(now time.Time) int {
+	n := 0
+	for _, p := range d.pending {
+		if now.Before(p.expiresAt) {
+			n++
+		}
+	}
+	return n
+}
+
 // divideLayers divides the layers into blocks anew if no endpoint holds any, and otherwise recovers the division that
 // they were placed by. The lock is held.
 func (d *Director) divideLayers(holders []placer.Holder, held bool) {
@@ -117,39 +130,6 @@
 	d.log.Info("layers divided", "blocks", g.BlockCount(), "widths", g.BlocksPerCard, "recovered", ok)
 }
 
-// rebalance returns the order that moves an endpoint to layers that have become scarce, once the layout has been stable
-// for rebalanceDelay. The lock is held.
-func (d *Director) rebalance(now time.Time, holders []placer.Holder) []Order {
-	if len(holders) == 0 {
-		return nil
-	}
-	if layout := describeLayout(holders); layout != d.lastLayout {
-		d.lastLayout, d.layoutChangedAt, d.moveConsidered = layout, now, false
-	}
-	if d.moveConsidered || now.Sub(d.layoutChangedAt) < rebalanceDelay || now.Sub(d.lastMoveAt) < minMoveInterval {
-		return nil
-	}
-	d.moveConsidered = true
-	d.divideLayers(holders, true)
-	a, ok := placer.BestMove(d.model.Engine, d.grid, holders)
-	if !ok {
-		return nil
-	}
-	d.lastMoveAt = now
-	d.log.Info("endpoint moved to scarce layers", "endpoint", a.ID, "from", a.Range.From, "to", a.Range.To)
-	return []Order{d.newOrder(now, a)}
-}
-
-// describeLayout formats what the endpoints hold as a text to compare.
-func describeLayout(holders []placer.Holder) string {
-	list := make([]string, len(holders))
-	for i, h := range holders {
-		list[i] = fmt.Sprint(h.ID, h.Held)
-	}
-	slices.Sort(list)
-	return strings.Join(list, " ")
-}
-
 // newOrder returns the order for an assignment and marks it as pending. The lock is held.
 func (d *Director) newOrder(now time.Time, a placer.Assignment) Order {
 	i := slices.IndexFunc(d.model.Endpoints, func(e Endpoint) bool { return e.ID == a.ID })
@@ -168,7 +148,7 @@
 	if !e.Held.Empty() {
 		expiresAt = expiresAt.Add(drainTime)
 	}
-	d.pending[a.ID] = pendingOrder{ordered: a.Range, born: e.Born, expiresAt: expiresAt, heldBefore: e.Held}
+	d.pending[a.ID] = pendingOrder{ordered: a.Range, born: e.Born, expiresAt: expiresAt, heldBefore: e.Held, isMove: !e.Held.Empty()}
 	return Order{Endpoint: a.ID, Address: e.Address, Range: a.Range, Token: d.elector.Duty.Token, Sequence: sequence}
 }
 
@@ -232,7 +212,7 @@
 	d.setOrderCount(o.Endpoint, report.Sequence)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.moveConsidered = false
+	d.layoutConsidered = false
 	if !report.Busy && report.Held != o.Range && report.Sequence != o.Sequence {
 		// The next check decides anew, with the sequence number just read.
 		delete(d.pending, o.Endpoint)
@@ -240,5 +220,7 @@
 	}
 	p := d.pending[o.Endpoint]
 	p.ordered, p.refused = o.Range, report.Held != o.Range
+	// The first order of an endpoint fills it, and each later one moves it.
+	p.isMove = p.isMove || report.Sequence > 1
 	d.pending[o.Endpoint] = p
 }
--- a/internal/serving/gateway/updates.go
+++ b/internal/serving/gateway/updates.go
@@ -109,7 +109,7 @@
 	defer g.mu.Unlock()
 	d, ok := g.directors[service]
 	if !ok {
-		d = director.New(g.settings.ID, service, g.platform.Store, g.exchange, g.platform.Orderer, g.log, g.clock)
+		d = director.New(g.settings.ID, service, g.platform.Store, g.exchange, g.platform.Orderer, g.log, g.clock, director.WithScope(g.meter.Scope()))
 		g.directors[service] = d
 		if g.leaving.Load() {
 			d.MarkLeaving()
