Move no endpoint while memory is not scarce

Cause: losses led to moves whatever the demand was, although loads and orders have a price.

Change: the gateway records the share of memory reserved at the bottleneck and the requests that wait, once a second. The director begins no search while the share has been under a half for 30 s, nothing waits and each layer has two holders.

Measured: TestMovesOnlyInShortage; the tests of director and gateway pass with -race.

--- a/internal/routing/placer/safety.go
+++ b/internal/routing/placer/safety.go
@@ -1,7 +1,7 @@
 package placer
 
-// minServing is the number of holders of a layer that go on serving it while others load. Where a layer has fewer, one has to be left.
-const minServing = 2
+// MinServing is the number of holders of a layer that go on serving it while others load. Where a layer has fewer, one has to be left.
+const MinServing = 2
 
 // supply counts what serves each layer.
 type supply struct {
@@ -36,7 +36,7 @@
 
 // floor returns what a release of layers has to leave: no layer becomes scarcer than the scarcest one is now.
 func (s *supply) floor() floor {
-	f := floor{holders: minServing}
+	f := floor{holders: MinServing}
 	for l := range s.holders {
 		f.holders = min(f.holders, s.holders[l])
 		if l == 0 || s.tokens[l] < f.tokens {
@@ -78,7 +78,7 @@
 }
 
 // SafeMoves returns the first moves, at most a number of them, that can all begin now: while they run, no layer has less memory at
-// serving endpoints than the scarcest layer has now, nor fewer than minServing holders. An endpoint that loads has an empty range in
+// serving endpoints than the scarcest layer has now, nor fewer than MinServing holders. An endpoint that loads has an empty range in
 // serving.
 func SafeMoves(e *Engine, serving []Holder, moves []Assignment, limit int) []Assignment {
 	s := newSupply(e, serving)
--- a/internal/routing/placer/search_test.go
+++ b/internal/routing/placer/search_test.go
@@ -104,7 +104,7 @@
 			for _, m := range begun {
 				during = assign(during, []Assignment{{ID: m.ID}})
 			}
-			if tokens, n := ScarcestLayer(e, during).Tokens, MinHolders(e, during); tokens < scarcest || n < min(holders, minServing) {
+			if tokens, n := ScarcestLayer(e, during).Tokens, MinHolders(e, during); tokens < scarcest || n < min(holders, MinServing) {
 				t.Errorf("draw %d: during loads a layer has %d holders and %.0f tokens, before %d and %.0f", seed, n, tokens, holders, scarcest)
 			}
 			left, plan = assign(left, begun), plan.Without(begun)
--- a/internal/serving/director/rebalancing.go
+++ b/internal/serving/director/rebalancing.go
@@ -17,6 +17,10 @@
 	continuationTime = 3 * time.Second
 	// planHorizon is how long the gain of a plan is taken to last: it has to serve more requests within this time than its loads cost.
 	planHorizon = 30 * time.Second
+	// scarceShare is the share of the memory at the layer with the least free memory from which the layout counts as short of
+	// memory, and scarcityTime how long it counts so after its demand was last that high.
+	scarceShare  = 0.5
+	scarcityTime = 30 * time.Second
 	// searchBudget bounds the time of a search for moves at each check.
 	searchBudget = 10 * time.Millisecond
 )
@@ -37,6 +41,9 @@
 	lastPlanAt time.Time
 	// lastMoveAt is when a load of a move was last under way.
 	lastMoveAt time.Time
+	// scarceAt is when the layout was last short of memory. It counts as short before the demand is recorded for the first time.
+	scarceAt         time.Time
+	isDemandRecorded bool
 	// serving identifies what endpoints serve, and capacity is its capacity.
 	serving  uint64
 	capacity float64
@@ -113,6 +120,9 @@
 	if d.layoutConsidered || now.Sub(d.layoutChangedAt) < rebalanceDelay || now.Sub(d.lastPlanAt) < minPlanInterval {
 		return nil
 	}
+	if d.search == nil && !d.isScarce(now, holders) {
+		return nil
+	}
 	if d.search == nil {
 		d.divideLayers(holders, true)
 		d.search = placer.NewSearch(d.model.Engine, d.grid, holders)
@@ -132,6 +142,23 @@
 	return d.nextMoves(now, holders)
 }
 
+// RecordDemand records the share of the memory that requests have reserved at the layer with the least free memory, and the number of
+// requests that wait for some.
+func (d *Director) RecordDemand(now time.Time, share float64, waiting int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.isDemandRecorded = true
+	if share >= scarceShare || waiting > 0 {
+		d.scarceAt = now
+	}
+}
+
+// isScarce reports whether the layout calls for moves: requests take a large part of the memory, or the loss of one endpoint more may
+// leave a layer without a holder. The lock is held.
+func (d *Director) isScarce(now time.Time, holders []placer.Holder) bool {
+	return !d.isDemandRecorded || now.Sub(d.scarceAt) < scarcityTime || placer.MinHolders(d.model.Engine, holders) < placer.MinServing
+}
+
 // isWorthwhile reports whether a plan is to be carried out. The lock is held.
 func (d *Director) isWorthwhile(now time.Time, plan placer.MovePlan) bool {
 	isContinued := !d.lastMoveAt.IsZero() && now.Sub(d.lastMoveAt) < continuationTime
--- a/internal/serving/director/rebalancing_test.go
+++ b/internal/serving/director/rebalancing_test.go
@@ -175,6 +175,33 @@
 	}
 }
 
+// TestMovesOnlyInShortage guards against loads while nothing is scarce: after losses with little demand no endpoint is moved, and
+// endpoints are moved once the demand rises.
+func TestMovesOnlyInShortage(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		share   float64
+		waiting int
+		moves   bool
+	}{{0.3, 0, false}, {0.6, 0, true}, {0.3, 1, true}} {
+		s := newSimulation(t)
+		s.director.RecordDemand(s.now, 0.3, 0)
+		s.lose(11, 3)
+		if placer.MinHolders(s.engine, s.holders()) < placer.MinServing {
+			t.Fatal("the draw leaves a layer with one holder")
+		}
+		s.run(20 * time.Second)
+		if s.orders != 44 {
+			t.Errorf("%d orders with little demand", s.orders-44)
+		}
+		s.director.RecordDemand(s.now, c.share, c.waiting)
+		s.run(20 * time.Second)
+		if (s.orders > 44) != c.moves {
+			t.Errorf("share %.1f, %d waiting: %d orders, want some: %v", c.share, c.waiting, s.orders-44, c.moves)
+		}
+	}
+}
+
 // TestPlanAfterLosses removes a quarter of the endpoints. The plan is carried out with a layer never left without a holder, which run
 // checks, and in each of these cases: without more, with a successor that takes the duty after the first orders, with an endpoint that
 // crashes while it loads, and with orders that are carried out without an answer.
--- a/internal/serving/gateway/updates.go
+++ b/internal/serving/gateway/updates.go
@@ -162,9 +162,10 @@
 		scope := g.meter.Scope().Tagged(map[string]string{"service": service})
 		scope.Gauge("memory_reserved").Update(load)
 		scope.Gauge("waiting").Update(float64(waiting))
+		bottleneck := a.Bottleneck(now)
+		g.recordDemand(now, service, bottleneck, waiting)
 		if waiting > 0 && now.Sub(g.shortageLoggedAt) >= shortageLogInterval {
 			g.shortageLoggedAt = now
-			bottleneck := a.Bottleneck(now)
 			g.log.Info("requests wait for memory", "service", service, "waiting", waiting, "load", load, "layer", bottleneck.Layer,
 				"holders", bottleneck.Holders, "room", bottleneck.Memory, "used", bottleneck.Reserved)
 		}
@@ -195,6 +196,21 @@
 	g.meter.SetGauge("flight", float64(g.forwarder.InFlight()))
 }
 
+// recordDemand passes the demand for a model's memory on to its director.
+func (g *Gateway) recordDemand(now time.Time, service string, b reserver.Bottleneck, waiting int) {
+	g.mu.Lock()
+	d := g.directors[service]
+	g.mu.Unlock()
+	if d == nil {
+		return
+	}
+	share := 1.0
+	if b.Memory > 0 {
+		share = b.Reserved / b.Memory
+	}
+	d.RecordDemand(now, share, waiting)
+}
+
 // ownUsages returns, by service, what this instance has reserved, sent and found out about endpoints.
 func (g *Gateway) ownUsages() accountant.Usages {
 	out := accountant.Usages{}
