Keep the floor of a plan from its beginning

Cause: each move had to leave its layers with the memory that the scarcest layer has now. The first moves of a plan raise that, so a later move could be refused for good: with smaller blocks, the last move of draw 8 of TestMovesAreSafe.

Change: SafeMoves is a method of MovePlan, which keeps what the scarcest layer had before the plan.

Measured: with blocks of three layers TestMovesAreSafe failed in draw 8 before and passes now; tests of placer and director pass with -race.

--- a/internal/routing/placer/safety.go
+++ b/internal/routing/placer/safety.go
@@ -77,18 +77,19 @@
 	return out
 }
 
-// SafeMoves returns the first moves, at most a number of them, that can all begin now: while they run, no layer has less memory at
-// serving endpoints than the scarcest layer has now, nor fewer than MinServing holders. An endpoint that loads has an empty range in
-// serving.
-func SafeMoves(e *Engine, serving []Holder, moves []Assignment, limit int) []Assignment {
+// SafeMoves returns the first moves of the plan, at most a number of them, that can all begin now: while they run, no layer has less
+// memory at serving endpoints than the scarcest layer had before the plan, or has now if that is less, nor fewer than MinServing holders.
+// An endpoint that loads has an empty range in serving.
+func (p MovePlan) SafeMoves(e *Engine, serving []Holder, limit int) []Assignment {
 	s := newSupply(e, serving)
 	f := s.floor()
+	f.tokens, f.holders = min(f.tokens, p.floor.tokens), min(f.holders, p.floor.holders)
 	byID := make(map[string]Holder, len(serving))
 	for _, h := range serving {
 		byID[h.ID] = h
 	}
 	var out []Assignment
-	for _, m := range moves {
+	for _, m := range p.Moves {
 		h, ok := byID[m.ID]
 		if len(out) >= limit {
 			break
--- a/internal/routing/placer/search.go
+++ b/internal/routing/placer/search.go
@@ -32,6 +32,8 @@
 	// load serve nothing.
 	Duration     time.Duration
 	LostRequests float64
+	// floor is what each layer keeps while the moves are carried out.
+	floor floor
 }
 
 // usualDrainTime is how long a moved endpoint usually takes to finish its requests before it loads: half of the 8 s that one took under
@@ -66,9 +68,8 @@
 	layout   []Holder
 	original []Holder
 	balance  *balance
-	// supply is that of the layout, and floor that of the layout without any move.
+	// supply is that of the layout.
 	supply *supply
-	floor  floor
 	// moved holds the endpoints that the plan moves already, by index in the layout.
 	moved map[int]bool
 	moves []Assignment
@@ -89,7 +90,7 @@
 	s.best.After, s.highest = s.best.Before, s.best.Before
 	s.balance = newBalance(e, g, s.layout)
 	s.supply = newSupply(e, s.layout)
-	s.floor = s.supply.floor()
+	s.best.floor = s.supply.floor()
 	s.done = g.BlockCount() < 1
 	return s
 }
@@ -203,7 +204,7 @@
 			continue
 		}
 		seen[k] = true
-		if !s.supply.allows(s.floor, h) {
+		if !s.supply.allows(s.best.floor, h) {
 			continue
 		}
 		s.balance.add(h, -1)
--- a/internal/serving/director/rebalancing.go
+++ b/internal/serving/director/rebalancing.go
@@ -173,7 +173,7 @@
 	if e.MaxParallelLoads > 0 {
 		limit = min(limit, e.MaxParallelLoads-loading)
 	}
-	safe := placer.SafeMoves(e, d.servingHolders(holders), d.plan.Moves, limit)
+	safe := d.plan.SafeMoves(e, d.servingHolders(holders), limit)
 	if len(safe) == 0 && loading == 0 {
 		d.log.Warn("moves given up: none is safe", "service", d.service, "moves", len(d.plan.Moves))
 		d.plan = placer.MovePlan{}
