Limit by priority how much of the endpoints' memory requests may fill

Cause: Each instance orders only the requests that wait for memory at itself, and one with a longer target waits longer. In an overload the least urgent class of a fleet is served better than the most urgent one.

Change: routing/prioritizer derives from the requests of the last second of all instances, which travel with the accounts, how far below the limit of the most urgent priority those of the others lie. The forwarder's allocator applies the limits to requests that begin, treats a share of the less urgent ones as urgent, and lets a limited request wait no longer than an urgent one.

--- a/internal/routing/reserver/reserver.go
+++ b/internal/routing/reserver/reserver.go
@@ -67,6 +67,8 @@
 	IgnoreFirstEventTime bool
 	// FirstEndpoints holds the endpoints that may run the first stage; nil allows all.
 	FirstEndpoints map[string]bool
+	// MemoryShare is the share of each endpoint's memory that the request may fill; zero means MaxMemoryShare.
+	MemoryShare float64
 	// includeBackedOff is true if the path may use endpoints that have just refused or failed a request.
 	includeBackedOff bool
 }
@@ -90,9 +92,9 @@
 
 // The parameters of a path search.
 const (
-	// maxMemoryShare is the share of an endpoint's memory that may be reserved; answers are often longer than
+	// MaxMemoryShare is the share of an endpoint's memory that may be reserved; answers are often longer than
 	// expected.
-	maxMemoryShare = 0.92
+	MaxMemoryShare = 0.92
 	// blockTokens is the number of tokens in a memory block; endpoints allocate whole blocks.
 	blockTokens = 16
 	// maxNoise is the greatest relative noise on an endpoint's cost. It spreads the choices of instances, which do
@@ -308,7 +310,7 @@
 		if !r.isCandidate(now, req, e) {
 			continue
 		}
-		largest = max(largest, int(maxMemoryShare*float64(r.Engine.TokenCapacity(r.Engine.Cards[e.Card], e.Held.Len()))))
+		largest = max(largest, int(MaxMemoryShare*float64(r.Engine.TokenCapacity(r.Engine.Cards[e.Card], e.Held.Len()))))
 		for l := e.Held.From; l < min(e.Held.To, len(covered)); l++ {
 			covered[l] = true
 		}
--- a/internal/routing/reserver/reserver_test.go
+++ b/internal/routing/reserver/reserver_test.go
@@ -74,7 +74,7 @@
 		paths = append(paths, p)
 	}
 	for id := range r.Endpoints {
-		if used := r.UsedShare(id); used > maxMemoryShare {
+		if used := r.UsedShare(id); used > MaxMemoryShare {
 			t.Errorf("%s is filled to %.2f", id, used)
 		}
 	}
--- a/internal/routing/reserver/search.go
+++ b/internal/routing/reserver/search.go
@@ -31,8 +31,9 @@
 type candidate struct {
 	endpoint    Endpoint
 	noiseFactor float64
-	// free is the memory left that may be reserved, in tokens times layers.
-	free float64
+	// free is the memory left that may be reserved, and allowed what the request may take of it, in tokens times layers.
+	free    float64
+	allowed float64
 }
 
 // newSearch returns a search over the endpoints that are usable at now.
@@ -42,8 +43,13 @@
 		if !r.isCandidate(now, req, e) {
 			continue
 		}
-		freeMemory := maxMemoryShare*r.memory(e) - r.reservedByAll(e.ID)
-		s.candidates = append(s.candidates, candidate{e, 1 + maxNoise*(2*r.random.Float64()-1), freeMemory})
+		memory, reserved := r.memory(e), r.reservedByAll(e.ID)
+		c := candidate{endpoint: e, noiseFactor: 1 + maxNoise*(2*r.random.Float64()-1), free: MaxMemoryShare*memory - reserved}
+		c.allowed = c.free
+		if req.MemoryShare > 0 {
+			c.allowed = min(c.free, req.MemoryShare*memory-reserved)
+		}
+		s.candidates = append(s.candidates, c)
 	}
 	for i := range s.nodes {
 		s.nodes[i] = map[string]*node{}
@@ -111,7 +117,7 @@
 // there in its data centre.
 func (s *search) relax(j int, n *node, c candidate, r placer.Range) {
 	needed := float64(s.tokens * r.Len())
-	if needed > c.free {
+	if needed > c.allowed {
 		return
 	}
 	read, step := s.stageTimes(c.endpoint, r)
--- a/internal/routing/waiter/waiter.go
+++ b/internal/routing/waiter/waiter.go
@@ -55,6 +55,16 @@
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int { return len(q.Items) }
 
+// HasBefore reports whether a request waits that a new one of a priority would not go before.
+func (q *Queue) HasBefore(priority int) bool {
+	for _, i := range q.Items {
+		if i.Resumed || i.Priority <= priority {
+			return true
+		}
+	}
+	return false
+}
+
 // Push adds a request and returns how long it may wait. It returns 0 and adds nothing if the request may not wait.
 func (q *Queue) Push(now time.Time, i Item) time.Duration {
 	until := i.ReceivedAt.Add(time.Duration(targetFraction * float64(i.FirstEventTarget)))
--- a/internal/serving/accountant/accountant.go
+++ b/internal/serving/accountant/accountant.go
@@ -17,6 +17,7 @@
 	"github.com/heatherrock/heatherrock/internal/control/gossiper"
 	"github.com/heatherrock/heatherrock/internal/control/replicator"
 	"github.com/heatherrock/heatherrock/internal/routing/limiter"
+	"github.com/heatherrock/heatherrock/internal/routing/prioritizer"
 	"github.com/heatherrock/heatherrock/internal/routing/reserver"
 	"github.com/heatherrock/heatherrock/internal/serving/exchanger"
 )
@@ -33,6 +34,8 @@
 	Alive []string
 	// Failing holds the endpoints that instances do not use because of failures, with the number of these instances.
 	Failing map[string]int
+	// Demand holds the requests of the last second, by priority; an earlier release omits it.
+	Demand prioritizer.Sums
 }
 
 // Usages holds what is reserved, by service.
@@ -313,7 +316,8 @@
 // endpoints.
 func (u Usages) isIdle() bool {
 	for _, h := range u {
-		if len(h.Memory) > 0 || h.Sent.Requests > 0 || h.Sent.Repeats > 0 || len(h.Dead) > 0 || len(h.Alive) > 0 || len(h.Failing) > 0 {
+		if len(h.Memory) > 0 || h.Sent.Requests > 0 || h.Sent.Repeats > 0 || len(h.Dead) > 0 || len(h.Alive) > 0 || len(h.Failing) > 0 ||
+			len(h.Demand) > 0 {
 			return false
 		}
 	}
--- a/internal/serving/accountant/ledger.go
+++ b/internal/serving/accountant/ledger.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/routing/limiter"
+	"github.com/heatherrock/heatherrock/internal/routing/prioritizer"
 	"github.com/heatherrock/heatherrock/internal/routing/reserver"
 )
 
@@ -32,6 +33,8 @@
 	alive map[string]int
 	// failing holds the endpoints that instances do not use because of failures, with the number of these instances.
 	failing map[string]int
+	// demand holds the requests of the last second, by priority.
+	demand prioritizer.Sums
 }
 
 // newLedger returns a ledger without reports.
@@ -69,7 +72,9 @@
 	for service, h := range u {
 		s, ok := l.sums[service]
 		if !ok {
-			s = &serviceSum{memory: reserver.Usage{}, dead: map[string]int{}, alive: map[string]int{}, failing: map[string]int{}}
+			s = &serviceSum{
+				memory: reserver.Usage{}, dead: map[string]int{}, alive: map[string]int{}, failing: map[string]int{}, demand: prioritizer.Sums{},
+			}
 			l.sums[service] = s
 		}
 		for name, n := range h.Memory {
@@ -86,7 +91,8 @@
 		count(s.dead, h.Dead, int(sign))
 		count(s.alive, h.Alive, int(sign))
 		addCounts(s.failing, h.Failing, int(sign))
-		if len(s.memory) == 0 && s.sent.Instances == 0 && len(s.dead) == 0 && len(s.alive) == 0 && len(s.failing) == 0 {
+		s.demand.Add(h.Demand, sign)
+		if len(s.memory) == 0 && s.sent.Instances == 0 && len(s.dead) == 0 && len(s.alive) == 0 && len(s.failing) == 0 && len(s.demand) == 0 {
 			delete(l.sums, service)
 		}
 	}
@@ -142,6 +148,8 @@
 		h.Dead, h.Alive = namesWithout(s.dead, o.Dead), namesWithout(s.alive, o.Alive)
 		h.Failing = maps.Clone(s.failing)
 		addCounts(h.Failing, o.Failing, -1)
+		h.Demand = maps.Clone(s.demand)
+		h.Demand.Add(o.Demand, -1)
 		out[service] = h
 	}
 	return out
@@ -198,6 +206,10 @@
 			h.Failing = make(map[string]int, len(other.Failing))
 		}
 		addCounts(h.Failing, other.Failing, 1)
+		if h.Demand == nil {
+			h.Demand = make(prioritizer.Sums, len(other.Demand))
+		}
+		h.Demand.Add(other.Demand, 1)
 		u[service] = h
 	}
 }
--- a/internal/serving/accountant/ledger_test.go
+++ b/internal/serving/accountant/ledger_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/heatherrock/heatherrock/internal/routing/limiter"
+	"github.com/heatherrock/heatherrock/internal/routing/prioritizer"
 	"github.com/heatherrock/heatherrock/internal/routing/reserver"
 )
 
@@ -31,6 +32,10 @@
 		for _, name := range names[:rapid.IntRange(0, 2).Draw(t, "failing")] {
 			h.Failing = map[string]int{name: rapid.IntRange(1, 3).Draw(t, "instances")}
 		}
+		h.Demand = prioritizer.Sums{}
+		for priority := range rapid.IntRange(0, 2).Draw(t, "priorities") {
+			h.Demand[priority] = prioritizer.Counts{Arrived: float64(rapid.IntRange(0, 9).Draw(t, "arrived")), Levels: 3, Reporters: 1}
+		}
 		u[fmt.Sprint("s", n)] = h
 	}
 	return u
--- a/internal/serving/forwarder/allocator.go
+++ b/internal/serving/forwarder/allocator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -10,6 +11,7 @@
 	"github.com/heatherrock/heatherrock/internal/routing/ejector"
 	"github.com/heatherrock/heatherrock/internal/routing/monitor"
 	"github.com/heatherrock/heatherrock/internal/routing/placer"
+	"github.com/heatherrock/heatherrock/internal/routing/prioritizer"
 	"github.com/heatherrock/heatherrock/internal/routing/reserver"
 	"github.com/heatherrock/heatherrock/internal/routing/waiter"
 )
@@ -20,10 +22,18 @@
 	mu       sync.Mutex
 	reserver *reserver.Reserver
 	queue    *waiter.Queue
-	monitor  *monitor.Monitor
-	ejector  *ejector.Ejector
+	// prioritizer limits how much of the memory requests of each priority may fill, and log logs its changes.
+	prioritizer *prioritizer.Prioritizer
+	log         *slog.Logger
+	service     string
+	monitor     *monitor.Monitor
+	ejector     *ejector.Ejector
 	// pathChannels holds, by request id, the channel on which a queued request receives its path.
 	pathChannels map[string]chan reserver.Path
+	// counted holds the queued requests that the prioritizer counts, by request id.
+	counted map[string]countedRequest
+	// targets holds, by priority, the target for the first event of the latest request.
+	targets map[int]time.Duration
 	// onSilent holds, by request id, the function to call when its stream has gone silent.
 	onSilent map[string]func(monitor.Verdict)
 	// reportedUntil holds until when endpoints are excluded because of reports of other instances.
@@ -38,9 +48,13 @@
 	return &Allocator{
 		reserver:      reserver.New(centre, random),
 		queue:         waiter.New(),
+		prioritizer:   prioritizer.New(),
+		log:           slog.New(slog.DiscardHandler),
 		monitor:       monitor.New(),
 		ejector:       ejector.New(),
 		pathChannels:  map[string]chan reserver.Path{},
+		counted:       map[string]countedRequest{},
+		targets:       map[int]time.Duration{},
 		onSilent:      map[string]func(monitor.Verdict){},
 		reportedUntil: map[string]time.Time{},
 		clock:         time.Now,
@@ -139,23 +153,28 @@
 // Acquire returns a path for a request. It waits until the request's time in the queue is over or the context ends.
 func (a *Allocator) Acquire(ctx context.Context, now time.Time, item waiter.Item) (reserver.Path, reserver.Refusal) {
 	a.mu.Lock()
+	counted := a.countArrival(now, &item)
 	path, refusal := reserver.Path{}, reserver.Full
-	if item.Resumed || a.queue.Len() == 0 {
-		path, refusal = a.reserver.Reserve(now, item.Request)
+	if item.Resumed || !a.queue.HasBefore(item.Priority) {
+		path, refusal = a.reserver.Reserve(now, a.limited(item))
 	}
 	if refusal == reserver.Granted || refusal == reserver.TooLarge {
+		counted.end(now, refusal)
 		a.mu.Unlock()
 		return path, refusal
 	}
+	counted.delay(now, refusal)
 	wait := a.queue.Push(now, item)
 	if held, _ := a.reserver.HeldFor(now, item.Request); wait > 0 && held > wait {
 		a.queue.Remove(item.ID)
 		wait, refusal = 0, reserver.Held
 	}
 	if wait <= 0 {
+		counted.end(now, refusal)
 		a.mu.Unlock()
 		return reserver.Path{}, refusal
 	}
+	a.counted[item.ID] = counted
 	pathChannel := make(chan reserver.Path, 1)
 	a.pathChannels[item.ID] = pathChannel
 	a.mu.Unlock()
@@ -177,6 +196,10 @@
 	}
 	a.queue.Remove(item.ID)
 	delete(a.pathChannels, item.ID)
+	delete(a.counted, item.ID)
+	if ctx.Err() == nil {
+		counted.end(now.Add(wait), refusal)
+	}
 	return reserver.Path{}, refusal
 }
 
@@ -207,7 +230,7 @@
 		if failed >= maxFailedGrants {
 			return
 		}
-		p, refusal := a.reserver.Reserve(now, item.Request)
+		p, refusal := a.reserver.Reserve(now, a.limited(item))
 		if refusal == reserver.Uncovered {
 			return
 		}
@@ -216,6 +239,8 @@
 			continue
 		}
 		a.queue.Remove(item.ID)
+		a.counted[item.ID].end(now, refusal)
+		delete(a.counted, item.ID)
 		a.pathChannels[item.ID] <- p
 		delete(a.pathChannels, item.ID)
 	}
@@ -260,7 +285,8 @@
 // after a restart.
 const suspectCooldown = 4 * time.Second
 
-// TryAcquire returns a path for a request if one is free now; it does not queue the request.
+// TryAcquire returns a path for a request that has one already if another one is free now; it does not queue the request. The
+// priority's limit does not apply.
 func (a *Allocator) TryAcquire(now time.Time, request reserver.PathRequest) (reserver.Path, reserver.Refusal) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -282,6 +308,7 @@
 			a.reserver.Suspect(now, now.Add(suspectCooldown), id)
 		}
 	}
+	a.updateLimits(now)
 	a.grantWaiting(now)
 	a.mu.Unlock()
 	for _, e := range toProbe {
--- a/internal/serving/forwarder/forwarder.go
+++ b/internal/serving/forwarder/forwarder.go
@@ -164,7 +164,7 @@
 	a, ok := f.allocators[service]
 	if !ok {
 		a = NewAllocator(f.dataCentre, rand.New(rand.NewPCG(f.random.Uint64(), f.random.Uint64())))
-		a.clock = f.clock
+		a.clock, a.log, a.service = f.clock, f.log, service
 		if f.prober != nil {
 			a.probe = f.answersProbe
 		}
--- a/internal/serving/gateway/updates.go
+++ b/internal/serving/gateway/updates.go
@@ -1,10 +1,14 @@
 package gateway
 
 import (
+	"strconv"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/heatherrock/heatherrock/internal/control/replicator"
 	"github.com/heatherrock/heatherrock/internal/routing/limiter"
+	"github.com/heatherrock/heatherrock/internal/routing/prioritizer"
 	"github.com/heatherrock/heatherrock/internal/routing/reserver"
 	"github.com/heatherrock/heatherrock/internal/serving/accountant"
 	"github.com/heatherrock/heatherrock/internal/serving/director"
@@ -162,6 +166,7 @@
 		scope := g.meter.Scope().Tagged(map[string]string{"service": service})
 		scope.Gauge("memory_reserved").Update(load)
 		scope.Gauge("waiting").Update(float64(waiting))
+		updateAdmissionGauges(scope, a.Admission(now))
 		if waiting > 0 && now.Sub(g.shortageLoggedAt) >= shortageLogInterval {
 			g.shortageLoggedAt = now
 			bottleneck := a.Bottleneck(now)
@@ -195,6 +200,17 @@
 	g.meter.SetGauge("flight", float64(g.forwarder.InFlight()))
 }
 
+// updateAdmissionGauges sets the gauges of the priorities of one service.
+func updateAdmissionGauges(scope tally.Scope, statuses map[int]prioritizer.Status) {
+	for priority, status := range statuses {
+		s := scope.Tagged(map[string]string{"priority": strconv.Itoa(priority)})
+		s.Gauge("admission_level").Update(float64(status.Level))
+		s.Gauge("admission_limit").Update(status.Limit)
+		s.Gauge("admission_granted").Update(status.Granted)
+		s.Gauge("admission_refused").Update(status.Refused)
+	}
+}
+
 // ownUsages returns, by service, what this instance has reserved, sent and found out about endpoints.
 func (g *Gateway) ownUsages() accountant.Usages {
 	out := accountant.Usages{}
@@ -204,6 +220,7 @@
 	for service, a := range g.forwarder.Allocators() {
 		h := out[service]
 		h.Memory, h.Dead, h.Alive = a.Usage(), a.UnresponsiveEndpoints(g.clock()), a.RefutedEndpoints(g.clock())
+		h.Demand = a.Demand(g.clock())
 		for _, id := range a.FailingEndpoints(g.clock()) {
 			if h.Failing == nil {
 				h.Failing = map[string]int{}
@@ -230,6 +247,7 @@
 	g.meter.SetGauge("instances_counted", maxInstances+1)
 	for service, a := range g.forwarder.Allocators() {
 		// The sum of all other instances is recorded as that of one peer.
+		a.MergeDemand(now, others[service].Demand)
 		a.SetPeerUsage(now, "fleet", others[service].Memory)
 		a.RecordReports(now, others[service].Dead, others[service].Alive)
 		a.RecordFailingReports(now, others[service].Failing)
