Hold back the least urgent requests first

Cause: All gaps between the limits widened at once, which took memory from the second class that the third would have given.

Change: A gap widens only once those of the less urgent priorities are wide. The rate at which a priority is granted requests corrects the share that is treated as urgent.

--- a/internal/routing/prioritizer/prioritizer.go
+++ b/internal/routing/prioritizer/prioritizer.go
@@ -47,14 +47,17 @@
 	levelStep = 0.05
 	// fairShare is the least rate at which a priority is served, as a share of the rate at which all requests are.
 	fairShare = 0.25
-	// fairMargin multiplies the share of the requests that are treated as urgent, as the share served varies by chance.
+	// fairMargin multiplies the share of the requests that are treated as urgent. Without it, the share served falls below
+	// fairShare by chance where a priority gets nothing else.
 	fairMargin = 1.1
 	// rankMargin is added to that share for each less urgent priority, so that of two priorities that get little else, the more
 	// urgent one gets more.
 	rankMargin = 0.25
+	// maxCorrection bounds the factor by which the rate at which a priority is served corrects that share.
+	maxCorrection = 2.0
 	// minPromoted and maxPromoted bound the share.
 	minPromoted = 0.05
-	maxPromoted = 0.3
+	maxPromoted = 0.4
 )
 
 // Counts counts the requests of one priority within the last second.
@@ -80,6 +83,14 @@
 	c.Reporters += factor * o.Reporters
 }
 
+// grantRate returns the share of the requests that got a path.
+func (c Counts) grantRate() float64 {
+	if c.Arrived <= 0 {
+		return 0
+	}
+	return c.Granted / c.Arrived
+}
+
 // Sums holds counts by priority.
 type Sums map[int]Counts
 
@@ -110,13 +121,13 @@
 	updatedAt time.Time
 	// present holds the priorities present, the most urgent first.
 	present []int
-	// promoted is the share of the less urgent requests that are treated as urgent.
-	promoted float64
+	// promoted holds, by priority, the share of the requests that are treated as urgent.
+	promoted map[int]float64
 }
 
 // New returns a prioritizer whose limits are open.
 func New() *Prioritizer {
-	return &Prioritizer{Gaps: map[int]float64{}, Levels: map[int]int{}, SeenAt: map[int]time.Time{}}
+	return &Prioritizer{Gaps: map[int]float64{}, Levels: map[int]int{}, SeenAt: map[int]time.Time{}, promoted: map[int]float64{}}
 }
 
 // RecordArrival counts a request that asks for a path.
@@ -170,12 +181,14 @@
 		clear(p.Gaps)
 		return !maps.Equal(old, p.Levels)
 	}
-	p.promoted = promotedShare(sums, p.present[0])
 	pressure := 0.0
 	for i, priority := range p.present {
 		if i > 0 {
-			gap := p.nextGap(p.Gaps[priority], pressure, free, elapsed.Seconds(), p.others[priority])
+			// The least urgent are held back first: what is taken from them suffices for the others in most cases.
+			canWiden := i == len(p.present)-1 || p.Gaps[p.present[i+1]] >= maxGap-levelStep
+			gap := p.nextGap(p.Gaps[priority], pressure, canWiden, free, elapsed.Seconds(), p.others[priority])
 			p.Gaps[priority] = gap
+			p.promoted[priority] = promotedShare(sums, p.present[0], priority, len(p.present)-1-i)
 			p.Levels[priority] = nextLevel(old[priority], gap)
 		}
 		// The added request keeps a single one from counting as pressure in full.
@@ -207,6 +220,7 @@
 		if now.Sub(at) > presenceTime {
 			delete(p.SeenAt, priority)
 			delete(p.Gaps, priority)
+			delete(p.promoted, priority)
 			continue
 		}
 		p.present = append(p.present, priority)
@@ -215,9 +229,9 @@
 }
 
 // nextGap returns a gap after a time in seconds, by the share of the more urgent requests that had to wait.
-func (p *Prioritizer) nextGap(gap, pressure, free, seconds float64, others Counts) float64 {
+func (p *Prioritizer) nextGap(gap, pressure float64, canWiden bool, free, seconds float64, others Counts) float64 {
 	switch {
-	case pressure > highPressure:
+	case pressure > highPressure && canWiden:
 		gap += widenRate * pressure * min(seconds, maxUpdateTime.Seconds())
 	case pressure < lowPressure:
 		gap -= (narrowRate + idleRate*max(0, free-usualFree)) * seconds
@@ -237,19 +251,24 @@
 	return int(math.Round(gap / levelStep))
 }
 
-// promotedShare returns the share of the less urgent requests to treat as urgent, so that they are served at least at a
-// quarter of the rate of all.
-func promotedShare(sums Sums, mostUrgent int) float64 {
+// promotedShare returns the share of the requests of a priority, which is followed by a number of less urgent ones, to treat as
+// urgent, so that it is served at least at a quarter of the rate of all. The rate at which it is served corrects the share: its
+// requests may be larger than the urgent ones, or get memory within their limit.
+func promotedShare(sums Sums, mostUrgent, priority, lessUrgent int) float64 {
 	var all Counts
 	for _, c := range sums {
 		all.Add(c, 1)
 	}
-	urgent := sums[mostUrgent]
-	if all.Arrived == 0 || urgent.Arrived == 0 || urgent.Granted == 0 {
+	urgentRate := sums[mostUrgent].grantRate()
+	if urgentRate == 0 {
 		return maxPromoted
 	}
-	share := fairMargin * fairShare * (all.Granted / all.Arrived) / (urgent.Granted / urgent.Arrived)
-	return min(maxPromoted, max(minPromoted, share))
+	target := fairMargin * fairShare * (1 + rankMargin*float64(lessUrgent)) * all.grantRate()
+	correction := maxCorrection
+	if rate := sums[priority].grantRate(); rate > 0 {
+		correction = min(maxCorrection, max(1/maxCorrection, target/rate))
+	}
+	return min(maxPromoted, max(minPromoted, target/urgentRate*correction))
 }
 
 // Classify returns the priority by which a request is served: its own one, or the most urgent one present for a share of the
@@ -258,13 +277,7 @@
 	if p.Limit(priority) == reserver.MaxMemoryShare {
 		return priority
 	}
-	lessUrgent := 0
-	for _, other := range p.present {
-		if other > priority {
-			lessUrgent++
-		}
-	}
-	if share := p.promoted * (1 + rankMargin*float64(lessUrgent)); float64(xxhash.Sum64String(id)) < share*math.MaxUint64 {
+	if float64(xxhash.Sum64String(id)) < p.promoted[priority]*math.MaxUint64 {
 		return p.present[0]
 	}
 	return priority
@@ -281,6 +294,16 @@
 	return reserver.MaxMemoryShare - levelStep*float64(steps)
 }
 
+// IsLimiting reports whether the limit of any priority is lower than that of the most urgent one.
+func (p *Prioritizer) IsLimiting() bool {
+	for _, level := range p.Levels {
+		if level > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Status is the state of one priority at one instance.
 type Status struct {
 	// Level is the gap between the limit and that of the next more urgent priority, in steps, and Limit the share of an
