Spread the retries of requests refused in a shortage

Cause: Those refused in a burst of 3 to 4 s were asked to come back after 1.5 to 3 s, mostly within the same burst.

Change: While any limit by priority is in force, the delay is 3 to 6 s, and less near a request's deadline, as callers wait for at most a third of the time they have left.

--- a/internal/serving/forwarder/admission.go
+++ b/internal/serving/forwarder/admission.go
@@ -111,6 +111,13 @@
 	return out
 }
 
+// IsLimiting reports whether the requests of some priority may fill less of the memory than others.
+func (a *Allocator) IsLimiting() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.prioritizer.IsLimiting()
+}
+
 // Demand returns the requests of the last second by priority, as this instance reports them to the others.
 func (a *Allocator) Demand(now time.Time) prioritizer.Sums {
 	a.mu.Lock()
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -25,6 +25,11 @@
 	unreachedCooldown = 2 * time.Second
 	// streamRetryAfter is the least retry delay stated if no endpoint has run a stream, mostly for want of memory.
 	streamRetryAfter = 1500 * time.Millisecond
+	// limitedRetryAfter is stated in its place while the memory is limited by priority: with jitter, retries spread over the 3 to 6 s
+	// after a burst of 3 to 4 s. Callers wait for at most a third of the time they have left, so it is less near a deadline.
+	limitedRetryAfter = 3 * time.Second
+	// retryTimeShare is the share of a request's time left that the delay takes at most, before the jitter of up to twice as long.
+	retryTimeShare = 1.0 / 6
 	// budgetCheckInterval is the time between two checks of the retry budget: about the 120 ms between two reports of
 	// what the other instances have sent.
 	budgetCheckInterval = 125 * time.Millisecond
@@ -125,8 +130,13 @@
 
 // retryDelay returns the least retry delay stated if there is no path for the stream.
 func (s *streamCall) retryDelay() time.Duration {
-	held, _ := s.allocator.HeldFor(s.forwarder.clock(), s.queueItem().Request)
-	return max(streamRetryAfter, held)
+	now := s.forwarder.clock()
+	held, _ := s.allocator.HeldFor(now, s.queueItem().Request)
+	delay := streamRetryAfter
+	if s.allocator.IsLimiting() {
+		delay = max(delay, min(limitedRetryAfter, time.Duration(retryTimeShare*float64(s.timeLeft(now)))))
+	}
+	return max(delay, held)
 }
 
 // acquire waits for a path.
