--- a/internal/routing/reserver/fleet_test.go
+++ b/internal/routing/reserver/fleet_test.go
@@ -201,7 +201,10 @@
 			left = append(left, q)
 			continue
 		}
-		q.instance, q.request.KeepsReserve = f.random.IntN(len(f.instances)), f.keepsReserve
+		q.instance = f.random.IntN(len(f.instances))
+		if f.keepsReserve {
+			q.request.MemoryShare = LateMemoryShare
+		}
 		f.waiting = append(f.waiting, q)
 	}
 	f.returning = left
--- a/internal/routing/reserver/reserver.go
+++ b/internal/routing/reserver/reserver.go
@@ -67,10 +67,10 @@
 	IgnoreFirstEventTime bool
 	// FirstEndpoints holds the endpoints that may run the first stage; nil allows all.
 	FirstEndpoints map[string]bool
-	// KeepsReserve is true if the path must leave the last memory of each endpoint to other requests.
-	KeepsReserve bool
 	// InProgress is true for an answer in progress, which may use memory that is shared out to other instances.
 	InProgress bool
+	// MemoryShare is the share of each endpoint's memory that the request may fill; zero means MaxMemoryShare.
+	MemoryShare float64
 	// includeBackedOff is true if the path may use endpoints that have just refused or failed a request.
 	includeBackedOff bool
 }
@@ -94,11 +94,11 @@
 
 // The parameters of a path search.
 const (
-	// maxMemoryShare is the share of an endpoint's memory that may be reserved; answers are often longer than
+	// MaxMemoryShare is the share of an endpoint's memory that may be reserved; answers are often longer than
 	// expected.
-	maxMemoryShare = 0.92
-	// reserveShare is the share of an endpoint's memory that is kept for requests that can be answered in time.
-	reserveShare = 0.25
+	MaxMemoryShare = 0.92
+	// LateMemoryShare is the share that requests may fill whose answer is late in any case.
+	LateMemoryShare = MaxMemoryShare - 0.25
 	// blockTokens is the number of tokens in a memory block; endpoints allocate whole blocks.
 	blockTokens = 16
 	// maxNoise is the greatest relative noise on an endpoint's cost. It spreads the choices of instances, which do
@@ -326,7 +326,7 @@
 		if !r.isCandidate(now, req, e) {
 			continue
 		}
-		largest = max(largest, int(maxMemoryShare*float64(r.Engine.TokenCapacity(r.Engine.Cards[e.Card], e.Held.Len()))))
+		largest = max(largest, int(MaxMemoryShare*float64(r.Engine.TokenCapacity(r.Engine.Cards[e.Card], e.Held.Len()))))
 		for l := e.Held.From; l < min(e.Held.To, len(covered)); l++ {
 			covered[l] = true
 		}
--- a/internal/routing/reserver/sharing.go
+++ b/internal/routing/reserver/sharing.go
@@ -96,7 +96,7 @@
 // acceptedRate returns the tokens a second for which an endpoint has room: those that end, and its free memory over time.
 func (r *Reserver) acceptedRate(e Endpoint) float64 {
 	reserved := r.reservedByAll(e.ID)
-	free := maxMemoryShare*r.memory(e) - reserved
+	free := MaxMemoryShare*r.memory(e) - reserved
 	return math.Max(0, reserved/r.requestTime.Seconds()+free/fillTime.Seconds()) / float64(max(1, e.Held.Len()))
 }
 
