--- a/internal/routing/limiter/window.go
+++ b/internal/routing/limiter/window.go
@@ -9,25 +9,12 @@
 type Tally struct {
 	Requests float64
 	Repeats  float64
-	// Recent is the number of requests in the last complete slices of the window.
-	Recent float64
 	// Age is the time for which they have been counted, in seconds.
 	Age float64
 	// Instances is the number of instances that have counted.
 	Instances float64
 }
 
-// recentSlices is the number of the last complete slices whose requests count as recent.
-const recentSlices = 4
-
-// RecentRate returns the requests a second in the recent part of a window of a length.
-func (t Tally) RecentRate(span time.Duration) float64 {
-	if span <= 0 {
-		return 0
-	}
-	return t.Recent / (span.Seconds() * recentSlices / windowSlices)
-}
-
 // windowSlices is the number of slices of a window. One more slice is kept for retries, so that a retry counts for
 // the whole span wherever in its slice it was sent.
 const (
@@ -104,9 +91,6 @@
 		}
 		tally.Repeats += slice.Repeats
 	}
-	for i := max(0, w.currentSlice-recentSlices); i < w.currentSlice; i++ {
-		tally.Recent += w.slices[i%keptSlices].Requests
-	}
 	return tally
 }
 
--- a/internal/routing/prioritizer/prioritizer.go
+++ b/internal/routing/prioritizer/prioritizer.go
@@ -106,6 +106,15 @@
 	}
 }
 
+// ArrivalRate returns the requests a second of all priorities. Those that come back after a refusal are not counted.
+func (s Sums) ArrivalRate() float64 {
+	rate := 0.0
+	for _, c := range s {
+		rate += c.Arrived
+	}
+	return rate / windowLength.Seconds()
+}
+
 // Prioritizer holds the gaps of one model at one instance. It is not safe for concurrent use.
 type Prioritizer struct {
 	// Gaps holds, by priority, the gap between its limit and that of the next more urgent priority, in shares of the memory.
--- a/internal/routing/prioritizer/window.go
+++ b/internal/routing/prioritizer/window.go
@@ -4,8 +4,9 @@
 
 // The slices of a window of a second.
 const (
+	windowLength  = time.Second
 	windowSlices  = 10
-	sliceDuration = time.Second / windowSlices
+	sliceDuration = windowLength / windowSlices
 )
 
 // window counts requests by priority over the last second.
--- a/internal/routing/reserver/reserver.go
+++ b/internal/routing/reserver/reserver.go
@@ -94,9 +94,9 @@
 
 // The parameters of a path search.
 const (
-	// MaxMemoryShare is the share of an endpoint's memory that may be reserved; answers are often longer than
-	// expected.
-	MaxMemoryShare = 0.92
+	// MaxMemoryShare is the share of an endpoint's memory that may be reserved. It is over 1, as a request uses all that is reserved
+	// for it only at its end: with a usual prompt and answer, 0.84 of it on average.
+	MaxMemoryShare = 1.15
 	// LateMemoryShare is the share that requests may fill whose answer is late in any case.
 	LateMemoryShare = MaxMemoryShare - 0.25
 	// blockTokens is the number of tokens in a memory block; endpoints allocate whole blocks.
@@ -326,7 +326,7 @@
 		if !r.isCandidate(now, req, e) {
 			continue
 		}
-		largest = max(largest, int(MaxMemoryShare*float64(r.Engine.TokenCapacity(r.Engine.Cards[e.Card], e.Held.Len()))))
+		largest = max(largest, r.Engine.TokenCapacity(r.Engine.Cards[e.Card], e.Held.Len()))
 		for l := e.Held.From; l < min(e.Held.To, len(covered)); l++ {
 			covered[l] = true
 		}
--- a/internal/routing/reserver/search.go
+++ b/internal/routing/reserver/search.go
@@ -44,7 +44,7 @@
 			continue
 		}
 		memory, reserved := r.memory(e), r.reservedByAll(e.ID)
-		c := candidate{endpoint: e, noiseFactor: 1 + maxNoise*(2*r.random.Float64()-1), free: MaxMemoryShare*memory - reserved}
+		c := candidate{endpoint: e, noiseFactor: 1 + maxNoise*(2*r.random.Float64()-1), free: min(memory, MaxMemoryShare*memory-reserved)}
 		c.allowed = c.free
 		if req.MemoryShare > 0 {
 			c.allowed = min(c.free, req.MemoryShare*memory-reserved)
--- a/internal/serving/accountant/ledger.go
+++ b/internal/serving/accountant/ledger.go
@@ -84,7 +84,6 @@
 		}
 		s.sent.Requests += sign * h.Sent.Requests
 		s.sent.Repeats += sign * h.Sent.Repeats
-		s.sent.Recent += sign * h.Sent.Recent
 		s.sent.Instances += sign * h.Sent.Instances
 		if sign > 0 {
 			s.sent.Age = max(s.sent.Age, h.Sent.Age)
@@ -145,7 +144,6 @@
 		}
 		h.Sent.Requests -= o.Sent.Requests
 		h.Sent.Repeats -= o.Sent.Repeats
-		h.Sent.Recent -= o.Sent.Recent
 		h.Sent.Instances -= o.Sent.Instances
 		h.Dead, h.Alive = namesWithout(s.dead, o.Dead), namesWithout(s.alive, o.Alive)
 		h.Failing = maps.Clone(s.failing)
@@ -219,7 +217,6 @@
 		}
 		h.Sent.Requests += other.Sent.Requests
 		h.Sent.Repeats += other.Sent.Repeats
-		h.Sent.Recent += other.Sent.Recent
 		h.Sent.Age = max(h.Sent.Age, other.Sent.Age)
 		h.Sent.Instances += other.Sent.Instances
 		h.Dead, h.Alive = union(h.Dead, other.Dead), union(h.Alive, other.Alive)
--- a/internal/serving/forwarder/admission.go
+++ b/internal/serving/forwarder/admission.go
@@ -133,5 +133,6 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.prioritizer.MergeCounts(now, others)
+	a.reserver.SetPeerRate(others.ArrivalRate())
 	a.updateLimits(now)
 }
--- a/internal/serving/forwarder/allocator.go
+++ b/internal/serving/forwarder/allocator.go
@@ -89,13 +89,6 @@
 	a.grantWaiting(now)
 }
 
-// SetPeerRate sets the number of requests a second that the other instances receive.
-func (a *Allocator) SetPeerRate(rate float64) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.reserver.SetPeerRate(rate)
-}
-
 // RemovePeer drops the reservations of another instance.
 func (a *Allocator) RemovePeer(now time.Time, peer string) {
 	a.mu.Lock()
--- a/internal/serving/gateway/updates.go
+++ b/internal/serving/gateway/updates.go
@@ -264,7 +264,6 @@
 	}
 	g.meter.SetGauge("instances_counted", maxInstances+1)
 	for service, a := range g.forwarder.Allocators() {
-		a.SetPeerRate(others[service].Sent.RecentRate(g.settings.RetryWindow))
 		// The sum of all other instances is recorded as that of one peer.
 		a.MergeDemand(now, others[service].Demand)
 		a.SetPeerUsage(now, "fleet", others[service].Memory)
