Do not count a request that waits for a limited endpoint as one that lacks memory

Cause: A request that arrives while others wait counted as delayed for want of memory, also while they wait for endpoints at their stated limits. The limits by priority could fall although memory was free.

Change: Such a request counts as delayed only if a path may begin at some endpoint now.

Measured: go test -race of forwarder's admission tests, three times: passed.

--- a/internal/serving/forwarder/admission.go
+++ b/internal/serving/forwarder/admission.go
@@ -20,8 +20,8 @@
 }
 
 // delay counts that there is no memory for the request at once.
-func (c countedRequest) delay(now time.Time, r reserver.Refusal) {
-	if c.prioritizer != nil && r == reserver.Full {
+func (c countedRequest) delay(now time.Time) {
+	if c.prioritizer != nil {
 		c.prioritizer.RecordDelay(now, c.priority)
 	}
 }
--- a/internal/serving/forwarder/allocator.go
+++ b/internal/serving/forwarder/allocator.go
@@ -163,9 +163,12 @@
 		a.mu.Unlock()
 		return path, refusal
 	}
-	counted.delay(now, refusal)
 	wait := a.queue.Push(now, item)
-	if held, _ := a.reserver.HeldFor(now, item.Request); wait > 0 && held > wait {
+	held, isHeld := a.reserver.HeldFor(now, item.Request)
+	if refusal == reserver.Full && !isHeld {
+		counted.delay(now)
+	}
+	if wait > 0 && held > wait {
 		a.queue.Remove(item.ID)
 		wait, refusal = 0, reserver.Held
 	}
