Divide the layers into smaller blocks where that fills the cards better

Cause: a block was as large as the smallest card holds, so an l4 of the first fleet left 8 of its 21.6 GB unused.

Change: placer.Division also tries grids of smaller blocks, up to 40, in steps that the director runs outside its lock within 50 ms of a check, and then improves the assignment by searches; it takes the place of NewGrid and PlanAnew.

Tests of placer, director, gateway pass with -race, TestMetricsAreDocumented and others of ./platform too.

--- a/internal/routing/placer/search.go
+++ b/internal/routing/placer/search.go
@@ -144,29 +144,6 @@
 	}
 }
 
-// maxSearches bounds the searches of PlanAnew.
-const maxSearches = 5
-
-// PlanAnew returns what the endpoints are to hold while none of them holds anything: Plan, with the moves that raise its capacity, so
-// that none of them is left to be made once the layers are loaded.
-func PlanAnew(e *Engine, g Grid, holders []Holder) []Assignment {
-	out := Plan(e, g, holders)
-	for range maxSearches {
-		s := NewSearch(e, g, assign(holders, out))
-		for !s.Done() {
-			s.Step()
-		}
-		for _, m := range s.Plan().Moves {
-			i := slices.IndexFunc(out, func(a Assignment) bool { return a.ID == m.ID })
-			out[i] = m
-		}
-		if len(s.Plan().Moves) == 0 {
-			break
-		}
-	}
-	return out
-}
-
 // priceMoves sets the duration of the best plan and what is lost during it.
 func (s *Search) priceMoves() {
 	longest, sum := time.Duration(0), time.Duration(0)
--- a/internal/serving/director/placing.go
+++ b/internal/serving/director/placing.go
@@ -14,8 +14,10 @@
 // placeLayers sends the orders that are due.
 func (d *Director) placeLayers() {
 	orders := d.dueOrders()
+	if len(orders) == 0 && d.advance() {
+		orders = d.dueOrders()
+	}
 	if len(orders) == 0 {
-		d.advanceSearch()
 		return
 	}
 	var wait sync.WaitGroup
@@ -85,14 +87,13 @@
 	if held == 0 && now.Sub(newest) < settleTime && now.Sub(oldest) < maxSettleTime {
 		return nil
 	}
-	d.divideLayers(holders, held > 0)
+	assignments, ok := d.assignEmpty(holders, held > 0)
+	if !ok {
+		return nil
+	}
 	loading := d.loadCount(now)
 	var out []Order
-	plan := placer.Plan
-	if held == 0 {
-		plan = placer.PlanAnew
-	}
-	for _, a := range plan(m.Engine, d.grid, holders) {
+	for _, a := range assignments {
 		if held > 0 && m.Engine.MaxParallelLoads > 0 && loading >= m.Engine.MaxParallelLoads {
 			break
 		}
@@ -102,6 +103,21 @@
 	return out
 }
 
+// assignEmpty returns what the empty endpoints are to hold, and false if that is not computed yet. The lock is held.
+func (d *Director) assignEmpty(holders []placer.Holder, held bool) ([]placer.Assignment, bool) {
+	if held {
+		if !d.divideLayers(holders) {
+			return nil, false
+		}
+		return placer.Plan(d.model.Engine, d.grid, holders), true
+	}
+	division, ok := d.divide(holders)
+	if !ok {
+		return nil, false
+	}
+	return division.Assignments(), true
+}
+
 // loadCount returns the number of endpoints that carry out an order. The lock is held.
 func (d *Director) loadCount(now time.Time) int {
 	n := 0
@@ -113,21 +129,38 @@
 	return n
 }
 
-// divideLayers divides the layers into blocks anew if no endpoint holds any, and otherwise recovers the division that
-// they were placed by. The lock is held.
-func (d *Director) divideLayers(holders []placer.Holder, held bool) {
-	if held && d.grid.BlockCount() > 0 {
-		return
+// divideLayers ensures that the division is known by which the layers were placed, or a new one if it cannot be recovered from what
+// endpoints hold. It returns false if that is not computed yet. The lock is held.
+func (d *Director) divideLayers(holders []placer.Holder) bool {
+	if d.grid.BlockCount() > 0 {
+		return true
 	}
-	g, ok := placer.Grid{}, false
-	if held {
-		g, ok = placer.RecoverGrid(d.model.Engine, holders)
+	if g, ok := placer.RecoverGrid(d.model.Engine, holders); ok {
+		d.setGrid(g, true)
+		return true
 	}
-	if !ok {
-		g = placer.NewGrid(d.model.Engine, holders)
+	_, ok := d.divide(holders)
+	return ok
+}
+
+// divide divides the layers anew. It returns false while that is being computed, by advance. The lock is held.
+func (d *Director) divide(holders []placer.Holder) (*placer.Division, bool) {
+	if key := layoutKey(holders); d.division == nil || key != d.divisionOf {
+		d.division, d.divisionOf = placer.NewDivision(d.model.Engine, holders), key
+	}
+	if !d.division.Done() {
+		return nil, false
 	}
+	division := d.division
+	d.division = nil
+	d.setGrid(division.Grid(), false)
+	return division, true
+}
+
+// setGrid sets the division of the layers. The lock is held.
+func (d *Director) setGrid(g placer.Grid, recovered bool) {
 	d.grid = g
-	d.log.Info("layers divided", "blocks", g.BlockCount(), "widths", g.BlocksPerCard, "recovered", ok)
+	d.log.Info("layers divided", "blocks", g.BlockCount(), "widths", g.BlocksPerCard, "recovered", recovered)
 }
 
 // newOrder returns the order for an assignment and marks it as pending. The lock is held.
--- a/internal/serving/director/rebalancing.go
+++ b/internal/serving/director/rebalancing.go
@@ -21,8 +21,10 @@
 	// memory, and scarcityTime how long it counts so after its demand was last that high.
 	scarceShare  = 0.5
 	scarcityTime = 30 * time.Second
-	// searchBudget bounds the time of a search for moves at each check.
-	searchBudget = 10 * time.Millisecond
+	// searchBudget bounds the time of a search for moves at each check, and divisionBudget that of a division of the layers, without
+	// which a model serves nothing.
+	searchBudget   = 10 * time.Millisecond
+	divisionBudget = 50 * time.Millisecond
 )
 
 // rebalancing is the state of moving endpoints that hold layers. All of it is derived from the layout: the next holder of the duty
@@ -33,8 +35,11 @@
 	layout           uint64
 	layoutChangedAt  time.Time
 	layoutConsidered bool
-	// search looks for moves in the layout. It is advanced by the loop without the lock.
-	search *placer.Search
+	// search looks for moves in the layout, and division divides the layers among the holders with the key divisionOf. The loop
+	// advances them without the lock.
+	search     *placer.Search
+	division   *placer.Division
+	divisionOf uint64
 	// plan holds the moves that are still to be ordered. planBegun is true until the loads of the plan have ended.
 	plan       placer.MovePlan
 	planBegun  bool
@@ -123,8 +128,10 @@
 	if d.search == nil && !d.isScarce(now, holders) {
 		return nil
 	}
+	if !d.divideLayers(holders) {
+		return nil
+	}
 	if d.search == nil {
-		d.divideLayers(holders, true)
 		d.search = placer.NewSearch(d.model.Engine, d.grid, holders)
 	}
 	if !d.search.Done() {
@@ -192,15 +199,24 @@
 	return out
 }
 
-// advanceSearch continues the search for moves, if there is one, within searchBudget.
-func (d *Director) advanceSearch() {
+// advance continues the division of the layers or the search for moves, if there is one, within its budget of time. It
+// returns true if that ended.
+func (d *Director) advance() bool {
 	d.mu.Lock()
-	s := d.search
+	division, search := d.division, d.search
 	d.mu.Unlock()
-	if s == nil {
-		return
-	}
-	for start := d.clock(); !s.Done() && d.clock().Sub(start) < searchBudget; {
-		s.Step()
+	start := d.clock()
+	switch {
+	case division != nil:
+		for !division.Done() && d.clock().Sub(start) < divisionBudget {
+			division.Step()
+		}
+		return division.Done()
+	case search != nil:
+		for !search.Done() && d.clock().Sub(start) < searchBudget {
+			search.Step()
+		}
+		return search.Done()
 	}
+	return false
 }
