Search for what empty endpoints hold, and past uneven moves

Cause: a plan whose endpoint receives no orders was planned again with the same endpoint every 3 s. The search left out moves after which memory is less even, and so stopped early. The gauges of the layout stayed on an instance that had lost the duty.

Change: an endpoint that has not answered an order is not moved for 30 s. Empty endpoints are filled by a division with the grid that there is, by Plan alone if that is not computed within 1 s; it begins while the first endpoints settle. The search considers all moves. The gauges are set to zero without the duty.

--- a/internal/routing/placer/division.go
+++ b/internal/routing/placer/division.go
@@ -9,8 +9,8 @@
 // maxSearches bounds the searches of a Division.
 const maxSearches = 5
 
-// Division chooses the grid of endpoints that hold nothing, and what each is to hold. It is done in steps, so that its work
-// can be spread.
+// Division chooses what empty endpoints are to hold, and, as long as none holds anything, the grid by which they do. It is done in
+// steps, so that its work can be spread.
 type Division struct {
 	engine  *Engine
 	holders []Holder
@@ -27,20 +27,18 @@
 
 // NewDivision returns a division among the holders, whatever they hold.
 func NewDivision(e *Engine, holders []Holder) *Division {
-	d := NewAssignment(e, Grid{}, holders)
-	d.grids = e.grids(holders)
-	return d
-}
-
-// NewAssignment returns a division by a grid that is given.
-func NewAssignment(e *Engine, g Grid, holders []Holder) *Division {
-	d := &Division{engine: e, grid: g, holders: slices.Clone(holders)}
+	d := &Division{engine: e, holders: slices.Clone(holders), grids: e.grids(holders)}
 	for i := range d.holders {
 		d.holders[i].Held = Range{}
 	}
 	return d
 }
 
+// NewFilling returns a division by a grid among those of the holders that are empty. The others keep what they hold.
+func NewFilling(e *Engine, g Grid, holders []Holder) *Division {
+	return &Division{engine: e, grid: g, holders: slices.Clone(holders)}
+}
+
 // Done reports whether the division is complete.
 func (d *Division) Done() bool { return d.done }
 
@@ -52,7 +50,7 @@
 
 // Step tries one grid, or one move of what Plan assigns by the best one. It weighs memory against speed: the more memory is left beside
 // the layers, the more requests run at once; the more layers on the fast cards, the sooner each is done. Smaller blocks
-// fill each card better, but are only chosen for a clear gain. After the last step a Search in the layout finds no move.
+// fill each card better, but are only chosen for a clear gain.
 func (d *Division) Step() {
 	switch {
 	case d.done:
@@ -64,7 +62,7 @@
 		}
 	case d.search == nil:
 		d.assignments = Plan(d.engine, d.grid, d.holders)
-		d.search = NewSearch(d.engine, d.grid, assign(d.holders, d.assignments))
+		d.search = d.newSearch()
 	case !d.search.Done():
 		d.search.Step()
 	default:
@@ -74,7 +72,18 @@
 			d.assignments[i] = m
 		}
 		d.searches++
-		d.search = NewSearch(d.engine, d.grid, assign(d.holders, d.assignments))
+		d.search = d.newSearch()
 		d.done = len(moves) == 0 || d.searches >= maxSearches
 	}
 }
+
+// newSearch returns a search for other ranges for the empty endpoints.
+func (d *Division) newSearch() *Search {
+	holders := assign(d.holders, d.assignments)
+	for i := range holders {
+		holders[i].Fixed = !d.holders[i].Held.Empty()
+	}
+	s := NewSearch(d.engine, d.grid, holders)
+	s.isFree = true
+	return s
+}
--- a/internal/routing/placer/placer.go
+++ b/internal/routing/placer/placer.go
@@ -14,6 +14,8 @@
 	Card       string
 	// Held is the range that the endpoint holds or is loading.
 	Held Range
+	// Fixed is true if the endpoint is not to be moved.
+	Fixed bool
 }
 
 // Assignment is the range that an endpoint is to hold.
--- a/internal/routing/placer/search.go
+++ b/internal/routing/placer/search.go
@@ -77,7 +77,9 @@
 	best      MovePlan
 	highest   float64
 	fruitless int
-	done      bool
+	// isFree is true if the endpoints that may be moved are still empty, so that moves cost nothing.
+	isFree bool
+	done   bool
 }
 
 // NewSearch returns a search for moves of the holders to ranges of a grid.
@@ -138,7 +140,11 @@
 	s.moved[chosen.index] = true
 	s.moves = append(s.moves, Assignment{h.ID, h.Held})
 	s.fruitless++
-	if value := capacity - minMoveShare*s.best.Before*float64(len(s.moves)); value > s.highest {
+	price := minMoveShare * s.best.Before * float64(len(s.moves))
+	if s.isFree {
+		price = 0
+	}
+	if value := capacity - price; value > s.highest*(1+1e-9) {
 		s.highest, s.fruitless = value, 0
 		s.best.Moves, s.best.After = slices.Clone(s.moves), capacity
 	}
@@ -173,15 +179,14 @@
 	}
 	seen := map[kind]bool{}
 	var out []candidate
-	current := s.balance.imbalance()
 	for i, h := range s.layout {
 		width := min(s.grid.BlocksPerCard[h.Card], s.grid.BlockCount())
 		k := kind{h.Card, h.DataCentre, h.Held}
-		if width == 0 || h.Held.Empty() || s.moved[i] || seen[k] {
+		if width == 0 || h.Held.Empty() || h.Fixed || s.moved[i] || seen[k] {
 			continue
 		}
 		seen[k] = true
-		if !s.supply.allows(s.best.floor, h) {
+		if !s.isFree && !s.supply.allows(s.best.floor, h) {
 			continue
 		}
 		s.balance.add(h, -1)
@@ -193,9 +198,7 @@
 			moved := h
 			moved.Held = target
 			s.balance.add(moved, 1)
-			if imbalance := s.balance.imbalance(); imbalance < current {
-				out = append(out, candidate{i, target, imbalance})
-			}
+			out = append(out, candidate{i, target, s.balance.imbalance()})
 			s.balance.add(moved, -1)
 		}
 		s.balance.add(h, 1)
--- a/internal/serving/director/placing.go
+++ b/internal/serving/director/placing.go
@@ -79,41 +79,58 @@
 		}
 	}
 	if empty == 0 {
+		d.fillSince = time.Time{}
 		if unknown > 0 {
 			return nil
 		}
 		return d.rebalance(now, holders)
 	}
 	if held == 0 && now.Sub(newest) < settleTime && now.Sub(oldest) < maxSettleTime {
+		// The division begins meanwhile; it begins again with each further endpoint.
+		d.beginDivision(holders, func() *placer.Division { return placer.NewDivision(m.Engine, holders) })
 		return nil
 	}
-	assignments, ok := d.assignEmpty(holders, held > 0)
+	limit := len(holders)
+	if held > 0 && m.Engine.MaxParallelLoads > 0 {
+		limit = m.Engine.MaxParallelLoads - d.loadCount(now)
+	}
+	if limit <= 0 {
+		d.fillSince = time.Time{}
+		return nil
+	}
+	if d.fillSince.IsZero() {
+		d.fillSince = now
+	}
+	assignments, ok := d.assignEmpty(now, holders, held > 0)
 	if !ok {
 		return nil
 	}
-	loading := d.loadCount(now)
+	d.fillSince = time.Time{}
 	var out []Order
-	for _, a := range assignments {
-		if held > 0 && m.Engine.MaxParallelLoads > 0 && loading >= m.Engine.MaxParallelLoads {
-			break
-		}
-		loading++
+	for _, a := range assignments[:min(limit, len(assignments))] {
 		out = append(out, d.newOrder(now, a))
 	}
 	return out
 }
 
 // assignEmpty returns what the empty endpoints are to hold, and false if that is not computed yet. The lock is held.
-func (d *Director) assignEmpty(holders []placer.Holder, held bool) ([]placer.Assignment, bool) {
-	if held {
-		if !d.divideLayers(holders) {
-			return nil, false
+func (d *Director) assignEmpty(now time.Time, holders []placer.Holder, held bool) ([]placer.Assignment, bool) {
+	if held && !d.divideLayers(holders) {
+		return nil, false
+	}
+	division, ok := d.divide(holders, func() *placer.Division {
+		if held {
+			return placer.NewFilling(d.model.Engine, d.grid, holders)
 		}
+		return placer.NewDivision(d.model.Engine, holders)
+	})
+	switch {
+	case !ok && held && now.Sub(d.fillSince) >= maxFillDelay:
 		return placer.Plan(d.model.Engine, d.grid, holders), true
-	}
-	division, ok := d.divide(holders)
-	if !ok {
+	case !ok:
 		return nil, false
+	case !held:
+		d.setGrid(division.Grid(), false)
 	}
 	return division.Assignments(), true
 }
@@ -139,21 +156,28 @@
 		d.setGrid(g, true)
 		return true
 	}
-	_, ok := d.divide(holders)
+	division, ok := d.divide(holders, func() *placer.Division { return placer.NewDivision(d.model.Engine, holders) })
+	if ok {
+		d.setGrid(division.Grid(), false)
+	}
 	return ok
 }
 
-// divide divides the layers anew. It returns false while that is being computed, by advance. The lock is held.
-func (d *Director) divide(holders []placer.Holder) (*placer.Division, bool) {
+// beginDivision begins a division among the holders, which advance computes, unless that has begun already. The lock is held.
+func (d *Director) beginDivision(holders []placer.Holder, begin func() *placer.Division) {
 	if key := layoutKey(holders); d.division == nil || key != d.divisionOf {
-		d.division, d.divisionOf = placer.NewDivision(d.model.Engine, holders), key
+		d.division, d.divisionOf = begin(), key
 	}
+}
+
+// divide returns a division among the holders, and false while it is being computed. The lock is held.
+func (d *Director) divide(holders []placer.Holder, begin func() *placer.Division) (*placer.Division, bool) {
+	d.beginDivision(holders, begin)
 	if !d.division.Done() {
 		return nil, false
 	}
 	division := d.division
 	d.division = nil
-	d.setGrid(division.Grid(), false)
 	return division, true
 }
 
@@ -228,6 +252,7 @@
 func (d *Director) shortenPending(id string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.unansweredAt[id] = d.clock()
 	if p, ok := d.pending[id]; ok {
 		p.expiresAt = d.clock().Add(unansweredDelay)
 		d.pending[id] = p
--- a/internal/serving/director/rebalancing.go
+++ b/internal/serving/director/rebalancing.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/routing/placer"
@@ -17,6 +18,11 @@
 	continuationTime = 3 * time.Second
 	// planHorizon is how long the gain of a plan is taken to last: it has to serve more requests within this time than its loads cost.
 	planHorizon = 30 * time.Second
+	// maxFillDelay is how long empty endpoints wait for the computation of what they hold best, if others hold layers: it begins
+	// again with each change of the layout.
+	maxFillDelay = time.Second
+	// unansweredMoveDelay is how long an endpoint that has not answered an order is not moved: each plan may choose it again.
+	unansweredMoveDelay = 30 * time.Second
 	// scarceShare is the share of the memory at the layer with the least free memory from which the layout counts as short of
 	// memory, and scarcityTime how long it counts so after its demand was last that high.
 	scarceShare  = 0.5
@@ -40,6 +46,8 @@
 	search     *placer.Search
 	division   *placer.Division
 	divisionOf uint64
+	// fillSince is since when empty endpoints could be ordered to load; zero if there is none, or as many load as may.
+	fillSince time.Time
 	// plan holds the moves that are still to be ordered. planBegun is true until the loads of the plan have ended.
 	plan       placer.MovePlan
 	planBegun  bool
@@ -49,6 +57,8 @@
 	// scarceAt is when the layout was last short of memory. It counts as short before the demand is recorded for the first time.
 	scarceAt         time.Time
 	isDemandRecorded bool
+	// unansweredAt is when an endpoint did not answer an order last, by id.
+	unansweredAt map[string]time.Time
 	// serving identifies what endpoints serve, and capacity is its capacity.
 	serving  uint64
 	capacity float64
@@ -103,6 +113,19 @@
 	}
 }
 
+// resetMetrics sets the metrics of the layout to zero: another instance has the duty.
+func (d *Director) resetMetrics() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.serving == 0 {
+		return
+	}
+	d.serving = 0
+	for _, name := range []string{"layout_capacity", "layout_memory", "layout_holders"} {
+		d.scope.Gauge(name).Update(0)
+	}
+}
+
 // recordCapacity sets the metrics of what the endpoints serve. The lock is held.
 func (d *Director) recordCapacity(serving []placer.Holder) {
 	e := d.model.Engine
@@ -132,7 +155,7 @@
 		return nil
 	}
 	if d.search == nil {
-		d.search = placer.NewSearch(d.model.Engine, d.grid, holders)
+		d.search = placer.NewSearch(d.model.Engine, d.grid, d.movableHolders(now, holders))
 	}
 	if !d.search.Done() {
 		return nil
@@ -149,6 +172,16 @@
 	return d.nextMoves(now, holders)
 }
 
+// movableHolders returns the holders, of which those that have not answered an order lately are not to be moved. The lock is held.
+func (d *Director) movableHolders(now time.Time, holders []placer.Holder) []placer.Holder {
+	out := slices.Clone(holders)
+	for i, h := range out {
+		at, ok := d.unansweredAt[h.ID]
+		out[i].Fixed = ok && now.Sub(at) < unansweredMoveDelay
+	}
+	return out
+}
+
 // RecordDemand records the share of the memory that requests have reserved at the layer with the least free memory, and the number of
 // requests that wait for some.
 func (d *Director) RecordDemand(now time.Time, share float64, waiting int) {
