Weigh the balance of memory within data centres as much as that over all

Cause: with a weight of 0.15 plans left some paths to cross data centres without need.

Change: the weight is 1.

Tests of placer and director pass with -race.

--- a/internal/routing/placer/search.go
+++ b/internal/routing/placer/search.go
@@ -260,7 +260,7 @@
 
 // localWeight is the weight of the balance within data centres beside that over all of them: paths through several data
 // centres are slower.
-const localWeight = 0.15
+const localWeight = 1
 
 // imbalance returns how unevenly the memory is distributed; 1 + localWeight means evenly. Layers that are short of memory count far
 // more than those that have more than others, as the layer with the least memory limits all requests.
