Search for moves while the layout settles

Change: the search begins with each change of the layout, and runs for 20 ms of a check; its plan still waits for 0.8 s without a change.

Not measured on a fraction of a core.

--- a/internal/serving/director/rebalancing.go
+++ b/internal/serving/director/rebalancing.go
@@ -29,7 +29,7 @@
 	scarcityTime = 30 * time.Second
 	// searchBudget bounds the time of a search for moves at each check, and divisionBudget that of a division of the layers, without
 	// which a model serves nothing.
-	searchBudget   = 10 * time.Millisecond
+	searchBudget   = 20 * time.Millisecond
 	divisionBudget = 50 * time.Millisecond
 )
 
@@ -137,7 +137,7 @@
 }
 
 // rebalance returns the orders that move endpoints to layers that have become scarce, once the layout has been stable
-// for rebalanceDelay. The lock is held.
+// for rebalanceDelay. The search begins before that, and again with each change. The lock is held.
 func (d *Director) rebalance(now time.Time, holders []placer.Holder) []Order {
 	if len(holders) == 0 {
 		return nil
@@ -145,19 +145,13 @@
 	if len(d.plan.Moves) > 0 {
 		return d.nextMoves(now, holders)
 	}
-	if d.layoutConsidered || now.Sub(d.layoutChangedAt) < rebalanceDelay || now.Sub(d.lastPlanAt) < minPlanInterval {
-		return nil
-	}
-	if d.search == nil && !d.isScarce(now, holders) {
-		return nil
-	}
-	if !d.divideLayers(holders) {
+	if d.layoutConsidered || now.Sub(d.lastPlanAt) < minPlanInterval || d.search == nil && !d.isScarce(now, holders) || !d.divideLayers(holders) {
 		return nil
 	}
 	if d.search == nil {
 		d.search = placer.NewSearch(d.model.Engine, d.grid, d.movableHolders(now, holders))
 	}
-	if !d.search.Done() {
+	if !d.search.Done() || now.Sub(d.layoutChangedAt) < rebalanceDelay {
 		return nil
 	}
 	d.layoutConsidered = true
