Search on while layers have no holder

Cause: a search ends after three moves without a gain. When many layers have no holder, the capacity stays zero until the last of them has one, so the search ended with no plan at all.

Change: moves in a layout without capacity do not count as fruitless; 16 moves still bound them.

Measured: TestSearchCoversEmptyLayers, new, fails without the change and passes with it. The table of TestSearchRestoresCapacity is the same. Tests of placer and director pass with -race.

--- a/internal/routing/placer/search.go
+++ b/internal/routing/placer/search.go
@@ -73,7 +73,8 @@
 	// moved holds the endpoints that the plan moves already, by index in the layout.
 	moved map[int]bool
 	moves []Assignment
-	// best is the plan with the highest value so far, highest that value, and fruitless the number of moves since.
+	// best is the plan with the highest value so far, highest that value, and fruitless the number of moves since, but for those in a
+	// layout that still has layers without a holder.
 	best      MovePlan
 	highest   float64
 	fruitless int
@@ -139,7 +140,9 @@
 	s.supply.add(*h, 1)
 	s.moved[chosen.index] = true
 	s.moves = append(s.moves, Assignment{h.ID, h.Held})
-	s.fruitless++
+	if capacity > 0 {
+		s.fruitless++
+	}
 	price := minMoveShare * s.best.Before * float64(len(s.moves))
 	if s.isFree {
 		price = 0
--- a/internal/routing/placer/search_test.go
+++ b/internal/routing/placer/search_test.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -150,6 +151,16 @@
 	}
 }
 
+// TestSearchCoversEmptyLayers guards against a search that ends before the last of many layers without a holder has one again.
+func TestSearchCoversEmptyLayers(t *testing.T) {
+	e, holders := scarceFleet()
+	g, placed := divide(e, holders)
+	left := slices.DeleteFunc(placed, func(h Holder) bool { return h.Held.From < 30 || h.Card == "a100" })
+	if plan, _ := search(e, g, left); plan.Before > 0 || plan.After <= 0 || !plan.Pays(30*time.Second) {
+		t.Errorf("%d of 93 endpoints are left: %+v", len(left), plan)
+	}
+}
+
 // TestLastHolderIsNotMoved guards against a move that takes the last serving holder of a layer.
 func TestLastHolderIsNotMoved(t *testing.T) {
 	e, _ := scarceFleet()
