--- a/internal/routing/placer/fleets_test.go
+++ b/internal/routing/placer/fleets_test.go
@@ -8,7 +8,8 @@
 	"time"
 )
 
-// scarceFleet returns the engine and the 93 endpoints of a fleet in three data centres whose smallest card holds a fourteenth of the layers.
+// scarceFleet returns the engine and the 93 endpoints of a fleet in three data centres whose smallest card holds a fourteenth of
+// the layers.
 func scarceFleet() (*Engine, []Holder) {
 	e := &Engine{
 		Layers: 80, LayerMB: 1750, TokenMB: 0.492, MaxTokens: 100000, BaseStepTime: 1020 * time.Microsecond,
