--- a/internal/serving/forwarder/allocator.go
+++ b/internal/serving/forwarder/allocator.go
@@ -35,6 +35,8 @@
 	counted map[string]countedRequest
 	// targets holds, by priority, the target for the first event of the latest request.
 	targets map[int]time.Duration
+	// grantedAt is the time of the last pass over the queue.
+	grantedAt time.Time
 	// onSilent holds, by request id, the function to call when its stream has gone silent.
 	onSilent map[string]func(monitor.Verdict)
 	// reportedUntil holds until when endpoints are excluded because of reports of other instances.
@@ -263,8 +265,12 @@
 // endpoints.
 const maxFailedGrants = 8
 
+// grantInterval is the time between two passes over the queue in which nothing has changed but the time, which ends suspicions.
+const grantInterval = 100 * time.Millisecond
+
 // grantWaiting reserves paths for the queued requests, in their order. The lock is held.
 func (a *Allocator) grantWaiting(now time.Time) {
+	a.grantedAt = now
 	failed := 0
 	for _, item := range a.queue.Order(now) {
 		if failed >= maxFailedGrants {
@@ -349,7 +355,9 @@
 		}
 	}
 	a.updateLimits(now)
-	a.grantWaiting(now)
+	if now.Sub(a.grantedAt) >= grantInterval {
+		a.grantWaiting(now)
+	}
 	a.mu.Unlock()
 	for _, e := range toProbe {
 		go a.runProbe(e)
