--- a/internal/routing/placer/capacity.go
+++ b/internal/routing/placer/capacity.go
@@ -57,7 +57,7 @@
 type filler struct {
 	holders    []fillHolder
 	boundaries []int
-	// covering holds, by boundary, the indices of the holders that run the layers from it and have memory left, as far as they match.
+	// covering holds, by boundary, the indices of the holders that run the layers from it.
 	covering [][]int
 	// centres is the number of data centres.
 	centres int
@@ -104,9 +104,8 @@
 	// Of equally fast holders the first is filled first: the order of the endpoints must not change the result.
 	slices.SortFunc(f.holders, func(a, b fillHolder) int {
 		return cmp.Or(cmp.Compare(a.held.From, b.held.From), cmp.Compare(a.held.To, b.held.To), cmp.Compare(a.centre, b.centre),
-			cmp.Compare(a.layerTime, b.layerTime))
+			cmp.Compare(a.layerTime, b.layerTime), cmp.Compare(a.free, b.free))
 	})
-	f.holders = mergeEqual(f.holders)
 	for l, isBoundary := range boundaries {
 		if isBoundary {
 			f.boundaries = append(f.boundaries, l)
@@ -114,20 +113,14 @@
 	}
 	f.nodes = make([]node, len(f.boundaries))
 	f.covering = make([][]int, len(f.boundaries))
-	return f
-}
-
-// mergeEqual merges sorted holders of equal speed in one place into one with the memory of all of them.
-func mergeEqual(sorted []fillHolder) []fillHolder {
-	out := sorted[:0]
-	for _, h := range sorted {
-		if n := len(out); n > 0 && out[n-1].centre == h.centre && out[n-1].held == h.held && out[n-1].layerTime == h.layerTime {
-			out[n-1].free += h.free
-			continue
+	for i, from := range f.boundaries {
+		for n, h := range f.holders {
+			if h.held.From <= from && from < h.held.To {
+				f.covering[i] = append(f.covering[i], n)
+			}
 		}
-		out = append(out, h)
 	}
-	return out
+	return f
 }
 
 // node is the end of the fastest path found to a layer boundary. cost is in seconds, holder is the index of the path's
@@ -145,19 +138,7 @@
 func (f *filler) fill(centre int) float64 {
 	rate := 0.0
 	last := len(f.boundaries) - 1
-	for i := range f.covering {
-		f.covering[i] = f.covering[i][:0]
-	}
-	for n, h := range f.holders {
-		if centre != anyCentre && h.centre != centre || h.free < f.requestTokens {
-			continue
-		}
-		i, _ := slices.BinarySearch(f.boundaries, h.held.From)
-		for ; f.boundaries[i] < h.held.To; i++ {
-			f.covering[i] = append(f.covering[i], n)
-		}
-	}
-	for f.findPaths() {
+	for f.findPaths(centre) {
 		memory := math.Inf(1)
 		for i := last; i > 0; i = f.nodes[i].previous {
 			memory = math.Min(memory, f.holders[f.nodes[i].holder].free/float64(f.nodes[i].layers))
@@ -170,9 +151,9 @@
 	return rate
 }
 
-// findPaths finds the fastest paths to all boundaries over the matching holders with memory left for a request, and
-// reports whether one leads through all layers.
-func (f *filler) findPaths() bool {
+// findPaths finds the fastest paths to all boundaries over the holders of a data centre with memory left for a request,
+// and reports whether one leads through all layers.
+func (f *filler) findPaths(centre int) bool {
 	last := len(f.boundaries) - 1
 	clear(f.nodes)
 	f.nodes[0].reachable = true
@@ -183,6 +164,9 @@
 		}
 		for _, n := range f.covering[i] {
 			h := &f.holders[n]
+			if centre != anyCentre && h.centre != centre {
+				continue
+			}
 			cost := start.cost + f.localHop
 			if start.layers > 0 && f.holders[start.holder].centre != h.centre {
 				cost = start.cost + f.remoteHop
--- a/internal/routing/placer/engine.go
+++ b/internal/routing/placer/engine.go
@@ -2,8 +2,8 @@
 //
 // Requests use the memory that the layers leave free, so more copies of the model are not more capacity: a copy whose
 // endpoints are full of layers serves few requests at a time. The layers are divided into blocks of equal size. A
-// block is at most what the smallest card holds while it keeps memory for requests, and larger cards hold several
-// blocks, so that endpoints are interchangeable block by block. With smaller blocks each card is filled better.
+// block is the most that the smallest card holds while it keeps memory for requests, and larger cards hold several
+// blocks, so that endpoints are interchangeable block by block.
 package placer
 
 import (
--- a/internal/routing/placer/placer.go
+++ b/internal/routing/placer/placer.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 )
@@ -14,8 +13,6 @@
 	Card       string
 	// Held is the range that the endpoint holds or is loading.
 	Held Range
-	// Fixed is true if the endpoint is not to be moved.
-	Fixed bool
 }
 
 // Assignment is the range that an endpoint is to hold.
@@ -39,40 +36,32 @@
 // BlockCount returns the number of blocks.
 func (g Grid) BlockCount() int { return max(0, len(g.Boundaries)-1) }
 
-// maxBlocks bounds the blocks of a grid: each boundary is a place where paths may change endpoints, and searches grow with them.
-const maxBlocks = 40
-
-// grids returns the grids to choose from, those with large blocks and much memory beside them first. In each of them every card of
-// the holders that can hold a layer holds a block.
-func (e *Engine) grids(holders []Holder) []Grid {
-	var out []Grid
-	for _, finer := range []bool{false, true} {
-		for _, share := range roomShares {
-			tokens := share * float64(e.MaxTokens)
-			largest := e.largestBlock(tokens, holders)
-			smallest := largest
-			if finer {
-				smallest, largest = max(1, (e.Layers+maxBlocks-1)/maxBlocks), largest-1
-			}
-			for layers := largest; layers >= max(1, smallest); layers-- {
-				g := e.newGrid(tokens, layers)
-				if !slices.ContainsFunc(out, g.equals) {
-					out = append(out, g)
-				}
-			}
+// NewGrid returns the grid by which the endpoints, if they were empty, would serve the most requests. It weighs
+// memory against speed: the more memory is left beside the layers, the more requests run at once; the more layers on
+// the fast cards, the sooner each is done.
+func NewGrid(e *Engine, holders []Holder) Grid {
+	empty := make([]Holder, len(holders))
+	for i, h := range holders {
+		h.Held = Range{}
+		empty[i] = h
+	}
+	var best Grid
+	highest := 0.0
+	for _, share := range roomShares {
+		g, ok := e.gridWithRoom(share*float64(e.MaxTokens), holders)
+		if !ok {
+			continue
+		}
+		if capacity := Capacity(e, assign(empty, Plan(e, g, empty))); capacity > highest*(1+minGridGain) || best.BlockCount() < 1 {
+			best, highest = g, capacity
 		}
 	}
-	return out
+	return best
 }
 
-// equals reports whether two grids are the same.
-func (g Grid) equals(o Grid) bool {
-	return len(g.Boundaries) == len(o.Boundaries) && maps.Equal(g.BlocksPerCard, o.BlocksPerCard)
-}
-
-// RecoverGrid returns the grid by which the endpoints were placed: the one of which most of the ranges they hold are as many blocks as
-// their card holds. An instance that takes over the placement continues with it. It returns false if under half of the
-// ranges fit any grid.
+// RecoverGrid returns the grid by which the endpoints were placed: the one that most of the ranges they hold fit. An
+// instance that takes over the placement continues with it. It returns false if under half of the ranges fit any
+// grid.
 func RecoverGrid(e *Engine, holders []Holder) (Grid, bool) {
 	held, mostFits := 0, 0
 	var best Grid
@@ -81,12 +70,14 @@
 			held++
 		}
 	}
-	for _, g := range e.grids(holders) {
+	for _, share := range roomShares {
+		g, ok := e.gridWithRoom(share*float64(e.MaxTokens), holders)
+		if !ok {
+			continue
+		}
 		fits := 0
 		for _, h := range holders {
-			first, ok := slices.BinarySearch(g.Boundaries, h.Held.From)
-			last := first + g.BlocksPerCard[h.Card]
-			if !h.Held.Empty() && ok && last <= g.BlockCount() && g.Boundaries[last] == h.Held.To {
+			if !h.Held.Empty() && slices.Contains(g.Boundaries, h.Held.From) && slices.Contains(g.Boundaries, h.Held.To) {
 				fits++
 			}
 		}
@@ -97,6 +88,9 @@
 	return best, 2*mostFits > held
 }
 
+// minGridGain is the relative gain of capacity below which a grid that leaves less memory for requests is not chosen.
+const minGridGain = 0.02
+
 // assign returns the holders with the ranges that they are assigned.
 func assign(holders []Holder, assignments []Assignment) []Holder {
 	held := map[string]Range{}
@@ -112,31 +106,29 @@
 	return out
 }
 
-// largestBlock returns the most layers that the smallest of the holders' cards holds while it keeps memory for a number of tokens. Cards
-// that hold no layer do not count; it is 0 if none does.
-func (e *Engine) largestBlock(tokens float64, holders []Holder) int {
+// gridWithRoom returns the grid by which each endpoint keeps memory for a number of tokens, and false if no card
+// holds a layer then.
+func (e *Engine) gridWithRoom(tokens float64, holders []Holder) (Grid, bool) {
 	block := 0
 	for _, h := range holders {
 		if n := e.MaxLayers(e.Cards[h.Card], tokens); n > 0 && (block == 0 || n < block) {
 			block = n
 		}
 	}
-	return block
-}
-
-// newGrid returns the grid whose blocks have a number of layers at most, and by which each endpoint keeps memory for a number of tokens.
-func (e *Engine) newGrid(tokens float64, layers int) Grid {
-	blocks := (e.Layers + layers - 1) / layers
+	if block == 0 {
+		return Grid{}, false
+	}
+	blocks := (e.Layers + block - 1) / block
 	g := Grid{BlocksPerCard: map[string]int{}}
 	for i := range blocks + 1 {
 		g.Boundaries = append(g.Boundaries, i*e.Layers/blocks)
 	}
 	// The widest block decides how many blocks fit in memory.
-	widest := (e.Layers + blocks - 1) / blocks
+	widest := float64((e.Layers + blocks - 1) / blocks)
 	for name, c := range e.Cards {
-		g.BlocksPerCard[name] = min(blocks, e.MaxLayers(c, tokens)/widest)
+		g.BlocksPerCard[name] = min(blocks, int(float64(e.MaxLayers(c, tokens))/widest))
 	}
-	return g
+	return g, true
 }
 
 // Plan returns what the empty endpoints are to hold. Each takes the blocks that the fewest endpoints of its data
@@ -172,6 +164,41 @@
 	return out
 }
 
+// minMoveGain is the relative gain of capacity below which an endpoint that holds layers is not moved: a move costs a
+// load, and the endpoint serves nothing during it.
+const minMoveGain = 0.12
+
+// BestMove returns the move of one endpoint to other layers that raises the capacity most, and false if none is worth
+// a load. It considers only moves to the block that the fewest endpoints hold, and none after which the layer with
+// the fewest holders would have fewer.
+func BestMove(e *Engine, g Grid, holders []Holder) (Assignment, bool) {
+	counts := newCoverage(g)
+	for _, h := range holders {
+		counts.add(h.DataCentre, h.Held, 1)
+	}
+	if g.BlockCount() < 1 {
+		return Assignment{}, false
+	}
+	scarcest := slices.Index(counts.total, slices.Min(counts.total))
+	current := Capacity(e, holders)
+	best, threshold := Assignment{}, current*(1+minMoveGain)
+	tried := slices.Clone(holders)
+	for i, h := range holders {
+		width := g.BlocksPerCard[h.Card]
+		if width == 0 || h.Held.Empty() || h.Held.Covers(Range{g.Boundaries[scarcest], g.Boundaries[scarcest+1]}) {
+			continue
+		}
+		for first := max(0, scarcest-width+1); first <= scarcest && first+width <= g.BlockCount(); first++ {
+			tried[i].Held = Range{g.Boundaries[first], g.Boundaries[first+width]}
+			if capacity := Capacity(e, tried); capacity > threshold && MinHolders(e, tried) >= MinHolders(e, holders) {
+				best, threshold = Assignment{h.ID, tried[i].Held}, capacity
+			}
+		}
+		tried[i].Held = h.Held
+	}
+	return best, best.ID != ""
+}
+
 // coverage counts the holders of each block, by data centre and in all.
 type coverage struct {
 	grid     Grid
--- a/internal/routing/placer/search.go
+++ b/internal/routing/placer/search.go
@@ -73,14 +73,11 @@
 	// moved holds the endpoints that the plan moves already, by index in the layout.
 	moved map[int]bool
 	moves []Assignment
-	// best is the plan with the highest value so far, highest that value, and fruitless the number of moves since, but for those in a
-	// layout that still has layers without a holder.
+	// best is the plan with the highest value so far, highest that value, and fruitless the number of moves since.
 	best      MovePlan
 	highest   float64
 	fruitless int
-	// isFree is true if the endpoints that may be moved are still empty, so that moves cost nothing.
-	isFree bool
-	done   bool
+	done      bool
 }
 
 // NewSearch returns a search for moves of the holders to ranges of a grid.
@@ -140,19 +137,36 @@
 	s.supply.add(*h, 1)
 	s.moved[chosen.index] = true
 	s.moves = append(s.moves, Assignment{h.ID, h.Held})
-	if capacity > 0 {
-		s.fruitless++
-	}
-	price := minMoveShare * s.best.Before * float64(len(s.moves))
-	if s.isFree {
-		price = 0
-	}
-	if value := capacity - price; value > s.highest*(1+1e-9) {
+	s.fruitless++
+	if value := capacity - minMoveShare*s.best.Before*float64(len(s.moves)); value > s.highest {
 		s.highest, s.fruitless = value, 0
 		s.best.Moves, s.best.After = slices.Clone(s.moves), capacity
 	}
 }
 
+// maxSearches bounds the searches of PlanAnew.
+const maxSearches = 5
+
+// PlanAnew returns what the endpoints are to hold while none of them holds anything: Plan, with the moves that raise its capacity, so
+// that none of them is left to be made once the layers are loaded.
+func PlanAnew(e *Engine, g Grid, holders []Holder) []Assignment {
+	out := Plan(e, g, holders)
+	for range maxSearches {
+		s := NewSearch(e, g, assign(holders, out))
+		for !s.Done() {
+			s.Step()
+		}
+		for _, m := range s.Plan().Moves {
+			i := slices.IndexFunc(out, func(a Assignment) bool { return a.ID == m.ID })
+			out[i] = m
+		}
+		if len(s.Plan().Moves) == 0 {
+			break
+		}
+	}
+	return out
+}
+
 // priceMoves sets the duration of the best plan and what is lost during it.
 func (s *Search) priceMoves() {
 	longest, sum := time.Duration(0), time.Duration(0)
@@ -182,14 +196,15 @@
 	}
 	seen := map[kind]bool{}
 	var out []candidate
+	current := s.balance.imbalance()
 	for i, h := range s.layout {
 		width := min(s.grid.BlocksPerCard[h.Card], s.grid.BlockCount())
 		k := kind{h.Card, h.DataCentre, h.Held}
-		if width == 0 || h.Held.Empty() || h.Fixed || s.moved[i] || seen[k] {
+		if width == 0 || h.Held.Empty() || s.moved[i] || seen[k] {
 			continue
 		}
 		seen[k] = true
-		if !s.isFree && !s.supply.allows(s.best.floor, h) {
+		if !s.supply.allows(s.best.floor, h) {
 			continue
 		}
 		s.balance.add(h, -1)
@@ -201,7 +216,9 @@
 			moved := h
 			moved.Held = target
 			s.balance.add(moved, 1)
-			out = append(out, candidate{i, target, s.balance.imbalance()})
+			if imbalance := s.balance.imbalance(); imbalance < current {
+				out = append(out, candidate{i, target, imbalance})
+			}
 			s.balance.add(moved, -1)
 		}
 		s.balance.add(h, 1)
@@ -263,7 +280,7 @@
 
 // localWeight is the weight of the balance within data centres beside that over all of them: paths through several data
 // centres are slower.
-const localWeight = 1
+const localWeight = 0.15
 
 // imbalance returns how unevenly the memory is distributed; 1 + localWeight means evenly. Layers that are short of memory count far
 // more than those that have more than others, as the layer with the least memory limits all requests.
--- a/internal/serving/director/director.go
+++ b/internal/serving/director/director.go
@@ -172,7 +172,7 @@
 	d := &Director{
 		store: store, exchange: x, orderer: o, log: log, clock: clock, self: self, service: service, done: make(chan struct{}),
 		firstSeenAt: map[string]time.Time{}, pending: map[string]pendingOrder{}, orderCounts: map[string]orderCount{},
-		elector: elector.New(clock(), self), scope: tally.NoopScope, rebalancing: rebalancing{unansweredAt: map[string]time.Time{}},
+		elector: elector.New(clock(), self), scope: tally.NoopScope,
 	}
 	for _, o := range options {
 		o(d)
@@ -226,7 +226,6 @@
 			delete(d.firstSeenAt, id)
 			delete(d.pending, id)
 			delete(d.orderCounts, id)
-			delete(d.unansweredAt, id)
 		}
 	}
 }
@@ -244,8 +243,6 @@
 		}
 		if d.ensureDuty() && d.ensureRow() {
 			d.placeLayers()
-		} else {
-			d.resetMetrics()
 		}
 	}
 }
--- a/internal/serving/director/placing.go
+++ b/internal/serving/director/placing.go
@@ -14,10 +14,8 @@
 // placeLayers sends the orders that are due.
 func (d *Director) placeLayers() {
 	orders := d.dueOrders()
-	if len(orders) == 0 && d.advance() {
-		orders = d.dueOrders()
-	}
 	if len(orders) == 0 {
+		d.advanceSearch()
 		return
 	}
 	var wait sync.WaitGroup
@@ -79,60 +77,29 @@
 		}
 	}
 	if empty == 0 {
-		d.fillSince = time.Time{}
 		if unknown > 0 {
 			return nil
 		}
 		return d.rebalance(now, holders)
 	}
 	if held == 0 && now.Sub(newest) < settleTime && now.Sub(oldest) < maxSettleTime {
-		// The division begins meanwhile; it begins again with each further endpoint.
-		d.beginDivision(holders, func() *placer.Division { return placer.NewDivision(m.Engine, holders) })
-		return nil
-	}
-	limit := len(holders)
-	if held > 0 && m.Engine.MaxParallelLoads > 0 {
-		limit = m.Engine.MaxParallelLoads - d.loadCount(now)
-	}
-	if limit <= 0 {
-		d.fillSince = time.Time{}
 		return nil
 	}
-	if d.fillSince.IsZero() {
-		d.fillSince = now
-	}
-	assignments, ok := d.assignEmpty(now, holders, held > 0)
-	if !ok {
-		return nil
-	}
-	d.fillSince = time.Time{}
+	d.divideLayers(holders, held > 0)
+	loading := d.loadCount(now)
 	var out []Order
-	for _, a := range assignments[:min(limit, len(assignments))] {
-		out = append(out, d.newOrder(now, a))
-	}
-	return out
-}
-
-// assignEmpty returns what the empty endpoints are to hold, and false if that is not computed yet. The lock is held.
-func (d *Director) assignEmpty(now time.Time, holders []placer.Holder, held bool) ([]placer.Assignment, bool) {
-	if held && !d.divideLayers(holders) {
-		return nil, false
+	plan := placer.Plan
+	if held == 0 {
+		plan = placer.PlanAnew
 	}
-	division, ok := d.divide(holders, func() *placer.Division {
-		if held {
-			return placer.NewFilling(d.model.Engine, d.grid, holders)
+	for _, a := range plan(m.Engine, d.grid, holders) {
+		if held > 0 && m.Engine.MaxParallelLoads > 0 && loading >= m.Engine.MaxParallelLoads {
+			break
 		}
-		return placer.NewDivision(d.model.Engine, holders)
-	})
-	switch {
-	case !ok && held && now.Sub(d.fillSince) >= maxFillDelay:
-		return placer.Plan(d.model.Engine, d.grid, holders), true
-	case !ok:
-		return nil, false
-	case !held:
-		d.setGrid(division.Grid(), false)
+		loading++
+		out = append(out, d.newOrder(now, a))
 	}
-	return division.Assignments(), true
+	return out
 }
 
 // loadCount returns the number of endpoints that carry out an order. The lock is held.
@@ -146,45 +113,21 @@
 	return n
 }
 
-// divideLayers ensures that the division is known by which the layers were placed, or a new one if it cannot be recovered from what
-// endpoints hold. It returns false if that is not computed yet. The lock is held.
-func (d *Director) divideLayers(holders []placer.Holder) bool {
-	if d.grid.BlockCount() > 0 {
-		return true
-	}
-	if g, ok := placer.RecoverGrid(d.model.Engine, holders); ok {
-		d.setGrid(g, true)
-		return true
+// divideLayers divides the layers into blocks anew if no endpoint holds any, and otherwise recovers the division that
+// they were placed by. The lock is held.
+func (d *Director) divideLayers(holders []placer.Holder, held bool) {
+	if held && d.grid.BlockCount() > 0 {
+		return
 	}
-	division, ok := d.divide(holders, func() *placer.Division { return placer.NewDivision(d.model.Engine, holders) })
-	if ok {
-		d.setGrid(division.Grid(), false)
+	g, ok := placer.Grid{}, false
+	if held {
+		g, ok = placer.RecoverGrid(d.model.Engine, holders)
 	}
-	return ok
-}
-
-// beginDivision begins a division among the holders, which advance computes, unless that has begun already. The lock is held.
-func (d *Director) beginDivision(holders []placer.Holder, begin func() *placer.Division) {
-	if key := layoutKey(holders); d.division == nil || key != d.divisionOf {
-		d.division, d.divisionOf = begin(), key
-	}
-}
-
-// divide returns a division among the holders, and false while it is being computed. The lock is held.
-func (d *Director) divide(holders []placer.Holder, begin func() *placer.Division) (*placer.Division, bool) {
-	d.beginDivision(holders, begin)
-	if !d.division.Done() {
-		return nil, false
+	if !ok {
+		g = placer.NewGrid(d.model.Engine, holders)
 	}
-	division := d.division
-	d.division = nil
-	return division, true
-}
-
-// setGrid sets the division of the layers. The lock is held.
-func (d *Director) setGrid(g placer.Grid, recovered bool) {
 	d.grid = g
-	d.log.Info("layers divided", "blocks", g.BlockCount(), "widths", g.BlocksPerCard, "recovered", recovered)
+	d.log.Info("layers divided", "blocks", g.BlockCount(), "widths", g.BlocksPerCard, "recovered", ok)
 }
 
 // newOrder returns the order for an assignment and marks it as pending. The lock is held.
@@ -252,7 +195,6 @@
 func (d *Director) shortenPending(id string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.unansweredAt[id] = d.clock()
 	if p, ok := d.pending[id]; ok {
 		p.expiresAt = d.clock().Add(unansweredDelay)
 		d.pending[id] = p
--- a/internal/serving/director/rebalancing.go
+++ b/internal/serving/director/rebalancing.go
@@ -2,7 +2,6 @@
 
 import (
 	"hash/fnv"
-	"slices"
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/routing/placer"
@@ -18,19 +17,12 @@
 	continuationTime = 3 * time.Second
 	// planHorizon is how long the gain of a plan is taken to last: it has to serve more requests within this time than its loads cost.
 	planHorizon = 30 * time.Second
-	// maxFillDelay is how long empty endpoints wait for the computation of what they hold best, if others hold layers: it begins
-	// again with each change of the layout.
-	maxFillDelay = time.Second
-	// unansweredMoveDelay is how long an endpoint that has not answered an order is not moved: each plan may choose it again.
-	unansweredMoveDelay = 30 * time.Second
 	// scarceShare is the share of the memory at the layer with the least free memory from which the layout counts as short of
 	// memory, and scarcityTime how long it counts so after its demand was last that high.
 	scarceShare  = 0.5
 	scarcityTime = 30 * time.Second
-	// searchBudget bounds the time of a search for moves at each check, and divisionBudget that of a division of the layers, without
-	// which a model serves nothing.
-	searchBudget   = 20 * time.Millisecond
-	divisionBudget = 50 * time.Millisecond
+	// searchBudget bounds the time of a search for moves at each check.
+	searchBudget = 10 * time.Millisecond
 )
 
 // rebalancing is the state of moving endpoints that hold layers. All of it is derived from the layout: the next holder of the duty
@@ -41,13 +33,8 @@
 	layout           uint64
 	layoutChangedAt  time.Time
 	layoutConsidered bool
-	// search looks for moves in the layout, and division divides the layers among the holders with the key divisionOf. The loop
-	// advances them without the lock.
-	search     *placer.Search
-	division   *placer.Division
-	divisionOf uint64
-	// fillSince is since when empty endpoints could be ordered to load; zero if there is none, or as many load as may.
-	fillSince time.Time
+	// search looks for moves in the layout. It is advanced by the loop without the lock.
+	search *placer.Search
 	// plan holds the moves that are still to be ordered. planBegun is true until the loads of the plan have ended.
 	plan       placer.MovePlan
 	planBegun  bool
@@ -57,8 +44,6 @@
 	// scarceAt is when the layout was last short of memory. It counts as short before the demand is recorded for the first time.
 	scarceAt         time.Time
 	isDemandRecorded bool
-	// unansweredAt is when an endpoint did not answer an order last, by id.
-	unansweredAt map[string]time.Time
 	// serving identifies what endpoints serve, and capacity is its capacity.
 	serving  uint64
 	capacity float64
@@ -113,19 +98,6 @@
 	}
 }
 
-// resetMetrics sets the metrics of the layout to zero: another instance has the duty.
-func (d *Director) resetMetrics() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.serving == 0 {
-		return
-	}
-	d.serving = 0
-	for _, name := range []string{"layout_capacity", "layout_memory", "layout_holders"} {
-		d.scope.Gauge(name).Update(0)
-	}
-}
-
 // recordCapacity sets the metrics of what the endpoints serve. The lock is held.
 func (d *Director) recordCapacity(serving []placer.Holder) {
 	e := d.model.Engine
@@ -137,7 +109,7 @@
 }
 
 // rebalance returns the orders that move endpoints to layers that have become scarce, once the layout has been stable
-// for rebalanceDelay. The search begins before that, and again with each change. The lock is held.
+// for rebalanceDelay. The lock is held.
 func (d *Director) rebalance(now time.Time, holders []placer.Holder) []Order {
 	if len(holders) == 0 {
 		return nil
@@ -145,13 +117,17 @@
 	if len(d.plan.Moves) > 0 {
 		return d.nextMoves(now, holders)
 	}
-	if d.layoutConsidered || now.Sub(d.lastPlanAt) < minPlanInterval || d.search == nil && !d.isScarce(now, holders) || !d.divideLayers(holders) {
+	if d.layoutConsidered || now.Sub(d.layoutChangedAt) < rebalanceDelay || now.Sub(d.lastPlanAt) < minPlanInterval {
+		return nil
+	}
+	if d.search == nil && !d.isScarce(now, holders) {
 		return nil
 	}
 	if d.search == nil {
-		d.search = placer.NewSearch(d.model.Engine, d.grid, d.movableHolders(now, holders))
+		d.divideLayers(holders, true)
+		d.search = placer.NewSearch(d.model.Engine, d.grid, holders)
 	}
-	if !d.search.Done() || now.Sub(d.layoutChangedAt) < rebalanceDelay {
+	if !d.search.Done() {
 		return nil
 	}
 	d.layoutConsidered = true
@@ -166,16 +142,6 @@
 	return d.nextMoves(now, holders)
 }
 
-// movableHolders returns the holders, of which those that have not answered an order lately are not to be moved. The lock is held.
-func (d *Director) movableHolders(now time.Time, holders []placer.Holder) []placer.Holder {
-	out := slices.Clone(holders)
-	for i, h := range out {
-		at, ok := d.unansweredAt[h.ID]
-		out[i].Fixed = ok && now.Sub(at) < unansweredMoveDelay
-	}
-	return out
-}
-
 // RecordDemand records the share of the memory that requests have reserved at the layer with the least free memory, and the number of
 // requests that wait for some.
 func (d *Director) RecordDemand(now time.Time, share float64, waiting int) {
@@ -226,24 +192,15 @@
 	return out
 }
 
-// advance continues the division of the layers or the search for moves, if there is one, within its budget of time. It
-// returns true if that ended.
-func (d *Director) advance() bool {
+// advanceSearch continues the search for moves, if there is one, within searchBudget.
+func (d *Director) advanceSearch() {
 	d.mu.Lock()
-	division, search := d.division, d.search
+	s := d.search
 	d.mu.Unlock()
-	start := d.clock()
-	switch {
-	case division != nil:
-		for !division.Done() && d.clock().Sub(start) < divisionBudget {
-			division.Step()
-		}
-		return division.Done()
-	case search != nil:
-		for !search.Done() && d.clock().Sub(start) < searchBudget {
-			search.Step()
-		}
-		return search.Done()
+	if s == nil {
+		return
+	}
+	for start := d.clock(); !s.Done() && d.clock().Sub(start) < searchBudget; {
+		s.Step()
 	}
-	return false
 }
