Count as demand for an endpoint only the requests that may use it

Cause: the room of nearly full endpoints was shared out among all requests that arrive, also those whose priority's limit or whose return keeps them away, so urgent requests were refused while memory lay idle. Callers that come back filled it.

Change: the demand of the other instances is split by limit, and counts only below it. Callers that come back get less memory than the least urgent priority.

--- a/internal/routing/prioritizer/prioritizer.go
+++ b/internal/routing/prioritizer/prioritizer.go
@@ -43,6 +43,8 @@
 	maxGap = 0.25
 	// meanRate is how fast an instance's gap approaches the mean of the fleet, per second.
 	meanRate = 3
+	// lateGap is the gap below the limit of the least urgent priority for requests whose answer is late in any case.
+	lateGap = 0.25
 	// levelStep is the gap of one level.
 	levelStep = 0.05
 	// fairShare is the least rate at which a priority is served, as a share of the rate at which all requests are.
@@ -106,15 +108,6 @@
 	}
 }
 
-// ArrivalRate returns the requests a second of all priorities. Those that come back after a refusal are not counted.
-func (s Sums) ArrivalRate() float64 {
-	rate := 0.0
-	for _, c := range s {
-		rate += c.Arrived
-	}
-	return rate / windowLength.Seconds()
-}
-
 // Prioritizer holds the gaps of one model at one instance. It is not safe for concurrent use.
 type Prioritizer struct {
 	// Gaps holds, by priority, the gap between its limit and that of the next more urgent priority, in shares of the memory.
@@ -303,6 +296,25 @@
 	return reserver.MaxMemoryShare - levelStep*float64(steps)
 }
 
+// LateLimit returns the share of an endpoint's memory that requests may fill whose answer is late in any case: less than any other.
+func (p *Prioritizer) LateLimit() float64 {
+	lowest := reserver.MaxMemoryShare
+	for _, priority := range p.present {
+		lowest = min(lowest, p.Limit(priority))
+	}
+	return lowest - lateGap
+}
+
+// OtherDemands returns the requests a second of the other instances by their limits. Those whose answer is late in any case are not
+// counted.
+func (p *Prioritizer) OtherDemands() []reserver.Demand {
+	out := make([]reserver.Demand, 0, len(p.others))
+	for priority, c := range p.others {
+		out = append(out, reserver.Demand{Rate: c.Arrived / windowLength.Seconds(), MemoryShare: p.Limit(priority)})
+	}
+	return out
+}
+
 // IsLimiting reports whether the limit of any priority is lower than that of the most urgent one.
 func (p *Prioritizer) IsLimiting() bool {
 	for _, level := range p.Levels {
--- a/internal/routing/reserver/reserver.go
+++ b/internal/routing/reserver/reserver.go
@@ -96,9 +96,7 @@
 const (
 	// MaxMemoryShare is the share of an endpoint's memory that may be reserved. It is over 1, as a request uses all that is reserved
 	// for it only at its end: with a usual prompt and answer, 0.84 of it on average.
-	MaxMemoryShare = 1.15
-	// LateMemoryShare is the share that requests may fill whose answer is late in any case.
-	LateMemoryShare = MaxMemoryShare - 0.25
+	MaxMemoryShare = 1.1
 	// blockTokens is the number of tokens in a memory block; endpoints allocate whole blocks.
 	blockTokens = 16
 	// maxNoise is the greatest relative noise on an endpoint's cost. It spreads the choices of instances, which do
@@ -171,9 +169,9 @@
 
 	peers     map[string]peer
 	peerUsage Usage
-	// peerRate is the number of requests a second that the other instances receive. acceptedSlots holds the endpoints that
+	// peerDemands holds the requests that the other instances receive. acceptedSlots holds the endpoints that
 	// accept only some of the slots, and slot is the one of this instance's requests.
-	peerRate float64
+	peerDemands []Demand
 	// requestTime is the mean of the times for which granted requests hold their memory.
 	requestTime   time.Duration
 	acceptedSlots map[string]uint32
--- a/internal/routing/reserver/sharing.go
+++ b/internal/routing/reserver/sharing.go
@@ -12,7 +12,7 @@
 const (
 	// fillTime is the time in which the free memory of an endpoint is given out. The usage of other instances is up to 360 ms old, and
 	// memory that is given out faster than that is given out twice.
-	fillTime = 500 * time.Millisecond
+	fillTime = 350 * time.Millisecond
 	// defaultRequestTime is the time that a request holds its memory until some have been granted, and requestTimeWeight the weight of
 	// the newest one in the mean.
 	defaultRequestTime = 3 * time.Second
@@ -22,8 +22,14 @@
 	allSlots  = 1<<slotCount - 1
 )
 
-// SetPeerRate sets the number of requests a second that the other instances receive.
-func (r *Reserver) SetPeerRate(rate float64) { r.peerRate = rate }
+// Demand is a number of requests a second that may fill a share of each endpoint's memory.
+type Demand struct {
+	Rate        float64
+	MemoryShare float64
+}
+
+// SetPeerDemands sets the requests that the other instances receive.
+func (r *Reserver) SetPeerDemands(demands ...Demand) { r.peerDemands = demands }
 
 // shareRoom decides which slots the endpoints accept until the next update of the other instances' usage, and draws the slot of
 // this instance's requests.
@@ -34,18 +40,17 @@
 // the same layers differ as far as possible, so that most requests find one of them.
 func (r *Reserver) shareRoom(now time.Time) {
 	r.acceptedSlots, r.slot = nil, r.random.IntN(slotCount)
-	if r.Engine == nil || len(r.peers) == 0 || r.peerRate <= 0 {
+	if r.Engine == nil || len(r.peers) == 0 || len(r.peerDemands) == 0 {
 		return
 	}
-	demand := r.peerDemand()
-	spare := r.spareShares(now, demand)
+	spare := r.spareShares(now)
 	scarce := make([]sharedEndpoint, 0, len(r.Endpoints))
 	coverage := make([][slotCount]uint8, max(0, len(r.boundaries)-1))
 	for _, e := range r.Endpoints {
 		if !r.isUsable(now, e, nil) {
 			continue
 		}
-		accepted := r.acceptedRate(e) / demand * slotCount
+		accepted := r.acceptedRate(e) / r.peerDemand(r.reservedByAll(e.ID)/r.memory(e)) * slotCount
 		if e.DataCentre != r.DataCentre {
 			// The callers of the endpoint's own data centre go first: the others get what those leave.
 			from, to := r.blocksOf(e)
@@ -83,14 +88,21 @@
 	slots    int
 }
 
-// peerDemand returns the tokens a second that the other instances ask for in one data centre. Most requests stay in theirs.
-func (r *Reserver) peerDemand() float64 {
+// peerDemand returns the tokens a second that the other instances ask for in one data centre, of requests that may use endpoints of
+// which a share is reserved. Most requests stay in their data centre.
+func (r *Reserver) peerDemand(used float64) float64 {
+	rate := 0.0
+	for _, d := range r.peerDemands {
+		if d.MemoryShare > used {
+			rate += d.Rate
+		}
+	}
 	centres := map[string]bool{}
 	for _, e := range r.Endpoints {
 		centres[e.DataCentre] = true
 	}
 	usualTokens := float64(max(1, r.Engine.UsualPromptTokens+r.Engine.UsualAnswerTokens))
-	return math.Max(1, r.peerRate*usualTokens/float64(max(1, len(centres))))
+	return math.Max(1, rate*usualTokens/float64(max(1, len(centres))))
 }
 
 // acceptedRate returns the tokens a second for which an endpoint has room: those that end, and its free memory over time.
@@ -101,8 +113,8 @@
 }
 
 // spareShares returns, by data centre and block, the share of the room that its own callers leave.
-func (r *Reserver) spareShares(now time.Time, demand float64) map[string][]float64 {
-	rates := map[string][]float64{}
+func (r *Reserver) spareShares(now time.Time) map[string][]float64 {
+	rates, demand := map[string][]float64{}, r.peerDemand(0)
 	for _, e := range r.Endpoints {
 		if rates[e.DataCentre] == nil {
 			rates[e.DataCentre] = make([]float64, max(0, len(r.boundaries)-1))
--- a/internal/serving/forwarder/admission.go
+++ b/internal/serving/forwarder/admission.go
@@ -75,7 +75,7 @@
 		request.MemoryShare = a.prioritizer.Limit(i.Priority)
 	}
 	if i.Returned {
-		request.MemoryShare = min(a.prioritizer.Limit(i.Priority), reserver.LateMemoryShare)
+		request.MemoryShare = a.prioritizer.LateLimit()
 	}
 	return request
 }
@@ -86,7 +86,9 @@
 		return
 	}
 	load := a.reserver.TotalUsedShare(now)
-	if a.prioritizer.Update(now, 1-load) {
+	isChanged := a.prioritizer.Update(now, 1-load)
+	a.reserver.SetPeerDemands(a.prioritizer.OtherDemands()...)
+	if isChanged {
 		a.log.Info("admission level changed", "service", a.service, "limits", formatLimits(a.prioritizer.Statuses(now)), "load", load,
 			"waiting", a.queue.Len())
 	}
@@ -133,6 +135,5 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.prioritizer.MergeCounts(now, others)
-	a.reserver.SetPeerRate(others.ArrivalRate())
 	a.updateLimits(now)
 }
