Count crashes whatever the moment of a request's answer

Cause: a whole response whose endpoint lasts for 100 ms cleared the request. At 600 ms the first attempt crashes its endpoint in the middle of an answer of 800 ms; the moved stream reads the remaining 200 ms, ends whole, and clears the crash 400 ms before it crashes the second endpoint. At 1,500 ms the response is whole 700 ms before the crash, which was not recorded at all.

Change: an endpoint that crashes within 3 s after an answer counts against what it ran. A late crash states how long after the first event it came, and is refuted only by a whole response whose endpoint has lasted longer than that; it counts again if that endpoint crashes later. Parts of prompts have late crashes too, with a limit of three, unless one request alone was at all of them. Where as many endpoints crash beside a suspect as under it, or another request was at the same crashes, it takes twice as many. Reports between instances have new fields; earlier releases omit them.

The bound of TestMemoryForKeysIsBounded is reached after the longer window.

--- a/internal/routing/screener/attempt.go
+++ b/internal/routing/screener/attempt.go
@@ -18,9 +18,13 @@
 	// isTrial is true if the attempt is a trial, and hasCrashed once it was recorded with a crash.
 	isTrial    bool
 	hasCrashed bool
+	// isMoved is true if an earlier attempt of the same stream had settled.
+	isMoved bool
 	// isSettled is true once the endpoint has lasted for SettleTime after the first event. result is set at the end.
 	isSettled bool
 	result    Result
+	// refuted holds the crashes that this attempt has refuted by outliving them: they count again if it crashes later.
+	refuted []Evidence
 }
 
 // Result is how an attempt ended.
@@ -36,17 +40,34 @@
 	Broken
 )
 
-// age returns how long the attempt has lasted since its first event, at now or at its end.
+// age returns how long the endpoint has lasted since the first event of the attempt, at now or at the end of an attempt without a
+// whole response: what the endpoint does later with such a request is not known.
 func (a *attempt) age(now time.Time) time.Duration {
 	if a.begunAt.IsZero() {
 		return 0
 	}
-	if !a.endedAt.IsZero() {
+	if !a.endedAt.IsZero() && a.result != Whole {
 		now = a.endedAt
 	}
 	return now.Sub(a.begunAt)
 }
 
+// isSound reports whether the endpoint has lasted for SettleTime after a whole response.
+func (a *attempt) isSound(now time.Time) bool {
+	return a.result == Whole && !a.begunAt.IsZero() && !a.hasCrashed && now.Sub(a.endedAt) >= SettleTime
+}
+
+// isObserved reports whether a crash of the endpoint at now counts against the attempt.
+func (a *attempt) isObserved(now time.Time) bool {
+	if a.endedAt.IsZero() {
+		return true
+	}
+	if a.result == NotRun {
+		return now.Sub(a.endedAt) < lossWindow
+	}
+	return now.Sub(a.endedAt) < observationWindow
+}
+
 // Begin records at now that a request with keys is sent along endpoints, and returns the number of the attempt and the
 // keys of which it is the trial, which the other instances are to be told. The number is 0 if there are no keys.
 func (s *Screener) Begin(now time.Time, keys []string, endpoints []string) (uint64, []string) {
@@ -105,11 +126,19 @@
 	return false
 }
 
-// Settle handles the attempts whose result is known at now, and returns the keys that they cleared of a suspicion, which
-// the other instances are to be told. An endpoint that lasts after the first event proves the parts of a prompt, and one that
-// lasts after a whole response the request.
-func (s *Screener) Settle(now time.Time) []string {
-	var cleared []string
+// MarkMoved records that an attempt continues a stream that has settled at another endpoint: its parts have shown that they crash no
+// endpoint that begins to answer.
+func (s *Screener) MarkMoved(number uint64) {
+	if a := s.attempts[number]; a != nil {
+		a.isMoved = true
+	}
+}
+
+// Settle handles the attempts whose result is known at now, and returns what they proved, which the other instances are to be told.
+// An endpoint that lasts after the first event proves that the parts of a prompt crash no endpoint which begins to answer. One that
+// lasts after a whole response refutes the crashes under its request and parts that came earlier in an answer.
+func (s *Screener) Settle(now time.Time) Report {
+	var news Report
 	for len(s.begun) > 0 {
 		a := s.begun[0]
 		if now.Sub(a.begunAt) < SettleTime {
@@ -120,23 +149,29 @@
 			continue // Its endpoint may have ended it by a crash.
 		}
 		a.isSettled = true
-		cleared = append(cleared, s.proveKeys(now, a, false)...)
+		s.proveParts(now, a, &news)
 	}
+	s.outliving = slices.DeleteFunc(s.outliving, func(a *attempt) bool {
+		return !a.isObserved(now) || !s.refute(now, a, &news)
+	})
 	for len(s.whole) > 0 {
 		a := s.whole[0]
 		if now.Sub(a.endedAt) < SettleTime {
 			break
 		}
 		s.whole = s.whole[1:]
-		cleared = append(cleared, s.proveKeys(now, a, true)...)
+		if s.refute(now, a, &news) {
+			s.outliving = append(s.outliving, a)
+		}
 	}
 	for len(s.ended) > 0 {
 		a := s.ended[0]
-		if now.Sub(a.endedAt) < lossWindow {
+		if now.Sub(a.endedAt) < observationWindow {
 			break
 		}
-		delete(s.attempts, a.number)
 		s.ended = s.ended[1:]
+		s.refute(now, a, &news)
+		delete(s.attempts, a.number)
 		if a.result == Broken && !a.hasCrashed {
 			s.broken = append(s.broken, a)
 		}
@@ -144,30 +179,55 @@
 	for len(s.broken) > 0 && now.Sub(s.broken[0].endedAt) >= silenceWindow {
 		s.broken = s.broken[1:]
 	}
-	return cleared
+	return news
 }
 
-// proveKeys records that an attempt has proven its request, or the parts of its prompt, and returns those of these keys that were
-// suspected. An attempt whose endpoint has crashed proves none.
-func (s *Screener) proveKeys(now time.Time, a *attempt, isRequest bool) []string {
-	var cleared []string
+// proveParts records that an attempt has proven the parts of its prompt, and adds those that were suspected to the news. An attempt
+// whose endpoint has crashed proves none.
+func (s *Screener) proveParts(now time.Time, a *attempt, news *Report) {
 	for _, key := range a.keys {
-		if a.hasCrashed || isRequestKey(key) != isRequest {
+		if a.hasCrashed || isRequestKey(key) {
 			continue
 		}
 		if ruling, _ := s.checkKey(now, key); ruling != Allow {
-			cleared = append(cleared, key)
+			news.Cleared = append(news.Cleared, key)
 		}
+		s.prove(now, key, a.begunAt, 0)
+	}
+}
+
+// refute drops the crashes under the keys of an attempt that its endpoint has outlived, adds them to the news, and reports whether
+// there are others that it may outlive yet.
+func (s *Screener) refute(now time.Time, a *attempt, news *Report) bool {
+	if !a.isSound(now) {
+		return false
+	}
+	age, mayRefuteMore := a.age(now), false
+	for _, key := range a.keys {
 		// Nearly all requests are sent once, so there is mostly nothing to keep of their own keys.
-		if s.records[key] != nil || !isRequest {
-			s.prove(now, key, a.begunAt)
+		if isRequestKey(key) && s.records[key] == nil {
+			continue
 		}
+		before := Allow
+		if r := s.records[key]; r != nil && r.isRefutedBy(a.begunAt, age) {
+			before, _ = s.checkKey(now, key)
+		}
+		refuted := s.prove(now, key, a.begunAt, age)
+		if len(refuted) > 0 {
+			a.refuted = append(a.refuted, Evidence{key, refuted})
+		}
+		switch {
+		case slices.ContainsFunc(refuted, func(c Crash) bool { return c.IsLate }):
+			news.addSound(key, age)
+		case before != Allow && len(refuted) > 0:
+			news.Cleared = append(news.Cleared, key)
+		}
+		mayRefuteMore = mayRefuteMore || s.records[key] != nil && s.records[key].hasLateCrash()
 	}
-	return cleared
+	return mayRefuteMore
 }
 
-// RecordLoss records at now that an endpoint has crashed, and returns the report on the requests in progress on it. The
-// crash counts against the parts of prompts only if the request had not begun or had begun less than SettleTime before.
+// RecordLoss records at now that an endpoint has crashed, and returns the report on the requests that run or have run on it lately.
 func (s *Screener) RecordLoss(now time.Time, endpoint string) Report {
 	for id, at := range s.losses {
 		if now.Sub(at) >= sameCrashTime {
@@ -175,16 +235,13 @@
 		}
 	}
 	s.losses[endpoint] = now
+	s.recordAnyCrash(now, endpoint)
 	report := Report{Endpoint: endpoint}
 	for _, a := range s.attempts {
-		if a.hasCrashed || !slices.Contains(a.endpoints, endpoint) {
+		if a.hasCrashed || !a.isObserved(now) || !slices.Contains(a.endpoints, endpoint) {
 			continue
 		}
-		hasBegun, isSettled := !a.begunAt.IsZero(), a.age(now) >= SettleTime
-		if !a.endedAt.IsZero() && now.Sub(a.endedAt) >= lossWindow || isSettled && a.result == Whole && now.Sub(a.endedAt) >= SettleTime {
-			continue
-		}
-		s.addCrash(&report, a, hasBegun, isSettled)
+		s.addCrash(&report, a, a.age(now))
 	}
 	return s.finishReport(now, report)
 }
@@ -197,43 +254,61 @@
 	for _, a := range slices.AppendSeq(slices.Clone(s.broken), maps.Values(s.attempts)) {
 		isBroken := !a.hasCrashed && a.result == Broken && now.Sub(a.endedAt) < silenceWindow
 		if isBroken && slices.Contains(a.endpoints, endpoint) {
-			s.addCrash(&report, a, true, true)
+			a.hasCrashed = true
+			for _, key := range a.keys {
+				if isRequestKey(key) {
+					s.addKey(&report, a, key, true, a.age(now))
+				}
+			}
 		}
 	}
 	return s.finishReport(now, report)
 }
 
-// addCrash adds the keys of an attempt under which an endpoint crashed to a report. The parts of its prompt are left out if it had
-// settled.
-func (s *Screener) addCrash(report *Report, a *attempt, hasBegun, isSettled bool) {
+// addCrash adds the keys of an attempt under which an endpoint crashed at an age to a report. A request has a late crash if it had
+// begun, and a part of its prompt if the attempt had settled.
+func (s *Screener) addCrash(report *Report, a *attempt, age time.Duration) {
 	a.hasCrashed = true
 	for _, key := range a.keys {
-		isRequest := isRequestKey(key)
-		if isSettled && !isRequest {
-			continue
+		isLate := !a.begunAt.IsZero()
+		if !isRequestKey(key) {
+			isLate = age >= SettleTime || a.isMoved
 		}
-		addKey(&report.Crashed, key)
-		if hasBegun && isRequest {
-			addKey(&report.Late, key)
-		}
-		if r := s.records[key]; r != nil && r.isRepeat(report.Endpoint, a.sentAt) {
-			addKey(&report.Repeated, key)
+		s.addKey(report, a, key, isLate, age)
+	}
+	report.Earlier = append(report.Earlier, a.refuted...)
+	a.refuted = nil
+}
+
+// addKey adds a key of an attempt to a report. If several attempts with it were in progress, the one that was furthest in its answer
+// counts: the endpoint had outlived the others' moments under it.
+func (s *Screener) addKey(report *Report, a *attempt, key string, isLate bool, age time.Duration) {
+	addString(&report.Crashed, key)
+	if isLate {
+		addString(&report.Late, key)
+		if report.Ages == nil {
+			report.Ages = map[string]time.Duration{}
 		}
+		report.Ages[key] = max(report.Ages[key], age)
+	}
+	if r := s.records[key]; r != nil && r.isRepeat(report.Endpoint, a.sentAt) {
+		addString(&report.Repeated, key)
 	}
 }
 
-// finishReport records a report of this instance, and returns it.
+// finishReport records a report of this instance, and returns it without the crashes that are refuted here.
 func (s *Screener) finishReport(now time.Time, report Report) Report {
 	slices.Sort(report.Crashed)
+	report.drop(s.refutedKeys(now, report))
 	report.Proven = s.Proven(now, report.Crashed)
 	s.Merge(now, report)
 	return report
 }
 
-// addKey adds a key to a list unless it is there.
-func addKey(keys *[]string, key string) {
-	if !slices.Contains(*keys, key) {
-		*keys = append(*keys, key)
+// addString adds a string to a list unless it is there.
+func addString(list *[]string, text string) {
+	if !slices.Contains(*list, text) {
+		*list = append(*list, text)
 	}
 }
 
--- a/internal/routing/screener/evidence.go
+++ b/internal/routing/screener/evidence.go
@@ -49,7 +49,7 @@
 	if ruling, _ := s.checkKey(now, part); ruling != Refuse || isRequestKey(part) {
 		return false
 	}
-	return !slices.ContainsFunc(r.crashes, func(c Crash) bool { return !s.records[part].hasCrash(c) })
+	return r.isWithin(s.records[part])
 }
 
 // Restore records evidence that was kept, unless more is known by now.
@@ -65,5 +65,5 @@
 		c.At = c.At.Add(-ahead)
 		r.crashes = append(r.crashes, c)
 	}
-	s.suspects(e.Key)[e.Key] = true
+	s.addSuspect(e.Key, r)
 }
--- a/internal/routing/screener/report.go
+++ b/internal/routing/screener/report.go
@@ -13,18 +13,109 @@
 	Crashed  []string
 	// Repeated holds those of them with which a request was sent to the endpoint after the key's crash before.
 	Repeated []string
-	// Late holds the keys of those requests that had begun before.
+	// Late holds the keys of those requests that had begun before, and the parts of those that had settled. Ages holds how long
+	// before the crash their first events were.
 	Late []string
+	Ages map[string]time.Duration
+	// Earlier holds crashes that a request had refuted which has crashed an endpoint since: they count again.
+	Earlier []Evidence
 	// Proven holds keys that requests had proven before, and Cleared those that one has proven since.
 	Proven  []string
 	Cleared []string
+	// Sound holds for how long endpoints have lasted after the first event of requests with keys that got a whole response.
+	Sound map[string]time.Duration
 	// Tried holds the keys of which this instance begins a trial.
 	Tried []string
 }
 
 // IsEmpty reports whether there is nothing to tell.
 func (r Report) IsEmpty() bool {
-	return len(r.Crashed)+len(r.Proven)+len(r.Cleared)+len(r.Tried) == 0
+	return len(r.Crashed)+len(r.Proven)+len(r.Cleared)+len(r.Sound)+len(r.Tried) == 0
+}
+
+// addSound adds that an endpoint has lasted for an age after the first event of a request with a key.
+func (r *Report) addSound(key string, age time.Duration) {
+	if r.Sound == nil {
+		r.Sound = map[string]time.Duration{}
+	}
+	r.Sound[key] = max(r.Sound[key], age)
+}
+
+// crash returns the crash of a key that the report is of.
+func (r Report) crash(now time.Time, key string) Crash {
+	return Crash{r.Endpoint, now, slices.Contains(r.Repeated, key), slices.Contains(r.Late, key), r.Ages[key]}
+}
+
+// drop takes keys out of the crash.
+func (r *Report) drop(keys map[string]bool) {
+	isDropped := func(key string) bool { return keys[key] }
+	r.Crashed, r.Late, r.Repeated = slices.DeleteFunc(r.Crashed, isDropped), slices.DeleteFunc(r.Late, isDropped), slices.DeleteFunc(r.Repeated, isDropped)
+	maps.DeleteFunc(r.Ages, func(key string, _ time.Duration) bool { return keys[key] })
+}
+
+// Reply returns what follows from another instance's reply to the report, which lists the keys that requests have proven there.
+func (r Report) Reply(keys []string) Report {
+	var news Report
+	for _, key := range keys {
+		if !slices.Contains(r.Late, key) {
+			news.Proven = append(news.Proven, key)
+			continue
+		}
+		// The least age that refutes the crash.
+		news.addSound(key, r.Ages[key]+max(SettleTime, min(r.Ages[key]/ageVariation, maxAgeVariation)))
+	}
+	return news
+}
+
+// DropKnown takes out of a report which keys are proven what is known at now.
+func (s *Screener) DropKnown(now time.Time, report Report) Report {
+	known := s.Proven(now, report.Proven)
+	report.Proven = slices.DeleteFunc(report.Proven, func(key string) bool { return slices.Contains(known, key) })
+	maps.DeleteFunc(report.Sound, func(key string, age time.Duration) bool {
+		r := s.records[key]
+		return r != nil && !r.hasLateCrash() && now.Sub(r.soundAt) < provenTime && r.soundAge >= age
+	})
+	return report
+}
+
+// Refuted returns the keys of a report that requests have proven here: those of late crashes that were outlived, and those of others
+// that were proven lately.
+func (s *Screener) Refuted(now time.Time, report Report) []string {
+	refuted := s.refutedKeys(now, report)
+	var out []string
+	for _, key := range report.Crashed {
+		r := s.records[key]
+		if refuted[key] || !slices.Contains(report.Late, key) && r != nil && r.isProven(now) {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
+// refutedKeys returns the keys of late crashes in a report that were outlived lately.
+func (s *Screener) refutedKeys(now time.Time, report Report) map[string]bool {
+	if len(report.Late) == 0 {
+		return nil
+	}
+	out := map[string]bool{}
+	crashes := map[string]Crash{}
+	for _, key := range report.Late {
+		crashes[key] = report.crash(now, key)
+		if r := s.records[key]; r != nil && r.refutes(now, crashes[key]) {
+			out[key] = true
+		}
+	}
+	for _, a := range s.attempts {
+		if !a.isSound(now) || slices.Contains(a.endpoints, report.Endpoint) {
+			continue
+		}
+		for _, key := range a.keys {
+			if c, ok := crashes[key]; ok && c.isOutlived(a.age(now)) {
+				out[key] = true
+			}
+		}
+	}
+	return out
 }
 
 // Proven returns those of the keys that a request has proven lately, at this instance or by what others report.
@@ -44,11 +135,20 @@
 		isOld := func(key string, _ bool) bool { return s.records[key].crashCount(now) == 0 }
 		maps.DeleteFunc(s.suspectParts, isOld)
 		maps.DeleteFunc(s.suspectRequests, isOld)
+		maps.DeleteFunc(s.repeatedRequests, func(_ string, r *record) bool { return r.crashCount(now) == 0 })
+	}
+	if len(report.Crashed) > 0 {
+		s.recordAnyCrash(now, report.Endpoint)
+	}
+	for _, e := range report.Earlier {
+		for _, c := range e.Crashes {
+			s.addKeyCrash(now, e.Key, c)
+		}
 	}
+	refuted := s.refutedKeys(now, report)
 	for _, key := range report.Crashed {
-		if r := s.record(now, key); r != nil {
-			r.addCrash(Crash{report.Endpoint, now, slices.Contains(report.Repeated, key), slices.Contains(report.Late, key)})
-			s.suspects(key)[key] = true
+		if !refuted[key] {
+			s.addKeyCrash(now, key, report.crash(now, key))
 		}
 	}
 	for _, key := range report.Proven {
@@ -58,7 +158,10 @@
 		}
 	}
 	for _, key := range report.Cleared {
-		s.prove(now, key, now)
+		s.prove(now, key, now, 0)
+	}
+	for key, age := range report.Sound {
+		s.prove(now, key, now, age)
 	}
 	for _, key := range report.Tried {
 		if r := s.record(now, key); r != nil {
@@ -66,3 +169,11 @@
 		}
 	}
 }
+
+// addKeyCrash adds a crash under a key.
+func (s *Screener) addKeyCrash(now time.Time, key string, c Crash) {
+	if r := s.record(now, key); r != nil {
+		r.addCrash(c)
+		s.addSuspect(key, r)
+	}
+}
--- a/internal/routing/screener/screener.go
+++ b/internal/routing/screener/screener.go
@@ -1,9 +1,9 @@
 // Package screener decides which requests may be sent to endpoints. It looks for what requests have in common that are in
 // progress when endpoints crash: a part of their prompts, or the whole request that is sent again.
 //
-// What a request has that others may share is a key. A request that begins clears the parts of its prompt, and one that ends
-// whole its own key, so a key under which endpoints crash and that no request clears is the cause, and the other keys of the
-// same requests are not.
+// What a request has that others may share is a key. A request that begins shows that its parts crash no endpoint which begins to
+// answer, and one that gets a whole response, whose endpoint lasts, that its keys crash none as early after the first event. A
+// key under which endpoints crash and that no request clears is the cause, and the other keys of the same requests are not.
 package screener
 
 import (
@@ -45,8 +45,21 @@
 	// known.
 	trialTime = 2 * time.Second
 	newsTime  = 100 * time.Millisecond
-	// lossWindow is how long before the news of a loss the attempts that it ended may have ended.
-	lossWindow = 500 * time.Millisecond
+	// lossWindow is how long before the news of a loss the attempts that it ended may have ended, and observationWindow how long
+	// after the end of an attempt that ran a crash of its endpoint counts against it: a request may crash an endpoint after
+	// its last event, as it is cleaned up.
+	lossWindow        = 500 * time.Millisecond
+	observationWindow = 3 * time.Second
+	// ageVariation is the share, as a divisor, by which the moment of the crashes under one key may vary, and maxAgeVariation
+	// its bound: an endpoint that outlives the moment by more refutes that the key is the cause.
+	ageVariation    = 4
+	maxAgeVariation = time.Second
+	// ambientWindow is how long before and after the crashes of a key others count as of the same time, and maxRecentCrashes bounds the
+	// memory for them. If most crashes of that time are not under a key, endpoints crash by themselves, and it takes ambientFactor
+	// times as many crashes to refuse requests with it.
+	ambientWindow    = 5 * time.Second
+	ambientFactor    = 2
+	maxRecentCrashes = 512
 	// silenceWindow is how long before its row goes an endpoint that crashes silently may have ended attempts: the row outlasts the
 	// endpoint by some of its heartbeats.
 	silenceWindow = 10 * time.Second
@@ -87,11 +100,17 @@
 	suspectParts    map[string]bool
 	suspectRequests map[string]bool
 	losses          map[string]time.Time
+	// repeatedRequests holds the records of the requests with more than one crash.
+	repeatedRequests map[string]*record
+	// recentCrashes holds the last crashes of endpoints, whatever ran on them.
+	recentCrashes []Crash
 	// begun holds the attempts that have begun, ended those that have ended, and whole those of them that ended with a whole
-	// response and are not settled, in the order of these times. broken holds those that ended without one longer ago.
+	// response and are not settled, in the order of these times. outliving holds those that are settled and may refute further
+	// crashes as their endpoints last, and broken those that ended without a whole response longer ago.
 	begun       []*attempt
 	ended       []*attempt
 	whole       []*attempt
+	outliving   []*attempt
 	broken      []*attempt
 	lastAttempt uint64
 	prunedAt    time.Time
@@ -101,7 +120,7 @@
 func New() *Screener {
 	return &Screener{
 		records: map[string]*record{}, attempts: map[uint64]*attempt{}, suspectParts: map[string]bool{}, suspectRequests: map[string]bool{},
-		losses: map[string]time.Time{},
+		losses: map[string]time.Time{}, repeatedRequests: map[string]*record{},
 	}
 }
 
@@ -113,6 +132,14 @@
 	return s.suspectParts
 }
 
+// addSuspect adds a key with a record to the suspects.
+func (s *Screener) addSuspect(key string, r *record) {
+	s.suspects(key)[key] = true
+	if isRequestKey(key) && len(r.crashes) > 1 {
+		s.repeatedRequests[key] = r
+	}
+}
+
 // Check returns the ruling on a request with keys at now, and the time after which a refused one may be tried.
 func (s *Screener) Check(now time.Time, keys []string) (Ruling, time.Duration) {
 	worst, retryAfter := Allow, time.Duration(0)
@@ -126,25 +153,77 @@
 	return worst, retryAfter
 }
 
+// CheckMoved is Check for a stream that has settled at another endpoint: only late crashes count against its parts.
+func (s *Screener) CheckMoved(now time.Time, keys []string) (Ruling, time.Duration) {
+	worst, retryAfter := Allow, time.Duration(0)
+	for _, key := range keys {
+		ruling, d := Allow, time.Duration(0)
+		if isRequestKey(key) {
+			ruling, d = s.checkKey(now, key)
+		} else if r := s.records[key]; r != nil {
+			ruling, d = s.checkLateCrashes(now, key, r)
+		}
+		if ruling == Refuse && s.hasRival(now, key, keys) {
+			ruling, d = s.trialRuling(now, key), 0
+		}
+		worst, retryAfter = max(worst, ruling), max(retryAfter, d)
+	}
+	return worst, retryAfter
+}
+
 // checkKey returns the ruling on one key, and for how long it is refused.
 func (s *Screener) checkKey(now time.Time, key string) (Ruling, time.Duration) {
 	r := s.records[key]
 	if r == nil || len(r.crashes) == 0 {
 		return Allow, 0
 	}
-	crashes, limit := r.crashCount(now), r.crashLimit()
+	if isRequestKey(key) {
+		return s.checkCrashes(now, key, r.crashes, r.crashLimit())
+	}
+	early, earlyLeft := s.checkCrashes(now, key, r.earlyCrashes(), crashLimit)
+	late, lateLeft := s.checkLateCrashes(now, key, r)
+	return max(early, late), max(earlyLeft, lateLeft)
+}
+
+// checkCrashes returns the ruling on a key by some of its crashes, and for how long it is refused.
+func (s *Screener) checkCrashes(now time.Time, key string, crashes []Crash, limit int) (Ruling, time.Duration) {
+	r := s.records[key]
+	left := refusedUntil(now, crashes, limit).Sub(now)
+	count := countApart(now, crashes, crashGap, true)
 	if r.isProven(now) {
-		crashes, limit = s.unexplainedCrashes(now, key, r), provenCrashLimit
+		count, limit = s.unexplainedCrashes(now, key, crashes), provenCrashLimit
 	}
-	if crashes < limit-1 {
+	if count < limit-1 {
 		return Allow, 0
 	}
-	left := r.refusedUntil(now).Sub(now)
-	if crashes < limit || left <= 0 {
+	if count < limit || left <= 0 {
 		return s.trialRuling(now, key), 0
 	}
 	// A request whose prompt has many parts makes them equal suspects by itself.
-	if s.equalSuspects(now, key) > maxEqualSuspects && (!isRequestKey(key) || crashes < lateCrashLimit) {
+	if s.equalSuspects(now, key) > maxEqualSuspects && (!isRequestKey(key) || count < lateCrashLimit) {
+		return s.trialRuling(now, key), 0
+	}
+	if count < ambientFactor*limit && (s.isAmbient(now, crashes) || isRequestKey(key) && s.hasTwin(key, r)) {
+		return s.trialRuling(now, key), 0
+	}
+	if isRequestKey(key) && s.isExplained(now, r) {
+		return s.trialRuling(now, key), 0
+	}
+	return Refuse, left
+}
+
+// checkLateCrashes returns the ruling on a part by all its crashes if some of them were late, and for how long it is refused. There are
+// no trials before a refusal: other requests with the part would wait for the whole of an answer.
+func (s *Screener) checkLateCrashes(now time.Time, key string, r *record) (Ruling, time.Duration) {
+	if isRequestKey(key) || !r.hasLateCrash() {
+		return Allow, 0
+	}
+	count := countApart(now, r.crashes, crashGap, true)
+	if count < lateCrashLimit || s.isOfOneRequest(r) || count < ambientFactor*lateCrashLimit && s.isAmbient(now, r.crashes) {
+		return Allow, 0
+	}
+	left := refusedUntil(now, r.crashes, lateCrashLimit).Sub(now)
+	if left <= 0 {
 		return s.trialRuling(now, key), 0
 	}
 	return Refuse, left
@@ -154,7 +233,7 @@
 func (s *Screener) equalSuspects(now time.Time, key string) int {
 	n, crashes := 0, s.records[key].crashCount(now)
 	for other := range s.suspectParts {
-		if other != key && s.records[other].crashCount(now) >= crashes {
+		if other != key && countApart(now, s.records[other].earlyCrashes(), crashGap, true) >= crashes {
 			n++
 		}
 	}
@@ -172,31 +251,36 @@
 // hasRival reports whether another part that a request with keys lacks may as well be the cause of the crashes of one of
 // its parts: it was there each time, and neither is proven. Then the request is worth a trial, which tells them apart.
 func (s *Screener) hasRival(now time.Time, key string, keys []string) bool {
+	if isRequestKey(key) {
+		return false
+	}
 	r := s.records[key]
-	if isRequestKey(key) || r.isProven(now) {
+	// What a request shows as it begins says nothing of late crashes.
+	late, _ := s.checkLateCrashes(now, key, r)
+	isLate := late == Refuse
+	if !isLate && r.isProven(now) {
 		return false
 	}
 	for other := range s.suspectParts {
 		o := s.records[other]
-		if slices.Contains(keys, other) || o.isProven(now) {
+		if slices.Contains(keys, other) || !isLate && o.isProven(now) {
 			continue
 		}
-		if !slices.ContainsFunc(r.crashes, func(c Crash) bool { return !o.hasCrash(c) }) {
+		if r.isWithin(o) {
 			return true
 		}
 	}
 	return false
 }
 
-// unexplainedCrashes returns the number of crashes of a proven key that no refused part explains. Those after the first event do
-// not count: a whole response shows what happens after it.
-func (s *Screener) unexplainedCrashes(now time.Time, key string, r *record) int {
+// unexplainedCrashes returns the number of those crashes of a proven key that no refused part explains.
+func (s *Screener) unexplainedCrashes(now time.Time, key string, crashes []Crash) int {
 	var unexplained []Crash
-	for _, c := range r.crashes {
-		isExplained := c.IsLate
+	for _, c := range crashes {
+		isExplained := false
 		for other := range s.suspectParts {
 			o := s.records[other]
-			isExplained = isExplained || other != key && !o.isProven(now) && now.Before(o.refusedUntil(now)) && o.hasCrash(c)
+			isExplained = isExplained || other != key && o.hasCrash(c) && s.isOverLimit(now, other)
 		}
 		if !isExplained {
 			unexplained = append(unexplained, c)
--- a/internal/routing/screener/screener_test.go
+++ b/internal/routing/screener/screener_test.go
@@ -20,7 +20,7 @@
 	number, _ := s.Begin(now, keys, []string{"other"})
 	s.RecordFirstEvent(now, number)
 	s.End(now, number, Whole)
-	return s.Settle(now.Add(SettleTime))
+	return s.Settle(now.Add(SettleTime)).Cleared
 }
 
 // crashed plays requests with parts that wait for their first event on an endpoint when it crashes.
@@ -141,7 +141,7 @@
 		{"in progress", func(*Screener, time.Time, uint64) {}, Wait},
 		{"begins", func(s *Screener, now time.Time, number uint64) {
 			s.RecordFirstEvent(now, number)
-			if cleared := s.Settle(now.Add(SettleTime)); !slices.Equal(cleared, []string{key}) {
+			if cleared := s.Settle(now.Add(SettleTime)).Cleared; !slices.Equal(cleared, []string{key}) {
 				t.Errorf("cleared %v, want the key", cleared)
 			}
 		}, Allow},
@@ -250,7 +250,7 @@
 		now = now.Add(time.Millisecond)
 		begun(s, now, part(fmt.Sprint(n)), RequestKey("s", fmt.Sprint(n)))
 	}
-	s.Settle(now.Add(SettleTime + lossWindow)) // News of a loss may come for so long after the end of an attempt.
+	s.Settle(now.Add(SettleTime + observationWindow)) // News of a loss may come for so long after the end of an attempt.
 	if len(s.records) > maxRecords || len(s.attempts) > 0 {
 		t.Errorf("%d records, want %d at most, and %d attempts", len(s.records), maxRecords, len(s.attempts))
 	}
@@ -336,7 +336,7 @@
 	p.now = p.now.Add(2 * time.Millisecond)
 	p.deliverNews()
 	for i, s := range p.instances {
-		p.tell(i, Report{Cleared: s.Settle(p.now)})
+		p.tell(i, s.Settle(p.now))
 	}
 	if p.random.IntN(6) == 0 {
 		// A few first parts are in most requests.
--- a/internal/serving/forwarder/forwarder.go
+++ b/internal/serving/forwarder/forwarder.go
@@ -242,9 +242,9 @@
 // RestoreEvidence records evidence against a part of prompts or a request that was kept.
 func (f *Forwarder) RestoreEvidence(now time.Time, e screener.Evidence) { f.screening.restore(now, e) }
 
-// ProvenKeys returns those of the keys that a request is known to have proven.
-func (f *Forwarder) ProvenKeys(now time.Time, keys []string) []string {
-	return f.screening.proven(now, keys)
+// MergeReply records another instance's reply to a report, which lists proven keys, and returns what was not known of it.
+func (f *Forwarder) MergeReply(now time.Time, r screener.Report, proven []string) screener.Report {
+	return f.screening.mergeReply(now, r, proven)
 }
 
 // Suspects returns the number of keys of requests under which endpoints have crashed, and how many of them are refused.
--- a/internal/serving/forwarder/plain.go
+++ b/internal/serving/forwarder/plain.go
@@ -73,7 +73,7 @@
 	tried := map[string]bool{}
 	for n := 0; n < maxEndpointTries && !isDone(k.ctx); n++ {
 		var ruling screener.Ruling
-		ruling, retryAfter = k.awaitRuling(k.screenKeys())
+		ruling, retryAfter = k.awaitRuling(k.checkKeys)
 		if refusalReason = refusalReasons[ruling]; refusalReason != "" {
 			break
 		}
@@ -196,7 +196,7 @@
 		defer cancelTimeout()
 	}
 	screening := k.forwarder.screening
-	number := screening.begin(k.forwarder.clock(), k.screenKeys(), []string{id}, k.stopAttempt(cancel))
+	number := screening.begin(k.forwarder.clock(), k.screenKeys(), []string{id}, false, k.stopAttempt(cancel))
 	defer func() {
 		screenResult := screenResults[result]
 		if r != nil {
--- a/internal/serving/forwarder/rulings.go
+++ b/internal/serving/forwarder/rulings.go
@@ -37,23 +37,27 @@
 	return k.keys
 }
 
-// screenKeys returns the keys of a stream. Once an endpoint has lasted after its first event, only the key of the request is
-// left: the parts of its prompt have been proven.
-func (s *streamCall) screenKeys() []string {
-	keys := s.call.screenKeys()
+// checkKeys returns the ruling on the request at now, and the time after which a refused one may be tried.
+func (k *call) checkKeys(now time.Time) (screener.Ruling, time.Duration) {
+	return k.forwarder.screening.check(now, k.screenKeys())
+}
+
+// checkKeys returns the ruling on the stream. Once an endpoint has lasted after its first event, the parts of its prompt have shown that
+// they crash no endpoint which begins to answer.
+func (s *streamCall) checkKeys(now time.Time) (screener.Ruling, time.Duration) {
 	if s.hasSettled {
-		return keys[:1]
+		return s.forwarder.screening.checkMoved(now, s.screenKeys())
 	}
-	return keys
+	return s.call.checkKeys(now)
 }
 
-// awaitRuling waits while another request with one of the keys is on trial, and returns the ruling on the request: it is Wait if
-// the result is not known in time. A request that must not be sent may be tried after the returned time.
-func (k *call) awaitRuling(keys []string) (screener.Ruling, time.Duration) {
+// awaitRuling waits while another request with a key of the request is on trial, and returns the ruling that a check gives on the
+// request: it is Wait if the result is not known in time. A request that must not be sent may be tried after the returned time.
+func (k *call) awaitRuling(check func(now time.Time) (screener.Ruling, time.Duration)) (screener.Ruling, time.Duration) {
 	now := k.forwarder.clock()
 	end := now.Add(cmp.Or(k.route.FirstByteTarget, maxTrialWait))
 	for {
-		ruling, retryAfter := k.forwarder.screening.check(now, keys)
+		ruling, retryAfter := check(now)
 		if ruling != screener.Wait {
 			return ruling, retryAfter
 		}
@@ -77,7 +81,7 @@
 
 // isSuspect reports whether the stream must not be sent, and answers its caller if so.
 func (s *streamCall) isSuspect() bool {
-	ruling, retryAfter := s.forwarder.screening.check(s.forwarder.clock(), s.screenKeys())
+	ruling, retryAfter := s.checkKeys(s.forwarder.clock())
 	if ruling != screener.Refuse {
 		return false
 	}
@@ -88,7 +92,7 @@
 // awaitTrial waits while another request with a key of the stream is on trial, and reports whether the stream may be sent along a
 // path. If not, it has given up the path and answered the caller.
 func (s *streamCall) awaitTrial(path reserver.Path) bool {
-	ruling, retryAfter := s.awaitRuling(s.screenKeys())
+	ruling, retryAfter := s.awaitRuling(s.checkKeys)
 	if reason, ok := refusalReasons[ruling]; ok {
 		s.dropPath(path)
 		s.giveUpAfter(reason, retryAfter)
--- a/internal/serving/forwarder/screening.go
+++ b/internal/serving/forwarder/screening.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -47,11 +49,21 @@
 	return s.screener.Check(now, keys)
 }
 
+// checkMoved is check for a stream that has settled at another endpoint.
+func (s *screening) checkMoved(now time.Time, keys []string) (screener.Ruling, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.screener.CheckMoved(now, keys)
+}
+
 // begin records that a request is sent along endpoints, and returns the number of the attempt. The function stop is
-// called if the request must not run.
-func (s *screening) begin(now time.Time, keys []string, endpoints []string, stop func()) uint64 {
+// called if the request must not run. A moved stream has settled at another endpoint.
+func (s *screening) begin(now time.Time, keys []string, endpoints []string, isMoved bool, stop func()) uint64 {
 	s.mu.Lock()
 	number, tried := s.screener.Begin(now, keys, endpoints)
+	if isMoved {
+		s.screener.MarkMoved(number)
+	}
 	if number > 0 {
 		s.stops[number] = stop
 	}
@@ -89,14 +101,16 @@
 // settle handles the attempts whose result is known.
 func (s *screening) settle(now time.Time) {
 	s.mu.Lock()
-	cleared := s.screener.Settle(now)
+	news := s.screener.Settle(now)
 	s.mu.Unlock()
-	if len(cleared) > 0 {
-		s.log.Info("suspicion lifted", "keys", listKeys(cleared))
-		s.report(screener.Report{Cleared: cleared})
-		if s.keeper != nil {
-			s.keeper.Drop(cleared)
-		}
+	if news.IsEmpty() {
+		return
+	}
+	cleared := slices.AppendSeq(slices.Clone(news.Cleared), maps.Keys(news.Sound))
+	s.log.Info("suspicion lifted", "keys", listKeys(cleared))
+	s.report(news)
+	if s.keeper != nil {
+		s.keeper.Drop(cleared)
 	}
 }
 
@@ -134,7 +148,7 @@
 // here.
 func (s *screening) merge(now time.Time, report screener.Report) []string {
 	s.mu.Lock()
-	proven := s.screener.Proven(now, report.Crashed)
+	proven := s.screener.Refuted(now, report)
 	s.screener.Merge(now, report)
 	stops := s.stopRefused(now, report)
 	s.mu.Unlock()
@@ -165,11 +179,13 @@
 	return s.screener.IsLost(now, endpoint)
 }
 
-// proven returns those of the keys that a request is known to have proven.
-func (s *screening) proven(now time.Time, keys []string) []string {
+// mergeReply records another instance's reply to a report, which lists proven keys, and returns what was not known of it.
+func (s *screening) mergeReply(now time.Time, report screener.Report, proven []string) screener.Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.screener.Proven(now, keys)
+	news := s.screener.DropKnown(now, report.Reply(proven))
+	s.screener.Merge(now, news)
+	return news
 }
 
 // stopRefused returns the functions that stop the requests that must not run after a report, and logs the keys that are
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -267,7 +267,7 @@
 	s.allocator.WatchStream(s.forwarder.clock(), s.request.ID, path, func(verdict monitor.Verdict) {
 		s.handOver(h, verdict, pathRequest, failures, cancel)
 	})
-	s.screenNumber = s.forwarder.screening.begin(s.forwarder.clock(), s.screenKeys(), path.EndpointIDs(), s.stopAttempt(cancel))
+	s.screenNumber = s.forwarder.screening.begin(s.forwarder.clock(), s.screenKeys(), path.EndpointIDs(), s.hasSettled, s.stopAttempt(cancel))
 	result := unsent
 	defer func() { s.endScreening(result) }()
 	s.addToTrail("path", describePath(path), "expecting", path.TimeToFirstToken.Round(time.Millisecond).String(), "then",
--- a/internal/serving/gateway/suspects.go
+++ b/internal/serving/gateway/suspects.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 
 	"github.com/heatherrock/heatherrock/internal/control/gossiper"
 	"github.com/heatherrock/heatherrock/internal/routing/screener"
@@ -39,12 +38,8 @@
 		if err := g.exchange.Call(ctx, p, "Suspects.Tell", Suspicion{r, forward}, &proven); err != nil {
 			return err
 		}
-		now := g.clock()
-		known := g.forwarder.ProvenKeys(now, proven)
-		proven = slices.DeleteFunc(proven, func(key string) bool { return slices.Contains(known, key) })
-		if len(proven) > 0 {
-			g.forwarder.MergeSuspicions(now, screener.Report{Proven: proven})
-			g.tellSuspicions(screener.Report{Proven: proven})
+		if news := g.forwarder.MergeReply(g.clock(), r, proven); !news.IsEmpty() {
+			g.tellSuspicions(news)
 		}
 		return nil
 	})
