Tell late crashes of a part from those of the requests beside it

In virtual time, a part of prompts that crashes endpoints 250 ms or more after the first event was never found, and up to 384 of 667 sound requests were refused.

Cause: only crashes before the first event counted against parts, so a part that crashes endpoints later left crashes on the rare parts beside it. Refusals had no measure of crashes that have nothing to do with a suspect.

Change: a part with late crashes is refused after three, 100 ms after the last one, when all instances have reported on it. It is left alone if one request alone was at all of them, if stronger suspects explain them, or if another part was there as well at moments that vary as little. What was observed for 3 s after a whole response, without a crash, is sound for half a minute to a minute, and such keys get no late crash. Sound responses that are younger refute a late crash on their own instance alone, until their endpoint crashes. Requests whose crashes came at various moments need six, and those whose crashes a refused suspect explains are tried. Where at least as many endpoints crash beside a suspect, the limit is double; with three times as many it is not refused.

--- a/internal/routing/screener/ambience.go
+++ b/internal/routing/screener/ambience.go
@@ -17,9 +17,20 @@
 	}
 }
 
-// isAmbient reports whether at least as many endpoints crashed at the time of a key's crashes without the key as with it: then it is
-// rather one of many that were on them.
-func (s *Screener) isAmbient(now time.Time, crashes []Crash) bool {
+// markSound records that endpoints have lasted after a request with a key.
+func (s *Screener) markSound(now time.Time, key string) {
+	if now.Sub(s.soundSince) >= soundTime || len(s.sound) >= maxSoundKeys {
+		s.sound, s.soundBefore, s.soundSince = map[string]bool{}, s.sound, now
+	}
+	s.sound[key] = true
+}
+
+// isSound reports whether endpoints have lasted lately after a request with a key.
+func (s *Screener) isSound(key string) bool { return s.sound[key] || s.soundBefore[key] }
+
+// isAmbient reports whether so many endpoints crashed at the time of a key's crashes without the key that it is rather one of many
+// that were on them: at least as many as with it, or ambientShare times as many once the key has ambientFactor times the limit.
+func (s *Screener) isAmbient(crashes []Crash, count, limit int) bool {
 	r := &record{crashes: crashes}
 	from, to := crashes[0].At.Add(-ambientWindow), crashes[len(crashes)-1].At.Add(ambientWindow)
 	others := 0
@@ -28,6 +39,9 @@
 			others++
 		}
 	}
+	if count >= ambientFactor*limit {
+		return others >= ambientShare*len(crashes)
+	}
 	return others >= len(crashes)
 }
 
@@ -37,14 +51,29 @@
 	if !r.isProven(now) && now.Before(refusedUntil(now, r.earlyCrashes(), crashLimit)) {
 		return true
 	}
-	late, _ := s.checkLateCrashes(now, part, r)
-	return late == Refuse
+	return r.hasLateCrash() && now.Before(refusedUntil(now, r.knownCrashes(now), lateCrashLimit))
 }
 
-// hasTwin reports whether another request was at the same crashes as one: streams move with it to the next endpoint.
-func (s *Screener) hasTwin(key string, r *record) bool {
+// isBeside reports whether a request was rather beside the cause of its crashes than the cause. With a few crashes it is a matter of doubt
+// if they came at various moments of its answer, or another request was at the same ones.
+func (s *Screener) isBeside(now time.Time, key string, r *record, areFew bool) bool {
+	return areFew && (hasVariousMoments(r.crashes) || s.hasTwin(now, key, r)) || s.isExplained(now, r)
+}
+
+// hasVariousMoments reports whether one late crash refutes that another came at the same moment of the answer.
+func hasVariousMoments(crashes []Crash) bool {
+	return slices.ContainsFunc(crashes, func(a Crash) bool {
+		return a.IsLate && slices.ContainsFunc(crashes, func(b Crash) bool { return b.IsLate && a.isOutlived(b.Age) })
+	})
+}
+
+// hasTwin reports whether another request was at the same crashes as one, as far as all instances have reported on them, and was sent
+// again after each: streams move with it to the next endpoint.
+func (s *Screener) hasTwin(now time.Time, key string, r *record) bool {
+	known := r.knownCrashes(now)
+	isSingle := func(c Crash) bool { return !c.IsRepeat }
 	for other, o := range s.repeatedRequests {
-		if other != key && len(o.crashes) == len(r.crashes) && r.isWithin(o) {
+		if other != key && isWithin(known, o) && len(o.knownCrashes(now)) == len(known) && !slices.ContainsFunc(o.crashes[1:], isSingle) {
 			return true
 		}
 	}
@@ -54,12 +83,12 @@
 // isExplained reports whether a refused part or request was at all crashes of a request and at others.
 func (s *Screener) isExplained(now time.Time, r *record) bool {
 	for part := range s.suspectParts {
-		if o := s.records[part]; len(o.crashes) > len(r.crashes) && r.isWithin(o) && s.isOverLimit(now, part) {
+		if o := s.records[part]; len(o.crashes) > len(r.crashes) && isWithin(r.crashes, o) && s.isOverLimit(now, part) {
 			return true
 		}
 	}
 	for _, o := range s.repeatedRequests {
-		if len(o.crashes) > len(r.crashes) && r.isWithin(o) && now.Before(refusedUntil(now, o.crashes, o.crashLimit())) {
+		if len(o.crashes) > len(r.crashes) && isWithin(r.crashes, o) && now.Before(refusedUntil(now, o.crashes, o.crashLimit())) {
 			return true
 		}
 	}
@@ -67,9 +96,40 @@
 }
 
 // isOfOneRequest reports whether one request was at all crashes of a part: it is the cause rather than the part.
-func (s *Screener) isOfOneRequest(r *record) bool {
+func (s *Screener) isOfOneRequest(crashes []Crash) bool {
 	for _, o := range s.repeatedRequests {
-		if r.isWithin(o) {
+		if isWithin(crashes, o) {
+			return true
+		}
+	}
+	return false
+}
+
+// isOfStrongerParts reports whether too few late crashes of a part are left that refused parts do not explain which are stronger suspects:
+// they have more crashes, or as many, which are early or came at one moment where its own did not.
+func (s *Screener) isOfStrongerParts(now time.Time, key string, crashes []Crash) bool {
+	left := slices.Clone(crashes)
+	for other := range s.suspectParts {
+		o, more := s.records[other], len(s.records[other].crashes)-len(s.records[key].crashes)
+		isStronger := more > 0 || more == 0 && (!o.hasLateCrash() || hasVariousMoments(crashes) && !hasVariousMoments(o.crashes))
+		if other != key && isStronger && s.isOverLimit(now, other) {
+			left = slices.DeleteFunc(left, o.hasCrash)
+		}
+	}
+	return countApart(now, left, crashGap, true) < lateCrashLimit
+}
+
+// hasLateRival reports whether another part that a request with keys lacks was at all crashes of one of its parts, at moments that vary
+// as little: the next crash tells them apart.
+func (s *Screener) hasLateRival(now time.Time, key string, keys []string) bool {
+	known := s.records[key].knownCrashes(now)
+	if isRequestKey(key) || len(known) >= ambientFactor*lateCrashLimit {
+		return false
+	}
+	for other := range s.suspectParts {
+		o := s.records[other]
+		isWeaker := hasVariousMoments(o.crashes) && !hasVariousMoments(known)
+		if !slices.Contains(keys, other) && o.hasLateCrash() && !isWeaker && isWithin(known, o) {
 			return true
 		}
 	}
--- a/internal/routing/screener/attempt.go
+++ b/internal/routing/screener/attempt.go
@@ -196,14 +196,20 @@
 	}
 }
 
-// refute drops the crashes under the keys of an attempt that its endpoint has outlived, adds them to the news, and reports whether
-// there are others that it may outlive yet.
+// refute drops the crashes under the keys of an attempt that its endpoint has outlived, and reports whether there are others that it
+// may outlive yet. The other instances are told only what no later crash can change.
 func (s *Screener) refute(now time.Time, a *attempt, news *Report) bool {
 	if !a.isSound(now) {
 		return false
 	}
 	age, mayRefuteMore := a.age(now), false
+	if !a.isObserved(now) {
+		age = anyAge // No later moment would have been noticed.
+	}
 	for _, key := range a.keys {
+		if age == anyAge {
+			s.markSound(now, key)
+		}
 		// Nearly all requests are sent once, so there is mostly nothing to keep of their own keys.
 		if isRequestKey(key) && s.records[key] == nil {
 			continue
@@ -217,8 +223,8 @@
 			a.refuted = append(a.refuted, Evidence{key, refuted})
 		}
 		switch {
-		case slices.ContainsFunc(refuted, func(c Crash) bool { return c.IsLate }):
-			news.addSound(key, age)
+		case age == anyAge && slices.ContainsFunc(refuted, func(c Crash) bool { return c.IsLate }):
+			addString(&news.Sound, key)
 		case before != Allow && len(refuted) > 0:
 			news.Cleared = append(news.Cleared, key)
 		}
@@ -241,7 +247,7 @@
 		if a.hasCrashed || !a.isObserved(now) || !slices.Contains(a.endpoints, endpoint) {
 			continue
 		}
-		s.addCrash(&report, a, a.age(now))
+		s.addCrash(now, &report, a)
 	}
 	return s.finishReport(now, report)
 }
@@ -265,9 +271,10 @@
 	return s.finishReport(now, report)
 }
 
-// addCrash adds the keys of an attempt under which an endpoint crashed at an age to a report. A request has a late crash if it had
+// addCrash adds the keys of an attempt under which an endpoint crashed to a report. What the attempt has refuted counts again. A request has a late crash if it had
 // begun, and a part of its prompt if the attempt had settled.
-func (s *Screener) addCrash(report *Report, a *attempt, age time.Duration) {
+func (s *Screener) addCrash(now time.Time, report *Report, a *attempt) {
+	age := a.age(now)
 	a.hasCrashed = true
 	for _, key := range a.keys {
 		isLate := !a.begunAt.IsZero()
@@ -276,7 +283,11 @@
 		}
 		s.addKey(report, a, key, isLate, age)
 	}
-	report.Earlier = append(report.Earlier, a.refuted...)
+	for _, e := range a.refuted {
+		for _, c := range e.Crashes {
+			s.addKeyCrash(now, e.Key, c)
+		}
+	}
 	a.refuted = nil
 }
 
--- a/internal/routing/screener/evidence.go
+++ b/internal/routing/screener/evidence.go
@@ -49,7 +49,7 @@
 	if ruling, _ := s.checkKey(now, part); ruling != Refuse || isRequestKey(part) {
 		return false
 	}
-	return r.isWithin(s.records[part])
+	return isWithin(r.crashes, s.records[part])
 }
 
 // Restore records evidence that was kept, unless more is known by now.
--- a/internal/routing/screener/moments_test.go
+++ b/internal/routing/screener/moments_test.go
@@ -10,7 +10,7 @@
 
 // The fleet of the plays: paths of two endpoints, which are back some time after a crash, under new ids.
 const (
-	sceneInstances, sceneEndpoints, sceneStep = 4, 12, 5 * time.Millisecond
+	sceneInstances, sceneEndpoints, sceneStep = 4, 28, 5 * time.Millisecond
 	backAfter, stabilityWindow                = 3 * time.Second, 3 * time.Second
 	// resendAfter is the pause after which the caller of a deadly request sends it again, and trialPatience how long requests wait for a trial.
 	resendAfter, trialPatience = time.Second, 500 * time.Millisecond
@@ -28,7 +28,7 @@
 
 var moments = []moment{
 	{0, false}, {50 * time.Millisecond, false}, {250 * time.Millisecond, false}, {600 * time.Millisecond, false}, {1500 * time.Millisecond, false},
-	{0, true}, {250 * time.Millisecond, true}, {2 * time.Second, true},
+	{0, true}, {250 * time.Millisecond, true}, {time.Second, true}, {2 * time.Second, true},
 }
 
 // flight is a request and its attempt in progress.
@@ -39,10 +39,10 @@
 	number           uint64
 	path             [2]int
 	// length is what is left of the answer, and waitsUntil when the wait for a trial ends.
-	length                               time.Duration
-	dueAt, waitsUntil                    time.Time
-	begunAt, endsAt, crashAt             time.Time
-	isWaiting, isEnded, isGone, hadBegun bool
+	length                                 time.Duration
+	dueAt, waitsUntil                      time.Time
+	begunAt, endsAt, crashAt               time.Time
+	isWaiting, isEnded, isGone, hasSettled bool
 }
 
 // scene is a fleet with its requests.
@@ -115,7 +115,7 @@
 	case f.isWaiting:
 		s.send(f)
 	case f.begunAt.IsZero() && !s.now.Before(f.dueAt):
-		f.begunAt, f.endsAt, f.hadBegun = s.now, s.now.Add(f.length), true
+		f.begunAt, f.endsAt = s.now, s.now.Add(f.length)
 		screener.RecordFirstEvent(s.now, f.number)
 		f.crashAt = f.begunAt.Add(s.delay)
 		if s.isFromEnd {
@@ -154,7 +154,7 @@
 func (s *scene) send(f *flight) {
 	screener := s.instances[f.instance]
 	check := screener.Check
-	if f.moves > 0 && f.hadBegun {
+	if f.hasSettled {
 		check = screener.CheckMoved
 	}
 	ruling, _ := check(s.now, f.keys)
@@ -183,7 +183,7 @@
 	f.isSent = true
 	var tried []string
 	f.number, tried = screener.Begin(s.now, f.keys, []string{s.id(f.path[0]), s.id(f.path[1])})
-	if f.hadBegun {
+	if f.hasSettled {
 		screener.MarkMoved(f.number)
 	}
 	s.tell(f.instance, Report{Tried: tried})
@@ -218,7 +218,7 @@
 		}
 		s.instances[f.instance].End(s.now, f.number, Broken)
 		if !f.begunAt.IsZero() {
-			f.length = max(sceneStep, f.length-s.now.Sub(f.begunAt))
+			f.length, f.hasSettled = max(sceneStep, f.length-s.now.Sub(f.begunAt)), f.hasSettled || s.now.Sub(f.begunAt) >= SettleTime
 		}
 		f.begunAt = time.Time{}
 		if f.moves++; f.moves >= 4 {
@@ -226,8 +226,7 @@
 			s.leave(f)
 			continue
 		}
-		f.waitsUntil = s.now.Add(trialPatience)
-		s.send(f)
+		f.isWaiting, f.waitsUntil = true, s.now.Add(trialPatience)
 	}
 }
 
@@ -260,24 +259,97 @@
 	s.add(f)
 }
 
+// sceneSeeds is the number of plays of each case, and soundShare one in how many sound requests may be refused over all of them: a few are
+// on no other endpoints than those that crash.
+const sceneSeeds, soundShare = 3, 1000
+
 // TestRequestIsRefusedWhateverItsMoment guards against a request that counts as harmless by what it has shown before the moment at which
-// it crashes each endpoint.
+// it crashes each endpoint, and against sound streams that are refused with it.
 func TestRequestIsRefusedWhateverItsMoment(t *testing.T) {
+	sound, refused := 0, 0
 	for _, m := range moments {
-		for seed := range uint64(4) {
+		for seed := range uint64(sceneSeeds) {
 			s := newScene(seed, m, 3)
 			var last *flight
 			s.arrivals = func(s *scene) {
 				addSound(s)
-				if isOver := last == nil || last.isGone || last.isEnded; isOver && s.now.Sub(startTime) > deadlyFrom && !s.now.Before(s.resendAt) {
+				isOver := last == nil || last.isGone || last.isEnded
+				if isOver && s.now.Sub(startTime) > deadlyFrom && !s.now.Before(s.resendAt) {
 					last = &flight{keys: []string{RequestKey("s", "deadly"), part("first0")}, length: 800 * time.Millisecond, isDeadly: true}
 					s.add(last)
 				}
 			}
-			s.play(45 * time.Second)
+			s.play(30 * time.Second)
 			if s.sent > 3 || len(s.crashes) < 3 {
 				t.Errorf("%v, seed %d: %d retries ran later than %v after the third of %d crashes", m, seed, s.sent, stabilityWindow, len(s.crashes))
 			}
+			sound, refused = sound+s.sound, refused+s.refused
+		}
+	}
+	if refused*soundShare > sound {
+		t.Errorf("%d of %d sound requests refused", refused, sound)
+	}
+}
+
+// TestPartIsRefusedWhateverItsMoment is the same for a part of prompts, beside sound requests with the other parts.
+func TestPartIsRefusedWhateverItsMoment(t *testing.T) {
+	for _, m := range moments {
+		for seed := range uint64(sceneSeeds) {
+			s := newScene(seed, m, 5)
+			s.arrivals, s.deadlyEvery = addSound, 20
+			s.play(30 * time.Second)
+			if s.sent > 3 {
+				t.Errorf("%v, seed %d: %d requests with the part ran later than %v after the fifth of %d crashes", m, seed, s.sent, stabilityWindow, len(s.crashes))
+			}
+			if s.lateRefused*20 > s.late {
+				t.Errorf("%v, seed %d: %d of %d sound requests refused", m, seed, s.lateRefused, s.late)
+			}
 		}
 	}
 }
+
+// TestCrashesForOtherReasonsRefuseNoRequest guards against sound requests that are refused because they were on many endpoints that
+// crashed by themselves.
+func TestCrashesForOtherReasonsRefuseNoRequest(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		trouble func(s *scene)
+	}{
+		{"a seventh at once", func(s *scene) {
+			if at := s.now.Sub(startTime); at > deadlyFrom && at%(10*time.Second) < 200*time.Millisecond && s.random.IntN(10) == 0 {
+				s.crash(s.random.IntN(sceneEndpoints))
+			}
+		}},
+		{"one after the other", func(s *scene) {
+			if at := s.now.Sub(startTime); at > deadlyFrom && at%(1500*time.Millisecond) == 0 {
+				s.crash(int(at/(1500*time.Millisecond)) % sceneEndpoints)
+			}
+		}},
+		{"one again and again", func(s *scene) {
+			if at := s.now.Sub(startTime); at > deadlyFrom && at%(4*time.Second) == 0 {
+				s.crash(3)
+			}
+		}},
+		{"all at once", func(s *scene) {
+			if at := s.now.Sub(startTime); at > deadlyFrom && at%(15*time.Second) < sceneEndpoints*sceneStep {
+				s.crash(int(at/sceneStep) % sceneEndpoints)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			sound, refused := 0, 0
+			for seed := range uint64(sceneSeeds) {
+				s := newScene(seed, moment{}, 1)
+				s.arrivals, s.trouble = addSound, c.trouble
+				s.play(30 * time.Second)
+				sound, refused = sound+s.sound, refused+s.refused
+				if len(s.crashes) < 5 {
+					t.Errorf("seed %d: %d crashes, want more", seed, len(s.crashes))
+				}
+			}
+			if refused*soundShare > sound {
+				t.Errorf("%d of %d sound requests refused", refused, sound)
+			}
+		})
+	}
+}
--- a/internal/routing/screener/record.go
+++ b/internal/routing/screener/record.go
@@ -37,10 +37,6 @@
 	// crashes holds the crashes since a request with the key was last proven, and provenAt is when that request began.
 	crashes  []Crash
 	provenAt time.Time
-	// soundAge is the longest time for which an endpoint has lasted lately after the first event of a request with the key that got a
-	// whole response, and soundAt when that became known.
-	soundAge time.Duration
-	soundAt  time.Time
 	// trialUntil is when the trial in progress expires.
 	trialUntil time.Time
 }
@@ -63,14 +59,18 @@
 	return slices.DeleteFunc(slices.Clone(r.crashes), func(c Crash) bool { return c.IsLate })
 }
 
-// isWithin reports whether all crashes of a record are known to another one.
-func (r *record) isWithin(other *record) bool {
-	return len(r.crashes) <= len(other.crashes) && !slices.ContainsFunc(r.crashes, func(c Crash) bool { return !other.hasCrash(c) })
+// knownCrashes returns the crashes that all instances have had the time to report on.
+func (r *record) knownCrashes(now time.Time) []Crash {
+	n := len(r.crashes)
+	for n > 0 && now.Sub(r.crashes[n-1].At) < newsTime {
+		n--
+	}
+	return r.crashes[:n]
 }
 
-// refutes reports whether a request with the key has outlived the moment of a late crash lately.
-func (r *record) refutes(now time.Time, c Crash) bool {
-	return c.IsLate && !r.soundAt.IsZero() && now.Sub(r.soundAt) < provenTime && c.isOutlived(r.soundAge)
+// isWithin reports whether all crashes are known to a record.
+func isWithin(crashes []Crash, r *record) bool {
+	return len(crashes) <= len(r.crashes) && !slices.ContainsFunc(crashes, func(c Crash) bool { return !r.hasCrash(c) })
 }
 
 // hasCrash reports whether a crash is known.
@@ -185,9 +185,6 @@
 		}
 		return false
 	})
-	if age > 0 && (age >= r.soundAge || now.Sub(r.soundAt) >= provenTime) {
-		r.soundAge, r.soundAt = age, now
-	}
 	if hasLate := r.hasLateCrash(); !isRequestKey(key) || !hasLate {
 		if at.After(r.provenAt) {
 			r.provenAt = at
--- a/internal/routing/screener/report.go
+++ b/internal/routing/screener/report.go
@@ -17,13 +17,11 @@
 	// before the crash their first events were.
 	Late []string
 	Ages map[string]time.Duration
-	// Earlier holds crashes that a request had refuted which has crashed an endpoint since: they count again.
-	Earlier []Evidence
 	// Proven holds keys that requests had proven before, and Cleared those that one has proven since.
 	Proven  []string
 	Cleared []string
-	// Sound holds for how long endpoints have lasted after the first event of requests with keys that got a whole response.
-	Sound map[string]time.Duration
+	// Sound holds keys of requests that were observed until they refute crashes at any moment.
+	Sound []string
 	// Tried holds the keys of which this instance begins a trial.
 	Tried []string
 }
@@ -33,14 +31,6 @@
 	return len(r.Crashed)+len(r.Proven)+len(r.Cleared)+len(r.Sound)+len(r.Tried) == 0
 }
 
-// addSound adds that an endpoint has lasted for an age after the first event of a request with a key.
-func (r *Report) addSound(key string, age time.Duration) {
-	if r.Sound == nil {
-		r.Sound = map[string]time.Duration{}
-	}
-	r.Sound[key] = max(r.Sound[key], age)
-}
-
 // crash returns the crash of a key that the report is of.
 func (r Report) crash(now time.Time, key string) Crash {
 	return Crash{r.Endpoint, now, slices.Contains(r.Repeated, key), slices.Contains(r.Late, key), r.Ages[key]}
@@ -57,12 +47,11 @@
 func (r Report) Reply(keys []string) Report {
 	var news Report
 	for _, key := range keys {
-		if !slices.Contains(r.Late, key) {
+		if slices.Contains(r.Late, key) {
+			news.Sound = append(news.Sound, key)
+		} else {
 			news.Proven = append(news.Proven, key)
-			continue
 		}
-		// The least age that refutes the crash.
-		news.addSound(key, r.Ages[key]+max(SettleTime, min(r.Ages[key]/ageVariation, maxAgeVariation)))
 	}
 	return news
 }
@@ -71,37 +60,31 @@
 func (s *Screener) DropKnown(now time.Time, report Report) Report {
 	known := s.Proven(now, report.Proven)
 	report.Proven = slices.DeleteFunc(report.Proven, func(key string) bool { return slices.Contains(known, key) })
-	maps.DeleteFunc(report.Sound, func(key string, age time.Duration) bool {
+	report.Sound = slices.DeleteFunc(report.Sound, func(key string) bool {
 		r := s.records[key]
-		return r != nil && !r.hasLateCrash() && now.Sub(r.soundAt) < provenTime && r.soundAge >= age
+		return s.isSound(key) && (r == nil || !r.hasLateCrash())
 	})
 	return report
 }
 
-// Refuted returns the keys of a report that requests have proven here: those of late crashes that were outlived, and those of others
-// that were proven lately.
+// Refuted returns the keys of a report that requests have proven here lately. Those of late crashes are sound.
 func (s *Screener) Refuted(now time.Time, report Report) []string {
-	refuted := s.refutedKeys(now, report)
-	var out []string
-	for _, key := range report.Crashed {
-		r := s.records[key]
-		if refuted[key] || !slices.Contains(report.Late, key) && r != nil && r.isProven(now) {
-			out = append(out, key)
-		}
-	}
-	return out
+	proven := s.Proven(now, report.Crashed)
+	return slices.DeleteFunc(slices.Clone(report.Crashed), func(key string) bool {
+		return !s.isSound(key) && (slices.Contains(report.Late, key) || !slices.Contains(proven, key))
+	})
 }
 
-// refutedKeys returns the keys of late crashes in a report that were outlived lately.
+// refutedKeys returns the keys of late crashes in a report under which endpoints were sound lately, or have outlived the moment of the
+// crash after a whole response. Those crashes count again if such an endpoint crashes later.
 func (s *Screener) refutedKeys(now time.Time, report Report) map[string]bool {
 	if len(report.Late) == 0 {
 		return nil
 	}
-	out := map[string]bool{}
-	crashes := map[string]Crash{}
+	out, crashes := map[string]bool{}, map[string]Crash{}
 	for _, key := range report.Late {
 		crashes[key] = report.crash(now, key)
-		if r := s.records[key]; r != nil && r.refutes(now, crashes[key]) {
+		if s.isSound(key) {
 			out[key] = true
 		}
 	}
@@ -110,8 +93,9 @@
 			continue
 		}
 		for _, key := range a.keys {
-			if c, ok := crashes[key]; ok && c.isOutlived(a.age(now)) {
+			if c, ok := crashes[key]; ok && !out[key] && c.isOutlived(a.age(now)) {
 				out[key] = true
+				a.refuted = append(a.refuted, Evidence{key, []Crash{c}})
 			}
 		}
 	}
@@ -122,7 +106,7 @@
 func (s *Screener) Proven(now time.Time, keys []string) []string {
 	var out []string
 	for _, key := range keys {
-		if r := s.records[key]; r != nil && r.isProven(now) {
+		if r := s.records[key]; r != nil && r.isProven(now) || isRequestKey(key) && s.isSound(key) {
 			out = append(out, key)
 		}
 	}
@@ -140,11 +124,6 @@
 	if len(report.Crashed) > 0 {
 		s.recordAnyCrash(now, report.Endpoint)
 	}
-	for _, e := range report.Earlier {
-		for _, c := range e.Crashes {
-			s.addKeyCrash(now, e.Key, c)
-		}
-	}
 	refuted := s.refutedKeys(now, report)
 	for _, key := range report.Crashed {
 		if !refuted[key] {
@@ -160,8 +139,9 @@
 	for _, key := range report.Cleared {
 		s.prove(now, key, now, 0)
 	}
-	for key, age := range report.Sound {
-		s.prove(now, key, now, age)
+	for _, key := range report.Sound {
+		s.markSound(now, key)
+		s.prove(now, key, now, anyAge)
 	}
 	for _, key := range report.Tried {
 		if r := s.record(now, key); r != nil {
--- a/internal/routing/screener/screener.go
+++ b/internal/routing/screener/screener.go
@@ -7,6 +7,7 @@
 package screener
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -54,11 +55,14 @@
 	// its bound: an endpoint that outlives the moment by more refutes that the key is the cause.
 	ageVariation    = 4
 	maxAgeVariation = time.Second
+	// anyAge refutes crashes at any moment.
+	anyAge = time.Duration(math.MaxInt64)
 	// ambientWindow is how long before and after the crashes of a key others count as of the same time, and maxRecentCrashes bounds the
 	// memory for them. If most crashes of that time are not under a key, endpoints crash by themselves, and it takes ambientFactor
-	// times as many crashes to refuse requests with it.
+	// times as many crashes to refuse requests with it. Nor is it refused then if ambientShare times as many are not under it.
 	ambientWindow    = 5 * time.Second
 	ambientFactor    = 2
+	ambientShare     = 3
 	maxRecentCrashes = 512
 	// silenceWindow is how long before its row goes an endpoint that crashes silently may have ended attempts: the row outlasts the
 	// endpoint by some of its heartbeats.
@@ -75,6 +79,9 @@
 	maxEqualSuspects = 8
 	// sameCrashTime is the time within which two reports on an endpoint are of the same crash.
 	sameCrashTime = 2 * time.Second
+	// soundTime is how long, at least, a key counts as sound, and maxSoundKeys bounds the keys of each such time.
+	soundTime    = 30 * time.Second
+	maxSoundKeys = 4096
 	// maxRecords bounds the memory for keys, and pruneInterval the effort to stay within it.
 	maxRecords    = 16384
 	pruneInterval = time.Second
@@ -100,6 +107,10 @@
 	suspectParts    map[string]bool
 	suspectRequests map[string]bool
 	losses          map[string]time.Time
+	// sound holds the keys of the requests that have been observed until they refute crashes at any moment since soundSince, and
+	// soundBefore those of the time before that.
+	sound, soundBefore map[string]bool
+	soundSince         time.Time
 	// repeatedRequests holds the records of the requests with more than one crash.
 	repeatedRequests map[string]*record
 	// recentCrashes holds the last crashes of endpoints, whatever ran on them.
@@ -120,7 +131,7 @@
 func New() *Screener {
 	return &Screener{
 		records: map[string]*record{}, attempts: map[uint64]*attempt{}, suspectParts: map[string]bool{}, suspectRequests: map[string]bool{},
-		losses: map[string]time.Time{}, repeatedRequests: map[string]*record{},
+		losses: map[string]time.Time{}, repeatedRequests: map[string]*record{}, sound: map[string]bool{},
 	}
 }
 
@@ -142,9 +153,12 @@
 
 // Check returns the ruling on a request with keys at now, and the time after which a refused one may be tried.
 func (s *Screener) Check(now time.Time, keys []string) (Ruling, time.Duration) {
-	worst, retryAfter := Allow, time.Duration(0)
+	worst, retryAfter := s.CheckMoved(now, keys)
 	for _, key := range keys {
-		ruling, d := s.checkKey(now, key)
+		if isRequestKey(key) {
+			continue
+		}
+		ruling, d := s.checkEarlyCrashes(now, key)
 		if ruling == Refuse && s.hasRival(now, key, keys) {
 			ruling, d = s.trialRuling(now, key), 0
 		}
@@ -157,14 +171,13 @@
 func (s *Screener) CheckMoved(now time.Time, keys []string) (Ruling, time.Duration) {
 	worst, retryAfter := Allow, time.Duration(0)
 	for _, key := range keys {
-		ruling, d := Allow, time.Duration(0)
+		check := s.checkLateCrashes
 		if isRequestKey(key) {
-			ruling, d = s.checkKey(now, key)
-		} else if r := s.records[key]; r != nil {
-			ruling, d = s.checkLateCrashes(now, key, r)
+			check = s.checkEarlyCrashes
 		}
-		if ruling == Refuse && s.hasRival(now, key, keys) {
-			ruling, d = s.trialRuling(now, key), 0
+		ruling, d := check(now, key)
+		if ruling == Refuse && s.hasLateRival(now, key, keys) {
+			ruling, d = Allow, 0
 		}
 		worst, retryAfter = max(worst, ruling), max(retryAfter, d)
 	}
@@ -173,16 +186,22 @@
 
 // checkKey returns the ruling on one key, and for how long it is refused.
 func (s *Screener) checkKey(now time.Time, key string) (Ruling, time.Duration) {
+	early, earlyLeft := s.checkEarlyCrashes(now, key)
+	late, lateLeft := s.checkLateCrashes(now, key)
+	return max(early, late), max(earlyLeft, lateLeft)
+}
+
+// checkEarlyCrashes returns the ruling on a request by its crashes, or on a part by those that were not late, and for how long it is
+// refused.
+func (s *Screener) checkEarlyCrashes(now time.Time, key string) (Ruling, time.Duration) {
 	r := s.records[key]
-	if r == nil || len(r.crashes) == 0 {
+	switch {
+	case r == nil || len(r.crashes) == 0:
 		return Allow, 0
-	}
-	if isRequestKey(key) {
+	case isRequestKey(key):
 		return s.checkCrashes(now, key, r.crashes, r.crashLimit())
 	}
-	early, earlyLeft := s.checkCrashes(now, key, r.earlyCrashes(), crashLimit)
-	late, lateLeft := s.checkLateCrashes(now, key, r)
-	return max(early, late), max(earlyLeft, lateLeft)
+	return s.checkCrashes(now, key, r.earlyCrashes(), crashLimit)
 }
 
 // checkCrashes returns the ruling on a key by some of its crashes, and for how long it is refused.
@@ -203,29 +222,32 @@
 	if s.equalSuspects(now, key) > maxEqualSuspects && (!isRequestKey(key) || count < lateCrashLimit) {
 		return s.trialRuling(now, key), 0
 	}
-	if count < ambientFactor*limit && (s.isAmbient(now, crashes) || isRequestKey(key) && s.hasTwin(key, r)) {
-		return s.trialRuling(now, key), 0
-	}
-	if isRequestKey(key) && s.isExplained(now, r) {
+	if s.isAmbient(crashes, count, limit) || isRequestKey(key) && s.isBeside(now, key, r, count < ambientFactor*limit) {
 		return s.trialRuling(now, key), 0
 	}
 	return Refuse, left
 }
 
 // checkLateCrashes returns the ruling on a part by all its crashes if some of them were late, and for how long it is refused. There are
-// no trials before a refusal: other requests with the part would wait for the whole of an answer.
-func (s *Screener) checkLateCrashes(now time.Time, key string, r *record) (Ruling, time.Duration) {
-	if isRequestKey(key) || !r.hasLateCrash() {
+// no trials before a refusal: other requests with the part would wait for the whole of an answer. Crashes that have just become known
+// do not count yet: other instances may have more to tell of them.
+func (s *Screener) checkLateCrashes(now time.Time, key string) (Ruling, time.Duration) {
+	r := s.records[key]
+	if r == nil || isRequestKey(key) || !r.hasLateCrash() {
 		return Allow, 0
 	}
-	count := countApart(now, r.crashes, crashGap, true)
-	if count < lateCrashLimit || s.isOfOneRequest(r) || count < ambientFactor*lateCrashLimit && s.isAmbient(now, r.crashes) {
+	known := r.knownCrashes(now)
+	count := countApart(now, known, crashGap, true)
+	if count < lateCrashLimit || s.isAmbient(known, count, lateCrashLimit) {
 		return Allow, 0
 	}
-	left := refusedUntil(now, r.crashes, lateCrashLimit).Sub(now)
+	left := refusedUntil(now, known, lateCrashLimit).Sub(now)
 	if left <= 0 {
 		return s.trialRuling(now, key), 0
 	}
+	if s.isOfOneRequest(known) || s.isOfStrongerParts(now, key, known) {
+		return Allow, 0
+	}
 	return Refuse, left
 }
 
@@ -251,22 +273,12 @@
 // hasRival reports whether another part that a request with keys lacks may as well be the cause of the crashes of one of
 // its parts: it was there each time, and neither is proven. Then the request is worth a trial, which tells them apart.
 func (s *Screener) hasRival(now time.Time, key string, keys []string) bool {
-	if isRequestKey(key) {
-		return false
-	}
 	r := s.records[key]
-	// What a request shows as it begins says nothing of late crashes.
-	late, _ := s.checkLateCrashes(now, key, r)
-	isLate := late == Refuse
-	if !isLate && r.isProven(now) {
+	if isRequestKey(key) || r.isProven(now) {
 		return false
 	}
 	for other := range s.suspectParts {
-		o := s.records[other]
-		if slices.Contains(keys, other) || !isLate && o.isProven(now) {
-			continue
-		}
-		if r.isWithin(o) {
+		if o := s.records[other]; !slices.Contains(keys, other) && !o.isProven(now) && isWithin(r.earlyCrashes(), o) {
 			return true
 		}
 	}
--- a/internal/serving/forwarder/screening.go
+++ b/internal/serving/forwarder/screening.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -106,7 +105,7 @@
 	if news.IsEmpty() {
 		return
 	}
-	cleared := slices.AppendSeq(slices.Clone(news.Cleared), maps.Keys(news.Sound))
+	cleared := slices.Concat(news.Cleared, news.Sound)
 	s.log.Info("suspicion lifted", "keys", listKeys(cleared))
 	s.report(news)
 	if s.keeper != nil {
