--- a/internal/routing/screener/ambience.go
+++ b/internal/routing/screener/ambience.go
@@ -67,13 +67,16 @@
 	})
 }
 
-// hasTwin reports whether another request was at the same crashes as one, as far as all instances have reported on them, and was sent
-// again after each: streams move with it to the next endpoint.
+// hasTwin reports whether another request was at the same crashes as one, as far as all instances have reported on them, at moments that
+// vary as little, and was sent again after each: streams move with it to the next endpoint.
 func (s *Screener) hasTwin(now time.Time, key string, r *record) bool {
-	known := r.knownCrashes(now)
+	known, isVarious := r.knownCrashes(now), hasVariousMoments(r.crashes)
 	isSingle := func(c Crash) bool { return !c.IsRepeat }
 	for other, o := range s.repeatedRequests {
-		if other != key && isWithin(known, o) && len(o.knownCrashes(now)) == len(known) && !slices.ContainsFunc(o.crashes[1:], isSingle) {
+		if other == key || len(o.knownCrashes(now)) != len(known) || !isWithin(known, o) || slices.ContainsFunc(o.crashes[1:], isSingle) {
+			continue
+		}
+		if isVarious || !hasVariousMoments(o.crashes) {
 			return true
 		}
 	}
