Blame no request for an endpoint that ends as announced

Cause: the loss of an endpoint that had announced that it leaves was recorded as a crash. Since crashes count for 3 s after a response, a rolling restart of endpoints would count against all that they had served last.

Change: such a loss moves streams as before, and blames nothing.

Measured: TestDepartureIsNoCrash passes; before, there was no such call, and the same play with RecordLoss refuses the request by its rule. Tests of screener, forwarder and gateway with the race detector, and those of the platform on crashes, leaving and losses, pass.

--- a/internal/routing/screener/attempt.go
+++ b/internal/routing/screener/attempt.go
@@ -235,12 +235,7 @@
 
 // RecordLoss records at now that an endpoint has crashed, and returns the report on the requests that run or have run on it lately.
 func (s *Screener) RecordLoss(now time.Time, endpoint string) Report {
-	for id, at := range s.losses {
-		if now.Sub(at) >= sameCrashTime {
-			delete(s.losses, id)
-		}
-	}
-	s.losses[endpoint] = now
+	s.RecordDeparture(now, endpoint)
 	s.recordAnyCrash(now, endpoint)
 	report := Report{Endpoint: endpoint}
 	for _, a := range s.attempts {
@@ -252,6 +247,16 @@
 	return s.finishReport(now, report)
 }
 
+// RecordDeparture records at now that the process of an endpoint has ended as it had announced: no request is to blame.
+func (s *Screener) RecordDeparture(now time.Time, endpoint string) {
+	for id, at := range s.losses {
+		if now.Sub(at) >= sameCrashTime {
+			delete(s.losses, id)
+		}
+	}
+	s.losses[endpoint] = now
+}
+
 // RecordDisappearance records at now that the row of an endpoint has gone without an announcement, as after a crash that left its
 // connections silent, and returns the report on the requests that it had left without a whole response before. Only the
 // requests themselves are held to account for it.
--- a/internal/routing/screener/requests_test.go
+++ b/internal/routing/screener/requests_test.go
@@ -119,6 +119,25 @@
 	}
 }
 
+// TestDepartureIsNoCrash guards against requests that are blamed for endpoints which end as announced soon after the last response.
+func TestDepartureIsNoCrash(t *testing.T) {
+	s, key, now := New(), RequestKey("s", "common"), startTime
+	for n := range 2 * lateCrashLimit {
+		id := fmt.Sprint("e", n)
+		number, _ := s.Begin(now, []string{key}, []string{id})
+		s.RecordFirstEvent(now, number)
+		s.End(now, number, Whole)
+		now = now.Add(time.Second)
+		s.RecordDeparture(now, id)
+		if !s.IsLost(now, id) {
+			t.Errorf("%s is not known to have ended", id)
+		}
+	}
+	if got := ruling(s, now, key); got != Allow {
+		t.Errorf("ruling %v, want none", got)
+	}
+}
+
 // TestRequestWithManyPartsIsRefused guards against a request that crashes endpoints and is tried for good because its prompt has so many
 // parts that endpoints seem to crash by themselves.
 func TestRequestWithManyPartsIsRefused(t *testing.T) {
--- a/internal/serving/forwarder/forwarder.go
+++ b/internal/serving/forwarder/forwarder.go
@@ -219,6 +219,17 @@
 // RecordLoss records that the process of an endpoint has ended: streams through it are moved at once.
 func (f *Forwarder) RecordLoss(now time.Time, endpoint string) {
 	f.screening.recordLoss(now, endpoint)
+	f.moveStreams(now, endpoint)
+}
+
+// RecordDeparture is RecordLoss for an endpoint that had announced that it leaves: no request is to blame.
+func (f *Forwarder) RecordDeparture(now time.Time, endpoint string) {
+	f.screening.recordDeparture(now, endpoint)
+	f.moveStreams(now, endpoint)
+}
+
+// moveStreams moves the streams through an endpoint whose process has ended.
+func (f *Forwarder) moveStreams(now time.Time, endpoint string) {
 	for _, a := range f.Allocators() {
 		a.RecordLoss(now, endpoint)
 		a.Check(now)
--- a/internal/serving/forwarder/screening.go
+++ b/internal/serving/forwarder/screening.go
@@ -118,6 +118,13 @@
 	s.recordCrash(now, s.screener.RecordLoss, endpoint)
 }
 
+// recordDeparture records that the process of an endpoint has ended as it had announced.
+func (s *screening) recordDeparture(now time.Time, endpoint string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.screener.RecordDeparture(now, endpoint)
+}
+
 // recordDisappearance records that the row of an endpoint has gone without an announcement.
 func (s *screening) recordDisappearance(now time.Time, endpoint string) {
 	s.recordCrash(now, s.screener.RecordDisappearance, endpoint)
--- a/internal/serving/gateway/losses.go
+++ b/internal/serving/gateway/losses.go
@@ -123,6 +123,10 @@
 		return false
 	}
 	g.log.Warn("endpoint lost", "endpoint", loss.Endpoint, "address", loss.Address, "peer", loss.Finder)
-	g.forwarder.RecordLoss(now, loss.Endpoint)
+	if e.Leaving {
+		g.forwarder.RecordDeparture(now, loss.Endpoint)
+	} else {
+		g.forwarder.RecordLoss(now, loss.Endpoint)
+	}
 	return true
 }
