Keep the evidence against what is refused after late crashes

Cause: a part with late crashes is refused 100 ms after the last one, and a request whose companions were reported on meanwhile likewise; evidence was kept, refusals logged, and waiting requests stopped only at the crash itself. After a restart of all instances such a part would have crashed endpoints again.

Change: the instance that found a late crash goes over its rulings again after 100 ms.

--- a/internal/routing/screener/screener.go
+++ b/internal/routing/screener/screener.go
@@ -51,6 +51,8 @@
 	// its last event, as it is cleaned up.
 	lossWindow        = 500 * time.Millisecond
 	observationWindow = 3 * time.Second
+	// ReviewTime is how long after a late crash rulings may change since other instances report on it.
+	ReviewTime = newsTime
 	// ageVariation is the share, as a divisor, by which the moment of the crashes under one key may vary, and maxAgeVariation
 	// its bound: an endpoint that outlives the moment by more refutes that the key is the cause.
 	ageVariation    = 4
--- a/internal/serving/forwarder/screening.go
+++ b/internal/serving/forwarder/screening.go
@@ -140,6 +140,9 @@
 	if report.IsEmpty() {
 		return
 	}
+	if len(report.Late) > 0 {
+		time.AfterFunc(screener.ReviewTime, func() { s.review(report, evidence) })
+	}
 	if s.keeper != nil && len(evidence) > 0 {
 		s.keeper.Keep(evidence)
 	}
@@ -150,6 +153,25 @@
 	}
 }
 
+// review handles what is refused after a report of this instance once the others have had the time to report as well, beyond what was
+// refused at once.
+func (s *screening) review(report screener.Report, known []screener.Evidence) {
+	now := s.clock()
+	isKnown := func(e screener.Evidence) bool {
+		return slices.ContainsFunc(known, func(k screener.Evidence) bool { return k.Key == e.Key })
+	}
+	s.mu.Lock()
+	evidence := slices.DeleteFunc(s.screener.Evidence(now, report.Crashed), isKnown)
+	stops := s.refusedStops(now, report, evidence)
+	s.mu.Unlock()
+	if s.keeper != nil && len(evidence) > 0 {
+		s.keeper.Keep(evidence)
+	}
+	for _, stop := range stops {
+		stop()
+	}
+}
+
 // merge records what another instance reports, and returns which of the keys under which an endpoint crashed are proven
 // here.
 func (s *screening) merge(now time.Time, report screener.Report) []string {
@@ -200,7 +222,12 @@
 	if len(report.Crashed) == 0 {
 		return nil
 	}
-	for _, e := range s.screener.Evidence(now, report.Crashed) {
+	return s.refusedStops(now, report, s.screener.Evidence(now, report.Crashed))
+}
+
+// refusedStops logs the evidence after a report, and returns the functions that stop the requests that must not run. The lock is held.
+func (s *screening) refusedStops(now time.Time, report screener.Report, evidence []screener.Evidence) []func() {
+	for _, e := range evidence {
 		s.log.Warn("requests refused", "keys", e.Key, "endpoint", report.Endpoint, "crashes", len(e.Crashes))
 	}
 	var out []func()
