--- a/internal/routing/screener/ambience.go
+++ b/internal/routing/screener/attribution.go
@@ -28,19 +28,19 @@
 // isSound reports whether endpoints have lasted lately after a request with a key.
 func (s *Screener) isSound(key string) bool { return s.sound[key] || s.soundBefore[key] }
 
-// isAmbient reports whether so many endpoints crashed at the time of a key's crashes without the key that it is rather one of many
-// that were on them: at least as many as with it, or ambientShare times as many once the key has ambientFactor times the limit.
-func (s *Screener) isAmbient(crashes []Crash, count, limit int) bool {
+// areMostUnrelated reports whether so many endpoints crashed at the time of a key's crashes without the key that it is rather one of many
+// that were on them: at least as many as with it, or unrelatedShare times as many once the key has doubtFactor times the limit.
+func (s *Screener) areMostUnrelated(crashes []Crash, count, limit int) bool {
 	r := &record{crashes: crashes}
-	from, to := crashes[0].At.Add(-ambientWindow), crashes[len(crashes)-1].At.Add(ambientWindow)
+	from, to := crashes[0].At.Add(-unrelatedWindow), crashes[len(crashes)-1].At.Add(unrelatedWindow)
 	others := 0
 	for _, c := range s.recentCrashes {
 		if !c.At.Before(from) && !c.At.After(to) && !r.hasCrash(c) {
 			others++
 		}
 	}
-	if count >= ambientFactor*limit {
-		return others >= ambientShare*len(crashes)
+	if count >= doubtFactor*limit {
+		return others >= unrelatedShare*len(crashes)
 	}
 	return others >= len(crashes)
 }
@@ -57,7 +57,7 @@
 // isBeside reports whether a request was rather beside the cause of its crashes than the cause. With a few crashes it is a matter of doubt
 // if they came at various moments of its answer, or another request was at the same ones.
 func (s *Screener) isBeside(now time.Time, key string, r *record, areFew bool) bool {
-	return areFew && (hasVariousMoments(r.crashes) || s.hasTwin(now, key, r)) || s.isExplained(now, r)
+	return areFew && (hasVariousMoments(r.crashes) || s.hasEqualRequest(now, key, r)) || s.isExplained(now, r)
 }
 
 // hasVariousMoments reports whether one late crash refutes that another came at the same moment of the answer.
@@ -67,9 +67,9 @@
 	})
 }
 
-// hasTwin reports whether another request was at the same crashes as one, as far as all instances have reported on them, at moments that
+// hasEqualRequest reports whether another request was at the same crashes as one, as far as all instances have reported on them, at moments that
 // vary as little, and was sent again after each: streams move with it to the next endpoint.
-func (s *Screener) hasTwin(now time.Time, key string, r *record) bool {
+func (s *Screener) hasEqualRequest(now time.Time, key string, r *record) bool {
 	known, isVarious := r.knownCrashes(now), hasVariousMoments(r.crashes)
 	isSingle := func(c Crash) bool { return !c.IsRepeat }
 	for other, o := range s.repeatedRequests {
@@ -126,7 +126,7 @@
 // as little: the next crash tells them apart.
 func (s *Screener) hasLateRival(now time.Time, key string, keys []string) bool {
 	known := s.records[key].knownCrashes(now)
-	if isRequestKey(key) || len(known) >= ambientFactor*lateCrashLimit {
+	if isRequestKey(key) || len(known) >= doubtFactor*lateCrashLimit {
 		return false
 	}
 	for other := range s.suspectParts {
--- a/internal/routing/screener/moments_test.go
+++ b/internal/routing/screener/moments_test.go
@@ -10,8 +10,8 @@
 
 // The fleet of the plays: paths of two endpoints, which are back some time after a crash, under new ids.
 const (
-	sceneInstances, sceneEndpoints, sceneStep = 4, 28, 5 * time.Millisecond
-	backAfter, stabilityWindow                = 3 * time.Second, 3 * time.Second
+	instanceCount, endpointCount, stepTime = 4, 28, 5 * time.Millisecond
+	backAfter, stabilityWindow             = 3 * time.Second, 3 * time.Second
 	// resendAfter is the pause after which the caller of a deadly request sends it again, and trialPatience how long requests wait for a trial.
 	resendAfter, trialPatience = time.Second, 500 * time.Millisecond
 	// deadlyFrom is when deadly requests begin to come.
@@ -31,8 +31,8 @@
 	{0, true}, {250 * time.Millisecond, true}, {time.Second, true}, {2 * time.Second, true},
 }
 
-// flight is a request and its attempt in progress.
-type flight struct {
+// request is a request and its attempt in progress.
+type request struct {
 	keys             []string
 	isDeadly, isSent bool
 	instance, moves  int
@@ -45,20 +45,20 @@
 	isWaiting, isEnded, isGone, hasSettled bool
 }
 
-// scene is a fleet with its requests.
-type scene struct {
+// simulation is a fleet with its requests.
+type simulation struct {
 	moment
 	random    *rand.Rand
 	now       time.Time
 	instances []*Screener
 	news      []news
-	starts    [sceneEndpoints]int
-	backAt    [sceneEndpoints]time.Time
-	flights   []*flight
+	starts    [endpointCount]int
+	backAt    [endpointCount]time.Time
+	requests  []*request
 	crashes   []time.Time
 	// arrivals makes the requests of a step, and trouble the crashes that no request causes.
-	arrivals func(s *scene)
-	trouble  func(s *scene)
+	arrivals func(s *simulation)
+	trouble  func(s *simulation)
 	// sent counts the deadly requests sent later than the window after the crash with the number limit, and sound, refused, late and
 	// lateRefused the sound requests, also those later than twice the window after it.
 	limit, sent, sound, refused, late, lateRefused, asked int
@@ -67,18 +67,18 @@
 	deadlyEvery int
 }
 
-// newScene returns a fleet without requests.
-func newScene(seed uint64, m moment, limit int) *scene {
-	s := &scene{moment: m, random: rand.New(rand.NewPCG(seed, 7)), now: startTime, limit: limit, arrivals: func(*scene) {}, trouble: func(*scene) {}}
-	for range sceneInstances {
+// newSimulation returns a fleet without requests.
+func newSimulation(seed uint64, m moment, limit int) *simulation {
+	s := &simulation{moment: m, random: rand.New(rand.NewPCG(seed, 7)), now: startTime, limit: limit, arrivals: func(*simulation) {}, trouble: func(*simulation) {}}
+	for range instanceCount {
 		s.instances = append(s.instances, New())
 	}
 	return s
 }
 
 // play plays a time.
-func (s *scene) play(length time.Duration) {
-	for end := s.now.Add(length); s.now.Before(end); s.now = s.now.Add(sceneStep) {
+func (s *simulation) play(length time.Duration) {
+	for end := s.now.Add(length); s.now.Before(end); s.now = s.now.Add(stepTime) {
 		due := s.news
 		s.news = nil
 		for _, n := range due {
@@ -95,20 +95,20 @@
 		}
 		s.arrivals(s)
 		s.trouble(s)
-		for _, f := range slices.Clone(s.flights) {
+		for _, f := range slices.Clone(s.requests) {
 			s.advance(f)
 		}
-		s.flights = slices.DeleteFunc(s.flights, func(f *flight) bool { return f.isGone })
+		s.requests = slices.DeleteFunc(s.requests, func(f *request) bool { return f.isGone })
 	}
 }
 
 // isPast reports whether the crash with the number limit was so long ago.
-func (s *scene) isPast(d time.Duration) bool {
+func (s *simulation) isPast(d time.Duration) bool {
 	return len(s.crashes) >= s.limit && s.now.Sub(s.crashes[s.limit-1]) > d
 }
 
 // advance plays what is due of a request.
-func (s *scene) advance(f *flight) {
+func (s *simulation) advance(f *request) {
 	screener := s.instances[f.instance]
 	switch {
 	case f.isGone:
@@ -138,20 +138,20 @@
 }
 
 // add adds a request at a random instance.
-func (s *scene) add(f *flight) {
-	f.instance, f.waitsUntil = s.random.IntN(sceneInstances), s.now.Add(trialPatience)
+func (s *simulation) add(f *request) {
+	f.instance, f.waitsUntil = s.random.IntN(instanceCount), s.now.Add(trialPatience)
 	if !f.isDeadly {
 		s.sound++
 		if s.isPast(2 * stabilityWindow) {
 			s.late++
 		}
 	}
-	s.flights = append(s.flights, f)
+	s.requests = append(s.requests, f)
 	s.send(f)
 }
 
 // send sends a request along a path unless it is refused.
-func (s *scene) send(f *flight) {
+func (s *simulation) send(f *request) {
 	screener := s.instances[f.instance]
 	check := screener.Check
 	if f.hasSettled {
@@ -171,7 +171,7 @@
 		return
 	}
 	for i := range f.path {
-		f.path[i] = i*sceneEndpoints/2 + s.random.IntN(sceneEndpoints/2)
+		f.path[i] = i*endpointCount/2 + s.random.IntN(endpointCount/2)
 		f.isWaiting = f.isWaiting || s.now.Before(s.backAt[f.path[i]])
 	}
 	if f.isWaiting {
@@ -191,17 +191,19 @@
 }
 
 // leave makes the caller of a deadly request send it again later.
-func (s *scene) leave(f *flight) {
+func (s *simulation) leave(f *request) {
 	if f.isDeadly {
 		s.resendAt = s.now.Add(resendAfter)
 	}
 }
 
 // id returns the id of an endpoint's present process.
-func (s *scene) id(endpoint int) string { return fmt.Sprint("e", endpoint, "-", s.starts[endpoint]) }
+func (s *simulation) id(endpoint int) string {
+	return fmt.Sprint("e", endpoint, "-", s.starts[endpoint])
+}
 
 // crash ends an endpoint's process, and moves the requests on it.
-func (s *scene) crash(endpoint int) {
+func (s *simulation) crash(endpoint int) {
 	if s.now.Before(s.backAt[endpoint]) {
 		return
 	}
@@ -212,13 +214,13 @@
 	for i, screener := range s.instances {
 		s.tell(i, screener.RecordLoss(s.now, id))
 	}
-	for _, f := range slices.Clone(s.flights) {
+	for _, f := range slices.Clone(s.requests) {
 		if f.isGone || f.isWaiting || f.isEnded || !slices.Contains(f.path[:], endpoint) {
 			continue
 		}
 		s.instances[f.instance].End(s.now, f.number, Broken)
 		if !f.begunAt.IsZero() {
-			f.length, f.hasSettled = max(sceneStep, f.length-s.now.Sub(f.begunAt)), f.hasSettled || s.now.Sub(f.begunAt) >= SettleTime
+			f.length, f.hasSettled = max(stepTime, f.length-s.now.Sub(f.begunAt)), f.hasSettled || s.now.Sub(f.begunAt) >= SettleTime
 		}
 		f.begunAt = time.Time{}
 		if f.moves++; f.moves >= 4 {
@@ -231,7 +233,7 @@
 }
 
 // tell sends a report to the other instances, which takes 5 to 25 ms.
-func (s *scene) tell(from int, report Report) {
+func (s *simulation) tell(from int, report Report) {
 	for to := range s.instances {
 		if to != from && !report.IsEmpty() {
 			s.news = append(s.news, news{s.now.Add(time.Duration(5+s.random.IntN(20)) * time.Millisecond), to, report})
@@ -240,13 +242,13 @@
 }
 
 // addSound adds sound requests, about forty a second, some of which have rare parts or are sent by many callers.
-func addSound(s *scene) {
+func addSound(s *simulation) {
 	if s.random.IntN(5) > 0 {
 		return
 	}
 	s.asked++
 	first := int(40 * s.random.Float64() * s.random.Float64() * s.random.Float64())
-	f := &flight{keys: []string{RequestKey("s", fmt.Sprint(s.asked)), part(fmt.Sprint("first", first))}, length: time.Duration(200+s.random.IntN(4000)) * time.Millisecond}
+	f := &request{keys: []string{RequestKey("s", fmt.Sprint(s.asked)), part(fmt.Sprint("first", first))}, length: time.Duration(200+s.random.IntN(4000)) * time.Millisecond}
 	switch s.random.IntN(10) {
 	case 0:
 		f.keys[0] = RequestKey("s", "common")
@@ -259,23 +261,23 @@
 	s.add(f)
 }
 
-// sceneSeeds is the number of plays of each case, and soundShare one in how many sound requests may be refused over all of them: a few are
+// seedCount is the number of plays of each case, and soundShare one in how many sound requests may be refused over all of them: a few are
 // on no other endpoints than those that crash.
-const sceneSeeds, soundShare = 3, 1000
+const seedCount, soundShare = 3, 1000
 
 // TestRequestIsRefusedWhateverItsMoment guards against a request that counts as harmless by what it has shown before the moment at which
 // it crashes each endpoint, and against sound streams that are refused with it.
 func TestRequestIsRefusedWhateverItsMoment(t *testing.T) {
 	sound, refused := 0, 0
 	for _, m := range moments {
-		for seed := range uint64(sceneSeeds) {
-			s := newScene(seed, m, 3)
-			var last *flight
-			s.arrivals = func(s *scene) {
+		for seed := range uint64(seedCount) {
+			s := newSimulation(seed, m, 3)
+			var last *request
+			s.arrivals = func(s *simulation) {
 				addSound(s)
 				isOver := last == nil || last.isGone || last.isEnded
 				if isOver && s.now.Sub(startTime) > deadlyFrom && !s.now.Before(s.resendAt) {
-					last = &flight{keys: []string{RequestKey("s", "deadly"), part("first0")}, length: 800 * time.Millisecond, isDeadly: true}
+					last = &request{keys: []string{RequestKey("s", "deadly"), part("first0")}, length: 800 * time.Millisecond, isDeadly: true}
 					s.add(last)
 				}
 			}
@@ -294,8 +296,8 @@
 // TestPartIsRefusedWhateverItsMoment is the same for a part of prompts, beside sound requests with the other parts.
 func TestPartIsRefusedWhateverItsMoment(t *testing.T) {
 	for _, m := range moments {
-		for seed := range uint64(sceneSeeds) {
-			s := newScene(seed, m, 5)
+		for seed := range uint64(seedCount) {
+			s := newSimulation(seed, m, 5)
 			s.arrivals, s.deadlyEvery = addSound, 20
 			s.play(30 * time.Second)
 			if s.sent > 3 {
@@ -313,33 +315,33 @@
 func TestCrashesForOtherReasonsRefuseNoRequest(t *testing.T) {
 	for _, c := range []struct {
 		name    string
-		trouble func(s *scene)
+		trouble func(s *simulation)
 	}{
-		{"a seventh at once", func(s *scene) {
+		{"a seventh at once", func(s *simulation) {
 			if at := s.now.Sub(startTime); at > deadlyFrom && at%(10*time.Second) < 200*time.Millisecond && s.random.IntN(10) == 0 {
-				s.crash(s.random.IntN(sceneEndpoints))
+				s.crash(s.random.IntN(endpointCount))
 			}
 		}},
-		{"one after the other", func(s *scene) {
+		{"one after the other", func(s *simulation) {
 			if at := s.now.Sub(startTime); at > deadlyFrom && at%(1500*time.Millisecond) == 0 {
-				s.crash(int(at/(1500*time.Millisecond)) % sceneEndpoints)
+				s.crash(int(at/(1500*time.Millisecond)) % endpointCount)
 			}
 		}},
-		{"one again and again", func(s *scene) {
+		{"one again and again", func(s *simulation) {
 			if at := s.now.Sub(startTime); at > deadlyFrom && at%(4*time.Second) == 0 {
 				s.crash(3)
 			}
 		}},
-		{"all at once", func(s *scene) {
-			if at := s.now.Sub(startTime); at > deadlyFrom && at%(15*time.Second) < sceneEndpoints*sceneStep {
-				s.crash(int(at/sceneStep) % sceneEndpoints)
+		{"all at once", func(s *simulation) {
+			if at := s.now.Sub(startTime); at > deadlyFrom && at%(15*time.Second) < endpointCount*stepTime {
+				s.crash(int(at/stepTime) % endpointCount)
 			}
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			sound, refused := 0, 0
-			for seed := range uint64(sceneSeeds) {
-				s := newScene(seed, moment{}, 1)
+			for seed := range uint64(seedCount) {
+				s := newSimulation(seed, moment{}, 1)
 				s.arrivals, s.trouble = addSound, c.trouble
 				s.play(30 * time.Second)
 				sound, refused = sound+s.sound, refused+s.refused
--- a/internal/routing/screener/screener.go
+++ b/internal/routing/screener/screener.go
@@ -59,12 +59,12 @@
 	maxAgeVariation = time.Second
 	// anyAge refutes crashes at any moment.
 	anyAge = time.Duration(math.MaxInt64)
-	// ambientWindow is how long before and after the crashes of a key others count as of the same time, and maxRecentCrashes bounds the
-	// memory for them. If most crashes of that time are not under a key, endpoints crash by themselves, and it takes ambientFactor
-	// times as many crashes to refuse requests with it. Nor is it refused then if ambientShare times as many are not under it.
-	ambientWindow    = 5 * time.Second
-	ambientFactor    = 2
-	ambientShare     = 3
+	// unrelatedWindow is how long before and after the crashes of a key others count as of the same time, and maxRecentCrashes bounds the
+	// memory for them. If most crashes of that time are not under a key, endpoints crash by themselves, and it takes doubtFactor
+	// times as many crashes to refuse requests with it. Nor is it refused then if unrelatedShare times as many are not under it.
+	unrelatedWindow  = 5 * time.Second
+	doubtFactor      = 2
+	unrelatedShare   = 3
 	maxRecentCrashes = 512
 	// silenceWindow is how long before its row goes an endpoint that crashes silently may have ended attempts: the row outlasts the
 	// endpoint by some of its heartbeats.
@@ -224,7 +224,7 @@
 	if s.equalSuspects(now, key) > maxEqualSuspects && (!isRequestKey(key) || count < lateCrashLimit) {
 		return s.trialRuling(now, key), 0
 	}
-	if s.isAmbient(crashes, count, limit) || isRequestKey(key) && s.isBeside(now, key, r, count < ambientFactor*limit) {
+	if s.areMostUnrelated(crashes, count, limit) || isRequestKey(key) && s.isBeside(now, key, r, count < doubtFactor*limit) {
 		return s.trialRuling(now, key), 0
 	}
 	return Refuse, left
@@ -240,7 +240,7 @@
 	}
 	known := r.knownCrashes(now)
 	count := countApart(now, known, crashGap, true)
-	if count < lateCrashLimit || s.isAmbient(known, count, lateCrashLimit) {
+	if count < lateCrashLimit || s.areMostUnrelated(known, count, lateCrashLimit) {
 		return Allow, 0
 	}
 	left := refusedUntil(now, known, lateCrashLimit).Sub(now)
