--- a/internal/routing/screener/screener.go
+++ b/internal/routing/screener/screener.go
@@ -1,12 +1,13 @@
 // Package screener decides which requests may be sent to endpoints. It looks for what requests have in common that are in
 // progress when endpoints crash: a part of their prompts, or the whole request that is sent again.
 //
-// What a request has that others may share is a key. A request that begins clears the parts of its prompt, and one that ends
-// whole its own key, so a key under which endpoints crash and that no request clears is the cause, and the other keys of the
-// same requests are not.
+// What a request has that others may share is a key. A request that begins shows that its parts crash no endpoint which begins to
+// answer, and one that gets a whole response, whose endpoint lasts, that its keys crash none as early after the first event. A
+// key under which endpoints crash and that no request clears is the cause, and the other keys of the same requests are not.
 package screener
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -45,8 +46,26 @@
 	// known.
 	trialTime = 2 * time.Second
 	newsTime  = 100 * time.Millisecond
-	// lossWindow is how long before the news of a loss the attempts that it ended may have ended.
-	lossWindow = 500 * time.Millisecond
+	// lossWindow is how long before the news of a loss the attempts that it ended may have ended, and observationWindow how long
+	// after the end of an attempt that ran a crash of its endpoint counts against it: a request may crash an endpoint after
+	// its last event, as it is cleaned up.
+	lossWindow        = 500 * time.Millisecond
+	observationWindow = 3 * time.Second
+	// ReviewTime is how long after a late crash rulings may change since other instances report on it.
+	ReviewTime = newsTime
+	// ageVariation is the share, as a divisor, by which the moment of the crashes under one key may vary, and maxAgeVariation
+	// its bound: an endpoint that outlives the moment by more refutes that the key is the cause.
+	ageVariation    = 4
+	maxAgeVariation = time.Second
+	// anyAge refutes crashes at any moment.
+	anyAge = time.Duration(math.MaxInt64)
+	// unrelatedWindow is how long before and after the crashes of a key others count as of the same time, and maxRecentCrashes bounds the
+	// memory for them. If most crashes of that time are not under a key, endpoints crash by themselves, and it takes doubtFactor
+	// times as many crashes to refuse requests with it. Nor is it refused then if unrelatedShare times as many are not under it.
+	unrelatedWindow  = 5 * time.Second
+	doubtFactor      = 2
+	unrelatedShare   = 3
+	maxRecentCrashes = 512
 	// silenceWindow is how long before its row goes an endpoint that crashes silently may have ended attempts: the row outlasts the
 	// endpoint by some of its heartbeats.
 	silenceWindow = 10 * time.Second
@@ -62,6 +81,9 @@
 	maxEqualSuspects = 8
 	// sameCrashTime is the time within which two reports on an endpoint are of the same crash.
 	sameCrashTime = 2 * time.Second
+	// soundTime is how long, at least, a key counts as sound, and maxSoundKeys bounds the keys of each such time.
+	soundTime    = 30 * time.Second
+	maxSoundKeys = 4096
 	// maxRecords bounds the memory for keys, and pruneInterval the effort to stay within it.
 	maxRecords    = 16384
 	pruneInterval = time.Second
@@ -87,11 +109,21 @@
 	suspectParts    map[string]bool
 	suspectRequests map[string]bool
 	losses          map[string]time.Time
+	// sound holds the keys of the requests that have been observed until they refute crashes at any moment since soundSince, and
+	// soundBefore those of the time before that.
+	sound, soundBefore map[string]bool
+	soundSince         time.Time
+	// repeatedRequests holds the records of the requests with more than one crash.
+	repeatedRequests map[string]*record
+	// recentCrashes holds the last crashes of endpoints, whatever ran on them.
+	recentCrashes []Crash
 	// begun holds the attempts that have begun, ended those that have ended, and whole those of them that ended with a whole
-	// response and are not settled, in the order of these times. broken holds those that ended without one longer ago.
+	// response and are not settled, in the order of these times. outliving holds those that are settled and may refute further
+	// crashes as their endpoints last, and broken those that ended without a whole response longer ago.
 	begun       []*attempt
 	ended       []*attempt
 	whole       []*attempt
+	outliving   []*attempt
 	broken      []*attempt
 	lastAttempt uint64
 	prunedAt    time.Time
@@ -101,7 +133,7 @@
 func New() *Screener {
 	return &Screener{
 		records: map[string]*record{}, attempts: map[uint64]*attempt{}, suspectParts: map[string]bool{}, suspectRequests: map[string]bool{},
-		losses: map[string]time.Time{},
+		losses: map[string]time.Time{}, repeatedRequests: map[string]*record{}, sound: map[string]bool{},
 	}
 }
 
@@ -113,11 +145,22 @@
 	return s.suspectParts
 }
 
+// addSuspect adds a key with a record to the suspects.
+func (s *Screener) addSuspect(key string, r *record) {
+	s.suspects(key)[key] = true
+	if isRequestKey(key) && len(r.crashes) > 1 {
+		s.repeatedRequests[key] = r
+	}
+}
+
 // Check returns the ruling on a request with keys at now, and the time after which a refused one may be tried.
 func (s *Screener) Check(now time.Time, keys []string) (Ruling, time.Duration) {
-	worst, retryAfter := Allow, time.Duration(0)
+	worst, retryAfter := s.CheckMoved(now, keys)
 	for _, key := range keys {
-		ruling, d := s.checkKey(now, key)
+		if isRequestKey(key) {
+			continue
+		}
+		ruling, d := s.checkEarlyCrashes(now, key)
 		if ruling == Refuse && s.hasRival(now, key, keys) {
 			ruling, d = s.trialRuling(now, key), 0
 		}
@@ -126,27 +169,87 @@
 	return worst, retryAfter
 }
 
+// CheckMoved is Check for a stream that has settled at another endpoint: only late crashes count against its parts.
+func (s *Screener) CheckMoved(now time.Time, keys []string) (Ruling, time.Duration) {
+	worst, retryAfter := Allow, time.Duration(0)
+	for _, key := range keys {
+		check := s.checkLateCrashes
+		if isRequestKey(key) {
+			check = s.checkEarlyCrashes
+		}
+		ruling, d := check(now, key)
+		if ruling == Refuse && s.hasLateRival(now, key, keys) {
+			ruling, d = Allow, 0
+		}
+		worst, retryAfter = max(worst, ruling), max(retryAfter, d)
+	}
+	return worst, retryAfter
+}
+
 // checkKey returns the ruling on one key, and for how long it is refused.
 func (s *Screener) checkKey(now time.Time, key string) (Ruling, time.Duration) {
+	early, earlyLeft := s.checkEarlyCrashes(now, key)
+	late, lateLeft := s.checkLateCrashes(now, key)
+	return max(early, late), max(earlyLeft, lateLeft)
+}
+
+// checkEarlyCrashes returns the ruling on a request by its crashes, or on a part by those that were not late, and for how long it is
+// refused.
+func (s *Screener) checkEarlyCrashes(now time.Time, key string) (Ruling, time.Duration) {
 	r := s.records[key]
-	if r == nil || len(r.crashes) == 0 {
+	switch {
+	case r == nil || len(r.crashes) == 0:
 		return Allow, 0
+	case isRequestKey(key):
+		return s.checkCrashes(now, key, r.crashes, r.crashLimit())
 	}
-	crashes, limit := r.crashCount(now), r.crashLimit()
+	return s.checkCrashes(now, key, r.earlyCrashes(), crashLimit)
+}
+
+// checkCrashes returns the ruling on a key by some of its crashes, and for how long it is refused.
+func (s *Screener) checkCrashes(now time.Time, key string, crashes []Crash, limit int) (Ruling, time.Duration) {
+	r := s.records[key]
+	left := refusedUntil(now, crashes, limit).Sub(now)
+	count := countApart(now, crashes, crashGap, true)
 	if r.isProven(now) {
-		crashes, limit = s.unexplainedCrashes(now, key, r), provenCrashLimit
+		count, limit = s.unexplainedCrashes(now, key, crashes), provenCrashLimit
 	}
-	if crashes < limit-1 {
+	if count < limit-1 {
 		return Allow, 0
 	}
-	left := r.refusedUntil(now).Sub(now)
-	if crashes < limit || left <= 0 {
+	if count < limit || left <= 0 {
 		return s.trialRuling(now, key), 0
 	}
 	// A request whose prompt has many parts makes them equal suspects by itself.
-	if s.equalSuspects(now, key) > maxEqualSuspects && (!isRequestKey(key) || crashes < lateCrashLimit) {
+	if s.equalSuspects(now, key) > maxEqualSuspects && (!isRequestKey(key) || count < lateCrashLimit) {
+		return s.trialRuling(now, key), 0
+	}
+	if s.areMostUnrelated(crashes, count, limit) || isRequestKey(key) && s.isBeside(now, key, r, count < doubtFactor*limit) {
+		return s.trialRuling(now, key), 0
+	}
+	return Refuse, left
+}
+
+// checkLateCrashes returns the ruling on a part by all its crashes if some of them were late, and for how long it is refused. There are
+// no trials before a refusal: other requests with the part would wait for the whole of an answer. Crashes that have just become known
+// do not count yet: other instances may have more to tell of them.
+func (s *Screener) checkLateCrashes(now time.Time, key string) (Ruling, time.Duration) {
+	r := s.records[key]
+	if r == nil || isRequestKey(key) || !r.hasLateCrash() {
+		return Allow, 0
+	}
+	known := r.knownCrashes(now)
+	count := countApart(now, known, crashGap, true)
+	if count < lateCrashLimit || s.areMostUnrelated(known, count, lateCrashLimit) {
+		return Allow, 0
+	}
+	left := refusedUntil(now, known, lateCrashLimit).Sub(now)
+	if left <= 0 {
 		return s.trialRuling(now, key), 0
 	}
+	if s.isOfOneRequest(known) || s.isOfStrongerParts(now, key, known) {
+		return Allow, 0
+	}
 	return Refuse, left
 }
 
@@ -154,7 +257,7 @@
 func (s *Screener) equalSuspects(now time.Time, key string) int {
 	n, crashes := 0, s.records[key].crashCount(now)
 	for other := range s.suspectParts {
-		if other != key && s.records[other].crashCount(now) >= crashes {
+		if other != key && countApart(now, s.records[other].earlyCrashes(), crashGap, true) >= crashes {
 			n++
 		}
 	}
@@ -177,26 +280,21 @@
 		return false
 	}
 	for other := range s.suspectParts {
-		o := s.records[other]
-		if slices.Contains(keys, other) || o.isProven(now) {
-			continue
-		}
-		if !slices.ContainsFunc(r.crashes, func(c Crash) bool { return !o.hasCrash(c) }) {
+		if o := s.records[other]; !slices.Contains(keys, other) && !o.isProven(now) && isWithin(r.earlyCrashes(), o) {
 			return true
 		}
 	}
 	return false
 }
 
-// unexplainedCrashes returns the number of crashes of a proven key that no refused part explains. Those after the first event do
-// not count: a whole response shows what happens after it.
-func (s *Screener) unexplainedCrashes(now time.Time, key string, r *record) int {
+// unexplainedCrashes returns the number of those crashes of a proven key that no refused part explains.
+func (s *Screener) unexplainedCrashes(now time.Time, key string, crashes []Crash) int {
 	var unexplained []Crash
-	for _, c := range r.crashes {
-		isExplained := c.IsLate
+	for _, c := range crashes {
+		isExplained := false
 		for other := range s.suspectParts {
 			o := s.records[other]
-			isExplained = isExplained || other != key && !o.isProven(now) && now.Before(o.refusedUntil(now)) && o.hasCrash(c)
+			isExplained = isExplained || other != key && o.hasCrash(c) && s.isOverLimit(now, other)
 		}
 		if !isExplained {
 			unexplained = append(unexplained, c)
--- a/internal/serving/forwarder/forwarder.go
+++ b/internal/serving/forwarder/forwarder.go
@@ -219,6 +219,17 @@
 // RecordLoss records that the process of an endpoint has ended: streams through it are moved at once.
 func (f *Forwarder) RecordLoss(now time.Time, endpoint string) {
 	f.screening.recordLoss(now, endpoint)
+	f.moveStreams(now, endpoint)
+}
+
+// RecordDeparture is RecordLoss for an endpoint that had announced that it leaves: no request is to blame.
+func (f *Forwarder) RecordDeparture(now time.Time, endpoint string) {
+	f.screening.recordDeparture(now, endpoint)
+	f.moveStreams(now, endpoint)
+}
+
+// moveStreams moves the streams through an endpoint whose process has ended.
+func (f *Forwarder) moveStreams(now time.Time, endpoint string) {
 	for _, a := range f.Allocators() {
 		a.RecordLoss(now, endpoint)
 		a.Check(now)
@@ -242,9 +253,9 @@
 // RestoreEvidence records evidence against a part of prompts or a request that was kept.
 func (f *Forwarder) RestoreEvidence(now time.Time, e screener.Evidence) { f.screening.restore(now, e) }
 
-// ProvenKeys returns those of the keys that a request is known to have proven.
-func (f *Forwarder) ProvenKeys(now time.Time, keys []string) []string {
-	return f.screening.proven(now, keys)
+// MergeReply records another instance's reply to a report, which lists proven keys, and returns what was not known of it.
+func (f *Forwarder) MergeReply(now time.Time, r screener.Report, proven []string) screener.Report {
+	return f.screening.mergeReply(now, r, proven)
 }
 
 // Suspects returns the number of keys of requests under which endpoints have crashed, and how many of them are refused.
--- a/internal/serving/forwarder/screening.go
+++ b/internal/serving/forwarder/screening.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -47,11 +48,21 @@
 	return s.screener.Check(now, keys)
 }
 
+// checkMoved is check for a stream that has settled at another endpoint.
+func (s *screening) checkMoved(now time.Time, keys []string) (screener.Ruling, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.screener.CheckMoved(now, keys)
+}
+
 // begin records that a request is sent along endpoints, and returns the number of the attempt. The function stop is
-// called if the request must not run.
-func (s *screening) begin(now time.Time, keys []string, endpoints []string, stop func()) uint64 {
+// called if the request must not run. A moved stream has settled at another endpoint.
+func (s *screening) begin(now time.Time, keys []string, endpoints []string, isMoved bool, stop func()) uint64 {
 	s.mu.Lock()
 	number, tried := s.screener.Begin(now, keys, endpoints)
+	if isMoved {
+		s.screener.MarkMoved(number)
+	}
 	if number > 0 {
 		s.stops[number] = stop
 	}
@@ -89,14 +100,16 @@
 // settle handles the attempts whose result is known.
 func (s *screening) settle(now time.Time) {
 	s.mu.Lock()
-	cleared := s.screener.Settle(now)
+	news := s.screener.Settle(now)
 	s.mu.Unlock()
-	if len(cleared) > 0 {
-		s.log.Info("suspicion lifted", "keys", listKeys(cleared))
-		s.report(screener.Report{Cleared: cleared})
-		if s.keeper != nil {
-			s.keeper.Drop(cleared)
-		}
+	if news.IsEmpty() {
+		return
+	}
+	cleared := slices.Concat(news.Cleared, news.Sound)
+	s.log.Info("suspicion lifted", "keys", listKeys(cleared))
+	s.report(news)
+	if s.keeper != nil {
+		s.keeper.Drop(cleared)
 	}
 }
 
@@ -105,6 +118,13 @@
 	s.recordCrash(now, s.screener.RecordLoss, endpoint)
 }
 
+// recordDeparture records that the process of an endpoint has ended as it had announced.
+func (s *screening) recordDeparture(now time.Time, endpoint string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.screener.RecordDeparture(now, endpoint)
+}
+
 // recordDisappearance records that the row of an endpoint has gone without an announcement.
 func (s *screening) recordDisappearance(now time.Time, endpoint string) {
 	s.recordCrash(now, s.screener.RecordDisappearance, endpoint)
@@ -120,6 +140,9 @@
 	if report.IsEmpty() {
 		return
 	}
+	if len(report.Late) > 0 {
+		time.AfterFunc(screener.ReviewTime, func() { s.review(report, evidence) })
+	}
 	if s.keeper != nil && len(evidence) > 0 {
 		s.keeper.Keep(evidence)
 	}
@@ -130,11 +153,30 @@
 	}
 }
 
+// review handles what is refused after a report of this instance once the others have had the time to report as well, beyond what was
+// refused at once.
+func (s *screening) review(report screener.Report, known []screener.Evidence) {
+	now := s.clock()
+	isKnown := func(e screener.Evidence) bool {
+		return slices.ContainsFunc(known, func(k screener.Evidence) bool { return k.Key == e.Key })
+	}
+	s.mu.Lock()
+	evidence := slices.DeleteFunc(s.screener.Evidence(now, report.Crashed), isKnown)
+	stops := s.refusedStops(now, report, evidence)
+	s.mu.Unlock()
+	if s.keeper != nil && len(evidence) > 0 {
+		s.keeper.Keep(evidence)
+	}
+	for _, stop := range stops {
+		stop()
+	}
+}
+
 // merge records what another instance reports, and returns which of the keys under which an endpoint crashed are proven
 // here.
 func (s *screening) merge(now time.Time, report screener.Report) []string {
 	s.mu.Lock()
-	proven := s.screener.Proven(now, report.Crashed)
+	proven := s.screener.Refuted(now, report)
 	s.screener.Merge(now, report)
 	stops := s.stopRefused(now, report)
 	s.mu.Unlock()
@@ -165,11 +207,13 @@
 	return s.screener.IsLost(now, endpoint)
 }
 
-// proven returns those of the keys that a request is known to have proven.
-func (s *screening) proven(now time.Time, keys []string) []string {
+// mergeReply records another instance's reply to a report, which lists proven keys, and returns what was not known of it.
+func (s *screening) mergeReply(now time.Time, report screener.Report, proven []string) screener.Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.screener.Proven(now, keys)
+	news := s.screener.DropKnown(now, report.Reply(proven))
+	s.screener.Merge(now, news)
+	return news
 }
 
 // stopRefused returns the functions that stop the requests that must not run after a report, and logs the keys that are
@@ -178,7 +222,12 @@
 	if len(report.Crashed) == 0 {
 		return nil
 	}
-	for _, e := range s.screener.Evidence(now, report.Crashed) {
+	return s.refusedStops(now, report, s.screener.Evidence(now, report.Crashed))
+}
+
+// refusedStops logs the evidence after a report, and returns the functions that stop the requests that must not run. The lock is held.
+func (s *screening) refusedStops(now time.Time, report screener.Report, evidence []screener.Evidence) []func() {
+	for _, e := range evidence {
 		s.log.Warn("requests refused", "keys", e.Key, "endpoint", report.Endpoint, "crashes", len(e.Crashes))
 	}
 	var out []func()
