Name the team of a known key on routes that require none

Cause: on a route that requires no key, a request with a key of a team reached the endpoint without the team's name.

Change: Admit looks the key up first; an unknown one is ignored on such a route.

Measured: TestAdmit with the new case fails on the code before (no team) and passes now; the tests of matcher, forwarder, screener and those of the platform on keys pass.

--- a/internal/routing/matcher/configuration.go
+++ b/internal/routing/matcher/configuration.go
@@ -59,12 +59,13 @@
 	if !ok {
 		return Route{}, Team{}, NoRoute
 	}
-	if r.Anonymous || c.IsOpen {
-		return r, Team{Priority: -1}, Allowed
-	}
 	t, ok := c.Teams[credential]
-	if !ok || credential == "" {
-		return r, Team{}, NoCredential
+	switch {
+	case ok && credential != "":
+		// The team is named on an anonymous route too, so that endpoints see whose request it is.
+		return r, t, Allowed
+	case r.Anonymous || c.IsOpen:
+		return r, Team{Priority: -1}, Allowed
 	}
-	return r, t, Allowed
+	return r, Team{}, NoCredential
 }
--- a/internal/routing/matcher/matcher_test.go
+++ b/internal/routing/matcher/matcher_test.go
@@ -87,6 +87,8 @@
 		{"/k/1", "other", result{"keyed", "", NoCredential}},
 		{"/k/1", "", result{"keyed", "", NoCredential}},
 		{"/o/1", "", result{"open", "", Allowed}},
+		{"/o/1", "other", result{"open", "", Allowed}},
+		{"/o/1", "key", result{"open", "joiners", Allowed}}, // Without the team, endpoints would take the request for nobody's.
 		{"/n/1", "key", result{"", "", NoRoute}},
 	} {
 		r, team, v := c.Admit("h", s.path, s.key)
