Share out the memory of endpoints by priority

Change: the last free memory of an endpoint is shared out by priority: what the urgent requests of the fleet need goes to them first, beyond 0.4 of the even share that each priority keeps. The prioritizer only counts; its gaps, levels and the share treated as urgent are gone. Counts that are older than 2 s end the shares. Requests that come back fill up to 0.7 of the memory.

Tests of reserver, prioritizer, forwarder, accountant and gateway pass.

--- a/internal/routing/reserver/reserver.go
+++ b/internal/routing/reserver/reserver.go
@@ -69,6 +69,8 @@
 	FirstEndpoints map[string]bool
 	// InProgress is true for an answer in progress, which may use memory that is shared out to other instances.
 	InProgress bool
+	// Priority is that of the request, 0 for the most urgent.
+	Priority int
 	// MemoryShare is the share of each endpoint's memory that the request may fill; zero means MaxMemoryShare.
 	MemoryShare float64
 	// includeBackedOff is true if the path may use endpoints that have just refused or failed a request.
@@ -97,6 +99,8 @@
 	// MaxMemoryShare is the share of an endpoint's memory that may be reserved. It is over 1, as a request uses all that is reserved
 	// for it only at its end: with a usual prompt and answer, 0.84 of it on average.
 	MaxMemoryShare = 1.1
+	// LateMemoryShare is the share that requests may fill whose answer is late in any case: what is left over by the others.
+	LateMemoryShare = MaxMemoryShare - 0.4
 	// blockTokens is the number of tokens in a memory block; endpoints allocate whole blocks.
 	blockTokens = 16
 	// maxNoise is the greatest relative noise on an endpoint's cost. It spreads the choices of instances, which do
@@ -169,13 +173,16 @@
 
 	peers     map[string]peer
 	peerUsage Usage
-	// peerDemands holds the requests that the other instances receive. acceptedSlots holds the endpoints that
-	// accept only some of the slots, and slot is the one of this instance's requests.
-	peerDemands []Demand
+	// peerDemands holds the requests that the other instances receive, and sharedDemands those by which the last free memory is
+	// shared out. acceptedSlots holds the endpoints that accept only some of the slots, with those of each priority, acceptedShares the
+	// means by priority, and slot is the one of this instance's requests.
+	peerDemands    []Demand
+	sharedDemands  []Demand
+	acceptedSlots  map[string][]uint32
+	acceptedShares []float64
+	slot           int
 	// requestTime is the mean of the times for which granted requests hold their memory.
-	requestTime   time.Duration
-	acceptedSlots map[string]uint32
-	slot          int
+	requestTime time.Duration
 
 	boundaries []int
 	random     *rand.Rand
--- a/internal/routing/reserver/search.go
+++ b/internal/routing/reserver/search.go
@@ -40,7 +40,7 @@
 func newSearch(r *Reserver, now time.Time, req PathRequest, tokens int) *search {
 	s := &search{reserver: r, now: now, request: req, tokens: tokens, nodes: make([]map[string]*node, len(r.boundaries))}
 	for _, e := range r.Endpoints {
-		if !r.isCandidate(now, req, e) || !req.InProgress && !r.acceptsSlot(e.ID) {
+		if !r.isCandidate(now, req, e) || !req.InProgress && !r.acceptsSlot(e.ID, req.Priority) {
 			continue
 		}
 		memory, reserved := r.memory(e), r.reservedByAll(e.ID)
--- a/internal/serving/forwarder/admission.go
+++ b/internal/serving/forwarder/admission.go
@@ -1,10 +1,7 @@
 package forwarder
 
 import (
-	"fmt"
-	"maps"
-	"slices"
-	"strings"
+	"strconv"
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/routing/prioritizer"
@@ -12,8 +9,7 @@
 	"github.com/heatherrock/heatherrock/internal/routing/waiter"
 )
 
-// countedRequest is a request that the prioritizer counts under its own priority, whatever priority it is served by. The zero
-// value counts nothing.
+// countedRequest is a request that the prioritizer counts. The zero value counts nothing.
 type countedRequest struct {
 	prioritizer *prioritizer.Prioritizer
 	priority    int
@@ -37,24 +33,18 @@
 	}
 }
 
-// isLimited reports whether a priority's limit applies to a request. It does not to an answer of which the caller has a part.
-func isLimited(i waiter.Item) bool { return !i.Resumed && !i.Late }
-
-// countArrival counts a request that arrives, and sets the priority by which it is served. The lock is held.
+// countArrival counts a request that arrives for the first time. The lock is held.
 func (a *Allocator) countArrival(now time.Time, i *waiter.Item) countedRequest {
-	if !isLimited(*i) {
+	if i.Resumed || i.Late {
 		return countedRequest{}
 	}
-	a.updateLimits(now)
-	c := countedRequest{a.prioritizer, i.Priority}
 	a.targets[i.Priority] = i.FirstEventTarget
-	// With a longer target, a limited request would wait longer for the same memory than the urgent ones, and get more of it.
-	if a.prioritizer.Limit(i.Priority) < reserver.MaxMemoryShare {
+	// With a longer target, a less urgent request would wait longer for the same memory than the urgent ones, and get more of it.
+	if a.prioritizer.IsLimiting(now) {
 		i.FirstEventTarget = a.lowestTarget(i.Priority)
 	}
 	a.prioritizer.RecordArrival(now, i.Priority)
-	i.Priority = a.prioritizer.Classify(i.Priority, i.ID)
-	return c
+	return countedRequest{a.prioritizer, i.Priority}
 }
 
 // lowestTarget returns the lowest target for the first event among the requests of a priority and of those more urgent.
@@ -68,59 +58,42 @@
 	return lowest
 }
 
-// limited returns the request for a path of an item, with the share of the memory that it may fill. The lock is held.
-func (a *Allocator) limited(i waiter.Item) reserver.PathRequest {
+// pathRequest returns the request for a path of an item.
+func pathRequest(i waiter.Item) reserver.PathRequest {
 	request := i.Request
-	if isLimited(i) {
-		request.MemoryShare = a.prioritizer.Limit(i.Priority)
-	}
+	request.Priority = i.Priority
 	if i.Returned {
-		request.MemoryShare = a.prioritizer.LateLimit()
+		request.MemoryShare = reserver.LateMemoryShare
 	}
 	return request
 }
 
-// updateLimits updates the limits of the priorities, and logs a change. The lock is held.
-func (a *Allocator) updateLimits(now time.Time) {
-	if !a.prioritizer.IsDue(now) {
-		return
-	}
-	load := a.reserver.TotalUsedShare(now)
-	isChanged := a.prioritizer.Update(now, 1-load)
-	a.reserver.SetPeerDemands(a.prioritizer.OtherDemands()...)
-	if isChanged {
-		a.log.Info("admission level changed", "service", a.service, "limits", formatLimits(a.prioritizer.Statuses(now)), "load", load,
-			"waiting", a.queue.Len())
-	}
+// Admission is the state of one priority at one instance.
+type Admission struct {
+	// Accepted is the mean share of the requests that the endpoints accept which have not room for all.
+	Accepted float64
+	// Granted and Refused count the requests of this instance in the last second.
+	Granted float64
+	Refused float64
 }
 
-// formatLimits formats the limits by priority for the log.
-func formatLimits(statuses map[int]prioritizer.Status) string {
-	var parts []string
-	for _, priority := range slices.Sorted(maps.Keys(statuses)) {
-		parts = append(parts, fmt.Sprintf("%d=%.2f", priority, statuses[priority].Limit))
-	}
-	return strings.Join(parts, " ")
-}
-
-// Admission returns the state of each priority of which this instance has received requests.
-func (a *Allocator) Admission(now time.Time) map[int]prioritizer.Status {
+// Admissions returns the state of each priority of which this instance has received requests.
+func (a *Allocator) Admissions(now time.Time) map[int]Admission {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	out := a.prioritizer.Statuses(now)
+	counts := a.prioritizer.OwnCounts(now)
+	out := make(map[int]Admission, len(a.targets))
 	for priority := range a.targets {
-		if _, ok := out[priority]; !ok {
-			out[priority] = prioritizer.Status{Limit: reserver.MaxMemoryShare}
-		}
+		out[priority] = Admission{a.reserver.AcceptedShare(priority), counts[priority].Granted, counts[priority].Refused}
 	}
 	return out
 }
 
-// IsLimiting reports whether the requests of some priority may fill less of the memory than others.
-func (a *Allocator) IsLimiting() bool {
+// IsLimiting reports whether many requests of the fleet have to wait for memory.
+func (a *Allocator) IsLimiting(now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.prioritizer.IsLimiting()
+	return a.prioritizer.IsLimiting(now)
 }
 
 // Demand returns the requests of the last second by priority, as this instance reports them to the others.
@@ -135,5 +108,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.prioritizer.MergeCounts(now, others)
-	a.updateLimits(now)
+	a.reserver.SetPeerDemands(a.prioritizer.OtherDemands())
+	if isLimiting := a.prioritizer.IsLimiting(now); isLimiting != a.wasLimiting {
+		a.wasLimiting = isLimiting
+		a.log.Info("admission changed", "service", a.service, "limited", strconv.FormatBool(isLimiting), "load", a.reserver.TotalUsedShare(now),
+			"waiting", a.queue.Len())
+	}
 }
--- a/internal/serving/forwarder/allocator.go
+++ b/internal/serving/forwarder/allocator.go
@@ -23,8 +23,9 @@
 	reserver *reserver.Reserver
 	queue    *waiter.Queue
 	returns  *waiter.Returns
-	// prioritizer limits how much of the memory requests of each priority may fill, and log logs its changes.
+	// prioritizer counts the requests of each priority, and wasLimiting states whether many of them had to wait as last logged.
 	prioritizer *prioritizer.Prioritizer
+	wasLimiting bool
 	log         *slog.Logger
 	service     string
 	monitor     *monitor.Monitor
@@ -35,8 +36,6 @@
 	counted map[string]countedRequest
 	// targets holds, by priority, the target for the first event of the latest request.
 	targets map[int]time.Duration
-	// grantedAt is the time of the last pass over the queue.
-	grantedAt time.Time
 	// onSilent holds, by request id, the function to call when its stream has gone silent.
 	onSilent map[string]func(monitor.Verdict)
 	// reportedUntil holds until when endpoints are excluded because of reports of other instances.
@@ -167,7 +166,7 @@
 	counted := a.countArrival(now, &item)
 	path, refusal := reserver.Path{}, reserver.Full
 	if item.Resumed || !a.queue.HasBefore(item) {
-		path, refusal = a.reserver.Reserve(now, a.limited(item))
+		path, refusal = a.reserver.Reserve(now, pathRequest(item))
 	}
 	if refusal == reserver.Granted || refusal == reserver.TooLarge {
 		counted.end(now, refusal)
@@ -265,18 +264,14 @@
 // endpoints.
 const maxFailedGrants = 8
 
-// grantInterval is the time between two passes over the queue in which nothing has changed but the time, which ends suspicions.
-const grantInterval = 100 * time.Millisecond
-
 // grantWaiting reserves paths for the queued requests, in their order. The lock is held.
 func (a *Allocator) grantWaiting(now time.Time) {
-	a.grantedAt = now
 	failed := 0
 	for _, item := range a.queue.Order(now) {
 		if failed >= maxFailedGrants {
 			return
 		}
-		p, refusal := a.reserver.Reserve(now, a.limited(item))
+		p, refusal := a.reserver.Reserve(now, pathRequest(item))
 		if refusal == reserver.Uncovered {
 			return
 		}
@@ -354,10 +349,10 @@
 			a.reserver.Suspect(now, now.Add(suspectCooldown), id)
 		}
 	}
-	a.updateLimits(now)
-	if now.Sub(a.grantedAt) >= grantInterval {
-		a.grantWaiting(now)
+	if a.prioritizer.IsOutdated(now) {
+		a.reserver.SetPeerDemands(nil)
 	}
+	a.grantWaiting(now)
 	a.mu.Unlock()
 	for _, e := range toProbe {
 		go a.runProbe(e)
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -140,7 +140,7 @@
 	now := s.forwarder.clock()
 	held, _ := s.allocator.HeldFor(now, s.queueItem().Request)
 	delay := streamRetryAfter
-	if s.allocator.IsLimiting() {
+	if s.allocator.IsLimiting(now) {
 		delay = max(delay, min(limitedRetryAfter, time.Duration(retryTimeShare*float64(s.timeLeft(now)))))
 	}
 	return max(delay, held)
--- a/internal/serving/gateway/updates.go
+++ b/internal/serving/gateway/updates.go
@@ -8,7 +8,6 @@
 
 	"github.com/heatherrock/heatherrock/internal/control/replicator"
 	"github.com/heatherrock/heatherrock/internal/routing/limiter"
-	"github.com/heatherrock/heatherrock/internal/routing/prioritizer"
 	"github.com/heatherrock/heatherrock/internal/routing/reserver"
 	"github.com/heatherrock/heatherrock/internal/serving/accountant"
 	"github.com/heatherrock/heatherrock/internal/serving/director"
@@ -169,7 +168,7 @@
 		scope.Gauge("endpoints_shared").Update(float64(a.SharedEndpoints()))
 		bottleneck := a.Bottleneck(now)
 		g.recordDemand(now, service, bottleneck, waiting)
-		updateAdmissionGauges(scope, a.Admission(now))
+		updateAdmissionGauges(scope, a.Admissions(now))
 		if waiting > 0 && now.Sub(g.shortageLoggedAt) >= shortageLogInterval {
 			g.shortageLoggedAt = now
 			g.log.Info("requests wait for memory", "service", service, "waiting", waiting, "load", load, "layer", bottleneck.Layer,
@@ -218,13 +217,12 @@
 }
 
 // updateAdmissionGauges sets the gauges of the priorities of one service.
-func updateAdmissionGauges(scope tally.Scope, statuses map[int]prioritizer.Status) {
-	for priority, status := range statuses {
+func updateAdmissionGauges(scope tally.Scope, admissions map[int]forwarder.Admission) {
+	for priority, a := range admissions {
 		s := scope.Tagged(map[string]string{"priority": strconv.Itoa(priority)})
-		s.Gauge("admission_level").Update(float64(status.Level))
-		s.Gauge("admission_limit").Update(status.Limit)
-		s.Gauge("admission_granted").Update(status.Granted)
-		s.Gauge("admission_refused").Update(status.Refused)
+		s.Gauge("admission_accepted").Update(a.Accepted)
+		s.Gauge("admission_granted").Update(a.Granted)
+		s.Gauge("admission_refused").Update(a.Refused)
 	}
 }
 
