Bound the messages of other instances before they are decoded

Cause: the decoder of net/rpc holds a message up to the length that it states, gigabytes, and keeps every definition of a type. Eight connections to the peers' port made a gateway hold 348 MiB.

Change: a connection that a peer has opened ends if a message is over 16 MiB, if the messages that arrive at a time have more than 32 MiB in all, or if definitions of types have more than 256 KiB. The counter exchange_refused and the line 'peer refused' tell of it. WithBounds sets the sum and the number of connections, for machines with less memory.

Measured: go test -race ./internal/serving/exchanger passes.

--- a/internal/serving/exchanger/exchanger.go
+++ b/internal/serving/exchanger/exchanger.go
@@ -25,6 +25,7 @@
 	selfID         string
 	options        options
 	server         *rpc.Server
+	messages       *messageBudget
 	done           chan struct{}
 	wait           sync.WaitGroup
 	deliverySignal chan struct{}
@@ -56,6 +57,7 @@
 	x := &Exchanger{
 		options:        o,
 		server:         rpc.NewServer(),
+		messages:       &messageBudget{limit: o.messageBytes},
 		done:           make(chan struct{}),
 		deliverySignal: make(chan struct{}, 1),
 		urgentSignal:   make(chan struct{}, 1),
--- a/internal/serving/exchanger/options.go
+++ b/internal/serving/exchanger/options.go
@@ -18,6 +18,7 @@
 	timeout       time.Duration
 	idleTimeout   time.Duration
 	maxSessions   int
+	messageBytes  int64
 	lister        lister.Lister
 	serverTLS     *tls.Config
 	clientTLS     *tls.Config
@@ -50,6 +51,11 @@
 	return func(o *options) { o.idleTimeout = d }
 }
 
+// WithBounds bounds the connections of peers and the bytes of the messages that arrive on them at a time.
+func WithBounds(sessions int, messageBytes int64) Option {
+	return func(o *options) { o.maxSessions, o.messageBytes = sessions, messageBytes }
+}
+
 // WithTLS sets the TLS settings of the listener and of connections to peers. Nil leaves TLS off.
 func WithTLS(server, client *tls.Config) Option {
 	return func(o *options) { o.serverTLS, o.clientTLS = server, client }
@@ -83,6 +89,7 @@
 		timeout:       2 * time.Second,
 		idleTimeout:   5 * time.Minute,
 		maxSessions:   1024,
+		messageBytes:  defaultMessageBytes,
 		logger:        slog.New(slog.DiscardHandler),
 		scope:         tally.NoopScope,
 	}
--- a/internal/serving/exchanger/session.go
+++ b/internal/serving/exchanger/session.go
@@ -50,7 +50,8 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.closed || len(x.sessions) >= x.options.maxSessions {
-		_ = raw.Close()
+		_ = raw.Close() // Nothing was sent on it.
+		x.options.scope.Counter("exchange_refused").Inc(1)
 		return
 	}
 	s := &session{x, raw}
@@ -65,7 +66,7 @@
 	defer s.remove()
 	c := &conn{Conn: s.raw, idleTimeout: s.exchanger.options.idleTimeout, writeTimeout: s.exchanger.options.timeout, traffic: &s.exchanger.Traffic}
 	if s.exchanger.options.serverTLS == nil {
-		s.exchanger.server.ServeConn(c)
+		s.serve(c)
 		return
 	}
 	secure := tls.Server(c, s.exchanger.options.serverTLS)
@@ -75,7 +76,21 @@
 		s.exchanger.options.logger.Warn("peer refused", "address", s.raw.RemoteAddr().String(), "error", err)
 		return
 	}
-	s.exchanger.server.ServeConn(secure)
+	s.serve(secure)
+}
+
+// serve serves the calls on a connection within the bounds of messages.
+func (s *session) serve(c net.Conn) {
+	bounded := &messageConn{Conn: c, budget: s.exchanger.messages, refused: s.exchanger.recordRefusal}
+	s.exchanger.server.ServeConn(bounded)
+	// The server has ended all reads.
+	bounded.free()
+}
+
+// recordRefusal counts and logs a peer whose messages break the bounds.
+func (x *Exchanger) recordRefusal(c net.Conn, err error) {
+	x.options.scope.Counter("exchange_refused").Inc(1)
+	x.options.logger.Warn("peer refused", "address", c.RemoteAddr().String(), "error", err)
 }
 
 // remove closes the connection and removes the session.
