Answer plain HTTP on a TLS listener as before

Cause: with the bounder, the TLS handshake runs under net/http's server, which no longer saw that a client sends plain HTTP: testdata/script/secure.txtar of cmd/heatherrock failed.

Change: the bounder answers such a client as net/http does, and ends a connection whose handshake fails without another answer.

Measured: go test -race ./cmd/heatherrock failed before and passes with it, as do ./internal/serving/bounder and ./internal/serving/runner.

--- a/internal/serving/bounder/conn.go
+++ b/internal/serving/bounder/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -282,9 +283,24 @@
 	c.isHandshaken = true
 	ctx, cancel := context.WithTimeout(context.Background(), c.limits.HeadTimeout)
 	defer cancel()
-	return secure.HandshakeContext(ctx)
+	err := secure.HandshakeContext(ctx)
+	var record tls.RecordHeaderError
+	if errors.As(err, &record) && record.Conn != nil && slices.Contains(plainStarts, string(record.RecordHeader[:])) {
+		// The error that matters is the one of the handshake.
+		_, _ = io.WriteString(record.Conn, plainAnswer)
+	}
+	if err != nil {
+		c.markBroken()
+		return &net.OpError{Op: "read", Net: "tcp", Err: err}
+	}
+	return nil
 }
 
+// plainStarts are the first bytes of requests that come without TLS, and plainAnswer is what net/http's server answers to them.
+var plainStarts = []string{"GET /", "HEAD ", "POST ", "PUT /", "OPTIO"}
+
+const plainAnswer = "HTTP/1.0 400 Bad Request\r\n\r\nClient sent an HTTP request to an HTTPS server.\n"
+
 // refuseForBudget refuses a request for which there is no memory.
 func (c *Conn) refuseForBudget() error {
 	c.bounder.count(reasonBudget, c)
