Decide by load which requests leave a data centre

Cause: a hop into another data centre cost 300 ms and 0.5 ms a token whatever the loads were, and plain calls went to any data centre. Paths crossed while the own endpoints had room, and nothing stated how much goes where.

Change: routing/spiller decides, from the loads that the accounts state, which share of the requests may begin in another data centre, and what a hop costs: its delay, its transfer, its bytes and how late first events came over it. The reserver asks it for each path, the selector for each plain call; calls in progress are stated in the accounts where reserved memory is. The delays come from the configuration, the worth of a MB from the flag crossing.cost.

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/heatherrock/heatherrock/internal/serving/forwarder"
 	"github.com/heatherrock/heatherrock/internal/serving/gateway"
 	"github.com/heatherrock/heatherrock/internal/serving/logger"
 	"github.com/heatherrock/heatherrock/platform"
@@ -28,6 +29,7 @@
 func run() int {
 	flags := flag.NewFlagSet("gateway", flag.ContinueOnError)
 	metrics := flags.Int("metrics", 0, "port of metrics and state; 0 takes the second internal port")
+	crossingCost := flags.Duration("crossing.cost", forwarder.DefaultCrossingCost, "time of callers that one MB between data centres is worth")
 	level := slog.LevelInfo
 	flags.TextVar(&level, "level", level, "least level of the lines logged: debug, info, warn or error")
 	if err := flags.Parse(os.Args[1:]); err != nil {
@@ -41,7 +43,12 @@
 		log.Error("settings not read", "error", err)
 		return 2
 	}
+	if *crossingCost < 0 {
+		log.Error("settings not read", "error", "crossing.cost is below zero")
+		return 2
+	}
 	instance := gatewaySettings(settings)
+	instance.CrossingCost = *crossingCost
 	if *metrics > 0 {
 		instance.MetricsAddress = net.JoinHostPort(settings.IP, strconv.Itoa(*metrics))
 	}
--- a/internal/routing/placer/engine.go
+++ b/internal/routing/placer/engine.go
@@ -68,6 +68,8 @@
 	// link between data centres.
 	ActivationMB    float64
 	LinkMBPerSecond float64
+	// CentreDelays holds the one-way delay between two data centres, if it is known.
+	CentreDelays map[[2]string]time.Duration
 	// UsualPromptTokens and UsualAnswerTokens are the usual numbers of tokens of a request.
 	UsualPromptTokens int
 	UsualAnswerTokens int
--- a/internal/routing/reserver/availability.go
+++ b/internal/routing/reserver/availability.go
@@ -51,7 +51,8 @@
 
 // isCandidate reports whether a path for a request may use an endpoint.
 func (r *Reserver) isCandidate(now time.Time, req PathRequest, e Endpoint) bool {
-	return r.isUsable(now, e, req.Avoid) && (req.includeBackedOff || !now.Before(r.BackedOffUntil[e.ID]))
+	return r.isUsable(now, e, req.Avoid) &&
+		(req.includeBackedOff || !now.Before(r.BackedOffUntil[e.ID]) && !r.Spiller.IsClosed(now, e.DataCentre))
 }
 
 // Hold lets no path begin at an endpoint until a time, also if it is removed and added again before that. The endpoint may
--- a/internal/routing/reserver/reserver.go
+++ b/internal/routing/reserver/reserver.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/heatherrock/heatherrock/internal/routing/placer"
+	"github.com/heatherrock/heatherrock/internal/routing/spiller"
 )
 
 // Endpoint is an endpoint that holds layers.
@@ -44,6 +45,9 @@
 	PromptTokens int
 	// LinkRate is what the request sends over each link between data centres on its path, in MB a second.
 	LinkRate float64
+	// Crossings holds the hops between data centres, also that to the first stage, and CrossingReason why there are some.
+	Crossings      []spiller.Crossing
+	CrossingReason CrossingReason
 }
 
 // EndpointIDs returns the ids of the endpoints of the stages, in their order.
@@ -98,9 +102,6 @@
 	// maxNoise is the greatest relative noise on an endpoint's cost. It spreads the choices of instances, which do
 	// not yet know of each other's latest ones.
 	maxNoise = 0.15
-	// crossDataCentreCost is the extra cost of a hop to another data centre while its link is idle: all requests
-	// share the link, and it is the only way left when endpoints fail.
-	crossDataCentreCost = 300 * time.Millisecond
 	// maxLinkShare is the share of a link that may be reserved. Whole prompts cross it at once, and beyond half of
 	// its rate they queue for longer than an answer may take to begin.
 	maxLinkShare = 0.5
@@ -108,11 +109,8 @@
 	usualTokenTime = 12 * time.Millisecond
 	// hopDelay is the delay between two endpoints of a data centre.
 	hopDelay = 200 * time.Microsecond
-	// firstEventWeight is how much more the time to the first event counts than the time after it: an answer whose
-	// first event is late counts as late as a whole.
-	firstEventWeight = 8
-	// crossDataCentreDelay is the delay between two data centres.
-	crossDataCentreDelay = 500 * time.Microsecond
+	// firstEventWeight is how much more the time to the first event counts than the time after it.
+	firstEventWeight = spiller.FirstEventWeight
 	// peerExpiry is how long a peer's usage counts after it was last received.
 	peerExpiry = 3 * time.Second
 	// maxStages bounds the stages of a path.
@@ -160,19 +158,27 @@
 	// SlowFactors holds, for each endpoint that was found slow, how many times longer than expected it takes.
 	SlowFactors map[string]float64
 
+	// Spiller decides which requests may begin in other data centres, and what crossing costs.
+	Spiller *spiller.Spiller
+	// loadsAt is when the spiller last received the loads of the data centres.
+	loadsAt time.Time
+
 	// InstanceCount is the number of instances of the fleet, this one included.
 	InstanceCount int
 
 	peers      map[string]peer
 	peerUsage  Usage
 	boundaries []int
-	random     *rand.Rand
+	// endpointIDs holds the ids of Endpoints in order: the same random numbers lead to the same paths.
+	endpointIDs []string
+	random      *rand.Rand
 }
 
 // New returns a reserver for an instance in a data centre.
 func New(centre string, random *rand.Rand) *Reserver {
 	return &Reserver{
 		DataCentre:          centre,
+		Spiller:             spiller.New(centre),
 		Endpoints:           map[string]Endpoint{},
 		OwnUsage:            Usage{},
 		SuspectedUntil:      map[string]time.Time{},
@@ -212,12 +218,15 @@
 		}
 	}
 	slices.Sort(r.boundaries)
+	r.endpointIDs = slices.Sorted(maps.Keys(r.Endpoints))
+	r.describeLinks()
 }
 
 // SetPeerUsage replaces what another instance has reserved.
 func (r *Reserver) SetPeerUsage(now time.Time, name string, u Usage) {
 	r.peers[name] = peer{u, now}
 	r.sumPeerUsage(now)
+	r.updateLoads(now)
 }
 
 // RemovePeer drops what another instance had reserved.
@@ -268,7 +277,7 @@
 // Reserve returns the path of least cost, and reserves memory and link rate on it.
 func (r *Reserver) Reserve(now time.Time, req PathRequest) (Path, Refusal) {
 	p, refusal := r.reserve(now, req)
-	if (refusal == Uncovered || refusal == Held) && r.isAnyBackedOff(now) {
+	if (refusal == Uncovered || refusal == Held) && (r.isAnyBackedOff(now) || r.Spiller.IsAnyClosed(now)) {
 		req.includeBackedOff = true
 		p, refusal = r.reserve(now, req)
 	}
@@ -287,6 +296,7 @@
 		return Path{}, r.refusalReason(now, req, tokens)
 	}
 	p := Path{Stages: stages, Tokens: tokens, LinkRate: s.linkRate(), PromptTokens: req.PromptTokens}
+	s.addCrossings(&p)
 	for _, name := range p.crossedLinks() {
 		r.OwnUsage[name] += p.LinkRate
 	}
--- a/internal/routing/reserver/search.go
+++ b/internal/routing/reserver/search.go
@@ -21,6 +21,8 @@
 	now      time.Time
 	request  PathRequest
 	tokens   int
+	// destination is the other data centre in which the path may begin at the cost of the way, "" if none.
+	destination string
 	// candidates holds the usable endpoints, with the noise on their costs.
 	candidates []candidate
 	// nodes holds, for each boundary, its nodes by data centre.
@@ -38,11 +40,13 @@
 // newSearch returns a search over the endpoints that are usable at now.
 func newSearch(r *Reserver, now time.Time, req PathRequest, tokens int) *search {
 	s := &search{reserver: r, now: now, request: req, tokens: tokens, nodes: make([]map[string]*node, len(r.boundaries))}
-	for _, e := range r.Endpoints {
-		if !r.isCandidate(now, req, e) {
+	s.destination = r.Spiller.Destination(now, r.random.Float64)
+	for _, id := range r.endpointIDs {
+		e, ok := r.Endpoints[id]
+		if !ok || !r.isCandidate(now, req, e) {
 			continue
 		}
-		freeMemory := maxMemoryShare*r.memory(e) - r.reservedByAll(e.ID)
+		freeMemory := maxMemoryShare*r.memory(e) - r.reservedByAll(e.ID) - r.keptForOwn(e)
 		s.candidates = append(s.candidates, candidate{e, 1 + maxNoise*(2*r.random.Float64()-1), freeMemory})
 	}
 	for i := range s.nodes {
@@ -164,23 +168,6 @@
 	return engine.ReadTime(engine.Cards[e.Card], r.Len(), int(waitingTokens))
 }
 
-// crossingCost returns the cost of a hop from one data centre to another, and false if the link has no rate left. The
-// hop to the first endpoint carries only the request itself.
-func (s *search) crossingCost(from, to string, first bool) (time.Duration, bool) {
-	cost := crossDataCentreCost + time.Duration(s.request.AnswerTokens)*crossDataCentreDelay
-	engine := s.reserver.Engine
-	if first || engine.LinkMBPerSecond <= 0 {
-		return cost, true
-	}
-	name := linkName(from, to)
-	usedShare := s.reserver.reservedByAll(name) / engine.LinkMBPerSecond
-	if usedShare+s.linkRate()/engine.LinkMBPerSecond > maxLinkShare {
-		return 0, false
-	}
-	transferSeconds := float64(s.request.PromptTokens+s.request.AnswerTokens) * engine.ActivationMB / engine.LinkMBPerSecond
-	return cost + time.Duration(transferSeconds/(1-usedShare)*float64(time.Second)), true
-}
-
 // linkRate returns what the request sends over a link between data centres, in MB a second.
 func (s *search) linkRate() float64 {
 	duration := max(usualTokenTime*time.Duration(s.request.AnswerTokens), time.Second)
--- a/internal/routing/selector/selector.go
+++ b/internal/routing/selector/selector.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/heatherrock/heatherrock/internal/routing/spiller"
 )
 
 const (
@@ -28,6 +30,12 @@
 	// Failures is the number of failures since the last success, and Failed the time of the last failure.
 	Failures int
 	Failed   time.Time
+	// DataCentre is where the endpoint is, and Slots the number of calls that it runs at once; empty if they are not known.
+	DataCentre string
+	Slots      int
+	// Calls is the number of calls of this instance in progress there, and Refused when it last refused one for want of slots.
+	Calls   int
+	Refused time.Time
 }
 
 // Selector holds the endpoints of plain services. It is not safe for concurrent use.
@@ -35,11 +43,22 @@
 	Servers map[string]Server
 	// HeldUntil holds, by endpoint, when it accepts calls again.
 	HeldUntil map[string]time.Time
+	// Centre is the data centre of the instance. While it is empty, endpoints of all data centres are alike.
+	Centre string
+	// Links describes the links between data centres.
+	Links spiller.Links
+
+	spillers map[string]*spiller.Spiller
+	// loads holds the mean load of the data centres by service.
+	loads map[string]map[string]spiller.Load
 }
 
 // New returns a selector without endpoints.
 func New() *Selector {
-	return &Selector{Servers: map[string]Server{}, HeldUntil: map[string]time.Time{}}
+	return &Selector{
+		Servers: map[string]Server{}, HeldUntil: map[string]time.Time{}, spillers: map[string]*spiller.Spiller{},
+		loads: map[string]map[string]spiller.Load{},
+	}
 }
 
 // Observe adds an endpoint of a service, or updates its address and service.
@@ -68,7 +87,7 @@
 func (s *Selector) Reset(id string) {
 	delete(s.HeldUntil, id)
 	if e, ok := s.Servers[id]; ok {
-		s.Servers[id] = Server{ID: e.ID, Address: e.Address, Service: e.Service}
+		s.Servers[id] = Server{ID: e.ID, Address: e.Address, Service: e.Service, DataCentre: e.DataCentre, Slots: e.Slots, Calls: e.Calls}
 	}
 }
 
@@ -90,7 +109,8 @@
 }
 
 // Choose returns the endpoints that may get a call of a service at now, the preferred one first: the faster of two drawn
-// at random, then the others in random order, then those that failed recently.
+// at random, then the others in random order, then those that failed recently. Those of one data centre go first: the own one
+// unless the call is among those that leave.
 func (s *Selector) Choose(now time.Time, service string, r *rand.Rand) []Server {
 	var healthy, failing []Server
 	for _, e := range s.Servers {
@@ -105,6 +125,9 @@
 	}
 	shuffle(healthy, r)
 	shuffle(failing, r)
+	if centre, ok := s.preferredCentre(now, service, healthy, r); ok {
+		return append(centreFirst(healthy, centre), failing...)
+	}
 	if len(healthy) > 1 && healthy[1].Mean < healthy[0].Mean {
 		healthy[0], healthy[1] = healthy[1], healthy[0]
 	}
--- a/internal/serving/director/director.go
+++ b/internal/serving/director/director.go
@@ -61,6 +61,8 @@
 	Leaving bool
 	// Born is the start time by the endpoint's own clock; it differs after a restart under the same id.
 	Born int64
+	// Slots is the number of calls that an endpoint of a plain service runs at once, 0 if it is not stated.
+	Slots int
 }
 
 // Model is a model whose layers are placed.
--- a/internal/serving/forwarder/allocator.go
+++ b/internal/serving/forwarder/allocator.go
@@ -399,5 +399,6 @@
 		a.monitor.DiscardProbe(e.ID)
 		return
 	}
+	a.recordProbe(now, e, alive)
 	a.monitor.RecordProbeResult(now, e.ID, alive)
 }
--- a/internal/serving/forwarder/answer.go
+++ b/internal/serving/forwarder/answer.go
@@ -92,6 +92,7 @@
 			s.allocator.RecordEvent(now, s.request.ID)
 			if s.readingPrompt {
 				s.begunAt = now
+				s.allocator.RecordFirstEvent(now, path, now.Sub(s.sentAt))
 				s.forwarder.screening.recordFirstEvent(now, s.screenNumber)
 				s.allocator.RecordSuccess(path.Stages[0].Endpoint.ID)
 			}
--- a/internal/serving/forwarder/forwarder.go
+++ b/internal/serving/forwarder/forwarder.go
@@ -29,6 +29,8 @@
 type Endpoint struct {
 	reserver.Endpoint
 	Service string
+	// Slots is the number of calls that an endpoint of a plain service runs at once, 0 if it is not stated.
+	Slots int
 }
 
 // Forwarder is the HTTP handler for the callers of one instance. Its methods may be called from any goroutine.
@@ -71,8 +73,10 @@
 	// instanceCount is the number of known instances, this one included.
 	instanceCount int
 	budget        RetryBudget
-	startedAt     time.Time
-	random        *rand.Rand
+	// crossingCost is the time of callers that one MB between data centres is worth.
+	crossingCost time.Duration
+	startedAt    time.Time
+	random       *rand.Rand
 }
 
 // New returns a forwarder of an instance in a data centre. It refuses all requests until it has a configuration.
@@ -88,6 +92,7 @@
 		allocators:    map[string]*Allocator{},
 		retryWindows:  map[string]*limiter.RetryWindow{},
 		budget:        defaultBudget,
+		crossingCost:  DefaultCrossingCost,
 		busy:          make(chan struct{}, 1),
 		memory:        newMemoryBudget(maxBufferedBytes),
 		screening:     newScreening(),
@@ -138,6 +143,7 @@
 		if s, ok := c.Services[e.Service]; ok && s.Engine == nil {
 			listedPlain[e.ID] = true
 			f.plainSelector.Observe(now, e.ID, e.Address, e.Service)
+			f.plainSelector.Place(e.ID, e.DataCentre, e.Slots)
 			if e.Leaving {
 				f.plainSelector.MarkLeaving(now, e.ID)
 			}
@@ -148,6 +154,7 @@
 			f.plainSelector.Remove(now, id)
 		}
 	}
+	f.describeLinks(c)
 	f.mu.Unlock()
 	f.statements.retain(listed)
 	for name, s := range c.Services {
@@ -165,6 +172,7 @@
 	if !ok {
 		a = NewAllocator(f.dataCentre, rand.New(rand.NewPCG(f.random.Uint64(), f.random.Uint64())))
 		a.clock = f.clock
+		a.reserver.Spiller.Links.CostPerMB = f.crossingCost
 		if f.prober != nil {
 			a.probe = f.answersProbe
 		}
--- a/internal/serving/forwarder/options.go
+++ b/internal/serving/forwarder/options.go
@@ -37,6 +37,15 @@
 // WithRetryBudget sets the fleet's retry budget.
 func WithRetryBudget(b RetryBudget) Option { return func(f *Forwarder) { f.budget = b } }
 
+// DefaultCrossingCost is the time of callers that one MB between data centres is worth unless the settings state another one. At
+// 25 MB for a usual prompt between two stages this adds 100 ms to the cost of such a path.
+const DefaultCrossingCost = 4 * time.Millisecond
+
+// WithCrossingCost sets the time of callers that one MB between data centres is worth.
+func WithCrossingCost(perMB time.Duration) Option {
+	return func(f *Forwarder) { f.crossingCost = perMB }
+}
+
 // Prober probes whether an endpoint answers.
 type Prober interface {
 	Probe(ctx context.Context, endpoint, address string) error
--- a/internal/serving/forwarder/plain.go
+++ b/internal/serving/forwarder/plain.go
@@ -84,7 +84,10 @@
 		tried[server.ID] = true
 		isLast := k.attempts+1 >= k.route.MaxAttempts
 		startedAt := k.forwarder.clock()
+		k.forwarder.beginPlain(server.ID)
 		r, result := k.tryEndpoint(server.ID, server.Address, isLast)
+		k.forwarder.endPlain(k.forwarder.clock(), server.ID, result == notRun)
+		k.forwarder.recorder.recordPlainCrossing(k.service, k.forwarder.dataCentre, server, result != unsent, k.sizeMB(r))
 		k.forwarder.recordResult(k.forwarder.clock(), server.ID, result != answered && result != notRun, k.forwarder.clock().Sub(startedAt))
 		if r != nil {
 			last = r
--- a/internal/serving/forwarder/recorder.go
+++ b/internal/serving/forwarder/recorder.go
@@ -6,11 +6,20 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/heatherrock/heatherrock/internal/routing/reserver"
+	"github.com/heatherrock/heatherrock/internal/routing/selector"
 )
 
 // maxRouteLabels bounds the routes that have a metric label of their own; further ones are counted together.
 const maxRouteLabels = 256
 
+// bytesPerMB converts megabytes to bytes, and callReason is the metric label of crossings of plain calls.
+const (
+	bytesPerMB = 1e6
+	callReason = "call"
+)
+
 // otherRoutesLabel is the label of the routes beyond maxRouteLabels.
 const otherRoutesLabel = "others"
 
@@ -73,6 +82,27 @@
 	return set
 }
 
+// recordCrossings counts the hops of a path between data centres and what they carry.
+func (r *recorder) recordCrossings(service string, p reserver.Path) {
+	for _, c := range p.Crossings {
+		r.countCrossings(service, c.To, string(p.CrossingReason), 1, c.MB())
+	}
+}
+
+// countCrossings counts hops into another data centre and what they carry.
+func (r *recorder) countCrossings(service, to, reason string, n int64, mb float64) {
+	s := r.scope.Tagged(map[string]string{"service": service, "to": to, "reason": reason})
+	s.Counter("crossings").Inc(n)
+	s.Counter("crossed_bytes").Inc(int64(mb * bytesPerMB))
+}
+
+// recordPlainCrossing counts a call that was sent to an endpoint of another data centre.
+func (r *recorder) recordPlainCrossing(service, centre string, e selector.Server, isSent bool, mb float64) {
+	if isSent && e.DataCentre != "" && e.DataCentre != centre {
+		r.countCrossings(service, e.DataCentre, callReason, 1, mb)
+	}
+}
+
 // recordRefusal counts a response of the instance itself.
 func (r *recorder) recordRefusal(reason string) {
 	r.scope.Tagged(map[string]string{"reason": reason}).Counter("refusals").Inc(1)
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -49,6 +49,8 @@
 	headSent bool
 	// readingPrompt is true while the prompt is being read on a path.
 	readingPrompt bool
+	// sentAt is when the attempt in progress was sent.
+	sentAt time.Time
 	// screenNumber is the number of the attempt in progress, and begunAt the time of its first event, zero before.
 	screenNumber uint64
 	begunAt      time.Time
@@ -272,6 +274,8 @@
 	defer func() { s.endScreening(result) }()
 	s.addToTrail("path", describePath(path), "expecting", path.TimeToFirstToken.Round(time.Millisecond).String(), "then",
 		path.TimePerToken.Round(100*time.Microsecond).String())
+	s.forwarder.recorder.recordCrossings(s.service, path)
+	s.sentAt = s.forwarder.clock()
 	resp, err := s.send(ctx, first.Address, Delivery{
 		Endpoint: first.ID, TimeLeft: s.timeLeft(s.forwarder.clock()), LastEventID: s.lastEventID, Path: path.Stages, Priority: s.priority(),
 	})
@@ -280,7 +284,7 @@
 		result, err = s.receive(resp, path)
 	case errors.Is(err, connector.ErrNotSent):
 		delete(s.firstEndpoints, first.ID)
-		s.allocator.Suspect(s.forwarder.clock(), first.ID, unreachedCooldown)
+		s.allocator.RecordUnreached(s.forwarder.clock(), first, unreachedCooldown)
 		s.avoid[first.ID] = true
 		s.addToTrail("not reached:", err.Error())
 	default:
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -54,6 +54,8 @@
 	RetryShare  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// CrossingCost is the time of callers that one MB between data centres is worth.
+	CrossingCost time.Duration
 }
 
 // Platform holds what the instance uses of its platform.
@@ -167,6 +169,7 @@
 		forwarder.WithScope(g.meter.Scope()), forwarder.WithProber(p.Prober), forwarder.WithSuspicionReporter(g.tellSuspicions),
 		forwarder.WithEvidenceKeeper(g.evidence), forwarder.WithLossCheck(g.checkLoss),
 		forwarder.WithGranter(granter.New(g.exchange, log, clock)), forwarder.WithLeavingHandler(g.handleStatedLeaving),
+		forwarder.WithCrossingCost(s.CrossingCost),
 		forwarder.WithRetryBudget(forwarder.RetryBudget{
 			Share: s.RetryShare, Slack: s.RetrySlack, Window: s.RetryWindow,
 		}))
--- a/internal/serving/gateway/updates.go
+++ b/internal/serving/gateway/updates.go
@@ -82,7 +82,7 @@
 		}
 		all = append(all, forwarder.Endpoint{Service: e.Service, Endpoint: reserver.Endpoint{
 			ID: e.ID, Address: e.Address, DataCentre: e.DataCentre, Card: e.Card, Held: e.Held, Leaving: e.Leaving,
-		}})
+		}, Slots: e.Slots})
 		models[e.Service] = append(models[e.Service], e)
 	}
 	g.mu.Unlock()
@@ -169,6 +169,7 @@
 				"holders", bottleneck.Holders, "room", bottleneck.Memory, "used", bottleneck.Reserved)
 		}
 	}
+	g.updateSpill(now)
 	for service, left := range g.forwarder.RetriesLeft(now) {
 		g.meter.Scope().Tagged(map[string]string{"service": service}).Gauge("repeats_left").Update(left)
 	}
@@ -212,6 +213,11 @@
 		}
 		out[service] = h
 	}
+	for service, calls := range g.forwarder.PlainCalls() {
+		h := out[service]
+		h.Memory = calls
+		out[service] = h
+	}
 	return out
 }
 
@@ -228,6 +234,7 @@
 		maxInstances = max(maxInstances, t.Instances)
 	}
 	g.meter.SetGauge("instances_counted", maxInstances+1)
+	g.forwarder.MergePeerCalls(now, func(service string) reserver.Usage { return others[service].Memory })
 	for service, a := range g.forwarder.Allocators() {
 		// The sum of all other instances is recorded as that of one peer.
 		a.SetPeerUsage(now, "fleet", others[service].Memory)
