Simulate the two fleets, and count a data centre as reachable while endpoints respond

Cause: a data centre was closed as soon as three of its endpoints had not responded one after another, also when others responded just before, as when many crash together. The simulation knew one small fleet only.

Change: nothing is closed within 0.5 s of a response.

--- a/internal/bench/crosser/crosser.go
+++ b/internal/bench/crosser/crosser.go
@@ -49,8 +49,10 @@
 	Seed          uint64
 	// Policy is how requests leave their data centre.
 	Policy Policy
-	// Large simulates a whole fleet in place of a small one.
-	Large bool
+	// Fleet is the size of the fleet; nil means SmallFleet.
+	Fleet *Fleet
+	// Lost holds the endpoints that are gone after the layers were placed.
+	Lost map[string]bool
 }
 
 // Outcome is what the callers of one data centre got.
--- a/internal/routing/spiller/outage.go
+++ b/internal/routing/spiller/outage.go
@@ -12,6 +12,9 @@
 	outageEndpoints = 3
 	// outageWindow is the time within which they count.
 	outageWindow = 1500 * time.Millisecond
+	// respondedTime is how long after one of its endpoints responded a data centre counts as reachable: many endpoints that crash
+	// together leave others that respond.
+	respondedTime = 500 * time.Millisecond
 	// minClosedTime is how long no request is sent to the data centre; it doubles up to maxClosedTime while endpoints still do
 	// not respond.
 	minClosedTime = time.Second
@@ -30,6 +33,7 @@
 type outage struct {
 	// failedAt holds the endpoints that did not respond since one last did.
 	failedAt    map[string]time.Time
+	respondedAt time.Time
 	closedUntil time.Time
 	closedTime  time.Duration
 }
@@ -37,7 +41,7 @@
 // isClosed reports whether no request is sent to the data centre.
 func (o *outage) isClosed(now time.Time) bool { return now.Before(o.closedUntil) }
 
-// recordFailure records that an endpoint did not respond, and reports whether the data centre is closed because of it.
+// recordFailure records that an endpoint did not respond at now, and reports whether the data centre is closed because of it.
 func (o *outage) recordFailure(now time.Time, endpoint string) bool {
 	if o.isClosed(now) {
 		return false
@@ -48,7 +52,7 @@
 	maps.DeleteFunc(o.failedAt, func(_ string, at time.Time) bool { return now.Sub(at) > outageWindow })
 	o.failedAt[endpoint] = now
 	// One that was closed before is closed again by the first failure after it.
-	if len(o.failedAt) < outageEndpoints && o.closedTime == 0 {
+	if len(o.failedAt) < outageEndpoints && o.closedTime == 0 || now.Sub(o.respondedAt) < respondedTime {
 		return false
 	}
 	o.closedTime = min(maxClosedTime, max(minClosedTime, 2*o.closedTime))
@@ -79,7 +83,7 @@
 	if !ok {
 		return
 	}
-	t.outage = outage{}
+	t.outage = outage{respondedAt: now}
 }
 
 // IsClosed reports whether no request is sent to a data centre since its endpoints do not respond.
--- a/internal/routing/spiller/spiller_test.go
+++ b/internal/routing/spiller/spiller_test.go
@@ -120,12 +120,17 @@
 	now := settle(s, startTime, loads(0.9, 0.1))
 	for i := range 2 * outageEndpoints {
 		s.RecordFailure(now, "b", fmt.Sprint(i))
+		s.RecordFailure(now, "b", fmt.Sprint(i, "as well"))
 		s.RecordSuccess(now, "b")
 		s.RecordFailure(now, "a", fmt.Sprint(i))
 	}
+	for i := range 2 * outageEndpoints {
+		s.RecordFailure(now, "b", fmt.Sprint(i))
+	}
 	if s.IsAnyClosed(now) {
 		t.Error("closed although endpoints responded in between")
 	}
+	now = now.Add(respondedTime)
 	for i := range outageEndpoints {
 		s.RecordFailure(now, "b", fmt.Sprint(i))
 	}
