Use less of a link over which first events come late

Cause: what may be reserved of a link followed from its stated rate alone. At a tenth of that rate, prompts queued for seconds. Paths that need not cross used as much of a link as those that must. The fixed cost in the simulation was lower than the one that was in force.

Change: the part of a link that may be reserved falls with how late first events over it come, and half of it is left to paths that need it. Endpoints keep 5 in 100 of their memory for callers of their own data centre, 3 before. The simulated fixed cost is that of before, with the transfer.

Measured: tests of routing and bench/crosser pass.

--- a/internal/bench/crosser/policy.go
+++ b/internal/bench/crosser/policy.go
@@ -36,7 +36,9 @@
 func (p Policy) apply(s *spiller.Spiller) {
 	switch p {
 	case Fixed:
-		s.RequestTime, s.Links.MBPerSecond, s.Links.CostPerMB = 0, 0, 0
+		s.RequestTime = 0
+		rate := s.Links.MBPerSecond
+		s.Cost = func(c spiller.Crossing) time.Duration { return fixedCost(c, rate) }
 	case Threshold:
 		s.Wanted = thresholdShares
 	case Flow:
@@ -44,6 +46,15 @@
 	}
 }
 
+// fixedCost is the cost of a hop before package spiller, over a link with a rate in MB a second.
+func fixedCost(c spiller.Crossing, rate float64) time.Duration {
+	cost := 300*time.Millisecond + time.Duration(c.AnswerTokens)*500*time.Microsecond
+	if c.IsFirst {
+		return cost
+	}
+	return cost + time.Duration(c.MB()/rate/(1-c.UsedShare)*float64(time.Second))
+}
+
 // thresholdShares sends all requests to the data centre with the least load while the own one is filled to the threshold.
 func thresholdShares(_ time.Time, centre string, loads map[string]spiller.Load) map[string]float64 {
 	if loads[centre].Fill() < thresholdFill {
--- a/internal/routing/reserver/crossing.go
+++ b/internal/routing/reserver/crossing.go
@@ -11,7 +11,9 @@
 const (
 	// keptShare is the share of an endpoint's memory that is kept for the requests of its own data centre once it is that full:
 	// its accounts are a fifth of a second old, in which its own callers ask for about as much.
-	keptShare = 0.03
+	keptShare = 0.05
+	// sparedLinkShare is the part of what may be reserved of a link that paths may use that do not need to cross.
+	sparedLinkShare = 0.5
 	// loadInterval is the least time between two updates of the data centres' loads.
 	loadInterval = 200 * time.Millisecond
 )
@@ -131,8 +133,15 @@
 // hop to the first endpoint carries only the request itself.
 func (s *search) crossingCost(from, to string, first bool) (time.Duration, bool) {
 	c := s.crossing(from, to, first)
-	if rate := s.reserver.Engine.LinkMBPerSecond; !first && rate > 0 && c.UsedShare+s.linkRate()/rate > maxLinkShare {
-		return 0, false
+	if rate := s.reserver.Engine.LinkMBPerSecond; !first && rate > 0 {
+		limit := maxLinkShare / s.reserver.Spiller.Slowdown(s.now, c)
+		if !s.reserver.Spiller.NeedsCrossing() {
+			limit *= sparedLinkShare
+		}
+		// One request may always cross, so that a link that has become faster is noticed.
+		if c.UsedShare > 0 && c.UsedShare+s.linkRate()/rate > limit {
+			return 0, false
+		}
 	}
 	return s.reserver.Spiller.CrossingCost(s.now, c), true
 }
--- a/internal/routing/spiller/links.go
+++ b/internal/routing/spiller/links.go
@@ -19,6 +19,8 @@
 	// neededCost is the cost of a hop of either kind while paths need one, as the own endpoints lack a layer, or while nothing is
 	// known of the data centres.
 	neededCost = 300 * time.Millisecond
+	// tolerableDelay is the delay of first events over a link at which half as much of it is used.
+	tolerableDelay = 100 * time.Millisecond
 	// textMB is what one token takes between an instance and the first stage, in MB: its text and its part of an event.
 	textMB = 20e-6
 )
@@ -84,12 +86,15 @@
 
 // CrossingCost returns the cost of a hop between two data centres, in the unit of the costs of paths.
 func (s *Spiller) CrossingCost(now time.Time, c Crossing) time.Duration {
+	if s.Cost != nil {
+		return s.Cost(c)
+	}
 	if c.IsFirst {
 		cost := s.FirstHopCost(now, c.From, c.To, c.MB())
 		switch {
 		case c.IsChosen:
 			return cost + chosenCost
-		case s.needsCrossing():
+		case s.NeedsCrossing():
 			return cost + neededCost + time.Duration(c.AnswerTokens)*s.Links.Delay(c.From, c.To)
 		}
 		return cost + stayCost
@@ -98,17 +103,22 @@
 	first, perToken := s.Links.Times(c)
 	first += s.delays.excess(now, delayKey{c.From, c.To, false})
 	cost := hopCost
-	if s.needsCrossing() {
+	if s.NeedsCrossing() {
 		cost = neededCost
 	}
 	return cost + FirstEventWeight*first + time.Duration(c.AnswerTokens)*perToken + time.Duration(c.MB()*float64(s.Links.CostPerMB))
 }
 
-// needsCrossing reports whether paths may need to cross, or nothing is known of it.
-func (s *Spiller) needsCrossing() bool {
+// NeedsCrossing reports whether paths may need to cross, or nothing is known of it.
+func (s *Spiller) NeedsCrossing() bool {
 	return s.RequestTime <= 0 || len(s.loads) == 0 || s.LacksCapacity()
 }
 
+// Slowdown returns by which factor less of a link may be used than its rate allows, as first events that crossed it came late.
+func (s *Spiller) Slowdown(now time.Time, c Crossing) float64 {
+	return 1 + float64(s.delays.excess(now, delayKey{c.From, c.To, false}))/float64(tolerableDelay)
+}
+
 // Times returns by how much a hop delays the first event, and each token after it.
 func (l Links) Times(c Crossing) (first, perToken time.Duration) {
 	delay := l.Delay(c.From, c.To)
--- a/internal/routing/spiller/spiller.go
+++ b/internal/routing/spiller/spiller.go
@@ -112,8 +112,10 @@
 	// to a path that begins elsewhere.
 	RequestTime time.Duration
 	RequestMB   float64
-	// Wanted replaces the decision on the shares, by data centre, if it is not nil: experiments compare others.
+	// Wanted replaces the decision on the shares by data centre, and Cost that on the cost of a hop, if they are not nil: experiments
+	// compare others.
 	Wanted func(now time.Time, centre string, loads map[string]Load) map[string]float64
+	Cost   func(c Crossing) time.Duration
 
 	loads     map[string]Load
 	updatedAt time.Time
