Keep plain calls in no data centre whose endpoint has just failed one

Cause: calls stay in the own data centre, so that all calls of an instance went to an endpoint there until its second failure.

Change: one failure is enough to treat all data centres alike.

Measured: tests of routing/selector pass.

--- a/internal/routing/selector/centres.go
+++ b/internal/routing/selector/centres.go
@@ -125,9 +125,9 @@
 	for _, e := range healthy {
 		isLocal := e.DataCentre == s.Centre
 		switch {
-		case isLocal && now.Sub(e.Refused) < refusedTime:
+		case isLocal && (e.Failures > 0 || now.Sub(e.Refused) < refusedTime):
 			return "", false
-		case e.Mean <= 0 && e.Failures == 0:
+		case e.Mean <= 0:
 			return "", false // Its latency is not known yet.
 		case isLocal && (local == 0 || e.Mean < local):
 			local = e.Mean
--- a/internal/routing/selector/centres_test.go
+++ b/internal/routing/selector/centres_test.go
@@ -31,6 +31,7 @@
 			s.RecordResult(now, "a", true, 0)
 			s.RecordResult(now, "a", true, 0)
 		}, 0, 0},
+		{"own endpoint has failed a call", nil, func(s *Selector, now time.Time) { s.RecordResult(now, "a", true, 0) }, 0.2, 0.45},
 		{"own endpoint has refused a call", nil, func(s *Selector, now time.Time) {
 			s.BeginCall("a")
 			s.EndCall(now, "a", true)
