--- a/internal/routing/reserver/sharing.go
+++ b/internal/routing/reserver/sharing.go
@@ -17,8 +17,8 @@
 	// the newest one in the mean.
 	defaultRequestTime = 3 * time.Second
 	requestTimeWeight  = 0.05
-	// keptShare is the least part that a priority gets of its even share of the room.
-	keptShare = 0.4
+	// leastShare is the least part that a priority gets of its even share of the room.
+	leastShare = 0.4
 	// slotCount is the number of slots of an endpoint's memory. A request uses the endpoints that accept its slot.
 	slotCount = 32
 	allSlots  = 1<<slotCount - 1
@@ -125,9 +125,9 @@
 }
 
 // acceptedShares returns the shares of the requests of each priority that an endpoint with room for a rate accepts, the most urgent
-// first. Each priority gets at least keptShare of what it would get if none went first.
+// first. Each priority gets at least leastShare of what it would get if none went first.
 func acceptedShares(rate, total float64, demands []float64) []float64 {
-	kept := keptShare * rate / total
+	kept := leastShare * rate / total
 	left := rate - kept*total
 	shares := make([]float64, len(demands))
 	for i, demand := range demands {
