--- a/internal/serving/forwarder/forwarder.go
+++ b/internal/serving/forwarder/forwarder.go
@@ -172,7 +172,6 @@
 	if !ok {
 		a = NewAllocator(f.dataCentre, rand.New(rand.NewPCG(f.random.Uint64(), f.random.Uint64())))
 		a.clock, a.log, a.service = f.clock, f.log, service
-		a.clock = f.clock
 		a.reserver.Spiller.Links.CostPerMB = f.crossingCost
 		if f.prober != nil {
 			a.probe = f.answersProbe
