--- a/internal/routing/reserver/reserver.go
+++ b/internal/routing/reserver/reserver.go
@@ -417,37 +417,3 @@
 
 // compareNodes orders nodes by their cost.
 func compareNodes(a, b *node) int { return cmp.Compare(a.cost, b.cost) }
-
-// Bottleneck is the layer with the least free memory over all endpoints that hold it.
-type Bottleneck struct {
-	Layer   int
-	Holders int
-	// Memory is the number of tokens that the holders have memory for, and Reserved the number that are reserved,
-	// both counted for this one layer.
-	Memory   float64
-	Reserved float64
-}
-
-// Bottleneck returns the layer that limits the fleet at now.
-func (r *Reserver) Bottleneck(now time.Time) Bottleneck {
-	var tightest Bottleneck
-	if r.Engine == nil {
-		return tightest
-	}
-	for i := range len(r.boundaries) - 1 {
-		current := Bottleneck{Layer: r.boundaries[i]}
-		for _, e := range r.Endpoints {
-			if !r.isUsable(now, e, nil) || e.Held.From > current.Layer || e.Held.To <= current.Layer {
-				continue
-			}
-			n := float64(e.Held.Len())
-			current.Holders++
-			current.Memory += r.memory(e) / n
-			current.Reserved += r.reservedByAll(e.ID) / n
-		}
-		if i == 0 || current.Memory-current.Reserved < tightest.Memory-tightest.Reserved {
-			tightest = current
-		}
-	}
-	return tightest
-}
--- a/internal/serving/forwarder/admission.go
+++ b/internal/serving/forwarder/admission.go
@@ -115,3 +115,38 @@
 			"waiting", a.queue.Len())
 	}
 }
+
+// RecordRefusal records that this instance refuses a request for want of memory.
+func (a *Allocator) RecordRefusal(now time.Time, hash uint32) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.returns.RecordRefusal(now, hash)
+}
+
+// HasReturned reports whether an instance has refused a request before.
+func (a *Allocator) HasReturned(now time.Time, hash uint32) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.returns.HasReturned(now, hash)
+}
+
+// RefusalReport returns the latest refusals of this instance.
+func (a *Allocator) RefusalReport(now time.Time) []uint32 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.returns.Report(now)
+}
+
+// MergeRefusals records the refusals that other instances report.
+func (a *Allocator) MergeRefusals(now time.Time, hashes []uint32) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.returns.Merge(now, hashes)
+}
+
+// SharedEndpoints returns the number of endpoints whose last free memory is shared out among the instances.
+func (a *Allocator) SharedEndpoints() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.reserver.SharedEndpoints()
+}
--- a/internal/serving/forwarder/allocator.go
+++ b/internal/serving/forwarder/allocator.go
@@ -123,13 +123,6 @@
 	return a.reserver.TotalUsedShare(now), a.queue.Len()
 }
 
-// SharedEndpoints returns the number of endpoints whose last free memory is shared out among the instances.
-func (a *Allocator) SharedEndpoints() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.reserver.SharedEndpoints()
-}
-
 // Bottleneck returns the layer that limits the fleet.
 func (a *Allocator) Bottleneck(now time.Time) reserver.Bottleneck {
 	a.mu.Lock()
@@ -216,34 +209,6 @@
 	return reserver.Path{}, refusal
 }
 
-// RecordRefusal records that this instance refuses a request for want of memory.
-func (a *Allocator) RecordRefusal(now time.Time, hash uint32) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.returns.RecordRefusal(now, hash)
-}
-
-// HasReturned reports whether an instance has refused a request before.
-func (a *Allocator) HasReturned(now time.Time, hash uint32) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.returns.HasReturned(now, hash)
-}
-
-// RefusalReport returns the latest refusals of this instance.
-func (a *Allocator) RefusalReport(now time.Time) []uint32 {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.returns.Report(now)
-}
-
-// MergeRefusals records the refusals that other instances report.
-func (a *Allocator) MergeRefusals(now time.Time, hashes []uint32) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.returns.Merge(now, hashes)
-}
-
 // Release releases the reservations of a path.
 func (a *Allocator) Release(now time.Time, p reserver.Path) {
 	a.mu.Lock()
