--- a/internal/routing/reserver/fleet_test.go
+++ b/internal/routing/reserver/fleet_test.go
@@ -349,3 +349,17 @@
 		}
 	}
 }
+
+// BenchmarkShareRoom measures an update of the slots while all endpoints are nearly full, for the first fleet.
+func BenchmarkShareRoom(b *testing.B) {
+	f := newFleet(1, 1)
+	r := f.instances[0]
+	usage := Usage{}
+	for _, e := range f.endpoints {
+		usage[e.ID] = 0.9 * r.memory(e)
+	}
+	r.SetPeerDemands([]Demand{{0, 142}, {1, 75}, {2, 47}})
+	for b.Loop() {
+		r.SetPeerUsage(startTime, "fleet", usage)
+	}
+}
