--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -25,7 +25,7 @@
 	unreachedCooldown = 2 * time.Second
 	// streamRetryAfter is the least retry delay stated if no endpoint has run a stream, mostly for want of memory.
 	streamRetryAfter = 1500 * time.Millisecond
-	// limitedRetryAfter is stated in its place while the memory is limited by priority: with jitter, retries spread over the 3 to 6 s
+	// limitedRetryAfter is stated in its place while many requests of the fleet wait for memory: with jitter, retries spread over the 3 to 6 s
 	// after a burst of 3 to 4 s. Callers wait for at most a third of the time they have left, so it is less near a deadline.
 	limitedRetryAfter = 3 * time.Second
 	// retryTimeShare is the share of a request's time left that the delay takes at most, before the jitter of up to twice as long.
