--- a/review/lab2/entry.go
+++ b/review/lab2/entry.go
@@ -31,7 +31,7 @@
 
 // runEntry removes the entry of a plain server that leaves, and then lets another writer write an entry with fields missing under its id.
 func runEntry(r *record, hasTrouble bool) (bool, error) {
-	f, err := startFleet(3, 6, 3)
+	f, err := startFleet(3, 6, 3, nil)
 	if err != nil {
 		return false, err
 	}
--- a/review/lab2/fleet.go
+++ b/review/lab2/fleet.go
@@ -47,8 +47,9 @@
 	desks     []*hoster.Server
 }
 
-// startFleet starts a platform with model servers, plain servers and instances, and waits until the instances are ready.
-func startFleet(instances, engines, desks int) (*fleet, error) {
+// startFleet starts a platform with model servers, plain servers and instances, and waits until the instances are ready. The function
+// publicAddress returns the address that a server registers, and is nil if it is its own.
+func startFleet(instances, engines, desks int, publicAddress func(id, address string) string) (*fleet, error) {
 	directory, err := os.MkdirTemp("", "review-2-")
 	if err != nil {
 		return nil, err
@@ -58,7 +59,7 @@
 		return nil, errors.Join(err, os.RemoveAll(directory))
 	}
 	f := &fleet{directory: directory, addresses: addresses, platform: hoster.NewPlatform()}
-	f.platform.EventInterval, f.platform.AnswerTime = 20*time.Millisecond, answerTime
+	f.platform.EventInterval, f.platform.AnswerTime, f.platform.PublicAddress = 20*time.Millisecond, answerTime, publicAddress
 	f.platform.Store.Put("op", "config", hoster.Config(1, "key1"))
 	for n := range engines {
 		f.platform.AddServer(fmt.Sprintf("i-pool-%d", n), "pool", zone(n), "card")
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -21,7 +21,8 @@
 
 // cases holds the cases by name.
 var cases = map[string]func(r *record, hasTrouble bool) (isBroken bool, err error){
-	"entry": runEntry,
+	"entry":  runEntry,
+	"garble": runGarble,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
