Reject bytes of an endpoint that are no response

What callers saw: an answer with status 000 closed the caller's connection without an answer, and kept the memory of its stream's path reserved for good. An answer in whose head a header's name held a space, or stood after a space or a line feed, reached the caller as a success, with bytes that were not the endpoint's: the line that gave the length of the body was not read as one.

Cause: connector took what http.ReadResponse returns as a response. net/http accepts any number of three characters as a status, versions other than 1, control bytes in the reason, spaces in names (go.dev/issue/34540), lines that continue the one before, an LF alone between lines that end in CR LF, a transfer coding beside a length or in HTTP/1.0, and a switch of protocol that nobody asked for.

Ruled out: checking the parsed response. It no longer shows continued lines, and an LF before a name ends the head.

Change: verifier checks the bytes of a head against RFC 9112 as they are received, and connector fails the exchange on the first line that is invalid: the request counts as one that may have run, and the connection is closed. That holds for callers' requests, orders, reports and probes, which all go through connector. Heads that break off, names with other control bytes, control bytes in values, two lengths and broken chunks were handled already; their tests are kept.

--- a/internal/serving/connector/connector.go
+++ b/internal/serving/connector/connector.go
@@ -205,6 +205,9 @@
 	limiter := x.conn.limiter
 	defer limiter.lift()
 	limiter.limit(maxHeadBytes)
+	if err := x.conn.expectHead(); err != nil {
+		return nil, err
+	}
 	for foreign := 0; foreign <= maxForeignResponses; {
 		r, err := http.ReadResponse(x.conn.reader, request)
 		if err != nil {
@@ -221,6 +224,9 @@
 				return nil, errors.Join(errForeignResponse, err)
 			}
 			limiter.limit(maxHeadBytes)
+			if err := x.conn.expectHead(); err != nil {
+				return nil, err
+			}
 			continue
 		}
 		x.body = r.Body
@@ -231,6 +237,16 @@
 	return nil, errForeignResponse
 }
 
+// expectHead begins the verification of the head of a response, with the bytes that were received with the response before it.
+func (c *conn) expectHead() error {
+	c.limiter.head.Expect()
+	received, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	return c.limiter.head.Verify(received)
+}
+
 // errForeignResponse means that a response belongs to another request.
 var errForeignResponse = merry.New("answer to another request")
 
--- a/internal/standin/hoster/faults.go
+++ b/internal/standin/hoster/faults.go
@@ -62,8 +62,21 @@
 	StreamingNothing
 	// FailingWithEvents servers run the request and fail it with a stream of events.
 	FailingWithEvents
+	// InvalidStatus servers run the request and answer with status 000.
+	InvalidStatus
+	// InvalidName servers run the request and answer with a space in the name of a header, and bytes after the body.
+	InvalidName
+	// FoldedHeader servers are InvalidName servers with the space before the name, which continues the header before it.
+	FoldedHeader
+	// SplitHead servers are InvalidName servers with a line feed before the name, which ends the head.
+	SplitHead
 )
 
+// invalidNames holds the spelling of a header's name by the fault of the servers that send it.
+var invalidNames = map[ServerFault]string{
+	InvalidName: "Content-Length ", FoldedHeader: " Content-Length", SplitHead: "\nContent-Length",
+}
+
 // repeatsRefusal reports whether a server with the fault sends refusals twice.
 func (f ServerFault) repeatsRefusal() bool { return f == RepeatingRefusal || f == RepeatingBareRefusal }
 
@@ -125,6 +138,15 @@
 		_, _ = io.WriteString(w, "an answer to another")
 	case Garbling:
 		writeRaw(w, "\x00\x01 this is no answer\r\n\r\n", false)
+	case InvalidStatus:
+		writeRaw(w, "HTTP/1.1 000 OK\r\n"+stamp+"Content-Length: 0\r\n\r\n", false)
+	case InvalidName, FoldedHeader, SplitHead:
+		contentType, body := "text/plain", "whole"
+		if s.Kind != "" {
+			contentType, body = "text/event-stream", StreamBody()
+		}
+		writeRaw(w, fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Type: %s\r\n%s: %d\r\n\r\n%sid: %d\ndata: of no answer\n\n",
+			stamp, contentType, invalidNames[fault], len(body), body, EventsPerStream+1), false)
 	case EndlessBody:
 		s.setHeaders(w, id)
 		s.repeat(w, strings.Repeat("x", 1000), 0)
