Release a path and a call of a request whose handler panics

Cause: net/http recovers the panic of a handler, so the instance lives on, but the stream's path, its watch, the path reserved for a handover and the count of a plain call were given back by calls in the usual way of the code, which a panic skips.

Change: attempt releases its path and tryEndpoint ends its call in deferred calls; abandon ends the watch and drops the path of a handover if the attempt has not.

--- a/internal/serving/forwarder/handover.go
+++ b/internal/serving/forwarder/handover.go
@@ -28,6 +28,20 @@
 	return h.cause, h.nextPath
 }
 
+// abandon stops monitoring the stream and releases the path reserved for it, unless finish was called: after a panic.
+func (s *streamCall) abandon(h *handover) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ended {
+		return
+	}
+	h.ended = true
+	s.allocator.UnwatchStream(s.request.ID)
+	if h.nextPath != nil {
+		s.dropPath(*h.nextPath)
+	}
+}
+
 // handOver reserves another path for a stream that has gone silent, and then cancels its attempt. The stream stays on
 // its path if no attempt, memory or retry budget is left.
 func (s *streamCall) handOver(h *handover, verdict monitor.Verdict, pathRequest reserver.PathRequest, failures int,
--- a/internal/serving/forwarder/plain.go
+++ b/internal/serving/forwarder/plain.go
@@ -84,9 +84,7 @@
 		tried[server.ID] = true
 		isLast := k.attempts+1 >= k.route.MaxAttempts
 		startedAt := k.forwarder.clock()
-		k.forwarder.beginPlain(server.ID)
 		r, result := k.tryEndpoint(server.ID, server.Address, isLast)
-		k.forwarder.endPlain(k.forwarder.clock(), server.ID, result == notRun)
 		k.forwarder.recorder.recordPlainCrossing(k.service, k.forwarder.dataCentre, server, result != unsent, k.sizeMB(r))
 		k.forwarder.recordResult(k.forwarder.clock(), server.ID, result != answered && result != notRun, k.forwarder.clock().Sub(startedAt))
 		if r != nil {
@@ -191,6 +189,8 @@
 // tryEndpoint sends the request to one endpoint of a plain service. The reply is not nil if the endpoint ran the
 // request and its whole response arrived.
 func (k *call) tryEndpoint(id, address string, isLast bool) (r *reply, result attemptResult) {
+	k.forwarder.beginPlain(id)
+	defer func() { k.forwarder.endPlain(k.forwarder.clock(), id, result == notRun) }()
 	ctx, cancel := context.WithCancel(k.ctx)
 	defer cancel()
 	if !isLast && k.route.Kind == matcher.Safe && k.route.FirstByteTarget > 0 {
--- a/internal/serving/forwarder/stream.go
+++ b/internal/serving/forwarder/stream.go
@@ -102,8 +102,6 @@
 			continue
 		}
 		result, next := s.attempt(path)
-		s.markPromptRead(path)
-		s.allocator.Release(k.forwarder.clock(), path)
 		if result == answered {
 			return
 		}
@@ -137,6 +135,12 @@
 	s.allocator.Release(s.forwarder.clock(), path)
 }
 
+// releasePath releases a path that the stream was sent along.
+func (s *streamCall) releasePath(path reserver.Path) {
+	s.markPromptRead(path)
+	s.allocator.Release(s.forwarder.clock(), path)
+}
+
 // retryDelay returns the least retry delay stated if there is no path for the stream.
 func (s *streamCall) retryDelay() time.Duration {
 	now := s.forwarder.clock()
@@ -274,9 +278,10 @@
 	}
 }
 
-// attempt sends the request along a path and forwards the events. It returns the path to continue on if the stream was
-// handed over.
+// attempt sends the request along a path, forwards the events and releases the path. It returns the path to continue on if the
+// stream was handed over. A panic releases both paths, as net/http recovers it.
 func (s *streamCall) attempt(path reserver.Path) (attemptResult, *reserver.Path) {
+	defer s.releasePath(path)
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
 	s.readingPrompt = true
@@ -288,6 +293,7 @@
 	s.allocator.WatchStream(s.forwarder.clock(), s.request.ID, path, func(verdict monitor.Verdict) {
 		s.handOver(h, verdict, pathRequest, failures, cancel)
 	})
+	defer s.abandon(h)
 	s.screenNumber = s.forwarder.screening.begin(s.forwarder.clock(), s.screenKeys(), path.EndpointIDs(), s.hasSettled, s.stopAttempt(cancel))
 	result := unsent
 	defer func() { s.endScreening(result) }()
@@ -316,8 +322,7 @@
 	s.allocator.UnwatchStream(s.request.ID)
 	handoverVerdict, next := h.finish()
 	if result == answered && next != nil {
-		s.allocator.MarkPromptRead(*next)
-		s.allocator.Release(s.forwarder.clock(), *next)
+		s.dropPath(*next)
 		return answered, nil
 	}
 	if result == lost {
