Reject invalid heads wherever net/http reads a response

What callers saw: through `heatherrock serve`, a service's answer with status 000 closed the caller's connection without an answer, on the first attempt and, from the stored reply, on each later one with its key; a space in the name of Content-Length gave the caller a body with bytes after the service's own, also as the stored reply. An engine's invalid refusal counted as proof that nothing had run, and so did one of the table service.

Change: verifier.Transport opens the connections of an http.Transport and verifies what is read from them, after TLS; the sender, which has connections of its own, uses verifier.Conn. As before, net/http repeats a GET without a body by itself if its first bytes fail on a kept connection; none of the callers' requests is one.

--- a/internal/client/caller/caller.go
+++ b/internal/client/caller/caller.go
@@ -15,6 +15,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/heatherrock/heatherrock/internal/client/verifier"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 )
 
@@ -59,11 +60,11 @@
 		timeout:      defaultTimeout,
 		maxBodyBytes: defaultMaxBodyBytes,
 		client: &http.Client{
-			Transport: &http.Transport{
+			Transport: verifier.NewTransport(&http.Transport{
 				DialContext:         (&net.Dialer{Timeout: defaultTimeout}).DialContext,
 				MaxIdleConnsPerHost: maxIdleConns,
 				IdleConnTimeout:     idleConnTimeout,
-			},
+			}),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
--- a/internal/client/caller/caller_test.go
+++ b/internal/client/caller/caller_test.go
@@ -104,6 +104,9 @@
 			"reused connection closed", []string{jsonReply(200), connectionCut},
 			[]classifier.Outcome{classifier.Completed, classifier.Unknown},
 		},
+		{"space in a header's name", []string{jsonReply(200, "X Odd: 1\r\n")}, []classifier.Outcome{classifier.Unknown}},
+		{"refused, with a folded header", []string{jsonReply(503, refusedHeader, " X-Odd: 1\r\n")}, []classifier.Outcome{classifier.Unknown}},
+		{"status 000", []string{"HTTP/1.1 000 x\r\n" + refusedHeader + "Content-Length: 2\r\n\r\n{}"}, []classifier.Outcome{classifier.Unknown}},
 		{"truncated body", []string{"HTTP/1.1 200 x\r\nContent-Length: 9\r\n\r\n{"}, []classifier.Outcome{classifier.Unknown}},
 		{
 			"too large", []string{"HTTP/1.1 200 x\r\nContent-Length: 9\r\n\r\n1234567{}"},
--- a/internal/client/streamer/client.go
+++ b/internal/client/streamer/client.go
@@ -18,6 +18,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/heatherrock/heatherrock/internal/client/caller"
+	"github.com/heatherrock/heatherrock/internal/client/verifier"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 )
 
@@ -36,25 +37,25 @@
 // endpoint can be replaced without affecting the others.
 type Client struct {
 	mu    sync.Mutex
-	pools map[string]*http.Transport
+	pools map[string]*verifier.Transport
 }
 
 // NewClient returns a client that opens connections on demand.
 func NewClient() *Client {
-	return &Client{pools: map[string]*http.Transport{}}
+	return &Client{pools: map[string]*verifier.Transport{}}
 }
 
 // pool returns the connection pool of an address.
-func (c *Client) pool(address string) *http.Transport {
+func (c *Client) pool(address string) *verifier.Transport {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p, ok := c.pools[address]
 	if !ok {
-		p = &http.Transport{
+		p = verifier.NewTransport(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: maxIdleConns,
 			DisableCompression:  true,
-		}
+		})
 		c.pools[address] = p
 	}
 	return p
--- a/internal/client/streamer/client_test.go
+++ b/internal/client/streamer/client_test.go
@@ -1,6 +1,7 @@
 package streamer
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -26,10 +27,15 @@
 		{"unavailable, from the engine", 503, "not-run", classifier.Refused},
 		{"unavailable, from a gateway", 503, "", classifier.Unknown},
 		{"failed", 500, "", classifier.Unknown},
+		{"invalid head", 0, "", classifier.Unknown},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if c.status == 0 {
+					writeInvalidRefusal(t, w)
+					return
+				}
 				if c.outcomeHeader != "" {
 					w.Header().Set(caller.HeaderOutcome, c.outcomeHeader)
 				}
@@ -48,3 +54,14 @@
 		})
 	}
 }
+
+// writeInvalidRefusal writes a refusal that has a space in the name of a header.
+func writeInvalidRefusal(t *testing.T, w http.ResponseWriter) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer c.Close()
+	_, _ = io.WriteString(c, "HTTP/1.1 404 Not Found\r\nX Odd: 1\r\n"+caller.HeaderOutcome+": not-run\r\nContent-Length: 0\r\n\r\n")
+}
--- a/internal/serving/dispatcher/conn.go
+++ b/internal/serving/dispatcher/conn.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/heatherrock/heatherrock/internal/client/verifier"
 )
 
 // errSealed is the error of a write on a sealed connection, or after its send deadline.
@@ -14,6 +16,9 @@
 // conn is a connection that counts the bytes written and can be sealed against further writes.
 type conn struct {
 	net.Conn
+	// verified reads from the connection.
+	verified *verifier.Conn
+
 	mu      sync.Mutex
 	written int64
 	sealed  bool
@@ -21,6 +26,9 @@
 	sendDeadline time.Time
 }
 
+// Read verifies the heads of the responses.
+func (c *conn) Read(b []byte) (int, error) { return c.verified.Read(b) }
+
 // Write counts the bytes before it writes them, so that the count is never too low.
 func (c *conn) Write(b []byte) (int, error) {
 	if !c.countWrite(len(b)) {
--- a/internal/serving/dispatcher/dispatcher_test.go
+++ b/internal/serving/dispatcher/dispatcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -24,11 +25,25 @@
 	return server.Listener.Addr().String()
 }
 
+// respondRaw returns a function that writes the bytes of a response and closes the connection.
+func respondRaw(response string) func(w http.ResponseWriter) bool {
+	return func(w http.ResponseWriter) bool {
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return false
+		}
+		_, _ = io.WriteString(c, response)
+		_ = c.Close()
+		return true
+	}
+}
+
 func TestHolds(t *testing.T) {
 	key := day + "-frame"
 	abort := func(http.ResponseWriter) bool { panic(http.ErrAbortHandler) }
 	refuse := func(w http.ResponseWriter) bool { w.WriteHeader(http.StatusTooManyRequests); return true }
 	completed := callResponse{200, "completed", "", "held joiners:" + key}
+	unknown := callResponse{504, "unknown", claimer.CodeOutcomeUnknown, ""}
 	cases := []struct {
 		name       string
 		table      *fakeTable
@@ -42,7 +57,11 @@
 		{"claim's answer lost after the effect", &fakeTable{answersToLose: 1}, nil, "", completed, completed, 1},
 		{"claim lost before the effect", &fakeTable{commitsToDrop: 1}, nil, "", completed, completed, 1},
 		{"service closes the connection after the effect", newFakeTable(), abort, "",
-			callResponse{504, "unknown", claimer.CodeOutcomeUnknown, ""}, callResponse{504, "unknown", claimer.CodeOutcomeUnknown, ""}, 1},
+			unknown, unknown, 1},
+		{"status 000", newFakeTable(), respondRaw("HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nheld"), "", unknown, unknown, 1},
+		{"space in a header's name", newFakeTable(), respondRaw("HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nheld and more"), "", unknown, unknown, 1},
+		{"invalid head, and the service can be queried", newFakeTable(), respondRaw("HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nheld"), "/holds/{key}",
+			completed, completed, 1},
 		{"service closes the connection and can be queried", newFakeTable(), abort, "/holds/{key}", completed, completed, 1},
 		{"service refuses", newFakeTable(), refuse, "",
 			callResponse{503, "not-run", claimer.CodeServiceRefused, ""}, callResponse{503, "not-run", claimer.CodeServiceRefused, ""}, 1},
--- a/internal/serving/dispatcher/sender.go
+++ b/internal/serving/dispatcher/sender.go
@@ -14,6 +14,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/heatherrock/heatherrock/internal/client/caller"
+	"github.com/heatherrock/heatherrock/internal/client/verifier"
 	"github.com/heatherrock/heatherrock/internal/control/claimer"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 )
@@ -55,7 +56,7 @@
 	s.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, address)
-			return countBytes(c, err)
+			return newConn(c, err)
 		},
 		// HTTP/2 is off because its client retries refused streams by itself.
 		TLSNextProto:        map[string]func(string, *tls.Conn) http.RoundTripper{},
@@ -67,7 +68,7 @@
 		secure := &tls.Dialer{NetDialer: dialer, Config: t}
 		s.transport.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := secure.DialContext(ctx, network, address)
-			return countBytes(c, err)
+			return newConn(c, err)
 		}
 	}
 	return s
@@ -127,12 +128,12 @@
 	return &claimer.Reply{Status: r.StatusCode, ContentType: r.Header.Get("Content-Type"), Body: body}, nil
 }
 
-// countBytes wraps a new connection to count the bytes written.
-func countBytes(c net.Conn, err error) (net.Conn, error) {
+// newConn wraps a new connection to count the bytes written and to verify what is read.
+func newConn(c net.Conn, err error) (net.Conn, error) {
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c}, nil
+	return &conn{Conn: c, verified: verifier.NewConn(c)}, nil
 }
 
 // connTrace records the connections assigned to a request.
@@ -150,7 +151,7 @@
 	writtenBefore int64
 }
 
-// gotConn records a connection before the request is written to it.
+// gotConn records a connection, which expects a response, before the request is written to it.
 func (t *connTrace) gotConn(info httptrace.GotConnInfo) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -159,6 +160,7 @@
 		t.uncounted = true
 		return
 	}
+	c.verified.Expect()
 	t.uses = append(t.uses, connUse{conn: c, writtenBefore: c.setSendDeadline(t.sendDeadline)})
 }
 
