Reject successes without a signature, in a coding, or said not to have run

What callers saw: an endpoint's success without its signature, or with a body in a content coding, reached the caller as a success. A success that states that the request has not run became a 503 after the request had run.

Cause: of a response only the id was checked. A valid head may still not fit its response, as when the name of a header is garbled into another valid one.

Change: Protocol.Read tells whether a response is signed and whether its body is encoded, and checkHead, which checkOrigin was, fails an attempt whose head does not fit. The request counts as one that may have run.

Measured: before, TestResponsesOfFaultyEndpoints failed for each of the three new faults of the stand-in, for unsafe and safe requests; now it passes, and so does TestStreamsOfFaultyEndpoints, which passed for them already as a body without events is no stream. All tests of the platform pass with the race detector.

--- a/internal/serving/forwarder/answer.go
+++ b/internal/serving/forwarder/answer.go
@@ -16,7 +16,7 @@
 	s.attempts++
 	head := s.forwarder.protocol.Read(resp.Status, resp.Header)
 	s.recordStatement(path.Stages[0].Endpoint.ID, head)
-	if err := checkOrigin(resp, head); err != nil {
+	if err := checkHead(resp, head); err != nil {
 		resp.Finish(false)
 		return lost, err
 	}
--- a/internal/serving/forwarder/call.go
+++ b/internal/serving/forwarder/call.go
@@ -234,21 +234,33 @@
 		"digest", k.digest(), "parts", strings.Join(k.request.PromptParts, ","), "trail", strings.Join(k.trail, "; "))
 }
 
-// errUnsigned is the error of a success that may belong to another request, or that a server wrote as it ended.
-var errUnsigned = merry.New("success that states no request")
-
-// errUnidentified is the error of a response on a used connection that may be one of an earlier request, sent once more.
-var errUnidentified = merry.New("answer on a used connection that states no request")
+// The errors of a response that is not believed.
+var (
+	// errUnidentifiedSuccess is that of a success that may belong to another request, or that a server wrote as it ended.
+	errUnidentifiedSuccess = merry.New("success that states no request")
+	// errUnidentified is that of a response on a used connection that may be one of an earlier request, sent once more.
+	errUnidentified = merry.New("answer on a used connection that states no request")
+	errUnsigned     = merry.New("success without a signature")
+	errEncoded      = merry.New("body in a content coding that was not asked for")
+	errContradicted = merry.New("success that states that the request has not run")
+)
 
-// checkOrigin returns an error if a response may not be that of the request.
-func checkOrigin(resp *connector.Response, head ResponseHead) error {
+// checkHead returns an error if a response may not be that of the request, or cannot be passed on as it is.
+func checkHead(resp *connector.Response, head ResponseHead) error {
+	isSuccess := resp.Status >= 200 && resp.Status < 300
 	switch {
-	case head.IsIdentified:
-		return nil
-	case resp.Status >= 200 && resp.Status < 300:
-		return errUnsigned
-	case resp.Reused:
+	case isSuccess && !head.IsIdentified:
+		return errUnidentifiedSuccess
+	case !head.IsIdentified && resp.Reused:
 		return errUnidentified
+	case isSuccess && head.NotRun:
+		return errContradicted
+	case isSuccess && !head.IsSigned:
+		return errUnsigned
+	case head.NotRun:
+		return nil
+	case head.IsEncoded:
+		return errEncoded
 	}
 	return nil
 }
--- a/internal/serving/forwarder/plain.go
+++ b/internal/serving/forwarder/plain.go
@@ -218,7 +218,7 @@
 	}
 	head := k.forwarder.protocol.Read(resp.Status, resp.Header)
 	k.recordStatement(id, head)
-	if err := checkOrigin(resp, head); err != nil {
+	if err := checkHead(resp, head); err != nil {
 		resp.Finish(false)
 		return nil, k.recordBroken(ctx, id, address, "lost:", err)
 	}
--- a/internal/serving/forwarder/protocol.go
+++ b/internal/serving/forwarder/protocol.go
@@ -45,6 +45,10 @@
 	NotRun bool
 	// IsIdentified is true if the response states which request it belongs to.
 	IsIdentified bool
+	// IsSigned is true if the response has the endpoint's signature.
+	IsSigned bool
+	// IsEncoded is true if the body has a content coding, which callers do not ask for.
+	IsEncoded bool
 	// WrongEndpoint is true if another endpoint has the address, or the endpoint at fault does not hold its layers.
 	WrongEndpoint bool
 	// FaultAddress is the address of the endpoint on the path that is at fault; empty if not stated.
--- a/internal/standin/hoster/faults.go
+++ b/internal/standin/hoster/faults.go
@@ -70,6 +70,12 @@
 	FoldedHeader
 	// SplitHead servers are InvalidName servers with a line feed before the name, which ends the head.
 	SplitHead
+	// WithoutStamp servers run the request and answer without their stamp.
+	WithoutStamp
+	// Encoding servers run the request and answer with a body in a content coding.
+	Encoding
+	// Contradicting servers run the request, and state with their success that they did not.
+	Contradicting
 )
 
 // invalidNames holds the spelling of a header's name by the fault of the servers that send it.
@@ -147,6 +153,8 @@
 		}
 		writeRaw(w, fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Type: %s\r\n%s: %d\r\n\r\n%sid: %d\ndata: of no answer\n\n",
 			stamp, contentType, invalidNames[fault], len(body), body, EventsPerStream+1), false)
+	case WithoutStamp, Encoding, Contradicting:
+		s.writeMisleading(w, r, id, fault)
 	case EndlessBody:
 		s.setHeaders(w, id)
 		s.repeat(w, strings.Repeat("x", 1000), 0)
@@ -197,6 +205,23 @@
 	}
 }
 
+// writeMisleading answers a request with valid headers that do not fit its response.
+func (s *Server) writeMisleading(w http.ResponseWriter, r *http.Request, id string, fault ServerFault) {
+	s.setHeaders(w, id)
+	switch fault {
+	case WithoutStamp:
+		w.Header().Del("X-Heatherrock-Server-Stamp")
+	case Encoding:
+		w.Header().Set("Content-Encoding", "gzip")
+	case Contradicting:
+		w.Header().Set("X-Heatherrock-Not-Executed", "1")
+	}
+	if s.Kind != "" {
+		w.Header().Set("Content-Type", "text/event-stream")
+	}
+	_, _ = io.WriteString(w, "answer of "+s.Service+" to "+r.URL.RequestURI())
+}
+
 // stall sends nothing until the request or the server ends. It resets the connection then: net/http would end the answer as
 // complete.
 func (s *Server) stall(w http.ResponseWriter, r *http.Request) {
