Break off a stream at an event whose id has a control byte

What callers saw: an event whose id had a control byte, such as a carriage return, reached the caller. Its id went as it was into the head of the request that continues the stream at another endpoint, where what follows a carriage return may be read as a header.

Cause: an id was taken as it came, but for the spaces around it.

Change: such an event ends the attempt like one that is too long, and the stream continues after the last event before it.

Measured: before, TestReader returned the event and its id with the carriage return; now it returns the error.

--- a/internal/serving/forwarder/events.go
+++ b/internal/serving/forwarder/events.go
@@ -6,6 +6,8 @@
 	"errors"
 	"io"
 	"strconv"
+	"strings"
+	"unicode"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -19,6 +21,9 @@
 // errTruncated means that a stream ends in the middle of an event.
 var errTruncated = merry.New("stream ends in the middle of an event")
 
+// errInvalidID means that an event's id has a control byte: it could not be sent in the header of a request that resumes the stream.
+var errInvalidID = merry.New("control byte in the id of an event")
+
 // event is one event of a stream: its bytes, and its id. HasData is false for an event of comments alone.
 type event struct {
 	bytes   []byte
@@ -64,6 +69,9 @@
 		}
 		if value, ok := bytes.CutPrefix(content, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(value))
+			if strings.ContainsFunc(e.id, unicode.IsControl) {
+				return event{}, errInvalidID
+			}
 		}
 		e.hasData = e.hasData || bytes.HasPrefix(content, []byte("data"))
 		start = len(r.buffer)
--- a/internal/serving/forwarder/events_test.go
+++ b/internal/serving/forwarder/events_test.go
@@ -25,6 +25,7 @@
 		"no id":                  {"data: a\n\n", []string{"data: a\n\n"}, []string{""}, io.EOF},
 		"longer than the buffer": {long, []string{long}, []string{"3"}, io.EOF},
 		"truncated in a line":    {"id: 1\ndata: a\n\nid: 2\nda", []string{"id: 1\ndata: a\n\n"}, []string{"1"}, errTruncated},
+		"control byte in an id":  {"id: 1\ndata: a\n\nid: 2\rX-Odd: 1\ndata: b\n\n", []string{"id: 1\ndata: a\n\n"}, []string{"1"}, errInvalidID},
 		"truncated after a line": {"id: 2\ndata: b\n", nil, nil, errTruncated},
 	} {
 		for mode, wrapReader := range map[string]func(io.Reader) io.Reader{
