Reject a service's reply in a content coding that was not asked for

What callers saw: through `heatherrock serve`, a reply in a content coding other than gzip reached the caller as bytes that it could not read: the header that names the coding is not passed on. The same bytes were stored as the reply to later attempts.

Cause: of the reply's headers only the type of its content was read.

Measured: before, TestHolds got 200 with the coded bytes; now the outcome is unknown.

--- a/internal/serving/dispatcher/sender.go
+++ b/internal/serving/dispatcher/sender.go
@@ -116,8 +116,12 @@
 	return request, nil
 }
 
-// readReply reads a service's answer of at most maxReplyBytes.
+// readReply reads a service's answer of at most maxReplyBytes. The transport has undone the only content coding that it asks for; a caller
+// is not told of another.
 func readReply(r *http.Response) (*claimer.Reply, error) {
+	if coding := r.Header.Get("Content-Encoding"); coding != "" {
+		return nil, merry.Errorf("content coding %.40q was not asked for", coding)
+	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxReplyBytes+1))
 	if err != nil {
 		return nil, err
