Take a stored reply that is no response as an unknown outcome

What callers saw: once a service's answer with status 000 had been stored as the reply of a call, each later attempt with its key ended with a closed connection and no answer. Rows that were written before the status was checked may still hold such replies.

Cause: the status in a row of the table service was written to the caller as it was read, and net/http panics for one below 100.

Change: Decode takes a completed call whose reply has no status of a final response as one with an unknown outcome: a service that can be queried is, an operator can settle the call, and its caller gets 504.

Measured: before, the second attempt of TestStoredReplyWithoutAStatus got no answer; now 504, or the reply where the service can be queried.

--- a/internal/control/claimer/settle.go
+++ b/internal/control/claimer/settle.go
@@ -66,11 +66,23 @@
 }
 
 // Decode returns a row from its version and its value in JSON. The error is that of decoding the value. A row of
-// version 0 has no value.
+// version 0 has no value. A reply that is no response proves nothing, so that the call's outcome is unknown.
 func Decode(version int64, value []byte) (Row, error) {
 	row := Row{Version: version}
 	if version == 0 {
 		return row, nil
 	}
-	return row, json.Unmarshal(value, &row.Record)
+	if err := json.Unmarshal(value, &row.Record); err != nil {
+		return row, err
+	}
+	if reply := row.Record.Reply; reply != nil && (reply.Status < minReplyStatus || reply.Status > maxReplyStatus) {
+		row.Record.State, row.Record.Reply = StateUnknown, nil
+	}
+	return row, nil
 }
+
+// The lowest and the highest status of a final response (RFC 9110, section 15).
+const (
+	minReplyStatus = 200
+	maxReplyStatus = 599
+)
--- a/internal/serving/dispatcher/result_test.go
+++ b/internal/serving/dispatcher/result_test.go
@@ -119,6 +119,34 @@
 	}
 }
 
+// TestStoredReplyWithoutAStatus guards against callers whose connection is closed without an answer at each attempt, as the stored reply
+// has a status that no response has.
+func TestStoredReplyWithoutAStatus(t *testing.T) {
+	key := day + "-spoilt"
+	completed := callResponse{200, "completed", "", "held joiners:" + key}
+	for lookupPath, want := range map[string]callResponse{
+		"":             {504, "unknown", claimer.CodeOutcomeUnknown, ""},
+		"/holds/{key}": completed,
+	} {
+		s := &stockService{runsByKey: map[string]int{}}
+		table := newFakeTable()
+		_, server := startInstance(t, "one", table, testEnv{addresses: []string{startService(t, s)}, lookupPath: lookupPath})
+		if diff := cmp.Diff(completed, sendCall(t, server, http.MethodPost, "/v1/services/stock/holds", "oak", HeaderKey, key)); diff != "" {
+			t.Fatalf("first answer (-want +got):\n%s", diff)
+		}
+		rowKey, row := rowOf(t, table, key)
+		row.Record.Reply.Status = 0
+		writes := []tabler.Write{{Table: claimer.Table, Key: rowKey, Value: row.Record.Encode()}}
+		if result, err := table.Commit(t.Context(), tabler.Txn{Writes: writes}); err != nil || !result.Applied {
+			t.Fatal(result, err)
+		}
+		got := sendCall(t, server, http.MethodPost, "/v1/services/stock/holds", "oak", HeaderKey, key, HeaderAttempt, "2")
+		if diff := cmp.Diff(want, got); diff != "" || s.runCount() != 1 {
+			t.Errorf("queried at %q: ran %d times (-want +got):\n%s", lookupPath, s.runCount(), diff)
+		}
+	}
+}
+
 // settleAsOperator writes an operator's settlement that the call has completed and that its owner has ended.
 func settleAsOperator(t *testing.T, table tabler.Table, keyText string) {
 	t.Helper()
