Draw invalid and misleading answers in the soak

Cause: the soak's endpoints sent garbage and torn answers, but none that net/http takes for a response.

Change: every 3 s or so one endpoint answers for a time with status 000, an invalid name, a folded header, a split head, no signature, a content coding, or a statement that contradicts its status.

--- a/internal/bench/soaker/plan.go
+++ b/internal/bench/soaker/plan.go
@@ -109,15 +109,23 @@
 	maxFaultTime = 4 * time.Second
 	// meanFaultInterval is the mean time between the starts of two faults.
 	meanFaultInterval = 900 * time.Millisecond
+	// meanInvalidAnswersInterval is the mean time between the starts of two faults from invalidAnswers on.
+	meanInvalidAnswersInterval = 3 * time.Second
 	// repeatShare is the share of faults that repeat the kind and target of the previous one.
 	repeatShare = 0.2
 )
 
-// serverFaults are the faults of endpoints whose answers a caller must not receive as a success.
+// serverFaults are the faults of endpoints whose answers a caller must not receive as a success. Those from invalidAnswers on are drawn by
+// planInvalidAnswers.
 var serverFaults = []hoster.ServerFault{
 	hoster.Full, hoster.Hanging, hoster.Resetting, hoster.Failing, hoster.Truncating, hoster.WrongRequestID, hoster.Garbling, hoster.Stalling,
+	hoster.InvalidStatus, hoster.InvalidName, hoster.FoldedHeader, hoster.SplitHead, hoster.WithoutStamp, hoster.Encoding, hoster.Contradicting,
+	hoster.UnstatedRefusal,
 }
 
+// invalidAnswers is the index of the first fault in serverFaults whose answers are whole, and invalid or misleading.
+const invalidAnswers = 8
+
 // Plan draws the faults of a run of some length. The fault rate differs between seeds.
 func Plan(seed uint64, length time.Duration, instances, endpoints int) []Fault {
 	r := rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15))
@@ -140,7 +148,7 @@
 			f.Kind, f.Target = out[n-1].Kind, out[n-1].Target
 		}
 		f.LinkMode = linkModes[1+r.IntN(len(linkModes)-1)]
-		f.ServerFaultIndex = r.IntN(len(serverFaults))
+		f.ServerFaultIndex = r.IntN(invalidAnswers)
 		f.LosesCalls = variants.IntN(2) == 0
 		if f.StartAfter+f.ActiveTime > length-quietTime {
 			break
@@ -149,10 +157,28 @@
 	}
 	out = append(out, planStatements(seed, length, endpoints)...)
 	out = append(out, planRestores(seed, length)...)
+	out = append(out, planInvalidAnswers(seed, length, endpoints)...)
 	slices.SortFunc(out, func(a, b Fault) int { return int(a.StartAfter - b.StartAfter) })
 	return out
 }
 
+// planInvalidAnswers draws the endpoints' faults from invalidAnswers on.
+func planInvalidAnswers(seed uint64, length time.Duration, endpoints int) []Fault {
+	r := rand.New(rand.NewPCG(seed, 6))
+	var out []Fault
+	for at := quietTime; ; {
+		at += time.Duration(r.ExpFloat64() * float64(meanInvalidAnswersInterval))
+		f := Fault{
+			Kind: EndpointFault, StartAfter: at, Target: r.IntN(endpoints), ServerFaultIndex: invalidAnswers + r.IntN(len(serverFaults)-invalidAnswers),
+			ActiveTime: minFaultTime + time.Duration(r.Float64()*float64(maxFaultTime-minFaultTime)),
+		}
+		if f.StartAfter+f.ActiveTime > length-quietTime {
+			return out
+		}
+		out = append(out, f)
+	}
+}
+
 // drawKind draws a kind by its weight.
 func drawKind(r *rand.Rand, totalWeight int) Kind {
 	n := r.IntN(totalWeight)
