Reject an answer that states two requests or two signatures

What callers saw: a success with the id of another request beside its own reached the caller with both.

Cause: the first id that a response states was read, and the others were passed on.

One whose ids are all of others is skipped as before.

--- a/internal/serving/forwarder/call.go
+++ b/internal/serving/forwarder/call.go
@@ -241,6 +241,7 @@
 	errUnidentifiedSuccess = merry.New("success that states no request")
 	// errUnidentified is that of a response on a used connection that may be one of an earlier request, sent once more.
 	errUnidentified = merry.New("answer on a used connection that states no request")
+	errAmbiguous    = merry.New("answer that states its request or its signature more than once")
 	errUnsigned     = merry.New("success without a signature")
 	errEncoded      = merry.New("body in a content coding that was not asked for")
 	errContradicted = merry.New("success that states that the request has not run")
@@ -252,6 +253,8 @@
 func checkHead(resp *connector.Response, head ResponseHead) error {
 	isSuccess := resp.Status >= 200 && resp.Status < 300
 	switch {
+	case head.IsAmbiguous:
+		return errAmbiguous
 	case isSuccess && !head.IsIdentified:
 		return errUnidentifiedSuccess
 	case !head.IsIdentified && resp.Reused:
--- a/internal/serving/forwarder/protocol.go
+++ b/internal/serving/forwarder/protocol.go
@@ -47,6 +47,8 @@
 	IsIdentified bool
 	// IsSigned is true if the response has the endpoint's signature.
 	IsSigned bool
+	// IsAmbiguous is true if the response states its request or its signature more than once.
+	IsAmbiguous bool
 	// IsEncoded is true if the body has a content coding, which callers do not ask for.
 	IsEncoded bool
 	// WrongEndpoint is true if another endpoint has the address, or the endpoint at fault does not hold its layers.
--- a/internal/standin/hoster/faults.go
+++ b/internal/standin/hoster/faults.go
@@ -78,6 +78,8 @@
 	Contradicting
 	// UnstatedRefusal servers run the request and answer with status 503, without the statement that they did not.
 	UnstatedRefusal
+	// AnsweringForTwo servers run the request and state the id of another one beside its own.
+	AnsweringForTwo
 )
 
 // invalidNames holds the spelling of a header's name by the fault of the servers that send it.
@@ -155,7 +157,7 @@
 		}
 		writeRaw(w, fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Type: %s\r\n%s: %d\r\n\r\n%sid: %d\ndata: of no answer\n\n",
 			stamp, contentType, invalidNames[fault], len(body), body, EventsPerStream+1), false)
-	case WithoutStamp, Encoding, Contradicting, UnstatedRefusal:
+	case WithoutStamp, Encoding, AnsweringForTwo, Contradicting, UnstatedRefusal:
 		s.writeMisleading(w, r, id, fault)
 	case EndlessBody:
 		s.setHeaders(w, id)
@@ -216,6 +218,8 @@
 		w.Header().Del("X-Heatherrock-Server-Stamp")
 	case Encoding:
 		w.Header().Set("Content-Encoding", "gzip")
+	case AnsweringForTwo:
+		w.Header().Add("X-Heatherrock-Attempt-Id", "another")
 	case Contradicting:
 		w.Header().Set("X-Heatherrock-Not-Executed", "1")
 	case UnstatedRefusal:
