Reject an engine's load report without an endpoint or a time

What callers saw: through `heatherrock serve`, an engine that answered the question for its load with {} seemed to hold no layers, with a rate of zero and a report of 1970, until its next report.

Cause: fields that were missing counted as zero.

Change: such a response is an error of the read, which the watcher counts like any other read that failed.

--- a/internal/client/streamer/client.go
+++ b/internal/client/streamer/client.go
@@ -215,11 +215,17 @@
 	return c.call(ctx, http.MethodDelete, address, path, nil, nil)
 }
 
-// Load returns an endpoint's load report.
+// Load returns an endpoint's load report. A response that names no endpoint or has no time is an error: the endpoint would seem to hold
+// no layers.
 func (c *Client) Load(ctx context.Context, address string) (Load, error) {
 	var l Load
-	err := c.call(ctx, http.MethodGet, address, "/engine/load", nil, &l)
-	return l, err
+	if err := c.call(ctx, http.MethodGet, address, "/engine/load", nil, &l); err != nil {
+		return Load{}, err
+	}
+	if l.Endpoint == "" || l.ReportedAtMillis <= 0 {
+		return Load{}, merry.Errorf("load report of %s: without an endpoint or a time", address)
+	}
+	return l, nil
 }
 
 // Events returns an endpoint's cache events whose sequence numbers are greater than after.
--- a/internal/client/streamer/client_test.go
+++ b/internal/client/streamer/client_test.go
@@ -65,3 +65,24 @@
 	defer c.Close()
 	_, _ = io.WriteString(c, "HTTP/1.1 404 Not Found\r\nX Odd: 1\r\n"+caller.HeaderOutcome+": not-run\r\nContent-Length: 0\r\n\r\n")
 }
+
+// TestIncompleteLoads guards against endpoints that seem to hold no layers.
+func TestIncompleteLoads(t *testing.T) {
+	for body, isLoad := range map[string]bool{
+		`{"endpoint":"e","stamp":1000}`:      true,
+		`{"endpoint":"e","held":[]}`:         false,
+		`{"endpoint":"","stamp":1000}`:       false,
+		`{}`:                                 false,
+		`null`:                               false,
+		`{"endpoint":"e","stamp":1000}{}`:    false,
+		`{"endpoint":"e","stamp":1000,"held`: false,
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }))
+		client := NewClient()
+		if got, err := client.Load(t.Context(), server.Listener.Addr().String()); (err == nil) != isLoad {
+			t.Errorf("%s: %+v, error %v, want a load %v", body, got, err, isLoad)
+		}
+		client.Close()
+		server.Close()
+	}
+}
