Move the bounds of a reply's status above their use

Cause: they stood below the function that reads them.

Change: their place alone.

Measured: the package is vetted; nothing else has changed.

--- a/internal/control/claimer/settle.go
+++ b/internal/control/claimer/settle.go
@@ -65,6 +65,12 @@
 	return value
 }
 
+// The lowest and the highest status of a final response (RFC 9110, section 15).
+const (
+	minReplyStatus = 200
+	maxReplyStatus = 599
+)
+
 // Decode returns a row from its version and its value in JSON. The error is that of decoding the value. A row of
 // version 0 has no value. A reply that is no response proves nothing, so that the call's outcome is unknown.
 func Decode(version int64, value []byte) (Row, error) {
@@ -80,9 +86,3 @@
 	}
 	return row, nil
 }
-
-// The lowest and the highest status of a final response (RFC 9110, section 15).
-const (
-	minReplyStatus = 200
-	maxReplyStatus = 599
-)
