Take a service's success that says not to have run as an unknown outcome

What callers saw: through `heatherrock serve`, a success with the header that states that the call has not run became a 503 and the outcome not-run, after the call had run; callers may send such a call again.

Cause: that header was believed whatever the status was.

Change: such a reply is a broken answer, so the outcome is unknown.

--- a/internal/serving/dispatcher/dispatcher_test.go
+++ b/internal/serving/dispatcher/dispatcher_test.go
@@ -61,6 +61,8 @@
 		{"status 000", newFakeTable(), respondRaw("HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nheld"), "", unknown, unknown, 1},
 		{"space in a header's name", newFakeTable(), respondRaw("HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nheld and more"), "", unknown, unknown, 1},
 		{"content coding", newFakeTable(), respondRaw("HTTP/1.1 200 OK\r\nContent-Encoding: br\r\nContent-Length: 4\r\n\r\nheld"), "", unknown, unknown, 1},
+		{"success that states that the call has not run", newFakeTable(),
+			respondRaw("HTTP/1.1 200 OK\r\n" + HeaderOutcome + ": not-run\r\nContent-Length: 4\r\n\r\nheld"), "", unknown, unknown, 1},
 		{"invalid head, and the service can be queried", newFakeTable(), respondRaw("HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nheld"), "/holds/{key}",
 			completed, completed, 1},
 		{"service closes the connection and can be queried", newFakeTable(), abort, "/holds/{key}", completed, completed, 1},
--- a/internal/serving/dispatcher/sender.go
+++ b/internal/serving/dispatcher/sender.go
@@ -117,11 +117,14 @@
 }
 
 // readReply reads a service's answer of at most maxReplyBytes. The transport has undone the only content coding that it asks for; a caller
-// is not told of another.
+// is not told of another. A success that states that the call has not run proves nothing.
 func readReply(r *http.Response) (*claimer.Reply, error) {
 	if coding := r.Header.Get("Content-Encoding"); coding != "" {
 		return nil, merry.Errorf("content coding %.40q was not asked for", coding)
 	}
+	if r.StatusCode < 300 && r.Header.Get(HeaderOutcome) == classifier.VerdictNotRun.String() {
+		return nil, merry.Errorf("status %d, and the statement that the call has not run", r.StatusCode)
+	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxReplyBytes+1))
 	if err != nil {
 		return nil, err
