Let a test wait until the result of a call is stored

Change: the test drains the instance that answered, which returns once the result is written, and asks another one.

--- a/internal/serving/dispatcher/result_test.go
+++ b/internal/serving/dispatcher/result_test.go
@@ -130,17 +130,23 @@
 	} {
 		s := &stockService{runsByKey: map[string]int{}}
 		table := newFakeTable()
-		_, server := startInstance(t, "one", table, testEnv{addresses: []string{startService(t, s)}, lookupPath: lookupPath})
-		if diff := cmp.Diff(completed, sendCall(t, server, http.MethodPost, "/v1/services/stock/holds", "oak", HeaderKey, key)); diff != "" {
+		env := testEnv{addresses: []string{startService(t, s)}, lookupPath: lookupPath}
+		d, server1 := startInstance(t, "one", table, env)
+		_, server2 := startInstance(t, "two", table, env)
+		if diff := cmp.Diff(completed, sendCall(t, server1, http.MethodPost, "/v1/services/stock/holds", "oak", HeaderKey, key)); diff != "" {
 			t.Fatalf("first answer (-want +got):\n%s", diff)
 		}
+		// The result is written after the answer.
+		if left := d.Drain(t.Context()); left != 0 {
+			t.Fatalf("%d claims in flight after drain", left)
+		}
 		rowKey, row := rowOf(t, table, key)
 		row.Record.Reply.Status = 0
 		writes := []tabler.Write{{Table: claimer.Table, Key: rowKey, Value: row.Record.Encode()}}
 		if result, err := table.Commit(t.Context(), tabler.Txn{Writes: writes}); err != nil || !result.Applied {
 			t.Fatal(result, err)
 		}
-		got := sendCall(t, server, http.MethodPost, "/v1/services/stock/holds", "oak", HeaderKey, key, HeaderAttempt, "2")
+		got := sendCall(t, server2, http.MethodPost, "/v1/services/stock/holds", "oak", HeaderKey, key, HeaderAttempt, "2")
 		if diff := cmp.Diff(want, got); diff != "" || s.runCount() != 1 {
 			t.Errorf("queried at %q: ran %d times (-want +got):\n%s", lookupPath, s.runCount(), diff)
 		}
