--- a/internal/serving/connector/invalid_test.go
+++ b/internal/serving/connector/invalid_test.go
@@ -32,8 +32,8 @@
 	return body, err
 }
 
-// TestInvalidResponses sends bytes that net/http accepts as a response although they are none: a gateway that passes them on
-// sends a status or a body that is not the endpoint's.
+// TestInvalidResponses sends bytes that are no response, most of which net/http accepts as one: a gateway that passes them on sends a status
+// or a body that is not the endpoint's.
 func TestInvalidResponses(t *testing.T) {
 	const fields, body = "X-Id: a\r\nContent-Length: 5\r\n\r\n", "whole, and more"
 	texts := make(chan string, 1)
