Take a response that is reset during the upload for a broken one

Callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection. The part arrived as a whole answer; a stream ended as complete after its first event.

Cause: the kernel reports the failure of a connection once, to the first call that meets it. A long body is written while the response is read, so the write may take ECONNRESET; each read after that returns 0, like one of a connection that the peer has closed. A response without a length ends with its connection, so that 0 was its end. The trace of system calls of one play (strace, connection 6, the endpoint's end is 9): setsockopt(9, SO_LINGER, {1, 0}); close(9) write(6, 32768) = -1 ECONNRESET read(6, 4096) = 0 The read may also return before the write that has taken the error does, so a flag set after the write does not suffice.

Change: verifier.Socket wraps the connection. A read that finds the end stops the write in progress, waits for it, and returns the error of the connection if a write or a read has met one. After the peer's FIN, Linux reports a reset as EPIPE and not as ECONNRESET (41 EPIPE, no ECONNRESET in a trace of 80 such uploads): all that was sent has been received, so EPIPE leaves the end as it is, and a server that answers early, ends its side and does not read the upload still gets its answer through. connector, which sends callers' requests, orders, reports and probes, reads from such a socket.

--- /dev/null
+++ b/internal/client/verifier/socket.go
@@ -0,0 +1,84 @@
+package verifier
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Socket is a client's TCP connection that reports a failure to every read. The kernel reports the failure of a connection once: if a
+// write takes the error, reads end as if the peer had closed the connection, and a response that is delimited by that end (RFC 9112,
+// section 6.3) looks complete.
+type Socket struct {
+	net.Conn
+
+	// writing is held during a write.
+	writing sync.Mutex
+	mu      sync.Mutex
+	// failure is the first error of the connection that a read or a write has returned.
+	failure error
+}
+
+// NewSocket returns a connection that has neither been read nor written.
+func NewSocket(c net.Conn) *Socket { return &Socket{Conn: c} }
+
+// pastDeadline is a deadline that ends a write at once.
+var pastDeadline = time.Unix(1, 0)
+
+// Write writes to the connection.
+func (s *Socket) Write(b []byte) (int, error) {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	n, err := s.Conn.Write(b)
+	s.recordError(err)
+	return n, err
+}
+
+// Read reads from the connection. The error is io.EOF only if the peer has ended its side of the connection. After that, nothing more can
+// be written.
+func (s *Socket) Read(b []byte) (int, error) {
+	n, err := s.Conn.Read(b)
+	if errors.Is(err, io.EOF) {
+		return n, s.end()
+	}
+	s.recordError(err)
+	return n, err
+}
+
+// end returns the error of a read that has found the end of the connection.
+func (s *Socket) end() error {
+	// A write that has taken the error may not have returned yet.
+	if err := s.Conn.SetWriteDeadline(pastDeadline); err != nil {
+		return err
+	}
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failure != nil {
+		return s.failure
+	}
+	return io.EOF
+}
+
+// recordError records the error of a read or a write, if it is one of the connection.
+func (s *Socket) recordError(err error) {
+	if !isFailure(err) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failure == nil {
+		s.failure = err
+	}
+}
+
+// isFailure reports whether an error is one of the connection, not of a deadline or of a local close. Linux reports a reset as EPIPE if the
+// peer had ended its side before: all that it sent has been received.
+func isFailure(err error) bool {
+	return err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed)
+}
--- a/internal/serving/connector/connector.go
+++ b/internal/serving/connector/connector.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/heatherrock/heatherrock/internal/client/verifier"
 )
 
 // The timeouts and limits of a Pool.
@@ -89,8 +91,8 @@
 
 // conn is a pooled connection to an endpoint.
 type conn struct {
-	net.Conn
-	// reader reads from limiter, and limiter from the connection.
+	*verifier.Socket
+	// reader reads from limiter, and limiter from the socket.
 	reader  *bufio.Reader
 	limiter *limiter
 	address string
@@ -340,8 +342,9 @@
 	p.mu.Lock()
 	p.dialled++
 	p.mu.Unlock()
-	l := &limiter{reader: raw}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(l, readBufferSize), limiter: l, address: address}, nil
+	socket := verifier.NewSocket(raw)
+	l := &limiter{reader: socket}
+	return &conn{Socket: socket, reader: bufio.NewReaderSize(l, readBufferSize), limiter: l, address: address}, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection to an address, or nil if there is none.
--- a/internal/standin/hoster/faults.go
+++ b/internal/standin/hoster/faults.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -78,6 +79,11 @@
 	Contradicting
 	// UnstatedRefusal servers run the request and answer with status 503, without the statement that they did not.
 	UnstatedRefusal
+	// ResettingUpload servers run the request before they have read its body, send a part of an answer without a length, and reset the
+	// connection.
+	ResettingUpload
+	// EndingUpload servers are ResettingUpload servers that send the whole answer, end their side of the connection and read on.
+	EndingUpload
 	// AnsweringForTwo servers run the request and state the id of another one beside its own.
 	AnsweringForTwo
 )
@@ -129,6 +135,32 @@
 	_ = c.Close()
 }
 
+// answerUpload answers a request, whose body has not been read, without a length.
+func (s *Server) answerUpload(w http.ResponseWriter, id string, fault ServerFault) {
+	contentType, body, part := "text/plain", "whole", "who"
+	if s.Kind != "" {
+		contentType, body, part = "text/event-stream", StreamBody(), "id: 1\ndata: token 1\n\n"
+	}
+	if fault == ResettingUpload {
+		body = part
+	}
+	c, buffered, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Heatherrock-Attempt-Id: %s\r\nX-Heatherrock-Server-Stamp: stamp-of-%s\r\nContent-Type: %s\r\n\r\n%s",
+		id, s.ID, contentType, body)
+	t, ok := c.(*net.TCPConn)
+	switch {
+	case err != nil || !ok:
+	case fault == ResettingUpload:
+		_ = t.SetLinger(0)
+	case t.CloseWrite() == nil:
+		_, _ = io.Copy(io.Discard, buffered)
+	}
+}
+
 // writeAnswer answers a request in the way that the fault prescribes.
 func (s *Server) writeAnswer(w http.ResponseWriter, r *http.Request, id string, fault ServerFault) {
 	stamp := "X-Heatherrock-Attempt-Id: " + id + "\r\nX-Heatherrock-Server-Stamp: stamp-of-" + s.ID + "\r\n"
--- a/internal/standin/hoster/server.go
+++ b/internal/standin/hoster/server.go
@@ -331,6 +331,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if fault == ResettingUpload || fault == EndingUpload {
+		s.platform.countRun(id, "")
+		s.answerUpload(w, id, fault)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -344,13 +349,18 @@
 			return
 		}
 	}
-	s.platform.mu.Lock()
-	s.platform.runCounts[id]++
-	s.platform.bodies[id] = string(body)
-	s.platform.mu.Unlock()
+	s.platform.countRun(id, string(body))
 	s.writeAnswer(w, r, id, fault)
 }
 
+// countRun records that a request with a body has run.
+func (p *Platform) countRun(id, body string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.runCounts[id]++
+	p.bodies[id] = body
+}
+
 // isDeadly reports whether a request with a body crashes the servers that run it.
 func (p *Platform) isDeadly(r *http.Request, body []byte) bool {
 	hasPart := p.DeadlyPart != "" && strings.Contains(r.Header.Get("X-Heatherrock-Prefix-Hash"), p.DeadlyPart+":")
