Read each response of net/http's clients from a socket that keeps its failure

Callers of serve saw: a long call to a plain service that answered early, without a length, and reset the connection was completed with the part that had arrived. The same transport reads the responses of engines, of the platform's store, of the table service and of objects.

Change: verifier.Transport and dispatcher.Sender dial connections that read from a verifier.Socket, with TLS below it. verifier.Secure starts TLS for both; a handshake of a Sender still ends with its dial timeout.

--- a/internal/client/verifier/transport.go
+++ b/internal/client/verifier/transport.go
@@ -75,22 +75,32 @@
 	if err != nil {
 		return nil, err
 	}
-	return NewConn(c), nil
+	return NewConn(NewSocket(c)), nil
 }
 
 // dialTLS opens a connection with TLS. What is read from it is decrypted, so that it can be verified.
 func (t *Transport) dialTLS(ctx context.Context, network, address string) (net.Conn, error) {
-	raw, err := t.dial(ctx, network, address)
+	c, err := t.dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	secure, err := Secure(ctx, c, address, t.transport.TLSClientConfig)
 	if err != nil {
 		return nil, err
 	}
-	config := cmp.Or(t.transport.TLSClientConfig, &tls.Config{}).Clone()
+	return NewConn(secure), nil
+}
+
+// Secure starts TLS on a new connection to an address, whose host is the expected server name unless the settings give one. The settings may
+// be nil. The connection is closed if that fails.
+func Secure(ctx context.Context, c net.Conn, address string, settings *tls.Config) (*tls.Conn, error) {
+	config := cmp.Or(settings, &tls.Config{}).Clone()
 	if host, _, err := net.SplitHostPort(address); err == nil {
 		config.ServerName = cmp.Or(config.ServerName, host)
 	}
-	c := tls.Client(raw, config)
-	if err := c.HandshakeContext(ctx); err != nil {
-		return nil, errors.Join(err, raw.Close())
+	secure := tls.Client(NewSocket(c), config)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		return nil, errors.Join(err, c.Close())
 	}
-	return NewConn(c), nil
+	return secure, nil
 }
--- a/internal/serving/dispatcher/conn.go
+++ b/internal/serving/dispatcher/conn.go
@@ -69,8 +69,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sealed = true
-	if t, ok := c.Conn.(*net.TCPConn); ok {
-		_ = t.SetLinger(0)
+	if s, ok := c.Conn.(*verifier.Socket); ok {
+		if t, ok := s.Conn.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
 	}
 	return c.written == before
 }
--- a/internal/serving/dispatcher/sender.go
+++ b/internal/serving/dispatcher/sender.go
@@ -56,7 +56,10 @@
 	s.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, address)
-			return newConn(c, err)
+			if err != nil {
+				return nil, err
+			}
+			return newConn(verifier.NewSocket(c)), nil
 		},
 		// HTTP/2 is off because its client retries refused streams by itself.
 		TLSNextProto:        map[string]func(string, *tls.Conn) http.RoundTripper{},
@@ -65,10 +68,18 @@
 	}
 	if t != nil {
 		s.scheme = "https"
-		secure := &tls.Dialer{NetDialer: dialer, Config: t}
 		s.transport.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := secure.DialContext(ctx, network, address)
-			return newConn(c, err)
+			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+			defer cancel()
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			secure, err := verifier.Secure(ctx, c, address, t)
+			if err != nil {
+				return nil, err
+			}
+			return newConn(secure), nil
 		}
 	}
 	return s
@@ -136,11 +147,8 @@
 }
 
 // newConn wraps a new connection to count the bytes written and to verify what is read.
-func newConn(c net.Conn, err error) (net.Conn, error) {
-	if err != nil {
-		return nil, err
-	}
-	return &conn{Conn: c, verified: verifier.NewConn(c)}, nil
+func newConn(c net.Conn) *conn {
+	return &conn{Conn: c, verified: verifier.NewConn(c)}
 }
 
 // connTrace records the connections assigned to a request.
