Read operators' responses from a socket that keeps its failure

Operators saw: a command took what had arrived of a response without a length for the result, if the connection was reset while the command was sent.

Change: NewClient and NewHTTPClient use verifier.Transport, whose sockets keep the failure. HTTP/2 is no longer offered to an instance.

--- a/internal/serving/commander/client.go
+++ b/internal/serving/commander/client.go
@@ -13,6 +13,8 @@
 	"os"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/heatherrock/heatherrock/internal/client/verifier"
 )
 
 // maxResponseBytes bounds the part of an instance's response that is read.
@@ -28,27 +30,32 @@
 	http    *http.Client
 }
 
-// NewClient returns a client for the base URL of an operators' listener.
+// NewClient returns a client for the base URL of an operators' listener. It trusts the authorities of the system.
 func NewClient(address, token string) Client {
-	return Client{address: address, token: token, http: &http.Client{}}
+	return Client{address: address, token: token, http: newHTTPClient(&tls.Config{MinVersion: tls.VersionTLS12})}
 }
 
 // NewHTTPClient returns an HTTP client that trusts only the CA certificates of a file in PEM, or those of the system if
 // file is empty. It returns an error if the file contains none.
 func NewHTTPClient(file string) (*http.Client, error) {
+	config := &tls.Config{MinVersion: tls.VersionTLS12}
 	if file == "" {
-		return &http.Client{}, nil
+		return newHTTPClient(config), nil
 	}
 	content, err := os.ReadFile(file)
 	if err != nil {
 		return nil, err
 	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(content) {
+	config.RootCAs = x509.NewCertPool()
+	if !config.RootCAs.AppendCertsFromPEM(content) {
 		return nil, merry.Errorf("%s holds no certificate in PEM", file)
 	}
-	config := &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
-	return &http.Client{Transport: &http.Transport{TLSClientConfig: config}}, nil
+	return newHTTPClient(config), nil
+}
+
+// newHTTPClient returns an HTTP client with settings of TLS.
+func newHTTPClient(config *tls.Config) *http.Client {
+	return &http.Client{Transport: verifier.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment, TLSClientConfig: config})}
 }
 
 // Do sends a request and decodes the response into out if its status is one of those expected. It returns the status, or
