Take a response over TLS that ends without a notice for a broken one

Callers of serve would see: a part of an answer of a service with TLS as the whole one, if the service's process ended in the middle of an answer without a length. Found while looking for what ends an answer; not reported.

Cause: crypto/tls takes the end of the connection between two records for a close_notify alert, so the end of the process, of which the kernel tells with a FIN, ends the response as the service would. RFC 9112, section 9.8, counts such a response as whole only if it states its length or ends its chunks.

Change: below TLS, the end of the connection is ErrTruncated.

--- a/internal/client/verifier/socket.go
+++ b/internal/client/verifier/socket.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/ansel1/merry/v2"
 )
 
 // Socket is a client's TCP connection that reports a failure to every read. The kernel reports the failure of a connection once: if a
@@ -77,6 +79,22 @@
 	}
 }
 
+// ErrTruncated means that a connection with TLS ended without a close_notify alert: what was received may be a part (RFC 8446, section 6.1).
+var ErrTruncated = merry.Sentinel("connection ended without a close_notify alert")
+
+// tlsSocket is a Socket below TLS, where the end of the connection is an error. crypto/tls reads no more once it has received a close_notify
+// alert, and takes an end between two records for one.
+type tlsSocket struct{ *Socket }
+
+// Read reads from the connection. The error is ErrTruncated if the peer has ended its side.
+func (s tlsSocket) Read(b []byte) (int, error) {
+	n, err := s.Socket.Read(b)
+	if errors.Is(err, io.EOF) {
+		err = ErrTruncated
+	}
+	return n, err
+}
+
 // isFailure reports whether an error is one of the connection, not of a deadline or of a local close. Linux reports a reset as EPIPE if the
 // peer had ended its side before: all that it sent has been received.
 func isFailure(err error) bool {
--- a/internal/client/verifier/transport.go
+++ b/internal/client/verifier/transport.go
@@ -98,7 +98,7 @@
 	if host, _, err := net.SplitHostPort(address); err == nil {
 		config.ServerName = cmp.Or(config.ServerName, host)
 	}
-	secure := tls.Client(NewSocket(c), config)
+	secure := tls.Client(tlsSocket{NewSocket(c)}, config)
 	if err := secure.HandshakeContext(ctx); err != nil {
 		return nil, errors.Join(err, c.Close())
 	}
