Reset a response of HTTP/1.0 that breaks off

Callers of HTTP/1.0 saw: a stream that was broken off ended like a whole one.

Cause: HTTP/1.0 has no chunks, so a response without a length ends with its connection. A handler that is aborted, a server that is closed and a process that ends close the connection with a FIN, and with TLS the first two also send a close_notify alert.

Change: bounder.Serve, which both ways in and the operators' listeners use, sets SO_LINGER to 0 while a request of HTTP/1.0 is served, so that each end of the connection or the process resets it; with TLS the connection below is closed first. Once the handler has returned, Close and the wait for the next request restore the usual end. Callers of HTTP/1.1 are not concerned.

--- a/internal/serving/bounder/bounder.go
+++ b/internal/serving/bounder/bounder.go
@@ -122,10 +122,12 @@
 	return out
 }
 
-// Serve bounds the connections that a server accepts from a listener, which it returns wrapped.
+// Serve bounds the connections that a server accepts from a listener, which it returns wrapped. It wraps the server's handler, so that a response of
+// HTTP/1.0 that breaks off does not end like a whole one.
 func (b *Bounder) Serve(s *http.Server, l net.Listener) net.Listener {
 	s.ReadHeaderTimeout, s.IdleTimeout, s.MaxHeaderBytes = 0, 0, serverHeadBytes
-	s.ConnState = b.handleState
+	s.ConnState, s.ConnContext = b.handleState, withConn
+	s.Handler = endHandler{s.Handler}
 	return &listener{l, b}
 }
 
--- a/internal/serving/bounder/conn.go
+++ b/internal/serving/bounder/conn.go
@@ -70,7 +70,10 @@
 	// stateSince is when the request in progress was passed on, or the head in progress began, or the wait for one.
 	stateSince time.Time
 	evicted    eviction
-	closeOnce  sync.Once
+	// isPartial is true while the response in progress breaks off if the connection is closed, and isResetting while a close resets the
+	// connection.
+	isPartial, isResetting bool
+	closeOnce              sync.Once
 }
 
 // newConn returns a connection that waits for its first request.
@@ -317,6 +320,9 @@
 
 // Close closes the connection.
 func (c *Conn) Close() error {
-	c.closeOnce.Do(func() { c.bounder.remove(c) })
+	c.closeOnce.Do(func() {
+		c.bounder.remove(c)
+		c.endResponse()
+	})
 	return c.Conn.Close()
 }
--- a/internal/serving/bounder/state.go
+++ b/internal/serving/bounder/state.go
@@ -69,6 +69,7 @@
 	c.isActive, c.stateSince = false, now
 	c.isInHead = c.framer.hasBegun() || len(c.buffer) > 0
 	c.isBroken = c.isBroken || !c.framer.atHead()
+	c.endInOrder()
 }
 
 // isEvictable reports whether no request has been passed on.
