Reset a response of HTTP/1.0 whose last write has failed

Callers of HTTP/1.0 saw: a response whose last bytes could not be written before the write deadline ended like a whole one.

Cause: net/http writes the last 4 KiB of a response once the handler has returned, and closes the connection in order if that fails. Handlers that write JSON do not report a failed write.

Change: Conn.Write records a failure, and a connection with one is reset while a response of HTTP/1.0 is not known to have ended.

A write that fails while the handler runs was handled before: net/http closes the connection at once.

--- a/internal/serving/bounder/conn.go
+++ b/internal/serving/bounder/conn.go
@@ -70,10 +70,10 @@
 	// stateSince is when the request in progress was passed on, or the head in progress began, or the wait for one.
 	stateSince time.Time
 	evicted    eviction
-	// isPartial is true while the response in progress breaks off if the connection is closed, and isResetting while a close resets the
-	// connection.
-	isPartial, isResetting bool
-	closeOnce              sync.Once
+	// isPartial is true while a response of HTTP/1.0 is in progress, isResetting while an end of the process resets the connection, and hasFailed
+	// once a write has failed.
+	isPartial, isResetting, hasFailed bool
+	closeOnce                         sync.Once
 }
 
 // newConn returns a connection that waits for its first request.
--- a/internal/serving/bounder/ending.go
+++ b/internal/serving/bounder/ending.go
@@ -65,6 +65,17 @@
 	c.isPartial = false
 }
 
+// Write writes to the connection. What follows a failed write is not sent, so the response in progress is not whole.
+func (c *Conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.hasFailed = true
+	}
+	return n, err
+}
+
 // endInOrder lets the connection end in order. The lock is held.
 func (c *Conn) endInOrder() {
 	if s, ok := c.socket(); ok && c.isResetting {
@@ -76,7 +87,7 @@
 func (c *Conn) endResponse() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s, ok := c.socket(); ok && c.isPartial {
+	if s, ok := c.socket(); ok && (c.isPartial || c.isResetting && c.hasFailed) {
 		// With TLS, the close of the connection above would first send a close_notify alert, which ends a response in order.
 		_ = s.Close()
 		return
--- a/internal/serving/bounder/ending_test.go
+++ b/internal/serving/bounder/ending_test.go
@@ -27,7 +27,8 @@
 var longText = strings.Repeat("text ", 100_000)
 
 // partServer serves whole responses at /whole and /short, and one that breaks off after a part at /part. At /open it sends a part and waits for the end
-// of the request.
+// of the request, and at /slow more than
+// the buffers of the connection hold. At /late the last bytes cannot be written.
 type partServer struct {
 	address string
 	server  *http.Server
@@ -61,6 +62,16 @@
 		_, _ = io.WriteString(w, "short")
 	case "/whole":
 		_, _ = io.WriteString(w, longText)
+	case "/slow":
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
+		for range 100 {
+			_, _ = io.WriteString(w, longText)
+		}
+	case "/late":
+		_, _ = io.WriteString(w, longText)
+		_ = http.NewResponseController(w).Flush()
+		_ = http.NewResponseController(w).SetWriteDeadline(pastDeadline)
+		_, _ = io.WriteString(w, "the end")
 	default:
 		_, _ = io.WriteString(w, "part")
 		_ = http.NewResponseController(w).Flush()
@@ -160,3 +171,15 @@
 		t.Errorf("(-want +got):\n%s", diff)
 	}
 }
+
+// TestFailedWriteInHTTP10 lets the write of a response fail at its deadline: while the handler writes, which does not report it, or once it has
+// returned.
+func TestFailedWriteInHTTP10(t *testing.T) {
+	s := newPartServer(t, nil)
+	for _, path := range []string{"/slow", "/late"} {
+		body, err := ask(t, s.address, path, nil, func() { time.Sleep(300 * time.Millisecond) })
+		if diff := cmp.Diff(error(syscall.ECONNRESET), err, cmpopts.EquateErrors()); diff != "" {
+			t.Errorf("%s, %d bytes (-want +got):\n%s", path, len(body), diff)
+		}
+	}
+}
