State the length of answers that are held as a whole

Callers of HTTP/1.0 saw: an answer of more than 2 KB without a length, of which only the end of the connection told that it was whole.

Cause: an endpoint's Content-Length is not passed on, as the body is read and written again, and net/http counts only what fits its first buffer. A reset reaches a caller that net/http's server talks to; a proxy between may end the answer in order.

Change: plain answers of forwarder, replies of dispatcher and JSON answers of server state their length. Streams have none. An empty body is left to net/http, which states it but for HEAD.

--- a/internal/serving/dispatcher/answer.go
+++ b/internal/serving/dispatcher/answer.go
@@ -118,6 +118,9 @@
 	if r.Truncated {
 		w.Header().Set("Heatherrock-Cut", "true")
 	}
+	if len(r.Body) > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(len(r.Body)))
+	}
 	w.WriteHeader(r.Status)
 	if _, err := w.Write(r.Body); err != nil {
 		return
--- a/internal/serving/forwarder/answer.go
+++ b/internal/serving/forwarder/answer.go
@@ -56,8 +56,7 @@
 		s.avoid[path.Stages[0].Endpoint.ID] = true
 		return failed, nil
 	}
-	s.copyHeader(resp.Status, resp.Header)
-	if _, err := body.WriteTo(s.writer); err != nil {
+	if err := s.sendWhole(&reply{resp.Status, resp.Header, body}); err != nil {
 		s.outcome = "caller left"
 	}
 	return answered, nil
--- a/internal/serving/forwarder/call.go
+++ b/internal/serving/forwarder/call.go
@@ -306,6 +306,16 @@
 	return body, nil
 }
 
+// sendWhole sends the caller a whole response, with its length.
+func (k *call) sendWhole(r *reply) error {
+	if n := r.body.Len(); n > 0 {
+		k.writer.Header().Set("Content-Length", strconv.Itoa(n))
+	}
+	k.copyHeader(r.status, r.header)
+	_, err := r.body.WriteTo(k.writer)
+	return err
+}
+
 // copyHeader writes the status and headers of an endpoint's response.
 func (k *call) copyHeader(status int, h http.Header) {
 	out := k.writer.Header()
--- a/internal/serving/forwarder/plain.go
+++ b/internal/serving/forwarder/plain.go
@@ -157,8 +157,7 @@
 		k.abort()
 	case last != nil:
 		k.timeToFirstByte = k.forwarder.clock().Sub(k.startedAt)
-		k.copyHeader(last.status, last.header)
-		if _, err := last.body.WriteTo(k.writer); err != nil {
+		if err := k.sendWhole(last); err != nil {
 			k.abort()
 		}
 	case k.mayHaveRun && isDone(k.ctx):
--- a/internal/serving/server/reply.go
+++ b/internal/serving/server/reply.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"net/http"
-
-	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 )
 
 // The names of the object types in the OpenAI API.
@@ -164,10 +162,7 @@
 	if r.isChat {
 		a.Choices = []choice{{FinishReason: &reason, Message: &content{Role: "assistant", Content: text}}}
 	}
-	h := r.w.Header()
-	h.Set("Content-Type", "application/json")
-	h.Set(HeaderOutcome, classifier.VerdictCompleted.String())
-	_ = json.NewEncoder(r.w).Encode(a)
+	writeJSON(r.w, a)
 }
 
 // finishStream writes the last events of a complete stream.
--- a/internal/serving/server/reply_test.go
+++ b/internal/serving/server/reply_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -133,3 +134,15 @@
 		}
 	}
 }
+
+// TestWholeAnswerStatesItsLength writes an answer that is longer than the buffers in which net/http counts.
+func TestWholeAnswerStatesItsLength(t *testing.T) {
+	r, w := newTestReply(false, false, false)
+	if err := r.writeToken(strings.Repeat("latch ", 1000)); err != nil {
+		t.Fatal(err)
+	}
+	r.finish("stop", usage{})
+	if diff := cmp.Diff(strconv.Itoa(w.Body.Len()), w.Header().Get("Content-Length")); diff != "" {
+		t.Errorf("Content-Length (-want +got):\n%s", diff)
+	}
+}
--- a/internal/serving/server/server.go
+++ b/internal/serving/server/server.go
@@ -2,6 +2,7 @@
 package server
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -10,6 +11,7 @@
 	"log/slog"
 	"net/http"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -415,9 +417,13 @@
 	return modelObject{ID: name, Object: "model", OwnedBy: "heatherrock"}
 }
 
-// writeJSON answers a completed request with a value as JSON.
+// writeJSON answers a completed request with a value as JSON, and states its length.
 func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set(HeaderOutcome, classifier.VerdictCompleted.String())
-	_ = json.NewEncoder(w).Encode(v)
+	var b bytes.Buffer
+	_ = json.NewEncoder(&b).Encode(v) // The types of answers have no values that cannot be encoded.
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(b.Len()))
+	h.Set(HeaderOutcome, classifier.VerdictCompleted.String())
+	_, _ = b.WriteTo(w) // The write fails if the caller has disconnected.
 }
