Take a response for a broken one if its connection is reset before the request is written

Callers saw: a part of an answer without a length as a whole one, if its server ended its side and closed the connection before it had read the upload. A process that ends does so if it has read all that had arrived: the kernel sends a FIN, and a reset for what comes after.

RFC 9112, section 8, takes such an answer for whole unless the connection indicated an error, and a reset is one.

Change: a read that finds the end waits until the request is written, for 100 ms at most, and returns any error of the connection that a read or a write has met. connector and net/http's trace tell the socket when a request is written. A server that ends its side and reads on, or that leaves the upload unread and the connection open, still gets its answer through. A test expected the answer of a server that closes the connection with the upload unread to be whole; it is replaced by TestResponseThatIsClosedDuringTheUploadIsNotWhole and by the server that leaves it open.

--- a/internal/client/verifier/socket.go
+++ b/internal/client/verifier/socket.go
@@ -6,14 +6,13 @@
 	"net"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 )
 
-// Socket is a client's TCP connection that reports a failure to every read. The kernel reports the failure of a connection once: if a
-// write takes the error, reads end as if the peer had closed the connection, and a response that is delimited by that end (RFC 9112,
+// Socket is a client's TCP connection whose reads end in order only if no error of the connection is known. The kernel reports an error
+// once: if a write takes it, reads end as if the peer had closed the connection, and a response that is delimited by that end (RFC 9112,
 // section 6.3) looks complete.
 type Socket struct {
 	net.Conn
@@ -23,14 +22,37 @@
 	mu      sync.Mutex
 	// failure is the first error of the connection that a read or a write has returned.
 	failure error
+	// written is closed once the request in progress has been written. It is nil while none is written.
+	written chan struct{}
 }
 
 // NewSocket returns a connection that has neither been read nor written.
 func NewSocket(c net.Conn) *Socket { return &Socket{Conn: c} }
 
+// resetWait is how long a read that has found the end waits for the request to be written. A peer that has closed the connection answers
+// the next bytes with a reset.
+const resetWait = 100 * time.Millisecond
+
 // pastDeadline is a deadline that ends a write at once.
 var pastDeadline = time.Unix(1, 0)
 
+// BeginRequest records that a request is written from now on.
+func (s *Socket) BeginRequest() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.written = make(chan struct{})
+}
+
+// EndRequest records that the request in progress has been written, or that its write has failed.
+func (s *Socket) EndRequest() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.written != nil {
+		close(s.written)
+		s.written = nil
+	}
+}
+
 // Write writes to the connection.
 func (s *Socket) Write(b []byte) (int, error) {
 	s.writing.Lock()
@@ -40,8 +62,8 @@
 	return n, err
 }
 
-// Read reads from the connection. The error is io.EOF only if the peer has ended its side of the connection. After that, nothing more can
-// be written.
+// Read reads from the connection. The error is io.EOF only if the peer has ended its side of the connection, and no error of the connection
+// is known once the request has been written or resetWait has passed. After that, nothing more can be written.
 func (s *Socket) Read(b []byte) (int, error) {
 	n, err := s.Conn.Read(b)
 	if errors.Is(err, io.EOF) {
@@ -53,6 +75,7 @@
 
 // end returns the error of a read that has found the end of the connection.
 func (s *Socket) end() error {
+	s.awaitRequest()
 	// A write that has taken the error may not have returned yet.
 	if err := s.Conn.SetWriteDeadline(pastDeadline); err != nil {
 		return err
@@ -67,6 +90,22 @@
 	return io.EOF
 }
 
+// awaitRequest waits until the request in progress has been written, for resetWait at most.
+func (s *Socket) awaitRequest() {
+	s.mu.Lock()
+	written := s.written
+	s.mu.Unlock()
+	if written == nil {
+		return
+	}
+	timer := time.NewTimer(resetWait)
+	defer timer.Stop()
+	select {
+	case <-written:
+	case <-timer.C:
+	}
+}
+
 // recordError records the error of a read or a write, if it is one of the connection.
 func (s *Socket) recordError(err error) {
 	if !isFailure(err) {
@@ -95,8 +134,7 @@
 	return n, err
 }
 
-// isFailure reports whether an error is one of the connection, not of a deadline or of a local close. Linux reports a reset as EPIPE if the
-// peer had ended its side before: all that it sent has been received.
+// isFailure reports whether an error is one of the connection, not of a deadline or of a local close.
 func isFailure(err error) bool {
-	return err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed)
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed)
 }
--- a/internal/client/verifier/socket_test.go
+++ b/internal/client/verifier/socket_test.go
@@ -56,7 +56,7 @@
 	}{
 		{"reset, kernel", reset, func(c net.Conn) net.Conn { return c }, result{syscall.ECONNRESET, io.EOF, io.EOF}},
 		{"reset", reset, func(c net.Conn) net.Conn { return NewSocket(c) }, result{syscall.ECONNRESET, syscall.ECONNRESET, syscall.ECONNRESET}},
-		{"ended and reset", end, func(c net.Conn) net.Conn { return NewSocket(c) }, result{syscall.EPIPE, io.EOF, io.EOF}},
+		{"ended and reset", end, func(c net.Conn) net.Conn { return NewSocket(c) }, result{syscall.EPIPE, syscall.EPIPE, syscall.EPIPE}},
 	} {
 		client, server := newPair(t)
 		conn := c.wrap(client)
--- a/internal/client/verifier/transport.go
+++ b/internal/client/verifier/transport.go
@@ -9,26 +9,52 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 )
 
-// Conn is a client's connection whose reads verify the heads of the responses to its requests, which must not be pipelined.
+// Conn is a client's connection whose reads verify the heads of the responses to its requests, which must not be pipelined, and how the
+// connection ends.
 type Conn struct {
 	net.Conn
+	// socket is the connection, or the one below TLS.
+	socket *Socket
 
 	mu   sync.Mutex
 	head Head
 }
 
-// NewConn returns a connection that expects the response to a first request.
-func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
+// NewConn returns a connection without TLS, which expects the response to a first request.
+func NewConn(c net.Conn) *Conn {
+	s := NewSocket(c)
+	return &Conn{Conn: s, socket: s}
+}
+
+// NewTLSConn starts TLS on a new connection to an address, whose host is the expected server name unless the settings give one. The settings
+// may be nil. What is read is decrypted, so that it can be verified. The connection is closed if the handshake fails.
+func NewTLSConn(ctx context.Context, c net.Conn, address string, settings *tls.Config) (*Conn, error) {
+	config := cmp.Or(settings, &tls.Config{}).Clone()
+	if host, _, err := net.SplitHostPort(address); err == nil {
+		config.ServerName = cmp.Or(config.ServerName, host)
+	}
+	s := NewSocket(c)
+	secure := tls.Client(tlsSocket{s}, config)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		return nil, errors.Join(err, c.Close())
+	}
+	return &Conn{Conn: secure, socket: s}, nil
+}
 
-// Expect begins the verification of the response to another request. It must be called before the request is written.
-func (c *Conn) Expect() {
+// BeginRequest begins the verification of the response to another request. It must be called before the request is written.
+func (c *Conn) BeginRequest() {
+	c.socket.BeginRequest()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head.Expect()
 }
 
+// EndRequest records that the request has been written, or that its write has failed.
+func (c *Conn) EndRequest() { c.socket.EndRequest() }
+
 // Read reads from the connection. The error is ErrInvalidHead if the bytes received make a head invalid; none of them is returned.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
@@ -58,12 +84,27 @@
 
 // RoundTrip sends a request and returns its response, as http.Transport does.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*Conn); ok {
-			c.Expect()
-		}
-	}}
-	return t.transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	return t.transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), (&connTrace{}).hooks())))
+}
+
+// connTrace tells the connection of a request when the request is written.
+type connTrace struct{ conn atomic.Pointer[Conn] }
+
+// hooks returns the functions that net/http calls.
+func (t *connTrace) hooks() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*Conn); ok {
+				c.BeginRequest()
+				t.conn.Store(c)
+			}
+		},
+		WroteRequest: func(httptrace.WroteRequestInfo) {
+			if c := t.conn.Load(); c != nil {
+				c.EndRequest()
+			}
+		},
+	}
 }
 
 // CloseIdleConnections closes the connections that serve no request.
@@ -75,32 +116,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return NewConn(NewSocket(c)), nil
+	return NewConn(c), nil
 }
 
-// dialTLS opens a connection with TLS. What is read from it is decrypted, so that it can be verified.
+// dialTLS opens a connection with TLS.
 func (t *Transport) dialTLS(ctx context.Context, network, address string) (net.Conn, error) {
 	c, err := t.dial(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
-	secure, err := Secure(ctx, c, address, t.transport.TLSClientConfig)
+	conn, err := NewTLSConn(ctx, c, address, t.transport.TLSClientConfig)
 	if err != nil {
 		return nil, err
 	}
-	return NewConn(secure), nil
-}
-
-// Secure starts TLS on a new connection to an address, whose host is the expected server name unless the settings give one. The settings may
-// be nil. The connection is closed if that fails.
-func Secure(ctx context.Context, c net.Conn, address string, settings *tls.Config) (*tls.Conn, error) {
-	config := cmp.Or(settings, &tls.Config{}).Clone()
-	if host, _, err := net.SplitHostPort(address); err == nil {
-		config.ServerName = cmp.Or(config.ServerName, host)
-	}
-	secure := tls.Client(tlsSocket{NewSocket(c)}, config)
-	if err := secure.HandshakeContext(ctx); err != nil {
-		return nil, errors.Join(err, c.Close())
-	}
-	return secure, nil
+	return conn, nil
 }
--- a/internal/client/verifier/upload_test.go
+++ b/internal/client/verifier/upload_test.go
@@ -108,3 +108,21 @@
 		}
 	}
 }
+
+// TestUploadThatIsClosedHasNoWholeResponse ends the sending side after a response without a length, and closes the connection before the
+// request is read.
+func TestUploadThatIsClosedHasNoWholeResponse(t *testing.T) {
+	end := func(_ net.Conn, below *net.TCPConn) { _ = below.CloseWrite() }
+	s, settings := newServer(t, false, endUpload(t, time.Millisecond, end))
+	transport := NewTransport(settings)
+	const plays = 60
+	whole := 0
+	for range plays {
+		if a := upload(t, transport, s.URL, 8<<20); a.Err == nil {
+			whole++
+		}
+	}
+	if whole > 0 {
+		t.Errorf("%d of %d responses were taken for whole ones", whole, plays)
+	}
+}
--- a/internal/serving/connector/connector.go
+++ b/internal/serving/connector/connector.go
@@ -191,6 +191,7 @@
 		close(x.writeDone)
 		return err
 	}
+	x.conn.BeginRequest()
 	go x.run(body)
 	return nil
 }
@@ -198,6 +199,7 @@
 // run writes a long body. If it fails, so does the read of the response.
 func (x *exchange) run(body Content) {
 	defer close(x.writeDone)
+	defer x.conn.EndRequest()
 	_, err := body.WriteTo(x.conn)
 	x.writeFailed = err != nil
 }
--- a/internal/serving/connector/reset_test.go
+++ b/internal/serving/connector/reset_test.go
@@ -22,6 +22,11 @@
 	pause time.Duration
 }
 
+// String returns the name of a case.
+func (u upload) String() string {
+	return fmt.Sprintf("%d bytes, %d read, %v", u.bytes, u.read, u.pause)
+}
+
 // uploads are requests of several lengths, with ends of the connection at several moments: while the body is written, and while its write
 // waits for the endpoint, which takes a body that the buffers of the connection do not hold.
 var uploads = []upload{
@@ -66,51 +71,71 @@
 	return string(b), err
 }
 
-// unframed is a response that ends with its connection.
-const unframed = "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: x\n\n"
+// unframed is a response with unframedBody that ends with its connection.
+const (
+	unframed     = "HTTP/1.1 200 OK\r\n\r\n" + unframedBody
+	unframedBody = "id: 1\ndata: x\n\n"
+)
 
 // TestResponseThatIsResetDuringTheUploadIsNotWhole resets the connection after a part of a response of no stated length, while the request is
 // written: the write takes the error of the connection, and the read finds its end.
 func TestResponseThatIsResetDuringTheUploadIsNotWhole(t *testing.T) {
 	const plays = 60
 	for _, u := range uploads {
-		t.Run(fmt.Sprintf("%d bytes, %d read, %v", u.bytes, u.read, u.pause), func(t *testing.T) {
+		t.Run(u.String(), func(t *testing.T) {
 			t.Parallel()
 			e := answerEarly(t, u, unframed, func(c *net.TCPConn) { _ = c.SetLinger(0) })
-			whole := 0
-			for range plays {
-				if _, err := uploadTo(t, e, u); err == nil {
-					whole++
-				}
-			}
-			if whole > 0 {
-				t.Errorf("%d of %d parts were taken for whole responses", whole, plays)
-			}
+			countWhole(t, e, u, plays, 0)
+		})
+	}
+}
+
+// TestResponseThatIsClosedDuringTheUploadIsNotWhole ends the sending side after a part of a response, and closes the connection before the
+// request is read: what follows of the request is answered with a reset.
+func TestResponseThatIsClosedDuringTheUploadIsNotWhole(t *testing.T) {
+	const plays = 60
+	for _, u := range uploads {
+		if u.bytes < 8<<20 {
+			continue // The request may have been written before the reset arrives.
+		}
+		t.Run(u.String(), func(t *testing.T) {
+			t.Parallel()
+			e := answerEarly(t, u, unframed, func(c *net.TCPConn) { _ = c.CloseWrite() })
+			countWhole(t, e, u, plays, 0)
 		})
 	}
 }
 
-// TestResponseThatEndsDuringTheUploadIsWhole ends the sending side after a whole response of no stated length, while the request is written,
-// and reads the rest of it or none.
+// TestResponseThatEndsDuringTheUploadIsWhole ends the sending side after a whole response of no stated length, while the request is written, and
+// reads the rest of it or leaves it unread.
 func TestResponseThatEndsDuringTheUploadIsWhole(t *testing.T) {
 	const plays = 10
-	for _, readsOn := range []bool{false, true} {
-		for _, u := range uploads {
-			t.Run(fmt.Sprintf("reads on %v, %d bytes, %d read, %v", readsOn, u.bytes, u.read, u.pause), func(t *testing.T) {
-				t.Parallel()
-				e := answerEarly(t, u, unframed, func(c *net.TCPConn) {
-					_ = c.CloseWrite()
-					if readsOn {
-						_, _ = io.Copy(io.Discard, c)
-					}
-				})
-				for range plays {
-					got, err := uploadTo(t, e, u)
-					if diff := cmp.Diff("id: 1\ndata: x\n\n", got); err != nil || diff != "" {
-						t.Errorf("error %v (-want +got):\n%s", err, diff)
-					}
-				}
-			})
+	for _, u := range uploads {
+		t.Run(u.String(), func(t *testing.T) {
+			t.Parallel()
+			e := answerEarly(t, u, unframed, func(c *net.TCPConn) { _ = c.CloseWrite(); _, _ = io.Copy(io.Discard, c) })
+			countWhole(t, e, u, plays, plays)
+			// The client closes the connection once it has waited for a reset.
+			e = answerEarly(t, u, unframed, func(c *net.TCPConn) { _ = c.CloseWrite(); time.Sleep(time.Second) })
+			countWhole(t, e, u, plays, plays)
+		})
+	}
+}
+
+// countWhole sends an upload some times, and checks how many responses are taken for whole ones.
+func countWhole(t *testing.T, e *testEndpoint, u upload, plays, want int) {
+	t.Helper()
+	whole := 0
+	for range plays {
+		body, err := uploadTo(t, e, u)
+		if err == nil {
+			whole++
 		}
+		if diff := cmp.Diff(unframedBody, body); err == nil && diff != "" {
+			t.Errorf("body (-want +got):\n%s", diff)
+		}
+	}
+	if whole != want {
+		t.Errorf("%d of %d responses were taken for whole ones, want %d", whole, plays, want)
 	}
 }
--- a/internal/serving/dispatcher/conn.go
+++ b/internal/serving/dispatcher/conn.go
@@ -1,6 +1,8 @@
 package dispatcher
 
 import (
+	"context"
+	"crypto/tls"
 	"net"
 	"sync"
 	"time"
@@ -15,9 +17,11 @@
 
 // conn is a connection that counts the bytes written and can be sealed against further writes.
 type conn struct {
+	// Conn is verified.
 	net.Conn
-	// verified reads from the connection.
 	verified *verifier.Conn
+	// plain is the connection below if it has no TLS, and nil otherwise.
+	plain net.Conn
 
 	mu      sync.Mutex
 	written int64
@@ -26,8 +30,20 @@
 	sendDeadline time.Time
 }
 
-// Read verifies the heads of the responses.
-func (c *conn) Read(b []byte) (int, error) { return c.verified.Read(b) }
+// newConn wraps a new connection without TLS.
+func newConn(c net.Conn) *conn {
+	v := verifier.NewConn(c)
+	return &conn{Conn: v, verified: v, plain: c}
+}
+
+// newTLSConn starts TLS on a new connection to an address.
+func newTLSConn(ctx context.Context, c net.Conn, address string, settings *tls.Config) (net.Conn, error) {
+	v, err := verifier.NewTLSConn(ctx, c, address, settings)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: v, verified: v}, nil
+}
 
 // Write counts the bytes before it writes them, so that the count is never too low.
 func (c *conn) Write(b []byte) (int, error) {
@@ -69,10 +85,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sealed = true
-	if s, ok := c.Conn.(*verifier.Socket); ok {
-		if t, ok := s.Conn.(*net.TCPConn); ok {
-			_ = t.SetLinger(0)
-		}
+	if t, ok := c.plain.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
 	}
 	return c.written == before
 }
--- a/internal/serving/dispatcher/sender.go
+++ b/internal/serving/dispatcher/sender.go
@@ -14,7 +14,6 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/heatherrock/heatherrock/internal/client/caller"
-	"github.com/heatherrock/heatherrock/internal/client/verifier"
 	"github.com/heatherrock/heatherrock/internal/control/claimer"
 	"github.com/heatherrock/heatherrock/internal/dispatch/classifier"
 )
@@ -59,7 +58,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return newConn(verifier.NewSocket(c)), nil
+			return newConn(c), nil
 		},
 		// HTTP/2 is off because its client retries refused streams by itself.
 		TLSNextProto:        map[string]func(string, *tls.Conn) http.RoundTripper{},
@@ -75,11 +74,7 @@
 			if err != nil {
 				return nil, err
 			}
-			secure, err := verifier.Secure(ctx, c, address, t)
-			if err != nil {
-				return nil, err
-			}
-			return newConn(secure), nil
+			return newTLSConn(ctx, c, address, t)
 		}
 	}
 	return s
@@ -94,7 +89,7 @@
 // was received, whatever the outcome. The error explains an outcome without a reply.
 func (s *Sender) Send(ctx context.Context, address string, m Message) (classifier.Outcome, *claimer.Reply, error) {
 	trace := &connTrace{sendDeadline: m.SendDeadline}
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: trace.gotConn})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: trace.gotConn, WroteRequest: trace.wroteRequest})
 	request, err := s.request(ctx, address, m)
 	if err != nil {
 		return classifier.NotSent, nil, err
@@ -146,11 +141,6 @@
 	return &claimer.Reply{Status: r.StatusCode, ContentType: r.Header.Get("Content-Type"), Body: body}, nil
 }
 
-// newConn wraps a new connection to count the bytes written and to verify what is read.
-func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, verified: verifier.NewConn(c)}
-}
-
 // connTrace records the connections assigned to a request.
 type connTrace struct {
 	mu   sync.Mutex
@@ -175,10 +165,19 @@
 		t.uncounted = true
 		return
 	}
-	c.verified.Expect()
+	c.verified.BeginRequest()
 	t.uses = append(t.uses, connUse{conn: c, writtenBefore: c.setSendDeadline(t.sendDeadline)})
 }
 
+// wroteRequest records that the request has been written to the last connection, or that its write has failed.
+func (t *connTrace) wroteRequest(httptrace.WroteRequestInfo) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.uses) > 0 {
+		t.uses[len(t.uses)-1].conn.verified.EndRequest()
+	}
+}
+
 // outcome returns the outcome of a request that failed: NotSent only if no byte was written for it, else Unknown. It
 // seals each connection so that none can be written later.
 func (t *connTrace) outcome() classifier.Outcome {
