Keep the port of an address that refuses connections in a test

Cause: TestIdempotentCallRetries took the port of a server that it had closed for one where nothing listens. Beside the tests of other packages a server got that port, and its 404 was the answer of the first address. With a server of http.NotFoundHandler on the freed port the test shows the difference that the failed run showed, in each of three runs looked at.

Change: the port stays bound while nothing listens on it.

Measured: 30 of 30 runs pass with the race detector.

--- a/internal/serving/dispatcher/dispatcher_test.go
+++ b/internal/serving/dispatcher/dispatcher_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -172,11 +173,27 @@
 	}
 }
 
+// refusingAddress returns an address that refuses connections until the test ends: its port is taken, and nothing listens on it.
+func refusingAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	address, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprint("127.0.0.1:", address.(*syscall.SockaddrInet4).Port)
+}
+
 func TestIdempotentCallRetries(t *testing.T) {
-	closed := httptest.NewServer(http.NotFoundHandler())
-	closed.Close()
 	s := &stockService{runsByKey: map[string]int{}}
-	env := testEnv{addresses: []string{closed.Listener.Addr().String(), startService(t, s)}}
+	env := testEnv{addresses: []string{refusingAddress(t), startService(t, s)}}
 	_, server1 := startInstance(t, "one", newFakeTable(), env)
 	got := sendCall(t, server1, http.MethodGet, "/v1/services/stock/parts/oak", "")
 	if diff := cmp.Diff(callResponse{200, "completed", "", "held "}, got); diff != "" {
