--- a/internal/client/verifier/head.go
+++ b/internal/client/verifier/head.go
@@ -1,5 +1,6 @@
-// Package verifier verifies the heads of HTTP/1.1 responses as they are received. net/http accepts more than RFC 9112 allows:
-// any number of three characters as a status, spaces in the names of headers, and headers that continue on the next line.
+// Package verifier verifies the heads of HTTP/1.1 responses as they are received, and how the connections end that delimit some of them. net/http
+// accepts more than RFC 9112 allows: any number of three characters as a status, spaces in the names of headers, headers that continue on the next
+// line, and the end of a connection that has failed.
 package verifier
 
 import (
--- a/internal/serving/bounder/bounder.go
+++ b/internal/serving/bounder/bounder.go
@@ -1,5 +1,6 @@
 // Package bounder bounds what the clients of a listener may send before anything is parsed: the bytes and lines of a head and of
-// trailers, the time for a head, the number of connections, and the memory for heads over all connections.
+// trailers, the time for a head, the number of connections, and the memory for heads over all connections. It also resets connections on which a
+// response of HTTP/1.0 breaks off.
 package bounder
 
 import (
