Close idle connections of the operators' client, and order socket.go

Cause: each client has a pool of its own since it uses verifier.Transport, and kept its idle connections until the listener closed them.

Change: an idle timeout of 10 s; a function of socket.go stands beside its use.

Measured: the tests of commander pass; the connections were not counted.

--- a/internal/client/verifier/socket.go
+++ b/internal/client/verifier/socket.go
@@ -118,6 +118,11 @@
 	}
 }
 
+// isFailure reports whether an error is one of the connection, not of a deadline or of a local close.
+func isFailure(err error) bool {
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed)
+}
+
 // ErrTruncated means that a connection with TLS ended without a close_notify alert: what was received may be a part (RFC 8446, section 6.1).
 var ErrTruncated = merry.Sentinel("connection ended without a close_notify alert")
 
@@ -133,8 +138,3 @@
 	}
 	return n, err
 }
-
-// isFailure reports whether an error is one of the connection, not of a deadline or of a local close.
-func isFailure(err error) bool {
-	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed)
-}
--- a/internal/serving/commander/client.go
+++ b/internal/serving/commander/client.go
@@ -11,14 +11,19 @@
 	"net"
 	"net/http"
 	"os"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"github.com/heatherrock/heatherrock/internal/client/verifier"
 )
 
-// maxResponseBytes bounds the part of an instance's response that is read.
-const maxResponseBytes = 64 << 20
+const (
+	// maxResponseBytes bounds the part of an instance's response that is read.
+	maxResponseBytes = 64 << 20
+	// idleTimeout is how long an idle connection is kept.
+	idleTimeout = 10 * time.Second
+)
 
 // ErrNotSent reports that no byte of a request was sent, so that it cannot have been executed.
 var ErrNotSent = merry.New("the instance cannot be reached; nothing was sent")
@@ -55,7 +60,9 @@
 
 // newHTTPClient returns an HTTP client with settings of TLS.
 func newHTTPClient(config *tls.Config) *http.Client {
-	return &http.Client{Transport: verifier.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment, TLSClientConfig: config})}
+	return &http.Client{Transport: verifier.NewTransport(&http.Transport{
+		Proxy: http.ProxyFromEnvironment, TLSClientConfig: config, IdleConnTimeout: idleTimeout,
+	})}
 }
 
 // Do sends a request and decodes the response into out if its status is one of those expected. It returns the status, or
