Ask the kernel for a reset after the end that no call has met

Callers would see: a part of an answer as a whole one, if its server ended its side and closed the connection with the request unread, and the write met the reset too late: on a busy machine it may not run within the 100 ms for which the end waits, and a short request has been written before. Found while looking for what makes the tests depend on the scheduler.

Cause: after the peer's FIN, Linux ends each read without looking at the error of the connection, so only a write reports a reset.

Change: a read that finds the end asks for the pending error (SO_ERROR) once the request is written or the time has passed, before it stops the write: net/http closes the connection when its write is stopped. A test endpoint keeps its connection open until the test ends in place of 1 s.

--- a/internal/client/verifier/socket.go
+++ b/internal/client/verifier/socket.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -76,6 +77,7 @@
 // end returns the error of a read that has found the end of the connection.
 func (s *Socket) end() error {
 	s.awaitRequest()
+	s.recordError(s.pendingError())
 	// A write that has taken the error may not have returned yet.
 	if err := s.Conn.SetWriteDeadline(pastDeadline); err != nil {
 		return err
@@ -90,6 +92,30 @@
 	return io.EOF
 }
 
+// pendingError returns the error of the connection that no call has reported.
+func (s *Socket) pendingError() error {
+	c, ok := s.Conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var code int
+	var optionErr error
+	err = raw.Control(func(fd uintptr) {
+		code, optionErr = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR)
+	})
+	if err = errors.Join(err, optionErr); err != nil {
+		return err
+	}
+	if code != 0 {
+		return syscall.Errno(code)
+	}
+	return nil
+}
+
 // awaitRequest waits until the request in progress has been written, for resetWait at most.
 func (s *Socket) awaitRequest() {
 	s.mu.Lock()
@@ -106,7 +132,7 @@
 	}
 }
 
-// recordError records the error of a read or a write, if it is one of the connection.
+// recordError records an error, if it is the first one of the connection.
 func (s *Socket) recordError(err error) {
 	if !isFailure(err) {
 		return
--- a/internal/client/verifier/socket_test.go
+++ b/internal/client/verifier/socket_test.go
@@ -1,6 +1,7 @@
 package verifier
 
 import (
+	"errors"
 	"io"
 	"net"
 	"syscall"
@@ -95,3 +96,21 @@
 		}
 	}
 }
+
+// TestResetAfterTheEnd reads a connection whose peer has ended its side and closed it with a request unread, once that is written.
+func TestResetAfterTheEnd(t *testing.T) {
+	client, server := newPair(t)
+	conn := NewSocket(client)
+	_, err := io.WriteString(conn, "request")
+	_, partErr := io.WriteString(server, "part")
+	if err := errors.Join(err, partErr, server.CloseWrite(), server.Close()); err != nil {
+		t.Fatal(err)
+	}
+	got, err := io.ReadAll(conn)
+	if diff := cmp.Diff("part", string(got)); diff != "" {
+		t.Errorf("bytes (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(error(syscall.EPIPE), err, cmpopts.EquateErrors()); diff != "" {
+		t.Errorf("error (-want +got):\n%s", diff)
+	}
+}
--- a/internal/serving/connector/reset_test.go
+++ b/internal/serving/connector/reset_test.go
@@ -110,13 +110,14 @@
 // reads the rest of it or leaves it unread.
 func TestResponseThatEndsDuringTheUploadIsWhole(t *testing.T) {
 	const plays = 10
+	done := make(chan struct{})
+	t.Cleanup(func() { close(done) })
 	for _, u := range uploads {
 		t.Run(u.String(), func(t *testing.T) {
 			t.Parallel()
 			e := answerEarly(t, u, unframed, func(c *net.TCPConn) { _ = c.CloseWrite(); _, _ = io.Copy(io.Discard, c) })
 			countWhole(t, e, u, plays, plays)
-			// The client closes the connection once it has waited for a reset.
-			e = answerEarly(t, u, unframed, func(c *net.TCPConn) { _ = c.CloseWrite(); time.Sleep(time.Second) })
+			e = answerEarly(t, u, unframed, func(c *net.TCPConn) { _ = c.CloseWrite(); <-done })
 			countWhole(t, e, u, plays, plays)
 		})
 	}
