--- a/internal/serving/dispatcher/conn.go
+++ b/internal/serving/dispatcher/conn.go
@@ -17,8 +17,8 @@
 
 // conn is a connection that counts the bytes written and can be sealed against further writes.
 type conn struct {
-	// Conn is verified.
 	net.Conn
+	// verified is the same connection. It is told when a request is written.
 	verified *verifier.Conn
 	// plain is the connection below if it has no TLS, and nil otherwise.
 	plain net.Conn
